--- /dev/null
+++ b/include/figstall/admission_gate.h
@@ -0,0 +1,55 @@
+// Lets threads wait for a slot that Admission gives out.
+#ifndef FIGSTALL_ADMISSION_GATE_H_
+#define FIGSTALL_ADMISSION_GATE_H_
+
+#include <condition_variable>
+#include <mutex>
+#include <set>
+
+#include "figstall/admission.h"
+
+namespace figstall {
+
+class AdmissionGate {
+ public:
+  explicit AdmissionGate(AdmissionLimits limits) : admission_(limits) {}
+
+  // Waits for a slot until `deadline`; false if refused or too late.
+  bool Enter(Lane lane, Instant deadline);
+  void Leave(Lane lane);
+  void Resize(AdmissionLimits limits);
+  std::uint32_t in_use() const;
+
+ private:
+  void Admit(const std::vector<Ticket>& tickets);
+
+  mutable std::mutex mutex_;
+  std::condition_variable admitted_signal_;
+  Admission admission_;
+  Ticket next_ticket_ = 0;
+  std::set<Ticket> admitted_;
+};
+
+// Holds a slot for as long as it lives.
+class AdmissionSlot {
+ public:
+  AdmissionSlot(AdmissionGate& gate, Lane lane, Instant deadline)
+      : gate_(gate), lane_(lane), entered_(gate.Enter(lane, deadline)) {}
+  ~AdmissionSlot() {
+    if (entered_)
+      gate_.Leave(lane_);
+  }
+  AdmissionSlot(const AdmissionSlot&) = delete;
+  AdmissionSlot& operator=(const AdmissionSlot&) = delete;
+
+  bool entered() const { return entered_; }
+
+ private:
+  AdmissionGate& gate_;
+  const Lane lane_;
+  const bool entered_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_ADMISSION_GATE_H_
--- /dev/null
+++ b/include/figstall/base64.h
@@ -0,0 +1,15 @@
+// Base64 (RFC 4648) by the orcania library.
+#ifndef FIGSTALL_BASE64_H_
+#define FIGSTALL_BASE64_H_
+
+#include <optional>
+#include <string>
+
+namespace figstall {
+
+std::string EncodeBase64(const std::string& bytes);
+std::optional<std::string> DecodeBase64(const std::string& text);
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_BASE64_H_
--- /dev/null
+++ b/include/figstall/http_server.h
@@ -0,0 +1,65 @@
+// HTTP towards callers, operators and the platform's balancer, by ulfius.
+#ifndef FIGSTALL_HTTP_SERVER_H_
+#define FIGSTALL_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "figstall/records.h"
+
+namespace figstall {
+
+struct HttpCall {
+  std::string method;
+  // Path without the query, still percent-encoded.
+  std::string path;
+  // Query with its question mark, or empty.
+  std::string query;
+  std::function<std::string(const char* name)> header;
+  std::function<std::string(const char* name)> parameter;
+  std::string body;
+};
+
+struct HttpReply {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+
+struct HttpServerLimits {
+  std::size_t max_body_bytes = 8'000'000;
+  // Memory for one connection's headers; larger ones are refused.
+  std::size_t header_bytes = 32'768;
+  unsigned max_connections = 4'096;
+  // A connection that sends nothing for this long is closed.
+  unsigned idle_seconds = 15;
+};
+
+// Serves from construction to destruction; calls `handler` on a thread for each
+// connection.
+class HttpServer {
+ public:
+  using Handler = std::function<HttpReply(const HttpCall&)>;
+
+  // Throws std::runtime_error if the address cannot be listened on.
+  HttpServer(const Endpoint& listen, HttpServerLimits limits, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// Splits a path at its slashes and decodes each part.
+std::vector<std::string> PathParts(const std::string& path);
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_HTTP_SERVER_H_
--- /dev/null
+++ b/include/figstall/log.h
@@ -0,0 +1,56 @@
+// Structured log lines on standard error, written by a thread of their own.
+#ifndef FIGSTALL_LOG_H_
+#define FIGSTALL_LOG_H_
+
+#include <atomic>
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+#include "figstall/ring.h"
+
+namespace figstall {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+enum class LogFormat { kText, kJson };
+
+std::optional<LogLevel> ParseLogLevel(std::string_view text);
+std::optional<LogFormat> ParseLogFormat(std::string_view text);
+
+// Example:
+//
+//   log.Write(LogLevel::kInfo, "route", {{"key", key}, {"target", target}});
+class Log {
+ public:
+  using Field = std::pair<std::string_view, std::string_view>;
+
+  Log(std::string process, LogLevel level, LogFormat format);
+  ~Log();
+  Log(const Log&) = delete;
+  Log& operator=(const Log&) = delete;
+
+  bool Enabled(LogLevel level) const { return level >= level_; }
+  // Never blocks; a line that finds the ring full is counted and dropped.
+  void Write(LogLevel level,
+             std::string_view event,
+             std::initializer_list<Field> fields);
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  void Run();
+
+  const std::string process_;
+  const LogLevel level_;
+  const LogFormat format_;
+  std::atomic<std::uint64_t> dropped_ = 0;
+  Ring<std::string> lines_;
+  std::thread writer_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_LOG_H_
--- /dev/null
+++ b/include/figstall/partition_mover.h
@@ -0,0 +1,181 @@
+// A leader's work once it has authority: learns what holders hold, opens and
+// seals leases, and moves partitions one safe step at a time.
+#ifndef FIGSTALL_PARTITION_MOVER_H_
+#define FIGSTALL_PARTITION_MOVER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "figstall/lease_keeper.h"
+#include "figstall/ownership_table.h"
+#include "figstall/placement.h"
+#include "figstall/seal.h"
+#include "figstall/steward_io.h"
+
+namespace figstall {
+
+// Lives for one epoch of one leader. Invariant: a partition is granted only
+// after every holder that might still serve it has confirmed that it stopped,
+// or its lease has lapsed.
+class PartitionMover {
+ public:
+  struct Surroundings {
+    // Stewards that may be renewing leases.
+    const std::set<StewardId>& roster;
+    bool store_out = false;
+  };
+
+  PartitionMover(StewardId self,
+                 Epoch epoch,
+                 StewardTiming timing,
+                 StewardLimits limits,
+                 Instant now,
+                 LeaseKeeper& keeper);
+
+  void SetPlan(const ZonePlan& plan);
+  // Rows that the store held when this leader was elected.
+  void Inherit(const std::vector<PartitionRow>& rows);
+
+  void OnStatus(Instant now,
+                const HolderStatus& status,
+                const Surroundings& around,
+                StewardActions& actions);
+  void OnSealReply(Instant now, const StewardId& from, const SealReply& reply);
+  void OnGone(Instant now, const StewardId& id);
+  void OnStored(const std::vector<PartitionRow>& rows);
+
+  void Advance(Instant now,
+               const Surroundings& around,
+               StewardActions& actions);
+  // Adds the leader's part to an order that is about to be sent.
+  void Decorate(HolderOrder& order);
+
+  std::vector<LeaseEntry> OpenLeases() const;
+  const OwnershipTable& table() const { return table_; }
+  // Rises whenever members have something new to learn.
+  std::uint64_t change() const { return table_.change(); }
+  // True once every holder has reported or its lease has lapsed; until then
+  // nothing is granted anew.
+  bool settled() const { return settled_; }
+
+ private:
+  enum class Phase {
+    // Has not yet reported to this leader.
+    kUnreported,
+    // Has no lease; nothing is granted to it.
+    kNone,
+    kOpening,
+    kOpen,
+    // Asking the members whether they still hear it.
+    kPolling,
+    kSealing,
+  };
+
+  struct Holder {
+    Phase phase = Phase::kUnreported;
+    bool is_router = false;
+    Term lease;
+    Instant since{};
+    std::optional<Seal> seal;
+    std::optional<Instant> asked_at;
+    // Members that have not yet said whether they hear the holder.
+    std::set<StewardId> unpolled;
+    std::uint64_t incarnation = 0;
+    // Greatest order change this holder acknowledged under its lease.
+    std::uint64_t acknowledged = 0;
+    // Rows that the holder's report named.
+    std::set<PartitionKey> reported;
+  };
+
+  Term NextTerm() { return Term{epoch_, ++term_count_}; }
+  bool ChecksGrants(const PartitionKey& key) const;
+  bool IsLeaseHolder(const VmId& id) const;
+  // Holders that may be serving `key` now.
+  std::set<VmId> PossibleHolders(const PartitionKey& key,
+                                 const OwnedRow& row) const;
+
+  void AdoptReport(const VmId& id, Holder& holder, const HolderStatus& status);
+  void CheckLease(const VmId& id,
+                  Holder& holder,
+                  const HolderStatus& status,
+                  StewardActions& actions);
+  void ConfirmRevokes(const VmId& id, const HolderStatus& status);
+  void ConfirmGrants(const VmId& id,
+                     Holder& holder,
+                     const HolderStatus& status,
+                     StewardActions& actions);
+  void OnLapsed(const VmId& id,
+                Holder& holder,
+                const std::string& reason,
+                StewardActions& actions);
+  void Settle(StewardActions& actions);
+
+  void DriveHolder(Instant now,
+                   const VmId& id,
+                   Holder& holder,
+                   const Surroundings& around,
+                   StewardActions& actions);
+  void StartPoll(Instant now,
+                 const VmId& id,
+                 Holder& holder,
+                 const Surroundings& around,
+                 StewardActions& actions);
+  void StartSeal(Instant now,
+                 const VmId& id,
+                 Holder& holder,
+                 const Surroundings& around,
+                 StewardActions& actions);
+  void AskToSeal(Instant now,
+                 const VmId& id,
+                 Holder& holder,
+                 const std::set<StewardId>& members,
+                 bool insist,
+                 StewardActions& actions);
+  void OpenLease(Instant now,
+                 const VmId& id,
+                 Holder& holder,
+                 StewardActions& actions);
+
+  void RevokeFromUnfit(Instant now, StewardActions& actions);
+  void RevokeAll(const VmId& owner,
+                 const std::string& reason,
+                 StewardActions& actions);
+  void PlaceService(Instant now,
+                    const ServicePlan& service,
+                    StewardActions& actions);
+  // While nothing was ever placed, placement waits for the leases that are
+  // being opened, so that the first target does not take everything.
+  bool AnyOpening() const;
+  bool HasFree(const ServiceId& service) const;
+  Assignment CurrentAssignment(
+      const ServicePlan& service,
+      const std::vector<const TargetPlan*>& eligible) const;
+  void AssignRow(const PartitionKey& key,
+                 const VmId& owner,
+                 StewardActions& actions);
+  void RevokeRow(const PartitionKey& key,
+                 const std::string& reason,
+                 StewardActions& actions);
+  bool Eligible(Instant now, const TargetPlan& target) const;
+
+  const StewardId self_;
+  const Epoch epoch_;
+  const StewardTiming timing_;
+  const StewardLimits limits_;
+  LeaseKeeper& keeper_;
+  // When a steward was last found gone; it may have renewed until then.
+  Instant last_gone_at_;
+  ZonePlan plan_;
+  std::map<VmId, Holder> holders_;
+  OwnershipTable table_;
+  std::uint64_t term_count_ = 0;
+  bool settled_ = false;
+  // Services whose placement may still improve.
+  std::set<ServiceId> unplaced_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_PARTITION_MOVER_H_
--- /dev/null
+++ b/include/figstall/request_flow.h
@@ -0,0 +1,59 @@
+// The course of one request: which attempts it may make and how it ends.
+#ifndef FIGSTALL_REQUEST_FLOW_H_
+#define FIGSTALL_REQUEST_FLOW_H_
+
+#include <functional>
+
+#include "figstall/request.h"
+
+namespace figstall {
+
+struct RetryPolicy {
+  int max_attempts = 8;
+  Duration first_backoff = std::chrono::milliseconds(10);
+  Duration max_backoff = std::chrono::milliseconds(200);
+
+  friend auto operator<=>(const RetryPolicy&, const RetryPolicy&) = default;
+};
+
+enum class FlowVerdict {
+  // Make another attempt, not before `not_before`.
+  kRetry,
+  kFinish,
+};
+
+struct FlowDecision {
+  FlowVerdict verdict = FlowVerdict::kFinish;
+  Instant not_before{};
+  Answer answer;
+};
+
+// Pure. Only work that did not run, or idempotent work, is attempted again. The
+// final outcome is "not run" only if no attempt can have run.
+class RequestFlow {
+ public:
+  // `take_retry` takes one retry from a shared budget, or returns false.
+  RequestFlow(bool idempotent,
+              Instant deadline,
+              RetryPolicy policy,
+              std::function<bool()> take_retry);
+
+  FlowDecision OnAttempt(Instant now, const Answer& attempt);
+  int attempts() const { return attempts_; }
+
+ private:
+  FlowDecision Finish(const Answer& attempt) const;
+
+  const bool idempotent_;
+  const Instant deadline_;
+  const RetryPolicy policy_;
+  const std::function<bool()> take_retry_;
+  int attempts_ = 0;
+  // Set once an attempt ended as unknown; the request then may have run.
+  bool may_have_run_ = false;
+  Duration backoff_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_REQUEST_FLOW_H_
--- /dev/null
+++ b/include/figstall/steward_io.h
@@ -0,0 +1,139 @@
+// Events that a steward's state machines take and actions that they ask for.
+// Adapters carry actions out; nothing here knows a socket or a clock.
+#ifndef FIGSTALL_STEWARD_IO_H_
+#define FIGSTALL_STEWARD_IO_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "figstall/messages.h"
+#include "figstall/zone_document.h"
+#include "figstall/zone_plan.h"
+
+namespace figstall {
+
+enum class StoreOutcome {
+  kDone,
+  // Somebody else wrote first; nothing was changed.
+  kConflict,
+  // The answer was lost; the write may or may not have taken effect.
+  kUnknown,
+};
+
+struct Tick {};
+struct PlanChanged {
+  ZonePlan plan;
+};
+// VMs that the platform lists; versions only rise.
+struct VmListChanged {
+  std::uint64_t version = 0;
+  std::set<VmId> listed;
+};
+// Replies carry the number of the call they answer, so that a late one is never
+// taken for the answer to a later call.
+struct ZoneRead {
+  std::uint64_t call = 0;
+  bool answered = false;
+  std::optional<ZoneDocument> document;
+  std::uint64_t version = 0;
+};
+struct ZoneWritten {
+  std::uint64_t call = 0;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  std::uint64_t version = 0;
+};
+// Whether this steward holds the zone's leader lease in the store.
+struct LeaderLeaseReply {
+  bool answered = false;
+  bool held = false;
+};
+struct PeerReceived {
+  StewardId from;
+  PeerMessage message;
+};
+struct HolderReplied {
+  HolderStatus status;
+};
+
+using StewardEvent = std::variant<Tick,
+                                  PlanChanged,
+                                  VmListChanged,
+                                  ZoneRead,
+                                  ZoneWritten,
+                                  LeaderLeaseReply,
+                                  PeerReceived,
+                                  HolderReplied>;
+
+struct SendOrder {
+  HolderOrder order;
+};
+struct SendPeer {
+  VmId to;
+  PeerMessage message;
+};
+struct ReadZone {
+  std::uint64_t call = 0;
+};
+struct WriteZone {
+  std::uint64_t call = 0;
+  ZoneDocument document;
+  // Zero creates the document.
+  std::uint64_t expected_version = 0;
+};
+struct AcquireLeaderLease {};
+struct ReleaseLeaderLease {};
+// A placement or membership decision, for the log.
+struct Decision {
+  std::string what;
+  std::string subject;
+  std::string target;
+  Term term;
+  std::string reason;
+};
+
+using StewardAction = std::variant<SendOrder,
+                                   SendPeer,
+                                   ReadZone,
+                                   WriteZone,
+                                   AcquireLeaderLease,
+                                   ReleaseLeaderLease,
+                                   Decision>;
+using StewardActions = std::vector<StewardAction>;
+
+// Intervals that stewards keep to.
+struct StewardTiming {
+  Duration renew_interval = std::chrono::milliseconds(200);
+  Duration validity = std::chrono::milliseconds(600);
+  // A holder not heard for this long is taken for lost.
+  Duration lost_after = std::chrono::milliseconds(400);
+  // How long the leader asks whether others still hear a lost holder.
+  Duration objection_wait = std::chrono::milliseconds(100);
+  // A leader not heard for this long may be replaced.
+  Duration leader_silence = std::chrono::milliseconds(1000);
+  Duration lease_interval = std::chrono::milliseconds(500);
+  // A store call without an answer for this long has an unknown outcome.
+  Duration store_timeout = std::chrono::milliseconds(150);
+  Duration store_retry = std::chrono::milliseconds(200);
+  Duration join_interval = std::chrono::milliseconds(500);
+  Duration drift_margin = std::chrono::milliseconds(10);
+
+  friend auto operator<=>(const StewardTiming&, const StewardTiming&) = default;
+};
+
+// How much a steward may do at once.
+struct StewardLimits {
+  // Members, besides the leader, that renew each holder's lease.
+  std::size_t renewers_per_holder = 2;
+  // Partitions moved at a time to even out load.
+  std::size_t rebalancing_moves = 8;
+  // Load above which a target gives up partitions, relative to its fair share.
+  double placement_slack = 1.05;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_STEWARD_IO_H_
--- /dev/null
+++ b/include/figstall/steward_node.h
@@ -0,0 +1,99 @@
+// Runs a ZoneSteward behind sockets: one thread takes its steps, others carry
+// its actions out.
+#ifndef FIGSTALL_STEWARD_NODE_H_
+#define FIGSTALL_STEWARD_NODE_H_
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+#include "figstall/configuration.h"
+#include "figstall/http_client.h"
+#include "figstall/http_server.h"
+#include "figstall/log.h"
+#include "figstall/metrics.h"
+#include "figstall/ring.h"
+#include "figstall/rpc_node.h"
+#include "figstall/settings.h"
+#include "figstall/store.h"
+#include "figstall/zone_steward.h"
+
+namespace figstall {
+
+// Store keys of one zone.
+std::string ZoneDocumentKey(const ZoneId& zone);
+std::string LeaderLeaseKey(const ZoneId& zone);
+
+class StewardNode {
+ public:
+  StewardNode(StewardSettings settings,
+              std::uint64_t incarnation,
+              Log& log,
+              Metrics& metrics);
+  ~StewardNode();
+  StewardNode(const StewardNode&) = delete;
+  StewardNode& operator=(const StewardNode&) = delete;
+
+  StewardHandlers PeerHandlers();
+  // Starts all threads; `peers` must outlive them.
+  void Start(RpcNode* peers);
+  // Resigns, hands the actions of that to the network, and stops all threads.
+  void Stop();
+
+  HttpReply OnHttp(const HttpCall& call) const;
+
+ private:
+  using StoreJob =
+      std::variant<ReadZone, WriteZone, AcquireLeaderLease, ReleaseLeaderLease>;
+
+  // What other threads may see of the steward, copied after every step.
+  struct View {
+    bool leading = false;
+    bool authority = false;
+    bool settled = false;
+    bool admitted = false;
+    bool leader_silent = true;
+    Epoch epoch = 0;
+  };
+
+  void RunSteps();
+  void RunStore();
+  void RunConfiguration();
+  void RunVmList();
+
+  void Push(StewardEvent event);
+  void Carry(const StewardActions& actions);
+  void CarryOrder(const HolderOrder& order);
+  void ProbeTarget(const VmRecord& target, const HolderOrder& order);
+  void CarryPeer(const SendPeer& send);
+  void LogDecision(const Decision& decision);
+  void RunStoreJob(const StoreJob& job);
+  void TakeConfiguration(const std::string& text);
+  void SpreadConfiguration(const Configuration& configuration);
+  View CurrentView() const;
+
+  const StewardSettings settings_;
+  const StewardId self_;
+  Log& log_;
+  Metrics& metrics_;
+  RpcNode* peers_ = nullptr;
+
+  // Touched only by the thread of RunSteps, and by Stop after it has ended.
+  ZoneSteward steward_;
+  ConfigurationHolder configuration_;
+  HttpFanout fanout_;
+  HttpStore store_;
+  mutable std::mutex view_mutex_;
+  View view_;
+
+  std::atomic<bool> stopping_ = false;
+  Ring<StewardEvent> events_;
+  Ring<StoreJob> store_jobs_;
+  // Configurations that the zone's leader offered.
+  Ring<std::string> offered_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_STEWARD_NODE_H_
--- /dev/null
+++ b/include/figstall/types.h
@@ -0,0 +1,90 @@
+// The small value types that every other module shares: names, fencing tokens
+// and points in time. This header includes nothing of figstall's own.
+#ifndef FIGSTALL_TYPES_H_
+#define FIGSTALL_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace figstall {
+
+// All clocks are monotonic; wall time never enters a decision.
+using Duration = std::chrono::microseconds;
+using Instant = std::chrono::time_point<std::chrono::steady_clock,
+                                        std::chrono::microseconds>;
+
+// A name that cannot be confused with a name of another kind.
+template <typename Tag>
+class Name {
+ public:
+  Name() = default;
+  explicit Name(std::string value) : value_(std::move(value)) {}
+
+  const std::string& value() const { return value_; }
+  bool empty() const { return value_.empty(); }
+
+  friend auto operator<=>(const Name&, const Name&) = default;
+
+ private:
+  std::string value_;
+};
+
+using VmId = Name<struct VmTag>;
+using ZoneId = Name<struct ZoneTag>;
+using RegionId = Name<struct RegionTag>;
+using ServiceId = Name<struct ServiceTag>;
+
+// The number of an elected leader within its availability zone; only rises.
+using Epoch = std::uint64_t;
+
+// A fencing token. The epoch is the leader's that issued it, so two leaders
+// never issue the same term and a later leader's terms are always greater.
+struct Term {
+  Epoch epoch = 0;
+  std::uint64_t count = 0;
+
+  bool valid() const { return epoch != 0; }
+  std::string ToString() const {
+    return std::to_string(epoch) + "." + std::to_string(count);
+  }
+  friend auto operator<=>(const Term&, const Term&) = default;
+};
+
+// One run of the steward process; a restarted process is another steward.
+struct StewardId {
+  VmId vm;
+  std::uint64_t incarnation = 0;
+
+  std::string ToString() const {
+    return vm.value() + "#" + std::to_string(incarnation);
+  }
+  friend auto operator<=>(const StewardId&, const StewardId&) = default;
+};
+
+// A partition of one service.
+struct PartitionKey {
+  ServiceId service;
+  std::uint32_t partition = 0;
+
+  friend auto operator<=>(const PartitionKey&, const PartitionKey&) = default;
+};
+
+inline std::string ToString(const PartitionKey& key) {
+  return key.service.value() + "/" + std::to_string(key.partition);
+}
+
+// Who owns a partition, under which fencing token.
+struct PartitionRow {
+  PartitionKey key;
+  Term term;
+  VmId owner;
+
+  friend auto operator<=>(const PartitionRow&, const PartitionRow&) = default;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_TYPES_H_
--- /dev/null
+++ b/include/figstall/zone_steward.h
@@ -0,0 +1,137 @@
+// One steward of an availability zone: renews leases as a member, and leads
+// the zone when elected. Pure: events in, actions out.
+#ifndef FIGSTALL_ZONE_STEWARD_H_
+#define FIGSTALL_ZONE_STEWARD_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "figstall/election.h"
+#include "figstall/lease_keeper.h"
+#include "figstall/partition_mover.h"
+#include "figstall/steward_io.h"
+
+namespace figstall {
+
+// Example:
+//
+//   ZoneSteward steward(self, timing, limits);
+//   for (const StewardAction& action : steward.Step(now, Tick{})) Run(action);
+class ZoneSteward {
+ public:
+  ZoneSteward(StewardId self, StewardTiming timing, StewardLimits limits);
+
+  // Handles one event. Call it with Tick at least every 20 ms.
+  StewardActions Step(Instant now, const StewardEvent& event);
+
+  // Gives up leadership and renewing; Step returns nothing afterwards.
+  StewardActions Resign();
+
+  bool leading() const { return election_.leading(); }
+  bool authority() const { return mover_ != nullptr; }
+  bool settled() const { return mover_ && mover_->settled(); }
+  bool admitted() const { return election_.admitted(); }
+  Epoch epoch() const { return election_.seen_epoch(); }
+  // True when no leader was heard for the leader silence.
+  bool leader_silent(Instant now) const;
+  const StewardId& self() const { return self_; }
+  const ZonePlan& plan() const { return plan_; }
+  // Rows as this steward knows them: the leader's own, or those pushed to it.
+  std::vector<PartitionRow> KnownRows() const;
+
+ private:
+  struct Member {
+    // Greatest change of this epoch that the member acknowledged.
+    std::uint64_t acknowledged = 0;
+    std::optional<Instant> pushed_at;
+  };
+
+  void Handle(Instant now, const Tick& tick, StewardActions& actions);
+  void Handle(Instant now, const PlanChanged& changed, StewardActions& actions);
+  void Handle(Instant now, const VmListChanged& list, StewardActions& actions);
+  void Handle(Instant now, const ZoneRead& read, StewardActions& actions);
+  void Handle(Instant now, const ZoneWritten& written, StewardActions& actions);
+  void Handle(Instant now,
+              const LeaderLeaseReply& reply,
+              StewardActions& actions);
+  void Handle(Instant now,
+              const PeerReceived& received,
+              StewardActions& actions);
+  void Handle(Instant now,
+              const HolderReplied& replied,
+              StewardActions& actions);
+
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const JoinRequest& message,
+              StewardActions& actions);
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const StatePush& message,
+              StewardActions& actions);
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const StatePushAck& message,
+              StewardActions& actions);
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const StepDown& message,
+              StewardActions& actions);
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const StepDownAck& message,
+              StewardActions& actions);
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const SealRequest& message,
+              StewardActions& actions);
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const SealReply& message,
+              StewardActions& actions);
+  void OnPeer(Instant now,
+              const StewardId& from,
+              const Resignation& message,
+              StewardActions& actions);
+
+  void NoteIncarnation(Instant now, const StewardId& from);
+  void MarkGone(Instant now, const StewardId& id);
+  void MarkVmGone(Instant now, const VmId& vm);
+
+  void Advance(Instant now, StewardActions& actions);
+  void FollowLeadership(Instant now);
+  void AskToJoin(Instant now, StewardActions& actions);
+  void AskOldLeaders(Instant now, StewardActions& actions);
+  void PushState(Instant now, StewardActions& actions);
+  void SendOrders(Instant now, StewardActions& actions);
+  bool Renews(const VmId& holder) const;
+  PartitionMover::Surroundings Around() const;
+
+  const StewardId self_;
+  const StewardTiming timing_;
+  const StewardLimits limits_;
+  ZonePlan plan_;
+  Election election_;
+  LeaseKeeper keeper_;
+  // Exists exactly while this steward leads with authority.
+  std::unique_ptr<PartitionMover> mover_;
+  Epoch mover_epoch_ = 0;
+  std::map<StewardId, Member> members_;
+  // As a member: how far into which epoch's pushes this steward is.
+  Epoch applied_epoch_ = 0;
+  std::uint64_t applied_change_ = 0;
+  std::optional<Instant> leader_heard_at_;
+  StewardId leader_;
+  std::set<StewardId> known_roster_;
+  std::map<PartitionKey, PartitionRow> pushed_rows_;
+  std::optional<Instant> join_asked_at_;
+  std::optional<Instant> step_down_asked_at_;
+  std::uint64_t proposed_change_ = 0;
+  bool resigned_ = false;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_ZONE_STEWARD_H_
--- /dev/null
+++ b/src/admission.cc
@@ -0,0 +1,94 @@
+// Implements admission by lanes.
+#include "figstall/admission.h"
+
+#include <algorithm>
+
+namespace figstall {
+namespace {
+
+constexpr std::array<Lane, kLaneCount> kLanesByUrgency = {
+    Lane::kEnquiry, Lane::kOrder, Lane::kBulk};
+
+}  // namespace
+
+AdmissionLimits AdmissionLimits::ForSlots(std::uint32_t slots,
+                                          std::uint32_t queue) {
+  AdmissionLimits limits;
+  limits.slots = std::max<std::uint32_t>(slots, 1);
+  const std::uint32_t eighth = limits.slots / 8;
+  limits.lanes[0] = {2 * eighth, limits.slots, queue};
+  limits.lanes[1] = {eighth, limits.slots, queue};
+  limits.lanes[2] = {eighth, std::max<std::uint32_t>(limits.slots / 2, 1),
+                     queue};
+  return limits;
+}
+
+AdmissionVerdict Admission::Arrive(Ticket ticket, Lane lane) {
+  LaneState& own = state(lane);
+  if (own.queue.empty() && MayStart(lane)) {
+    ++own.in_use;
+    return AdmissionVerdict::kAdmitted;
+  }
+  if (own.queue.size() >= limits_.lanes[static_cast<std::size_t>(lane)].queue)
+    return AdmissionVerdict::kRefused;
+  own.queue.push_back(ticket);
+  return AdmissionVerdict::kQueued;
+}
+
+std::vector<Ticket> Admission::Finish(Lane lane) {
+  --state(lane).in_use;
+  return StartWaiting();
+}
+
+bool Admission::Abandon(Ticket ticket, Lane lane) {
+  return std::erase(state(lane).queue, ticket) > 0;
+}
+
+std::vector<Ticket> Admission::Resize(AdmissionLimits limits) {
+  limits_ = limits;
+  return StartWaiting();
+}
+
+std::uint32_t Admission::in_use() const {
+  std::uint32_t total = 0;
+  for (const LaneState& lane : lanes_)
+    total += lane.in_use;
+  return total;
+}
+
+std::uint32_t Admission::in_use(Lane lane) const {
+  return state(lane).in_use;
+}
+
+std::size_t Admission::waiting(Lane lane) const {
+  return state(lane).queue.size();
+}
+
+bool Admission::MayStart(Lane lane) const {
+  const auto index = static_cast<std::size_t>(lane);
+  if (lanes_[index].in_use >= limits_.lanes[index].cap)
+    return false;
+  std::uint32_t reserved = 0;
+  for (std::size_t other = 0; other < lanes_.size(); ++other) {
+    const std::uint32_t floor = limits_.lanes[other].floor;
+    if (other == index || lanes_[other].in_use >= floor)
+      continue;
+    reserved += floor - lanes_[other].in_use;
+  }
+  return in_use() + reserved < limits_.slots;
+}
+
+std::vector<Ticket> Admission::StartWaiting() {
+  std::vector<Ticket> started;
+  for (Lane lane : kLanesByUrgency) {
+    LaneState& own = state(lane);
+    while (!own.queue.empty() && MayStart(lane)) {
+      started.push_back(own.queue.front());
+      own.queue.pop_front();
+      ++own.in_use;
+    }
+  }
+  return started;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/admission_gate.cc
@@ -0,0 +1,44 @@
+// Implements waiting for a slot.
+#include "figstall/admission_gate.h"
+
+namespace figstall {
+
+bool AdmissionGate::Enter(Lane lane, Instant deadline) {
+  std::unique_lock lock(mutex_);
+  const Ticket ticket = next_ticket_++;
+  const AdmissionVerdict verdict = admission_.Arrive(ticket, lane);
+  if (verdict != AdmissionVerdict::kQueued)
+    return verdict == AdmissionVerdict::kAdmitted;
+  const bool admitted = admitted_signal_.wait_until(
+      lock, deadline, [&] { return admitted_.contains(ticket); });
+  if (admitted) {
+    admitted_.erase(ticket);
+    return true;
+  }
+  admission_.Abandon(ticket, lane);
+  return false;
+}
+
+void AdmissionGate::Leave(Lane lane) {
+  const std::lock_guard lock(mutex_);
+  Admit(admission_.Finish(lane));
+}
+
+void AdmissionGate::Resize(AdmissionLimits limits) {
+  const std::lock_guard lock(mutex_);
+  Admit(admission_.Resize(limits));
+}
+
+std::uint32_t AdmissionGate::in_use() const {
+  const std::lock_guard lock(mutex_);
+  return admission_.in_use();
+}
+
+void AdmissionGate::Admit(const std::vector<Ticket>& tickets) {
+  if (tickets.empty())
+    return;
+  admitted_.insert(tickets.begin(), tickets.end());
+  admitted_signal_.notify_all();
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/budgets.cc
@@ -0,0 +1,56 @@
+// Implements the retry and link budgets.
+#include "figstall/budgets.h"
+
+#include <algorithm>
+
+namespace figstall {
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void RetryBudget::OnFirstAttempt() {
+  tokens_ = std::min(tokens_ + ratio_, 10 * reserve_);
+}
+
+bool RetryBudget::TryRetry() {
+  if (tokens_ < 1)
+    return false;
+  tokens_ -= 1;
+  return true;
+}
+
+LinkBudget::LinkBudget(double bytes_per_second, Duration burst)
+    : rate_(bytes_per_second),
+      burst_(burst),
+      balance_(bytes_per_second * Seconds(burst)) {}
+
+bool LinkBudget::MayCross(Instant now, Lane lane) {
+  Refill(now);
+  const double full = rate_ * Seconds(burst_);
+  if (lane == Lane::kBulk)
+    return balance_ >= full / 2;
+  return balance_ >= 0;
+}
+
+void LinkBudget::Charge(Instant now, std::uint64_t bytes) {
+  Refill(now);
+  balance_ -= static_cast<double>(bytes);
+}
+
+void LinkBudget::SetRate(Instant now, double bytes_per_second) {
+  Refill(now);
+  rate_ = bytes_per_second;
+}
+
+void LinkBudget::Refill(Instant now) {
+  const Instant since = refilled_at_.value_or(now);
+  refilled_at_ = now;
+  const double full = rate_ * Seconds(burst_);
+  balance_ = std::min(full, balance_ + rate_ * Seconds(now - since));
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/caller_request.cc
@@ -0,0 +1,130 @@
+// Implements the checks of callers' requests.
+#include "figstall/caller_request.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace figstall {
+namespace {
+
+constexpr const char* kSource = "request";
+
+// The path that the target sees: everything after the version.
+std::string TargetPath(const HttpCall& call) {
+  return call.path.substr(3) + call.query;
+}
+
+std::int64_t ParseDeadline(const std::string& text,
+                           const ServiceRecord& service,
+                           Findings& findings) {
+  const auto millis = [](Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+        .count();
+  };
+  if (text.empty())
+    return millis(service.default_deadline);
+  std::int64_t value = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, value);
+  const bool whole = error == std::errc() && end == last;
+  if (!whole || value < 1 || value > millis(service.max_deadline)) {
+    findings.push_back(
+        {kSource, kDeadlineHeader,
+         fmt::format("\"{}\" is not a whole number of milliseconds from 1 to "
+                     "{}",
+                     text, millis(service.max_deadline))});
+  }
+  return value;
+}
+
+}  // namespace
+
+Result<Request> ParseCallerRequest(const HttpCall& call,
+                                   const Configuration& configuration,
+                                   Instant now) {
+  Findings findings;
+  const std::vector<std::string> parts = PathParts(call.path);
+  if (parts.size() < 3 || parts[0] != "v1") {
+    findings.push_back(
+        {kSource, "path",
+         "\"" + call.path + "\" does not have the form /v1/SERVICE/KEY"});
+    return Fail(ErrorCode::kInvalidInput, "bad request", std::move(findings));
+  }
+  Request request;
+  request.service = ServiceId(parts[1]);
+  request.key = parts[2];
+  request.method = call.method;
+  request.path = TargetPath(call);
+  request.content_type = call.header("Content-Type");
+  request.body = call.body;
+  const ServiceRecord* service = configuration.FindService(request.service);
+  if (!service) {
+    return Fail(
+        ErrorCode::kInvalidInput, "no such service",
+        {{kSource, "path", "service \"" + parts[1] + "\" is not declared"}});
+  }
+  if (request.key.size() > kMaxKeyBytes)
+    findings.push_back({kSource, "path",
+                        fmt::format("the key has {} bytes; at most {} are "
+                                    "accepted",
+                                    request.key.size(), kMaxKeyBytes)});
+  request.lane = service->lane;
+  const auto& methods = service->repeatable_methods;
+  request.idempotent =
+      std::find(methods.begin(), methods.end(), call.method) != methods.end();
+  request.deadline =
+      now + std::chrono::milliseconds(ParseDeadline(
+                call.header(kDeadlineHeader), *service, findings));
+  const std::string id = call.header(kRequestIdHeader);
+  if (!id.empty()) {
+    request.id = RequestId::Parse(id);
+    if (!request.id)
+      findings.push_back({kSource, kRequestIdHeader,
+                          "\"" + id +
+                              "\" is not an id that a router issued; get one "
+                              "by POST /figstall/request-ids"});
+  }
+  if (!findings.empty())
+    return Fail(ErrorCode::kInvalidInput, "bad request", std::move(findings));
+  return request;
+}
+
+HttpReply RefusalReply(Outcome outcome,
+                       Reason reason,
+                       const Findings& findings) {
+  HttpReply reply;
+  reply.status = HttpStatusFor(outcome, reason);
+  reply.headers.emplace_back(kOutcomeHeader, ToString(outcome));
+  reply.headers.emplace_back(kReasonHeader, ToString(reason));
+  nlohmann::json body = {{"outcome", ToString(outcome)},
+                         {"reason", ToString(reason)},
+                         {"findings", nlohmann::json::array()}};
+  for (const Finding& finding : findings) {
+    body["findings"].push_back(
+        {{"place", finding.place}, {"message", finding.message}});
+  }
+  reply.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+      "\n";
+  return reply;
+}
+
+HttpReply AnswerReply(const Answer& answer) {
+  if (answer.outcome != Outcome::kAnswered)
+    return RefusalReply(answer.outcome, answer.reason, {});
+  HttpReply reply;
+  reply.status = answer.status;
+  reply.content_type = answer.content_type;
+  reply.body = answer.body;
+  reply.headers.emplace_back(kOutcomeHeader, ToString(answer.outcome));
+  if (answer.reason != Reason::kNone)
+    reply.headers.emplace_back(kReasonHeader, ToString(answer.reason));
+  if (!answer.target.empty())
+    reply.headers.emplace_back("Figstall-Target", answer.target.value());
+  return reply;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/grant_book.cc
@@ -0,0 +1,134 @@
+// Implements the holder's side of the fence.
+#include "figstall/grant_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figstall {
+
+GrantBook::GrantBook(VmId holder,
+                     std::uint64_t incarnation,
+                     InFlightProbe in_flight)
+    : holder_(std::move(holder)),
+      incarnation_(incarnation),
+      in_flight_(std::move(in_flight)) {}
+
+HolderStatus GrantBook::Apply(Instant now, const HolderOrder& order) {
+  Standing(now);
+  const bool from_leader = order.epoch != 0;
+  if (from_leader && order.epoch < epoch_)
+    return Status(now, order, /*refused=*/true);
+  if (from_leader)
+    epoch_ = order.epoch;
+  if (from_leader && order.open && order.lease > lease_)
+    Open(order);
+  if (order.lease == lease_ && lease_.valid())
+    Renew(now, order);
+  const bool same_lease = order.lease == lease_ && Standing(now);
+  if (from_leader)
+    Revoke(order);
+  if (from_leader && same_lease) {
+    Grant(order);
+    change_ = std::max(change_, order.change);
+  }
+  const bool unmet = !order.grants.empty() && !same_lease;
+  return Status(now, order, unmet);
+}
+
+bool GrantBook::Standing(Instant now) {
+  if (!valid_until_)
+    return false;
+  if (now < *valid_until_)
+    return true;
+  valid_until_.reset();
+  rows_.clear();
+  return false;
+}
+
+std::optional<PartitionRow> GrantBook::MayServe(Instant now,
+                                                const PartitionKey& key) {
+  Standing(now);
+  const PartitionRow* row = Peek(now, key);
+  if (!row)
+    return std::nullopt;
+  return *row;
+}
+
+const PartitionRow* GrantBook::Peek(Instant now,
+                                    const PartitionKey& key) const {
+  if (!valid_until_ || now >= *valid_until_)
+    return nullptr;
+  const auto row = rows_.find(key);
+  return row == rows_.end() ? nullptr : &row->second;
+}
+
+void GrantBook::Open(const HolderOrder& order) {
+  if (!order.stamp || order.stamp->incarnation != incarnation_)
+    return;
+  lease_ = order.lease;
+  rows_.clear();
+  change_ = 0;
+  valid_until_ = Instant(Duration(order.stamp->micros)) + order.validity;
+}
+
+void GrantBook::Renew(Instant now, const HolderOrder& order) {
+  if (!order.stamp || order.stamp->incarnation != incarnation_)
+    return;
+  if (!Standing(now))
+    return;
+  const Instant until = Instant(Duration(order.stamp->micros)) + order.validity;
+  valid_until_ = std::max(*valid_until_, until);
+  Standing(now);
+}
+
+void GrantBook::Grant(const HolderOrder& order) {
+  for (const PartitionRow& row : order.grants) {
+    Term& floor = floor_[row.key];
+    if (row.term < floor)
+      continue;
+    floor = row.term;
+    rows_[row.key] = row;
+    draining_.erase(row.key);
+  }
+}
+
+void GrantBook::Revoke(const HolderOrder& order) {
+  for (const PartitionRow& row : order.revokes) {
+    const Term next{row.term.epoch, row.term.count + 1};
+    Term& floor = floor_[row.key];
+    floor = std::max(floor, next);
+    const auto held = rows_.find(row.key);
+    if (held != rows_.end() && held->second.term < floor)
+      rows_.erase(held);
+    draining_.insert(row.key);
+  }
+}
+
+std::vector<PartitionKey> GrantBook::StillDraining() {
+  std::erase_if(draining_,
+                [&](const PartitionKey& key) { return !in_flight_(key); });
+  return {draining_.begin(), draining_.end()};
+}
+
+HolderStatus GrantBook::Status(Instant now,
+                               const HolderOrder& order,
+                               bool refused) {
+  HolderStatus status;
+  status.holder = holder_;
+  status.incarnation = incarnation_;
+  status.stamp = Stamp{incarnation_, now.time_since_epoch().count()};
+  status.lease = lease_;
+  status.standing = Standing(now);
+  status.epoch = epoch_;
+  status.refused = refused;
+  status.change = change_;
+  status.draining = StillDraining();
+  if (!order.want_report)
+    return status;
+  status.has_report = true;
+  for (const auto& [key, row] : rows_)
+    status.held.push_back(row);
+  return status;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,284 @@
+// Implements HTTP calls by libcurl.
+#include "figstall/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <cerrno>
+#include <thread>
+#include <utility>
+
+namespace figstall {
+namespace {
+
+constexpr std::size_t kSubmitRing = 16'384;
+constexpr int kPollMillis = 50;
+
+long Millis(Duration duration) {
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<long>(std::max<std::int64_t>(millis, 1));
+}
+
+void InitializeCurl() {
+  static const CURLcode code = curl_global_init(CURL_GLOBAL_ALL);
+  static_cast<void>(code);
+}
+
+std::size_t AppendBody(char* data,
+                       std::size_t size,
+                       std::size_t count,
+                       void* context) {
+  auto* body = static_cast<std::string*>(context);
+  if (body->size() + size * count > kMaxAnswerBytes)
+    return 0;
+  body->append(data, size * count);
+  return size * count;
+}
+
+std::size_t AppendHeader(char* data,
+                         std::size_t size,
+                         std::size_t count,
+                         void* context) {
+  auto* headers = static_cast<std::map<std::string, std::string>*>(context);
+  const std::string line(data, size * count);
+  const std::size_t colon = line.find(':');
+  if (colon == std::string::npos)
+    return size * count;
+  std::string name = line.substr(0, colon);
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  const std::size_t begin = line.find_first_not_of(" \t", colon + 1);
+  const std::size_t end = line.find_last_not_of(" \t\r\n");
+  const bool has_value = begin != std::string::npos && begin <= end;
+  (*headers)[name] = has_value ? line.substr(begin, end - begin + 1) : "";
+  return size * count;
+}
+
+// One transfer: a curl handle with what it reads from and writes to.
+class Transfer {
+ public:
+  Transfer() : easy_(curl_easy_init()) {}
+  ~Transfer() {
+    curl_slist_free_all(headers_);
+    curl_easy_cleanup(easy_);
+  }
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+
+  void Prepare(const HttpRequest& request) {
+    curl_easy_reset(easy_);
+    curl_slist_free_all(headers_);
+    headers_ = nullptr;
+    response_ = HttpResponse{};
+    body_ = request.body;
+    for (const std::string& line : request.headers)
+      headers_ = curl_slist_append(headers_, line.c_str());
+    headers_ = curl_slist_append(headers_, "Expect:");
+    curl_easy_setopt(easy_, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_);
+    curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, Millis(request.timeout));
+    curl_easy_setopt(
+        easy_, CURLOPT_CONNECTTIMEOUT_MS,
+        Millis(std::min(request.timeout, request.connect_timeout)));
+    curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, AppendBody);
+    curl_easy_setopt(easy_, CURLOPT_WRITEDATA, &response_.body);
+    curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, AppendHeader);
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, &response_.headers);
+    if (request.method == "HEAD")
+      curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
+    if (request.fresh_connection)
+      curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+    const bool has_body =
+        !body_.empty() || request.method == "POST" || request.method == "PUT";
+    if (!has_body)
+      return;
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, body_.data());
+    curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(body_.size()));
+  }
+
+  HttpResult Conclude(CURLcode code) {
+    HttpResult result;
+    long sent = 0;
+    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &sent);
+    if (code == CURLE_OK) {
+      long status = 0;
+      curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
+      response_.status = static_cast<int>(status);
+      result.response = std::move(response_);
+      return result;
+    }
+    result.error = curl_easy_strerror(code);
+    long os_error = 0;
+    curl_easy_getinfo(easy_, CURLINFO_OS_ERRNO, &os_error);
+    result.refused = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
+    if (sent == 0) {
+      result.failure = HttpFailure::kNotSent;
+    } else if (code == CURLE_OPERATION_TIMEDOUT) {
+      result.failure = HttpFailure::kSilent;
+    } else {
+      result.failure = HttpFailure::kBroken;
+    }
+    return result;
+  }
+
+  CURL* easy() { return easy_; }
+
+ private:
+  CURL* easy_;
+  curl_slist* headers_ = nullptr;
+  std::string body_;
+  HttpResponse response_;
+};
+
+}  // namespace
+
+class HttpClient::Handle : public Transfer {};
+
+HttpClient::HttpClient(std::size_t max_idle) : max_idle_(max_idle) {
+  InitializeCurl();
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpResult HttpClient::Perform(const HttpRequest& request) {
+  std::unique_ptr<Handle> handle = TakeHandle();
+  handle->Prepare(request);
+  HttpResult result = handle->Conclude(curl_easy_perform(handle->easy()));
+  const auto& expected = request.expected_header;
+  if (result.failure == HttpFailure::kNone && !expected.first.empty()) {
+    const auto echoed = result.response.headers.find(expected.first);
+    const bool other = echoed != result.response.headers.end() &&
+                       echoed->second != expected.second;
+    if (other) {
+      result.failure = HttpFailure::kBroken;
+      result.error = "the answer belongs to another request";
+    }
+  }
+  // A connection with an abandoned request is closed, never used again.
+  if (result.failure == HttpFailure::kNone)
+    ReturnHandle(std::move(handle));
+  return result;
+}
+
+std::unique_ptr<HttpClient::Handle> HttpClient::TakeHandle() {
+  const std::lock_guard lock(mutex_);
+  if (idle_.empty())
+    return std::make_unique<Handle>();
+  std::unique_ptr<Handle> handle = std::move(idle_.back());
+  idle_.pop_back();
+  return handle;
+}
+
+void HttpClient::ReturnHandle(std::unique_ptr<Handle> handle) {
+  const std::lock_guard lock(mutex_);
+  if (idle_.size() < max_idle_)
+    idle_.push_back(std::move(handle));
+}
+
+class HttpFanout::Impl {
+ public:
+  Impl() : submitted_(kSubmitRing) {
+    InitializeCurl();
+    multi_ = curl_multi_init();
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~Impl() {
+    submitted_.Close();
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    curl_multi_cleanup(multi_);
+  }
+
+  bool Submit(HttpRequest request, Done done) {
+    const bool taken =
+        submitted_.TryPush(Job{std::move(request), std::move(done)});
+    if (taken)
+      curl_multi_wakeup(multi_);
+    return taken;
+  }
+
+ private:
+  struct Job {
+    HttpRequest request;
+    Done done;
+  };
+
+  struct Running {
+    std::unique_ptr<Transfer> transfer;
+    Done done;
+  };
+
+  void Run() {
+    while (!submitted_.closed()) {
+      StartSubmitted();
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      FinishCompleted();
+      curl_multi_poll(multi_, nullptr, 0, kPollMillis, nullptr);
+    }
+    for (auto& [easy, run] : running_)
+      curl_multi_remove_handle(multi_, easy);
+    running_.clear();
+  }
+
+  void StartSubmitted() {
+    for (;;) {
+      auto job = submitted_.Pop(std::chrono::milliseconds(0));
+      if (!job)
+        return;
+      auto transfer = TakeIdle();
+      transfer->Prepare(job->request);
+      CURL* easy = transfer->easy();
+      curl_multi_add_handle(multi_, easy);
+      running_[easy] = Running{std::move(transfer), std::move(job->done)};
+    }
+  }
+
+  void FinishCompleted() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      CURL* easy = message->easy_handle;
+      const CURLcode code = message->data.result;
+      curl_multi_remove_handle(multi_, easy);
+      Running run = std::move(running_.at(easy));
+      running_.erase(easy);
+      run.done(run.transfer->Conclude(code));
+      idle_.push_back(std::move(run.transfer));
+    }
+  }
+
+  std::unique_ptr<Transfer> TakeIdle() {
+    if (idle_.empty())
+      return std::make_unique<Transfer>();
+    auto transfer = std::move(idle_.back());
+    idle_.pop_back();
+    return transfer;
+  }
+
+  Ring<Job> submitted_;
+  CURLM* multi_ = nullptr;
+  std::map<CURL*, Running> running_;
+  std::vector<std::unique_ptr<Transfer>> idle_;
+  std::thread thread_;
+};
+
+HttpFanout::HttpFanout() : impl_(std::make_unique<Impl>()) {}
+
+HttpFanout::~HttpFanout() = default;
+
+bool HttpFanout::Submit(HttpRequest request, Done done) {
+  return impl_->Submit(std::move(request), std::move(done));
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/log.cc
@@ -0,0 +1,121 @@
+// Implements structured logging.
+#include "figstall/log.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace figstall {
+namespace {
+
+constexpr std::size_t kRingLines = 65'536;
+constexpr std::chrono::milliseconds kIdleWait{100};
+
+const char* LevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "info";
+}
+
+std::string Timestamp() {
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  const auto millis = now.time_since_epoch().count() % 1000;
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                     millis);
+}
+
+std::string Quoted(std::string_view text) {
+  using nlohmann::json;
+  return json(std::string(text))
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+// Values with spaces or quotes are quoted, so that a line splits at spaces.
+std::string TextValue(std::string_view text) {
+  const bool plain =
+      !text.empty() && text.find_first_of(" \"=\n\r\t\\") == text.npos;
+  return plain ? std::string(text) : Quoted(text);
+}
+
+}  // namespace
+
+std::optional<LogLevel> ParseLogLevel(std::string_view text) {
+  if (text == "debug")
+    return LogLevel::kDebug;
+  if (text == "info")
+    return LogLevel::kInfo;
+  if (text == "warning")
+    return LogLevel::kWarning;
+  if (text == "error")
+    return LogLevel::kError;
+  return std::nullopt;
+}
+
+std::optional<LogFormat> ParseLogFormat(std::string_view text) {
+  if (text == "text")
+    return LogFormat::kText;
+  if (text == "json")
+    return LogFormat::kJson;
+  return std::nullopt;
+}
+
+Log::Log(std::string process, LogLevel level, LogFormat format)
+    : process_(std::move(process)),
+      level_(level),
+      format_(format),
+      lines_(kRingLines),
+      writer_([this] { Run(); }) {}
+
+Log::~Log() {
+  lines_.Close();
+  writer_.join();
+}
+
+void Log::Write(LogLevel level,
+                std::string_view event,
+                std::initializer_list<Field> fields) {
+  if (!Enabled(level))
+    return;
+  std::string line;
+  if (format_ == LogFormat::kJson) {
+    line = fmt::format(R"({{"time":"{}","level":"{}","process":{},"event":{})",
+                       Timestamp(), LevelName(level), Quoted(process_),
+                       Quoted(event));
+    for (const auto& [name, value] : fields)
+      line += fmt::format(",{}:{}", Quoted(name), Quoted(value));
+    line += "}\n";
+  } else {
+    line = fmt::format("{} {} {} {}", Timestamp(), LevelName(level), process_,
+                       event);
+    for (const auto& [name, value] : fields)
+      line += fmt::format(" {}={}", name, TextValue(value));
+    line += "\n";
+  }
+  if (!lines_.TryPush(std::move(line)))
+    ++dropped_;
+}
+
+void Log::Run() {
+  for (;;) {
+    const auto line = lines_.Pop(kIdleWait);
+    if (line) {
+      fmt::print(stderr, "{}", *line);
+    } else if (lines_.closed()) {
+      return;
+    }
+  }
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/once_registry.cc
@@ -0,0 +1,100 @@
+// Implements the memory of issued request ids.
+#include "figstall/once_registry.h"
+
+#include <utility>
+
+namespace figstall {
+
+OnceRegistry::OnceRegistry(VmId router,
+                           std::uint64_t incarnation,
+                           Limits limits)
+    : router_(std::move(router)), incarnation_(incarnation), limits_(limits) {}
+
+RequestId OnceRegistry::Issue(Instant now) {
+  Expire(now);
+  if (entries_.size() >= limits_.entries)
+    DropOldest();
+  Entry entry;
+  entry.issued_at = now;
+  entries_.push_back(std::move(entry));
+  return {router_, incarnation_, next_++};
+}
+
+OnceDecision OnceRegistry::Begin(Instant now,
+                                 const RequestId& id,
+                                 std::uint64_t digest) {
+  if (id.router != router_ || id.incarnation != incarnation_)
+    return {OnceVerdict::kForeign, {}};
+  Expire(now);
+  if (id.sequence >= next_ || id.sequence == 0)
+    return {OnceVerdict::kNeverIssued, {}};
+  if (id.sequence < first_kept_)
+    return {OnceVerdict::kExpired, {}};
+  Entry& entry = entries_[id.sequence - first_kept_];
+  const bool first = entry.state == State::kIssued && entry.digest == 0;
+  if (!first && entry.digest != digest)
+    return {OnceVerdict::kReused, {}};
+  entry.digest = digest;
+  switch (entry.state) {
+    case State::kIssued:
+      entry.state = State::kRunning;
+      return {OnceVerdict::kRun, {}};
+    case State::kRunning:
+      return {OnceVerdict::kInProgress, {}};
+    case State::kAnswered:
+      return {OnceVerdict::kRepeat, entry.answer};
+    case State::kUnknown:
+      return {OnceVerdict::kExpired, {}};
+  }
+  return {OnceVerdict::kExpired, {}};
+}
+
+void OnceRegistry::Finish(Instant, const RequestId& id, const Answer& answer) {
+  if (id.sequence < first_kept_ || id.sequence >= next_)
+    return;
+  Entry& entry = entries_[id.sequence - first_kept_];
+  if (entry.state != State::kRunning)
+    return;
+  switch (answer.outcome) {
+    case Outcome::kNotRun:
+      entry.state = State::kIssued;
+      return;
+    case Outcome::kUnknown:
+      entry.state = State::kUnknown;
+      return;
+    case Outcome::kAnswered:
+      entry.state = State::kAnswered;
+      entry.answer = answer;
+      answer_bytes_ += answer.body.size();
+      TrimAnswers();
+      return;
+  }
+}
+
+void OnceRegistry::Expire(Instant now) {
+  while (!entries_.empty() &&
+         now - entries_.front().issued_at >= limits_.lifetime)
+    DropOldest();
+}
+
+void OnceRegistry::DropOldest() {
+  answer_bytes_ -= entries_.front().answer.body.size();
+  entries_.pop_front();
+  ++first_kept_;
+}
+
+void OnceRegistry::TrimAnswers() {
+  if (first_answer_ < first_kept_)
+    first_answer_ = first_kept_;
+  while (answer_bytes_ > limits_.answer_bytes && first_answer_ < next_) {
+    Entry& entry = entries_[first_answer_ - first_kept_];
+    ++first_answer_;
+    if (entry.state != State::kAnswered)
+      continue;
+    answer_bytes_ -= entry.answer.body.size();
+    entry.answer = Answer{};
+    entry.state = State::kUnknown;
+  }
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/partition_mover.cc
@@ -0,0 +1,593 @@
+// Implements a leader's work on leases and partitions.
+#include "figstall/partition_mover.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figstall {
+
+PartitionMover::PartitionMover(StewardId self,
+                               Epoch epoch,
+                               StewardTiming timing,
+                               StewardLimits limits,
+                               Instant now,
+                               LeaseKeeper& keeper)
+    : self_(std::move(self)),
+      epoch_(epoch),
+      timing_(timing),
+      limits_(limits),
+      keeper_(keeper),
+      last_gone_at_(now) {}
+
+void PartitionMover::SetPlan(const ZonePlan& plan) {
+  plan_ = plan;
+  for (const TargetPlan& target : plan_.targets) {
+    const ServicePlan* service = plan_.FindService(target.service);
+    if (service && service->checks_grants)
+      holders_[target.id];
+  }
+  for (const VmId& router : plan_.routers)
+    holders_[router].is_router = true;
+  for (const ServicePlan& service : plan_.services) {
+    unplaced_.insert(service.id);
+    for (std::uint32_t partition : service.partitions)
+      table_.Track({service.id, partition});
+  }
+}
+
+void PartitionMover::Inherit(const std::vector<PartitionRow>& rows) {
+  for (const PartitionRow& row : rows) {
+    table_.Adopt(row, RowState::kHeld);
+    if (ChecksGrants(row.key))
+      holders_[row.owner];
+  }
+}
+
+bool PartitionMover::ChecksGrants(const PartitionKey& key) const {
+  const ServicePlan* service = plan_.FindService(key.service);
+  return !service || service->checks_grants;
+}
+
+std::set<VmId> PartitionMover::PossibleHolders(const PartitionKey& key,
+                                               const OwnedRow& row) const {
+  std::set<VmId> possible;
+  const bool target_checks = ChecksGrants(key);
+  for (const auto& [id, holder] : holders_) {
+    const bool may_serve = target_checks ? id == row.owner : holder.is_router;
+    if (may_serve && holder.phase != Phase::kNone)
+      possible.insert(id);
+  }
+  return possible;
+}
+
+// --- What holders say -------------------------------------------------------
+
+void PartitionMover::OnStatus(Instant now,
+                              const HolderStatus& status,
+                              const Surroundings& around,
+                              StewardActions& actions) {
+  const auto found = holders_.find(status.holder);
+  if (found == holders_.end())
+    return;
+  const auto latest = keeper_.LatestStatus(status.holder);
+  const bool outdated = !latest || latest->stamp != status.stamp;
+  if (outdated || status.epoch != epoch_)
+    return;
+  Holder& holder = found->second;
+  const bool restarted =
+      holder.incarnation != 0 && holder.incarnation != status.incarnation;
+  const bool has_lease =
+      holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
+  holder.incarnation = status.incarnation;
+  if (restarted && has_lease) {
+    StartSeal(now, status.holder, holder, around, actions);
+    return;
+  }
+  if (holder.phase == Phase::kUnreported && status.has_report) {
+    AdoptReport(status.holder, holder, status);
+    if (holder.phase == Phase::kOpen &&
+        keeper_.LeaseOf(status.holder) != holder.lease) {
+      // This steward agreed earlier never to renew this lease.
+      StartSeal(now, status.holder, holder, around, actions);
+    }
+    return;
+  }
+  CheckLease(status.holder, holder, status, actions);
+  if (holder.phase != Phase::kOpen)
+    return;
+  ConfirmRevokes(status.holder, status);
+  ConfirmGrants(status.holder, holder, status, actions);
+}
+
+void PartitionMover::AdoptReport(const VmId& id,
+                                 Holder& holder,
+                                 const HolderStatus& status) {
+  if (!status.standing) {
+    holder.phase = Phase::kNone;
+    table_.ConfirmAll(id);
+    return;
+  }
+  holder.phase = Phase::kOpen;
+  holder.lease = status.lease;
+  keeper_.Adopt(id, status.lease);
+  table_.Bump();
+  for (const PartitionRow& row : status.held) {
+    const auto known = table_.rows().find(row.key);
+    if (known != table_.rows().end() && known->second.term > row.term) {
+      table_.Revoke(row.key, {id});
+      continue;
+    }
+    table_.Adopt(row, RowState::kHeld);
+    holder.reported.insert(row.key);
+  }
+}
+
+void PartitionMover::CheckLease(const VmId& id,
+                                Holder& holder,
+                                const HolderStatus& status,
+                                StewardActions& actions) {
+  const bool same = status.lease == holder.lease;
+  if (holder.phase == Phase::kOpening && same && status.standing) {
+    holder.phase = Phase::kOpen;
+    holder.acknowledged = 0;
+    keeper_.Adopt(id, holder.lease);
+    table_.Bump();
+    if (const TargetPlan* target = plan_.FindTarget(id))
+      unplaced_.insert(target->service);
+    actions.push_back(
+        Decision{"lease-opened", id.value(), "", holder.lease, "heard"});
+    return;
+  }
+  const bool over = holder.phase == Phase::kOpening ? same && !status.standing
+                                                    : !same || !status.standing;
+  const bool has_lease = holder.phase == Phase::kOpening ||
+                         holder.phase == Phase::kOpen ||
+                         holder.phase == Phase::kPolling;
+  if (has_lease && over)
+    OnLapsed(id, holder, "the holder says its lease lapsed", actions);
+}
+
+void PartitionMover::ConfirmRevokes(const VmId& id,
+                                    const HolderStatus& status) {
+  const std::set<PartitionKey> draining(status.draining.begin(),
+                                        status.draining.end());
+  const std::set<PartitionKey> revoking = table_.InState(RowState::kRevoking);
+  for (const PartitionKey& key : revoking) {
+    const OwnedRow& row = table_.rows().at(key);
+    if (status.change < row.change || draining.contains(key))
+      continue;
+    table_.Confirm(key, id);
+  }
+}
+
+void PartitionMover::ConfirmGrants(const VmId& id,
+                                   Holder& holder,
+                                   const HolderStatus& status,
+                                   StewardActions& actions) {
+  holder.acknowledged = std::max(holder.acknowledged, status.change);
+  const std::set<PartitionKey> granted = table_.InState(RowState::kGrantable);
+  for (const PartitionKey& key : granted) {
+    const OwnedRow& row = table_.rows().at(key);
+    const bool acknowledges =
+        ChecksGrants(key) ? row.owner == id : holder.is_router;
+    if (!acknowledges || status.change < row.change)
+      continue;
+    table_.MarkHeld(key, row.term);
+    for (const VmId& router : plan_.routers)
+      keeper_.ForceDue(router);
+    actions.push_back(Decision{"partition-granted", ToString(key),
+                               row.owner.value(), row.term,
+                               "holder acknowledged"});
+  }
+}
+
+void PartitionMover::OnLapsed(const VmId& id,
+                              Holder& holder,
+                              const std::string& reason,
+                              StewardActions& actions) {
+  actions.push_back(
+      Decision{"lease-lapsed", id.value(), "", holder.lease, reason});
+  keeper_.Seal(id, std::max(holder.lease, NextTerm()));
+  holder.phase = Phase::kNone;
+  holder.lease = Term{};
+  holder.seal.reset();
+  holder.reported.clear();
+  table_.Bump();
+  table_.ConfirmAll(id);
+  if (holder.is_router)
+    return;
+  const std::set<PartitionKey> owned = table_.OwnedBy(id);
+  for (const PartitionKey& key : owned) {
+    if (ChecksGrants(key))
+      table_.Revoke(key, {});
+  }
+}
+
+void PartitionMover::OnSealReply(Instant now,
+                                 const StewardId& from,
+                                 const SealReply& reply) {
+  const auto found = holders_.find(reply.holder);
+  if (found == holders_.end() || reply.epoch != epoch_)
+    return;
+  Holder& holder = found->second;
+  if (holder.phase == Phase::kPolling) {
+    holder.unpolled.erase(from);
+    if (reply.stopped)
+      return;
+    holder.phase = Phase::kOpen;
+    holder.since = now;
+    return;
+  }
+  const bool answers = holder.phase == Phase::kSealing && reply.stopped &&
+                       reply.lease >= holder.lease;
+  if (answers && holder.seal)
+    holder.seal->Stopped(from, now, reply.stamp_age);
+}
+
+void PartitionMover::OnGone(Instant now, const StewardId& id) {
+  last_gone_at_ = now;
+  for (auto& [holder_id, holder] : holders_) {
+    holder.unpolled.erase(id);
+    if (holder.seal)
+      holder.seal->Gone(id, now);
+  }
+}
+
+void PartitionMover::OnStored(const std::vector<PartitionRow>& rows) {
+  const std::set<PartitionKey> assigned = table_.InState(RowState::kAssigned);
+  if (assigned.empty())
+    return;
+  for (const PartitionRow& row : rows) {
+    if (!assigned.contains(row.key))
+      continue;
+    table_.MarkStored(row.key, row.term);
+    keeper_.ForceDue(row.owner);
+    if (ChecksGrants(row.key))
+      continue;
+    for (const VmId& router : plan_.routers)
+      keeper_.ForceDue(router);
+  }
+}
+
+// --- Steps that time or plans bring about -----------------------------------
+
+void PartitionMover::Advance(Instant now,
+                             const Surroundings& around,
+                             StewardActions& actions) {
+  for (auto& [id, holder] : holders_)
+    DriveHolder(now, id, holder, around, actions);
+  if (!settled_)
+    Settle(actions);
+  if (!settled_)
+    return;
+  RevokeFromUnfit(now, actions);
+  for (const ServicePlan& service : plan_.services)
+    PlaceService(now, service, actions);
+  if (!around.store_out)
+    return;
+  const std::set<PartitionKey> assigned = table_.InState(RowState::kAssigned);
+  for (const PartitionKey& key : assigned) {
+    if (!ChecksGrants(key))
+      continue;
+    table_.ReleaseUnstored(key);
+    keeper_.ForceDue(table_.rows().at(key).owner);
+  }
+}
+
+void PartitionMover::DriveHolder(Instant now,
+                                 const VmId& id,
+                                 Holder& holder,
+                                 const Surroundings& around,
+                                 StewardActions& actions) {
+  if (holder.since == Instant{})
+    holder.since = now;
+  const bool heard = keeper_.HeardWithin(id, now, timing_.lost_after);
+  const bool lost = !heard && now - holder.since >= timing_.lost_after;
+  switch (holder.phase) {
+    case Phase::kUnreported:
+    case Phase::kOpening:
+      if (lost)
+        StartSeal(now, id, holder, around, actions);
+      return;
+    case Phase::kNone:
+      if (heard)
+        OpenLease(now, id, holder, actions);
+      return;
+    case Phase::kOpen:
+      if (lost)
+        StartPoll(now, id, holder, around, actions);
+      return;
+    case Phase::kPolling:
+      if (heard) {
+        holder.phase = Phase::kOpen;
+        holder.since = now;
+      } else if (holder.unpolled.empty() ||
+                 now - holder.since >= timing_.objection_wait) {
+        StartSeal(now, id, holder, around, actions);
+      }
+      return;
+    case Phase::kSealing:
+      if (holder.seal->Lapsed(now)) {
+        OnLapsed(id, holder, "no steward renews it and its validity has passed",
+                 actions);
+      } else if (now - *holder.asked_at >= timing_.renew_interval) {
+        AskToSeal(now, id, holder, holder.seal->waiting(), /*insist=*/true,
+                  actions);
+      }
+      return;
+  }
+}
+
+void PartitionMover::StartPoll(Instant now,
+                               const VmId& id,
+                               Holder& holder,
+                               const Surroundings& around,
+                               StewardActions& actions) {
+  holder.phase = Phase::kPolling;
+  holder.since = now;
+  holder.unpolled = around.roster;
+  holder.unpolled.erase(self_);
+  AskToSeal(now, id, holder, holder.unpolled, /*insist=*/false, actions);
+  if (holder.unpolled.empty())
+    StartSeal(now, id, holder, around, actions);
+}
+
+void PartitionMover::StartSeal(Instant now,
+                               const VmId& id,
+                               Holder& holder,
+                               const Surroundings& around,
+                               StewardActions& actions) {
+  // Covers every lease issued so far, by whichever leader.
+  holder.lease = NextTerm();
+  holder.phase = Phase::kSealing;
+  holder.seal.emplace(
+      std::vector<StewardId>(around.roster.begin(), around.roster.end()),
+      timing_.validity, timing_.drift_margin,
+      last_gone_at_ + timing_.validity + timing_.drift_margin);
+  holder.seal->Stopped(self_, now, keeper_.StampAge(id, now));
+  keeper_.Seal(id, holder.lease);
+  table_.Bump();
+  actions.push_back(Decision{"lease-sealed", id.value(), "", holder.lease,
+                             "the holder was not heard"});
+  AskToSeal(now, id, holder, holder.seal->waiting(), /*insist=*/true, actions);
+}
+
+void PartitionMover::AskToSeal(Instant now,
+                               const VmId& id,
+                               Holder& holder,
+                               const std::set<StewardId>& members,
+                               bool insist,
+                               StewardActions& actions) {
+  holder.asked_at = now;
+  for (const StewardId& member : members) {
+    actions.push_back(
+        SendPeer{member.vm, SealRequest{epoch_, id, holder.lease, insist}});
+  }
+}
+
+void PartitionMover::OpenLease(Instant now,
+                               const VmId& id,
+                               Holder& holder,
+                               StewardActions& actions) {
+  const TargetPlan* target = plan_.FindTarget(id);
+  const bool wanted =
+      holder.is_router ? plan_.IsRouter(id) : target && !target->leaving;
+  if (!wanted)
+    return;
+  holder.phase = Phase::kOpening;
+  holder.lease = NextTerm();
+  holder.since = now;
+  keeper_.ForceDue(id);
+  actions.push_back(
+      Decision{"lease-opening", id.value(), "", holder.lease, "heard"});
+}
+
+void PartitionMover::Settle(StewardActions& actions) {
+  for (const auto& [id, holder] : holders_) {
+    const bool unknown =
+        holder.phase == Phase::kUnreported || holder.phase == Phase::kSealing;
+    if (unknown)
+      return;
+  }
+  settled_ = true;
+  std::set<PartitionKey> held;
+  for (const auto& [id, holder] : holders_)
+    held.insert(holder.reported.begin(), holder.reported.end());
+  const std::set<PartitionKey> claimed = table_.InState(RowState::kHeld);
+  for (const PartitionKey& key : claimed) {
+    if (!held.contains(key))
+      table_.Revoke(key, {});
+  }
+  actions.push_back(Decision{"zone-settled", self_.ToString(), "",
+                             Term{epoch_, 0},
+                             "every holder reported or lapsed"});
+}
+
+// --- Placement ---------------------------------------------------------------
+
+bool PartitionMover::Eligible(Instant now, const TargetPlan& target) const {
+  if (target.leaving || target.capacity <= 0)
+    return false;
+  const ServicePlan* service = plan_.FindService(target.service);
+  if (service && !service->checks_grants)
+    return keeper_.HeardWithin(target.id, now, timing_.lost_after);
+  const auto holder = holders_.find(target.id);
+  return holder != holders_.end() && (holder->second.phase == Phase::kOpen ||
+                                      holder->second.phase == Phase::kPolling);
+}
+
+void PartitionMover::RevokeFromUnfit(Instant now, StewardActions& actions) {
+  for (const TargetPlan& target : plan_.targets) {
+    if (target.leaving) {
+      RevokeAll(target.id, "the target is leaving", actions);
+      continue;
+    }
+    const ServicePlan* service = plan_.FindService(target.service);
+    if (!service || service->checks_grants)
+      continue;
+    if (!keeper_.HeardWithin(target.id, now, timing_.lost_after))
+      RevokeAll(target.id, "the target was not heard", actions);
+  }
+}
+
+void PartitionMover::RevokeAll(const VmId& owner,
+                               const std::string& reason,
+                               StewardActions& actions) {
+  const std::set<PartitionKey> owned = table_.OwnedBy(owner);
+  for (const PartitionKey& key : owned) {
+    const OwnedRow& row = table_.rows().at(key);
+    const bool stops =
+        row.state != RowState::kFree && row.state != RowState::kRevoking;
+    if (!stops)
+      continue;
+    RevokeRow(key, reason, actions);
+  }
+}
+
+bool PartitionMover::AnyOpening() const {
+  return std::any_of(holders_.begin(), holders_.end(), [](const auto& entry) {
+    return entry.second.phase == Phase::kOpening;
+  });
+}
+
+bool PartitionMover::HasFree(const ServiceId& service) const {
+  const auto& free = table_.InState(RowState::kFree);
+  const auto first = free.lower_bound(PartitionKey{service, 0});
+  return first != free.end() && first->service == service;
+}
+
+Assignment PartitionMover::CurrentAssignment(
+    const ServicePlan& service,
+    const std::vector<const TargetPlan*>& eligible) const {
+  std::map<VmId, TargetIndex> index;
+  for (TargetIndex t = 0; t < eligible.size(); ++t)
+    index[eligible[t]->id] = t;
+  Assignment current(service.partitions.size());
+  for (std::size_t i = 0; i < current.size(); ++i) {
+    const OwnedRow& row = table_.rows().at({service.id, service.partitions[i]});
+    const bool owned =
+        row.state != RowState::kFree && row.state != RowState::kRevoking;
+    const auto owner = index.find(row.owner);
+    if (owned && owner != index.end())
+      current[i] = owner->second;
+  }
+  return current;
+}
+
+void PartitionMover::PlaceService(Instant now,
+                                  const ServicePlan& service,
+                                  StewardActions& actions) {
+  if (!HasFree(service.id) && !unplaced_.contains(service.id))
+    return;
+  std::vector<const TargetPlan*> eligible;
+  std::vector<PlacementTarget> candidates;
+  for (const TargetPlan& target : plan_.targets) {
+    if (target.service != service.id || !Eligible(now, target))
+      continue;
+    eligible.push_back(&target);
+    candidates.push_back({candidates.size(), target.capacity});
+  }
+  if (eligible.empty())
+    return;
+  const bool first_placement =
+      table_.OwnedBy(VmId{}).size() == table_.rows().size();
+  if (first_placement && AnyOpening())
+    return;
+  const Assignment current = CurrentAssignment(service, eligible);
+  const TableRepair policy{limits_.placement_slack};
+  const Assignment next = policy.Place(candidates, current, {});
+  std::size_t moving = 0;
+  bool more = false;
+  for (std::size_t i = 0; i < next.size(); ++i) {
+    const PartitionKey key{service.id, service.partitions[i]};
+    const OwnedRow& row = table_.rows().at(key);
+    const VmId& owner = eligible[*next[i]]->id;
+    if (row.state == RowState::kFree) {
+      AssignRow(key, owner, actions);
+    } else if (row.state == RowState::kRevoking) {
+      ++moving;
+    } else if (row.state == RowState::kHeld && current[i] &&
+               row.owner != owner && !service.frozen) {
+      more = true;
+      if (moving >= limits_.rebalancing_moves)
+        continue;
+      ++moving;
+      RevokeRow(key, "evening out load", actions);
+    }
+  }
+  if (!more && moving == 0)
+    unplaced_.erase(service.id);
+}
+
+void PartitionMover::AssignRow(const PartitionKey& key,
+                               const VmId& owner,
+                               StewardActions& actions) {
+  const Term term = NextTerm();
+  actions.push_back(Decision{"partition-assigned", ToString(key), owner.value(),
+                             term, "fairest live target"});
+  table_.Assign(key, owner, term);
+}
+
+void PartitionMover::RevokeRow(const PartitionKey& key,
+                               const std::string& reason,
+                               StewardActions& actions) {
+  const OwnedRow& row = table_.rows().at(key);
+  const std::set<VmId> holders = PossibleHolders(key, row);
+  for (const VmId& holder : holders)
+    keeper_.ForceDue(holder);
+  actions.push_back(Decision{"partition-revoked", ToString(key),
+                             row.owner.value(), row.term, reason});
+  table_.Revoke(key, holders);
+}
+
+// --- Orders ------------------------------------------------------------------
+
+void PartitionMover::Decorate(HolderOrder& order) {
+  const auto found = holders_.find(order.holder);
+  if (found == holders_.end())
+    return;
+  Holder& holder = found->second;
+  order.epoch = epoch_;
+  order.change = table_.change();
+  order.want_report = holder.phase == Phase::kUnreported;
+  if (holder.phase == Phase::kOpening) {
+    order.open = true;
+    order.lease = holder.lease;
+    order.stamp = keeper_.LatestStamp(order.holder);
+  }
+  const bool open =
+      holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
+  if (!open)
+    return;
+  for (const PartitionKey& key : table_.InState(RowState::kRevoking)) {
+    const OwnedRow& row = table_.rows().at(key);
+    if (row.pending.contains(order.holder))
+      order.revokes.push_back({key, row.term, row.owner});
+  }
+  for (const PartitionKey& key : table_.InState(RowState::kGrantable)) {
+    const OwnedRow& row = table_.rows().at(key);
+    const bool granted =
+        ChecksGrants(key) ? row.owner == order.holder : holder.is_router;
+    if (granted)
+      order.grants.push_back({key, row.term, row.owner});
+  }
+  if (!holder.is_router)
+    return;
+  for (const PartitionRow& row : table_.ChangedSince(holder.acknowledged)) {
+    auto& rows = ChecksGrants(row.key) ? order.hints : order.grants;
+    rows.push_back(row);
+  }
+}
+
+std::vector<LeaseEntry> PartitionMover::OpenLeases() const {
+  std::vector<LeaseEntry> leases;
+  for (const auto& [id, holder] : holders_) {
+    const bool open =
+        holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
+    if (open)
+      leases.push_back({id, holder.lease});
+  }
+  return leases;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/records.cc
@@ -0,0 +1,373 @@
+// Implements parsing and cross-checking of the operators' records.
+#include "figstall/records.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <bit>
+#include <charconv>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "figstall/record_schemas.h"
+#include "figstall/schema_check.h"
+
+namespace figstall {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kDefaultDeadlineMs = 2'000;
+constexpr std::int64_t kMaxDeadlineMs = 60'000;
+constexpr std::uint32_t kDefaultConnections = 120;
+
+// The place of one record, for its findings.
+struct Place {
+  const std::string& source;
+  std::string pointer;
+  Findings& findings;
+
+  void Report(const std::string& below, const std::string& message) const {
+    findings.push_back({source, pointer + below, message});
+  }
+};
+
+Lane ParseLane(const std::string& text) {
+  if (text == "order")
+    return Lane::kOrder;
+  if (text == "bulk")
+    return Lane::kBulk;
+  return Lane::kEnquiry;
+}
+
+VmState ParseState(const std::string& text) {
+  if (text == "leaving")
+    return VmState::kLeaving;
+  if (text == "lost")
+    return VmState::kLost;
+  return VmState::kJoining;
+}
+
+Endpoint EndpointAt(const std::string& text,
+                    const std::string& below,
+                    const Place& place) {
+  return HandleError([&]() -> Result<Endpoint> { return ParseEndpoint(text); },
+                     [&](const Error& error) {
+                       place.Report(below, error.message);
+                       return Endpoint{};
+                     });
+}
+
+Endpoint EndpointFromPort(const json& record,
+                          const std::string& field,
+                          const Place& place) {
+  if (!record.contains(field))
+    return {};
+  const std::string address = record.at("address");
+  return EndpointAt(fmt::format("{}:{}", address, record.at(field).get<int>()),
+                    "/address", place);
+}
+
+Endpoint EndpointFromObject(const json& endpoints,
+                            const std::string& field,
+                            const Place& place) {
+  if (!endpoints.contains(field))
+    return {};
+  return EndpointAt(endpoints.at(field), "/endpoints/" + field, place);
+}
+
+ServiceRecord MakeService(const json& record, const Place& place) {
+  ServiceRecord service;
+  service.id = ServiceId(record.at("name"));
+  service.schema = record.at("schema");
+  service.partitions = record.at("partitions");
+  service.lane = ParseLane(record.value("lane", "enquiry"));
+  service.default_deadline = std::chrono::milliseconds(
+      record.value("default_deadline_ms", kDefaultDeadlineMs));
+  service.max_deadline = std::chrono::milliseconds(
+      record.value("max_deadline_ms", kMaxDeadlineMs));
+  if (service.schema == 1) {
+    service.exclusive = record.value("exclusive", true);
+    service.checks_grants = record.value("checks_grants", true);
+    service.repeatable_methods = {"GET", "HEAD"};
+    if (record.value("repeatable", false))
+      service.repeatable_methods = {"GET", "HEAD", "PUT", "POST", "DELETE"};
+    for (const auto& zone : record.at("zones"))
+      service.homes.push_back({ZoneId(zone), 1.0});
+  } else {
+    service.exclusive = record.value("ownership", "exclusive") == "exclusive";
+    service.checks_grants = record.value("fence", "target") == "target";
+    service.frozen = record.value("frozen", false);
+    service.repeatable_methods = record.value(
+        "repeatable_methods", std::vector<std::string>{"GET", "HEAD"});
+    for (const auto& [zone, weight] : record.at("home_weights").items())
+      service.homes.push_back({ZoneId(zone), weight});
+  }
+  // Sorted, so that both schema versions give the same home zones.
+  std::sort(service.homes.begin(), service.homes.end());
+  if (!std::has_single_bit(service.partitions))
+    place.Report("/partitions", "must be a power of two");
+  if (service.default_deadline > service.max_deadline)
+    place.Report("/default_deadline_ms", "is above max_deadline_ms");
+  const bool any_home =
+      std::any_of(service.homes.begin(), service.homes.end(),
+                  [](const HomeWeight& home) { return home.weight > 0; });
+  if (!any_home)
+    place.Report("/home_weights", "no zone has a weight above 0");
+  return service;
+}
+
+void CheckRole(const VmRecord& vm, const Place& place) {
+  if (vm.role == VmRole::kEntry) {
+    if (vm.callers.port == 0)
+      place.Report("", "an entry VM needs an endpoint for callers");
+    if (vm.router.port == 0)
+      place.Report("", "an entry VM needs an endpoint of its router");
+    if (vm.steward.port == 0)
+      place.Report("", "an entry VM needs an endpoint of its steward");
+    return;
+  }
+  if (vm.http.port == 0)
+    place.Report("", "a target needs an HTTP endpoint");
+  if (vm.service.empty())
+    place.Report("", "a target needs a service");
+}
+
+VmRecord MakeVm(const json& record, const Place& place) {
+  VmRecord vm;
+  vm.id = VmId(record.at("name"));
+  vm.schema = record.at("schema");
+  vm.zone = ZoneId(record.at("zone"));
+  vm.region = RegionId(record.at("region"));
+  vm.role = record.at("role") == "entry" ? VmRole::kEntry : VmRole::kTarget;
+  vm.state = ParseState(record.value("state", "joining"));
+  vm.service = ServiceId(record.value("service", ""));
+  if (vm.schema == 1) {
+    vm.callers = EndpointFromPort(record, "callers_port", place);
+    vm.router = EndpointFromPort(record, "router_port", place);
+    vm.steward = EndpointFromPort(record, "steward_port", place);
+    vm.http = EndpointFromPort(record, "port", place);
+    vm.slots = record.value("slots", 1U);
+    vm.connections = record.value("connections", kDefaultConnections);
+  } else {
+    const json& endpoints = record.at("endpoints");
+    vm.callers = EndpointFromObject(endpoints, "callers", place);
+    vm.router = EndpointFromObject(endpoints, "router", place);
+    vm.steward = EndpointFromObject(endpoints, "steward", place);
+    vm.http = EndpointFromObject(endpoints, "http", place);
+    const json capacity = record.value("capacity", json::object());
+    vm.slots = capacity.value("slots", 1U);
+    vm.connections = capacity.value("connections", kDefaultConnections);
+  }
+  CheckRole(vm, place);
+  return vm;
+}
+
+KeyRecord MakeKey(const json& record) {
+  KeyRecord key;
+  key.service = ServiceId(record.at("service"));
+  key.key = record.at("key");
+  key.schema = record.at("schema");
+  const json placement =
+      key.schema == 1 ? record : record.value("placement", json::object());
+  key.weight = placement.value("weight", 1.0);
+  key.frozen = placement.value("frozen", false);
+  return key;
+}
+
+// A record that passed its schema, with its place, for cross-checks.
+template <typename T>
+struct Placed {
+  T record;
+  std::string pointer;
+};
+
+struct PlacedRecords {
+  std::vector<Placed<ServiceRecord>> services;
+  std::vector<Placed<VmRecord>> vms;
+  std::vector<Placed<KeyRecord>> keys;
+};
+
+void ParseOne(const json& record, const Place& place, PlacedRecords& parsed) {
+  if (!record.is_object()) {
+    place.Report("", "a record must be an object");
+    return;
+  }
+  const json kind = record.value("kind", json());
+  const json version = record.value("schema", json());
+  if (!kind.is_string()) {
+    place.Report("/kind", "must be \"service\", \"vm\" or \"key\"");
+    return;
+  }
+  if (!version.is_number_integer()) {
+    place.Report("/schema", "must be an integer");
+    return;
+  }
+  const json* schema = FindRecordSchema(kind, version);
+  if (!schema) {
+    place.Report("/schema",
+                 fmt::format("schema version {} of kind \"{}\" is unknown",
+                             version.dump(), kind.get<std::string>()));
+    return;
+  }
+  if (!CheckSchema(*schema, record, place.source, place.pointer,
+                   place.findings))
+    return;
+  if (kind == "service")
+    parsed.services.push_back({MakeService(record, place), place.pointer});
+  if (kind == "vm")
+    parsed.vms.push_back({MakeVm(record, place), place.pointer});
+  if (kind == "key")
+    parsed.keys.push_back({MakeKey(record), place.pointer});
+}
+
+void CheckNames(const PlacedRecords& parsed,
+                const std::string& source,
+                Findings& findings) {
+  std::map<std::string, std::string> services;
+  for (const auto& [service, pointer] : parsed.services) {
+    const auto [it, added] = services.emplace(service.id.value(), pointer);
+    if (!added)
+      findings.push_back({source, pointer + "/name",
+                          "service \"" + service.id.value() +
+                              "\" is declared already at " + it->second});
+  }
+  std::map<std::string, std::string> vms;
+  std::map<Endpoint, std::string> endpoints;
+  for (const auto& [vm, pointer] : parsed.vms) {
+    const auto [it, added] = vms.emplace(vm.id.value(), pointer);
+    if (!added)
+      findings.push_back({source, pointer + "/name",
+                          "VM \"" + vm.id.value() +
+                              "\" is declared already at " + it->second});
+    for (const Endpoint& endpoint :
+         {vm.callers, vm.router, vm.steward, vm.http}) {
+      if (endpoint.port == 0 || vm.state == VmState::kLost)
+        continue;
+      const auto [other, fresh] = endpoints.emplace(endpoint, pointer);
+      if (!fresh)
+        findings.push_back({source, pointer,
+                            "endpoint " + endpoint.ToString() +
+                                " is used already at " + other->second});
+    }
+  }
+  std::set<std::pair<ServiceId, std::string>> keys;
+  for (const auto& [key, pointer] : parsed.keys) {
+    if (!keys.emplace(key.service, key.key).second)
+      findings.push_back({source, pointer + "/key",
+                          "key \"" + key.key + "\" is declared already"});
+  }
+}
+
+void CheckReferences(const PlacedRecords& parsed,
+                     const std::string& source,
+                     Findings& findings) {
+  std::set<ServiceId> services;
+  for (const auto& [service, pointer] : parsed.services)
+    services.insert(service.id);
+  std::map<ZoneId, RegionId> regions;
+  for (const auto& [vm, pointer] : parsed.vms) {
+    const auto [it, added] = regions.emplace(vm.zone, vm.region);
+    if (!added && it->second != vm.region)
+      findings.push_back({source, pointer + "/region",
+                          "zone \"" + vm.zone.value() + "\" lies in region \"" +
+                              it->second.value() + "\" elsewhere"});
+    if (vm.role == VmRole::kTarget && !services.contains(vm.service))
+      findings.push_back(
+          {source, pointer + "/service",
+           "service \"" + vm.service.value() + "\" is not declared"});
+  }
+  for (const auto& [service, pointer] : parsed.services) {
+    for (const HomeWeight& home : service.homes) {
+      if (regions.contains(home.zone))
+        continue;
+      findings.push_back(
+          {source, pointer,
+           "home zone \"" + home.zone.value() + "\" has no VM declared"});
+    }
+  }
+  for (const auto& [key, pointer] : parsed.keys) {
+    if (services.contains(key.service))
+      continue;
+    findings.push_back(
+        {source, pointer + "/service",
+         "service \"" + key.service.value() + "\" is not declared"});
+  }
+}
+
+}  // namespace
+
+const char* ToString(Lane lane) {
+  switch (lane) {
+    case Lane::kEnquiry:
+      return "enquiry";
+    case Lane::kOrder:
+      return "order";
+    case Lane::kBulk:
+      return "bulk";
+  }
+  return "enquiry";
+}
+
+const char* ToString(VmRole role) {
+  return role == VmRole::kEntry ? "entry" : "target";
+}
+
+const char* ToString(VmState state) {
+  switch (state) {
+    case VmState::kJoining:
+      return "joining";
+    case VmState::kLeaving:
+      return "leaving";
+    case VmState::kLost:
+      return "lost";
+  }
+  return "joining";
+}
+
+Result<Endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos)
+    return Fail(ErrorCode::kInvalidInput, "\"" + text + "\" lacks a port");
+  Endpoint endpoint;
+  endpoint.address = text.substr(0, colon);
+  const char* first = text.data() + colon + 1;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(first, last, endpoint.port);
+  if (error != std::errc() || end != last)
+    return Fail(ErrorCode::kInvalidInput, "\"" + text + "\" has a wrong port");
+  in_addr parsed{};
+  if (inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1)
+    return Fail(ErrorCode::kInvalidInput,
+                "\"" + endpoint.address + "\" is not an IP number");
+  return endpoint;
+}
+
+RecordSet ParseRecords(const json& records,
+                       const std::string& source,
+                       const std::string& pointer,
+                       Findings& findings) {
+  RecordSet set;
+  if (!records.is_array()) {
+    findings.push_back({source, pointer, "must be an array of records"});
+    return set;
+  }
+  PlacedRecords parsed;
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    const Place place{source, fmt::format("{}/{}", pointer, i), findings};
+    ParseOne(records[i], place, parsed);
+  }
+  CheckNames(parsed, source, findings);
+  CheckReferences(parsed, source, findings);
+  for (auto& placed : parsed.services)
+    set.services.push_back(placed.record);
+  for (auto& placed : parsed.vms)
+    set.vms.push_back(placed.record);
+  for (auto& placed : parsed.keys)
+    set.keys.push_back(placed.record);
+  return set;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/route_table.cc
@@ -0,0 +1,197 @@
+// Implements a router's view of who owns what.
+#include "figstall/route_table.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace figstall {
+
+WorkGuard::WorkGuard(Counters counters, std::uint32_t partition)
+    : counters_(std::move(counters)), partition_(partition) {
+  ++counters_[partition_];
+}
+
+WorkGuard::WorkGuard(WorkGuard&& other) noexcept
+    : counters_(std::move(other.counters_)), partition_(other.partition_) {}
+
+WorkGuard& WorkGuard::operator=(WorkGuard&& other) noexcept {
+  std::swap(counters_, other.counters_);
+  std::swap(partition_, other.partition_);
+  return *this;
+}
+
+WorkGuard::~WorkGuard() {
+  if (counters_)
+    --counters_[partition_];
+}
+
+RouteTable::RouteTable(VmId router, std::uint64_t incarnation, ZoneId zone)
+    : zone_(std::move(zone)),
+      book_(std::move(router), incarnation, [this](const PartitionKey& key) {
+        return InFlight(key);
+      }) {}
+
+void RouteTable::SetConfiguration(const Configuration& configuration) {
+  const std::unique_lock lock(mutex_);
+  std::vector<Service> next;
+  for (const ServiceRecord& record : configuration.records().services) {
+    if (!record.exclusive)
+      continue;
+    const int known = FindService(record.id);
+    Service service;
+    if (known >= 0)
+      service = std::move(services_[known]);
+    service.id = record.id;
+    service.checks_grants = record.checks_grants;
+    service.rows.resize(record.partitions);
+    if (!service.in_flight) {
+      service.in_flight.reset(
+          new std::atomic<std::uint32_t>[record.partitions]());
+    }
+    for (std::uint32_t p = 0; p < record.partitions; ++p) {
+      const ZoneId& home = configuration.HomeOf(record, p);
+      const auto found =
+          std::find_if(record.homes.begin(), record.homes.end(),
+                       [&](const HomeWeight& w) { return w.zone == home; });
+      service.rows[p].home =
+          static_cast<std::uint16_t>(found - record.homes.begin());
+      service.rows[p].home_here = home == zone_;
+    }
+    next.push_back(std::move(service));
+  }
+  services_ = std::move(next);
+}
+
+HolderStatus RouteTable::Apply(Instant now, const HolderOrder& order) {
+  const std::unique_lock lock(mutex_);
+  HolderStatus status = book_.Apply(now, order);
+  const bool obsolete = order.epoch != 0 && order.epoch < status.epoch;
+  if (obsolete)
+    return status;
+  for (const PartitionRow& row : order.hints)
+    ApplyHint(row);
+  for (const PartitionRow& row : order.grants)
+    ApplyHint(row);
+  ApplyFence(order, status);
+  return status;
+}
+
+RouteDecision RouteTable::Decide(Instant now,
+                                 const ServiceId& service,
+                                 std::uint32_t partition) const {
+  const std::shared_lock lock(mutex_);
+  const int index = FindService(service);
+  if (index < 0)
+    return {};
+  return DecideLocked(now, services_[index], partition);
+}
+
+RoutedWork RouteTable::BeginWork(Instant now,
+                                 const ServiceId& service,
+                                 std::uint32_t partition) {
+  const std::shared_lock lock(mutex_);
+  RoutedWork work;
+  const int index = FindService(service);
+  if (index < 0)
+    return work;
+  const Service& entry = services_[index];
+  work.decision = DecideLocked(now, entry, partition);
+  if (work.decision.kind == RouteKind::kOwner && !entry.checks_grants)
+    work.guard = WorkGuard(entry.in_flight, partition);
+  return work;
+}
+
+VmId RouteTable::TargetName(RouteTargetIndex index) const {
+  const std::shared_lock lock(mutex_);
+  return index < targets_.size() ? targets_[index] : VmId{};
+}
+
+RouteDecision RouteTable::DecideLocked(Instant now,
+                                       const Service& service,
+                                       std::uint32_t partition) const {
+  RouteDecision decision;
+  if (partition >= service.rows.size())
+    return decision;
+  const Row& row = service.rows[partition];
+  decision.home = row.home;
+  if (!row.home_here) {
+    decision.kind = RouteKind::kOtherZone;
+    return decision;
+  }
+  if (row.target == kNoRouteTarget)
+    return decision;
+  if (!service.checks_grants) {
+    const auto& until = book_.valid_until();
+    const bool standing = until && now < *until;
+    if (!standing || row.granted != row.term)
+      return decision;
+  }
+  decision.kind = RouteKind::kOwner;
+  decision.target = row.target;
+  decision.term = row.term;
+  return decision;
+}
+
+void RouteTable::ApplyFence(const HolderOrder& order,
+                            const HolderStatus& status) {
+  const bool cleared = status.lease != lease_ || !status.standing;
+  lease_ = status.lease;
+  if (cleared) {
+    for (Service& service : services_) {
+      if (service.checks_grants)
+        continue;
+      for (Row& row : service.rows)
+        row.granted = Term{};
+    }
+  }
+  for (const auto* rows : {&order.grants, &order.revokes}) {
+    for (const PartitionRow& named : *rows) {
+      Row* row = FindRow(named.key);
+      if (!row)
+        continue;
+      const auto held = book_.rows().find(named.key);
+      row->granted = held == book_.rows().end() ? Term{} : held->second.term;
+    }
+  }
+}
+
+RouteTable::Row* RouteTable::FindRow(const PartitionKey& key) {
+  const int index = FindService(key.service);
+  if (index < 0 || key.partition >= services_[index].rows.size())
+    return nullptr;
+  return &services_[index].rows[key.partition];
+}
+
+void RouteTable::ApplyHint(const PartitionRow& row) {
+  Row* known = FindRow(row.key);
+  if (!known || row.term < known->term)
+    return;
+  known->term = row.term;
+  known->target = IndexOf(row.owner);
+}
+
+RouteTargetIndex RouteTable::IndexOf(const VmId& target) {
+  const auto next = static_cast<RouteTargetIndex>(targets_.size());
+  const auto [it, added] = target_index_.emplace(target, next);
+  if (added)
+    targets_.push_back(target);
+  return it->second;
+}
+
+bool RouteTable::InFlight(const PartitionKey& key) const {
+  const int index = FindService(key.service);
+  if (index < 0 || key.partition >= services_[index].rows.size())
+    return false;
+  return services_[index].in_flight[key.partition].load() > 0;
+}
+
+int RouteTable::FindService(const ServiceId& service) const {
+  for (std::size_t i = 0; i < services_.size(); ++i) {
+    if (services_[i].id == service)
+      return static_cast<int>(i);
+  }
+  return -1;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/router_node.cc
@@ -0,0 +1,675 @@
+// Implements a router's data path.
+#include "figstall/router_node.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "figstall/caller_request.h"
+
+namespace figstall {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kForwardRing = 1'024;
+constexpr std::size_t kCancelRing = 4'096;
+constexpr int kIssuerThreads = 8;
+constexpr int kTargetThreads = 16;
+constexpr int kBulkThreads = 8;
+constexpr double kRetryRatio = 0.1;
+constexpr double kRetryReserve = 20;
+constexpr Duration kLinkBurst = std::chrono::seconds(1);
+constexpr Duration kPeerSuspectFor = std::chrono::milliseconds(500);
+constexpr Duration kCancelInterval = std::chrono::milliseconds(100);
+constexpr Duration kCancelTimeout = std::chrono::milliseconds(200);
+constexpr std::chrono::milliseconds kIdleWait{50};
+constexpr std::uint64_t kRequestOverheadBytes = 256;
+
+Instant Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+Answer NotRun(Reason reason) {
+  Answer answer;
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = reason;
+  return answer;
+}
+
+Answer Unknown(Reason reason) {
+  Answer answer;
+  answer.outcome = Outcome::kUnknown;
+  answer.reason = reason;
+  return answer;
+}
+
+// Identifies a request's content; never zero.
+std::uint64_t DigestOf(const Request& request) {
+  const std::string content = request.method + "\n" + request.path + "\n" +
+                              request.content_type + "\n" + request.body;
+  return XXH3_64bits(content.data(), content.size()) | 1;
+}
+
+std::uint64_t DrawRandom() {
+  thread_local std::mt19937_64 generator(std::random_device{}());
+  return generator();
+}
+
+// What a target's reply means for the request.
+Answer Judge(const HttpResult& result) {
+  switch (result.failure) {
+    case HttpFailure::kNotSent:
+      return NotRun(Reason::kTargetUnreachable);
+    case HttpFailure::kSilent:
+      return Unknown(Reason::kTargetSilent);
+    case HttpFailure::kBroken:
+      return Unknown(Reason::kAnswerBroken);
+    case HttpFailure::kNone:
+      break;
+  }
+  const auto& headers = result.response.headers;
+  if (headers.contains("figstall-not-run"))
+    return NotRun(Reason::kTargetRefused);
+  Answer answer;
+  answer.outcome = Outcome::kAnswered;
+  answer.status = result.response.status;
+  answer.body = result.response.body;
+  const auto type = headers.find("content-type");
+  if (type != headers.end())
+    answer.content_type = type->second;
+  return answer;
+}
+
+}  // namespace
+
+RouterNode::RouterNode(RouterSettings settings,
+                       std::uint64_t incarnation,
+                       Log& log,
+                       Metrics& metrics)
+    : settings_(std::move(settings)),
+      incarnation_(incarnation),
+      log_(log),
+      metrics_(metrics),
+      routes_(settings_.vm, incarnation, settings_.zone),
+      targets_(settings_.zone),
+      gate_(AdmissionLimits::ForSlots(settings_.slots, settings_.queue)),
+      retries_(kRetryRatio, kRetryReserve),
+      link_(settings_.link_bytes_per_second, kLinkBurst),
+      once_(settings_.vm, incarnation, OnceRegistry::Limits{}),
+      for_issuer_(kForwardRing),
+      for_target_(kForwardRing),
+      for_target_bulk_(kForwardRing),
+      cancels_(kCancelRing) {
+  const auto start = [this](int threads, Ring<ForwardJob>& ring,
+                            Arrival arrival) {
+    for (int i = 0; i < threads; ++i)
+      workers_.emplace_back(
+          [this, &ring, arrival] { RunForwards(ring, arrival); });
+  };
+  start(kIssuerThreads, for_issuer_, Arrival::kForIssuer);
+  start(kTargetThreads, for_target_, Arrival::kForTarget);
+  start(kBulkThreads, for_target_bulk_, Arrival::kForTarget);
+  workers_.emplace_back([this] { RunCancels(); });
+}
+
+RouterNode::~RouterNode() {
+  for_issuer_.Close();
+  for_target_.Close();
+  for_target_bulk_.Close();
+  cancels_.Close();
+  for (std::thread& worker : workers_)
+    worker.join();
+}
+
+// --- What other processes ask
+// --------------------------------------------------
+
+RouterHandlers RouterNode::PeerHandlers() {
+  RouterHandlers handlers;
+  handlers.on_order = [this](const HolderOrder& order) {
+    return routes_.Apply(Now(), order);
+  };
+  handlers.on_configuration = [this](std::uint64_t revision,
+                                     const std::string& text) {
+    if (!text.empty() && revision > configuration_.revision())
+      OfferConfiguration(text);
+    return configuration_.revision();
+  };
+  handlers.on_forward = [this](const Request& request, bool as_issuer,
+                               RouterHandlers::Reply reply) {
+    OnForward(request, as_issuer, std::move(reply));
+  };
+  return handlers;
+}
+
+void RouterNode::OfferConfiguration(const std::string& text) {
+  HandleError(
+      [&]() -> Result<int> {
+        BOOST_LEAF_AUTO(parsed, Configuration::Parse(text, kConfigurationKey));
+        if (!configuration_.Offer(parsed))
+          return 0;
+        routes_.SetConfiguration(*parsed);
+        targets_.SetConfiguration(*parsed);
+        log_.Write(LogLevel::kInfo, "configuration-accepted",
+                   {{"revision", std::to_string(parsed->revision())}});
+        return 0;
+      },
+      [&](const Error& error) {
+        const std::string place =
+            error.findings.empty() ? "" : error.findings.front().ToString();
+        log_.Write(LogLevel::kError, "configuration-refused",
+                   {{"error", error.message}, {"place", place}});
+        return 0;
+      });
+}
+
+void RouterNode::OnForward(const Request& request,
+                           bool as_issuer,
+                           RouterHandlers::Reply reply) {
+  Ring<ForwardJob>& own =
+      request.lane == Lane::kBulk ? for_target_bulk_ : for_target_;
+  Ring<ForwardJob>& ring = as_issuer ? for_issuer_ : own;
+  if (!ring.TryPush(ForwardJob{request, reply}))
+    reply(NotRun(Reason::kOverloaded));
+}
+
+void RouterNode::RunForwards(Ring<ForwardJob>& ring, Arrival arrival) {
+  while (!ring.closed()) {
+    const auto job = ring.Pop(kIdleWait);
+    if (job)
+      job->reply(Serve(job->request, arrival));
+  }
+}
+
+void RouterNode::StartDraining(bool refuse) {
+  not_ready_ = true;
+  refusing_ = refusing_ || refuse;
+}
+
+bool RouterNode::ready() const {
+  return !not_ready_ && configuration_.Current() != nullptr;
+}
+
+// --- HTTP
+// ----------------------------------------------------------------------
+
+HttpReply RouterNode::OnHttp(const HttpCall& call) {
+  if (call.path == "/figstall/live")
+    return {200, "text/plain", {}, "live\n"};
+  if (call.path == "/figstall/ready")
+    return ReadyReply();
+  if (call.path == "/figstall/metrics")
+    return {200, "text/plain; version=0.0.4", {}, metrics_.Expose()};
+  if (call.path == "/figstall/status")
+    return Status();
+  if (call.path == "/figstall/explain")
+    return Explain(call);
+  if (call.path == "/figstall/request-ids" && call.method == "POST")
+    return IssueId();
+  return OnCallerRequest(call);
+}
+
+HttpReply RouterNode::ReadyReply() const {
+  if (ready())
+    return {200, "text/plain", {}, "ready\n"};
+  return {503,
+          "text/plain",
+          {},
+          not_ready_ ? "stopping\n" : "no configuration yet\n"};
+}
+
+HttpReply RouterNode::IssueId() {
+  if (refusing_)
+    return RefusalReply(Outcome::kNotRun, Reason::kStopping, {});
+  const std::lock_guard lock(once_mutex_);
+  const RequestId id = once_.Issue(Now());
+  return {
+      200, "application/json", {}, json{{"id", id.ToString()}}.dump() + "\n"};
+}
+
+HttpReply RouterNode::OnCallerRequest(const HttpCall& call) {
+  const Instant arrived = Now();
+  const auto configuration = configuration_.Current();
+  if (!configuration)
+    return RefusalReply(Outcome::kNotRun, Reason::kNoConfiguration, {});
+  return HandleError(
+      [&]() -> Result<HttpReply> {
+        BOOST_LEAF_AUTO(request,
+                        ParseCallerRequest(call, *configuration, arrived));
+        const bool needs_id = !request.idempotent && !request.id;
+        if (needs_id) {
+          const std::lock_guard lock(once_mutex_);
+          request.id = once_.Issue(arrived);
+        }
+        HttpReply reply = AnswerReply(Serve(request, Arrival::kCaller));
+        if (request.id)
+          reply.headers.emplace_back(kRequestIdHeader, request.id->ToString());
+        return reply;
+      },
+      [&](const Error& error) {
+        const bool no_service = error.message == "no such service";
+        const Reason reason =
+            no_service ? Reason::kNoSuchService : Reason::kBadRequest;
+        const std::string place =
+            error.findings.empty() ? "" : error.findings.front().ToString();
+        log_.Write(LogLevel::kInfo, "route",
+                   {{"outcome", ToString(Outcome::kNotRun)},
+                    {"reason", ToString(reason)},
+                    {"place", place}});
+        return RefusalReply(Outcome::kNotRun, reason, error.findings);
+      });
+}
+
+HttpReply RouterNode::Explain(const HttpCall& call) const {
+  const auto configuration = configuration_.Current();
+  const ServiceId id(call.parameter("service"));
+  const std::string key = call.parameter("key");
+  const ServiceRecord* service =
+      configuration ? configuration->FindService(id) : nullptr;
+  if (!service || key.empty()) {
+    return RefusalReply(
+        Outcome::kNotRun, Reason::kBadRequest,
+        {{"request", "query", "needs a declared service and a key"}});
+  }
+  const std::uint32_t partition = PartitionOf(key, service->partitions);
+  json body = {
+      {"service", id.value()},          {"key", key},
+      {"partition", partition},         {"revision", configuration->revision()},
+      {"router", settings_.vm.value()}, {"zone", settings_.zone.value()}};
+  if (!service->exclusive) {
+    body["why"] = "shared service: any live target may answer";
+    return {200, "application/json", {}, body.dump() + "\n"};
+  }
+  const RouteDecision decision = routes_.Decide(Now(), id, partition);
+  body["home"] = configuration->HomeOf(*service, partition).value();
+  switch (decision.kind) {
+    case RouteKind::kOwner:
+      body["owner"] = routes_.TargetName(decision.target).value();
+      body["term"] = decision.term.ToString();
+      body["why"] = "granted by the zone's leader under this term";
+      break;
+    case RouteKind::kOtherZone:
+      body["why"] = "the home zone's routers know the owner";
+      break;
+    case RouteKind::kNoOwner:
+      body["why"] = "no owner is known, or the partition is being moved";
+      break;
+  }
+  return {200, "application/json", {}, body.dump() + "\n"};
+}
+
+HttpReply RouterNode::Status() const {
+  const auto configuration = configuration_.Current();
+  json body = {{"vm", settings_.vm.value()},
+               {"zone", settings_.zone.value()},
+               {"incarnation", incarnation_},
+               {"ready", ready()},
+               {"in_flight", in_flight_.load()},
+               {"revision", configuration_.revision()},
+               {"log_lines_dropped", log_.dropped()},
+               {"owners", json::object()}};
+  if (!configuration)
+    return {200, "application/json", {}, body.dump() + "\n"};
+  for (const ServiceRecord& service : configuration->records().services) {
+    if (!service.exclusive)
+      continue;
+    std::map<std::string, int> owners;
+    for (std::uint32_t p = 0; p < service.partitions; ++p) {
+      const RouteDecision decision = routes_.Decide(Now(), service.id, p);
+      if (decision.kind == RouteKind::kOtherZone)
+        continue;
+      ++owners[routes_.TargetName(decision.target).value()];
+    }
+    body["owners"][service.id.value()] = owners;
+  }
+  return {200, "application/json", {}, body.dump() + "\n"};
+}
+
+// --- The course of a request
+// -----------------------------------------------------
+
+Answer RouterNode::Serve(const Request& request, Arrival arrival) {
+  const Instant begin = Now();
+  ++in_flight_;
+  const Answer answer =
+      refusing_ ? NotRun(Reason::kStopping) : ServeOnce(request, arrival);
+  --in_flight_;
+  const Duration took = Now() - begin;
+  LogAnswer(request, arrival, answer, took);
+  return answer;
+}
+
+Answer RouterNode::ServeOnce(const Request& request, Arrival arrival) {
+  if (arrival == Arrival::kForTarget)
+    return RunFlow(request, arrival);
+  if (arrival == Arrival::kForIssuer)
+    return DecideOnce(request);
+  const AdmissionSlot slot(gate_, request.lane, request.deadline);
+  if (!slot.entered())
+    return NotRun(Reason::kOverloaded);
+  if (request.idempotent)
+    return RunFlow(request, arrival);
+  const bool own = request.id && request.id->router == settings_.vm;
+  return own ? DecideOnce(request) : ForwardToIssuer(request);
+}
+
+Answer RouterNode::DecideOnce(const Request& request) {
+  if (!request.id)
+    return NotRun(Reason::kBadRequest);
+  OnceDecision decision;
+  {
+    const std::lock_guard lock(once_mutex_);
+    decision = once_.Begin(Now(), *request.id, DigestOf(request));
+  }
+  switch (decision.verdict) {
+    case OnceVerdict::kRun:
+      break;
+    case OnceVerdict::kRepeat:
+      decision.answer.reason = Reason::kRepeat;
+      return decision.answer;
+    case OnceVerdict::kInProgress:
+      return Unknown(Reason::kIdInProgress);
+    case OnceVerdict::kExpired:
+      return Unknown(Reason::kIdExpired);
+    case OnceVerdict::kForeign:
+      return Unknown(Reason::kIssuerLost);
+    case OnceVerdict::kNeverIssued:
+      return NotRun(Reason::kIdNeverIssued);
+    case OnceVerdict::kReused:
+      return NotRun(Reason::kIdReused);
+  }
+  const Answer answer = RunFlow(request, Arrival::kForIssuer);
+  const std::lock_guard lock(once_mutex_);
+  once_.Finish(Now(), *request.id, answer);
+  return answer;
+}
+
+Answer RouterNode::ForwardToIssuer(const Request& request) {
+  const auto configuration = configuration_.Current();
+  const VmRecord* issuer = configuration->FindVm(request.id->router);
+  // An earlier use may have run, so a lost issuer never means "not run".
+  if (!issuer || issuer->role != VmRole::kEntry)
+    return Unknown(Reason::kIssuerLost);
+  Answer answer =
+      peers_->Forward(issuer->router, request, /*as_issuer=*/true, Now());
+  if (answer.reason == Reason::kZoneUnreachable ||
+      answer.reason == Reason::kStopping)
+    return Unknown(Reason::kIssuerLost);
+  return answer;
+}
+
+Answer RouterNode::RunFlow(const Request& request, Arrival arrival) {
+  {
+    const std::lock_guard lock(budget_mutex_);
+    retries_.OnFirstAttempt();
+  }
+  RequestFlow flow(request.idempotent, request.deadline, RetryPolicy{}, [this] {
+    const std::lock_guard lock(budget_mutex_);
+    return retries_.TryRetry();
+  });
+  for (;;) {
+    const Answer attempt = Attempt(request, arrival);
+    const FlowDecision decision = flow.OnAttempt(Now(), attempt);
+    if (decision.verdict == FlowVerdict::kFinish)
+      return decision.answer;
+    std::this_thread::sleep_until(decision.not_before);
+  }
+}
+
+Answer RouterNode::Attempt(const Request& request, Arrival arrival) {
+  if (Now() >= request.deadline)
+    return NotRun(Reason::kDeadline);
+  const auto configuration = configuration_.Current();
+  if (!configuration)
+    return NotRun(Reason::kNoConfiguration);
+  const ServiceRecord* service = configuration->FindService(request.service);
+  if (!service)
+    return NotRun(Reason::kNoSuchService);
+  return service->exclusive
+             ? AttemptOwned(request, *service, *configuration, arrival)
+             : AttemptShared(request, *service, *configuration, arrival);
+}
+
+Answer RouterNode::AttemptOwned(const Request& request,
+                                const ServiceRecord& service,
+                                const Configuration& configuration,
+                                Arrival arrival) {
+  const std::uint32_t partition = PartitionOf(request.key, service.partitions);
+  RoutedWork work = routes_.BeginWork(Now(), service.id, partition);
+  if (work.decision.kind == RouteKind::kOtherZone) {
+    if (arrival == Arrival::kForTarget)
+      return NotRun(Reason::kNoOwner);
+    return ForwardToZone(request, configuration,
+                         configuration.HomeOf(service, partition));
+  }
+  if (work.decision.kind == RouteKind::kNoOwner)
+    return NotRun(Reason::kNoOwner);
+  const TargetPool::Link link =
+      targets_.Find(routes_.TargetName(work.decision.target));
+  if (!link)
+    return NotRun(Reason::kNoTarget);
+  if (link->Suspect(Now()))
+    return NotRun(Reason::kNoOwner);
+  return SendToTarget(request, link, partition, work.decision.term,
+                      std::move(work.guard));
+}
+
+Answer RouterNode::AttemptShared(const Request& request,
+                                 const ServiceRecord& service,
+                                 const Configuration& configuration,
+                                 Arrival arrival) {
+  const TargetPool::Link link =
+      targets_.PickShared(Now(), service.id, DrawRandom());
+  if (link) {
+    return SendToTarget(request, link,
+                        PartitionOf(request.key, service.partitions), Term{},
+                        WorkGuard{});
+  }
+  if (arrival == Arrival::kForTarget)
+    return NotRun(Reason::kNoTarget);
+  std::vector<std::pair<bool, ZoneId>> zones;
+  for (const VmRecord* target : configuration.Targets(service.id)) {
+    const bool usable =
+        target->zone != settings_.zone && target->state != VmState::kLeaving;
+    if (usable)
+      zones.emplace_back(target->region != settings_.region, target->zone);
+  }
+  // The own region's zones sort before the others.
+  std::sort(zones.begin(), zones.end());
+  zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
+  Answer answer = NotRun(Reason::kNoTarget);
+  for (const auto& [far, zone] : zones) {
+    answer = ForwardToZone(request, configuration, zone);
+    const bool next = answer.outcome == Outcome::kNotRun &&
+                      (answer.reason == Reason::kZoneUnreachable ||
+                       answer.reason == Reason::kNoTarget);
+    if (!next)
+      return answer;
+  }
+  return answer;
+}
+
+Answer RouterNode::ForwardToZone(const Request& request,
+                                 const Configuration& configuration,
+                                 const ZoneId& zone) {
+  const bool crosses = configuration.RegionOf(zone) != settings_.region;
+  if (crosses) {
+    const std::lock_guard lock(budget_mutex_);
+    if (!link_.MayCross(Now(), request.lane))
+      return NotRun(Reason::kLinkBudget);
+  }
+  std::vector<const VmRecord*> routers = configuration.EntryVms(zone);
+  if (routers.empty())
+    return NotRun(Reason::kZoneUnreachable);
+  std::rotate(routers.begin(),
+              routers.begin() +
+                  static_cast<std::ptrdiff_t>(DrawRandom() % routers.size()),
+              routers.end());
+  {
+    const std::lock_guard lock(suspect_mutex_);
+    std::stable_partition(
+        routers.begin(), routers.end(), [&](const VmRecord* vm) {
+          const auto suspect = suspect_peers_.find(vm->id);
+          return suspect == suspect_peers_.end() || suspect->second <= Now();
+        });
+  }
+  for (const VmRecord* router : routers) {
+    if (Now() >= request.deadline)
+      return NotRun(Reason::kDeadline);
+    const Answer answer =
+        peers_->Forward(router->router, request, /*as_issuer=*/false, Now());
+    if (crosses) {
+      const std::lock_guard lock(budget_mutex_);
+      link_.Charge(Now(), kRequestOverheadBytes + request.body.size() +
+                              answer.body.size());
+    }
+    const bool elsewhere = answer.outcome == Outcome::kNotRun &&
+                           (answer.reason == Reason::kZoneUnreachable ||
+                            answer.reason == Reason::kStopping);
+    if (!elsewhere)
+      return answer;
+    const std::lock_guard lock(suspect_mutex_);
+    suspect_peers_[router->id] = Now() + kPeerSuspectFor;
+  }
+  return NotRun(Reason::kZoneUnreachable);
+}
+
+Answer RouterNode::SendToTarget(const Request& request,
+                                const TargetPool::Link& link,
+                                std::uint32_t partition,
+                                Term term,
+                                WorkGuard guard) {
+  const AdmissionSlot slot(link->gate(), request.lane, request.deadline);
+  if (!slot.entered())
+    return NotRun(Reason::kOverloaded);
+  const Instant begin = Now();
+  const Duration left = request.deadline - begin;
+  if (left <= Duration{0})
+    return NotRun(Reason::kDeadline);
+  const std::string attempt = fmt::format("{}.{:x}.a{}", settings_.vm.value(),
+                                          incarnation_, next_attempt_++);
+  HttpRequest sent;
+  sent.method = request.method;
+  sent.url = "http://" + link->endpoint().ToString() + request.path;
+  sent.body = request.body;
+  sent.timeout = left;
+  sent.fresh_connection = !request.idempotent;
+  sent.expected_header = {"figstall-attempt", attempt};
+  sent.headers = {
+      fmt::format("Figstall-Attempt: {}", attempt),
+      fmt::format("Figstall-Service: {}", request.service.value()),
+      fmt::format("Figstall-Partition: {}", partition),
+      fmt::format("Figstall-Term: {}", term.ToString()),
+      fmt::format(
+          "Figstall-Deadline-Ms: {}",
+          std::chrono::duration_cast<std::chrono::milliseconds>(left).count())};
+  if (request.id)
+    sent.headers.push_back(
+        fmt::format("Figstall-Request-Id: {}", request.id->ToString()));
+  if (!request.content_type.empty())
+    sent.headers.push_back("Content-Type: " + request.content_type);
+  ++link->in_flight();
+  const HttpResult result = link->client().Perform(sent);
+  --link->in_flight();
+  Answer answer = Judge(result);
+  answer.target = link->id();
+  answer.term = term;
+  if (answer.reason == Reason::kTargetUnreachable)
+    link->OnUnreachable(Now());
+  if (answer.outcome == Outcome::kAnswered)
+    link->OnAnswer(Now() - begin);
+  if (answer.outcome == Outcome::kUnknown) {
+    CancelJob job{link, attempt, std::make_shared<WorkGuard>(std::move(guard)),
+                  Now()};
+    if (!cancels_.TryPush(job))
+      job.guard->Abandon();
+  }
+  return answer;
+}
+
+// --- Cancelling what was abandoned
+// -------------------------------------------------
+
+bool RouterNode::TryCancel(const CancelJob& job) {
+  HttpRequest cancel;
+  cancel.method = "POST";
+  cancel.url = "http://" + job.link->endpoint().ToString() + "/figstall/cancel";
+  cancel.body = json{{"attempt", job.attempt}}.dump();
+  cancel.timeout = kCancelTimeout;
+  cancel.fresh_connection = true;
+  const HttpResult result = job.link->client().Perform(cancel);
+  const bool ended =
+      result.failure == HttpFailure::kNone && result.response.status == 200;
+  // A refused connection means that the process is gone, and its work with it.
+  return result.refused || ended;
+}
+
+void RouterNode::RunCancels() {
+  while (!cancels_.closed()) {
+    auto job = cancels_.Pop(kIdleWait);
+    if (!job)
+      continue;
+    std::this_thread::sleep_until(job->next);
+    if (TryCancel(*job))
+      continue;
+    const auto configuration = configuration_.Current();
+    const bool declared_gone =
+        !configuration || !configuration->FindVm(job->link->id()) ||
+        configuration->FindVm(job->link->id())->state == VmState::kLost;
+    if (declared_gone)
+      continue;
+    job->next = Now() + kCancelInterval;
+    if (!cancels_.TryPush(*job))
+      job->guard->Abandon();
+  }
+}
+
+// --- Seeing
+// ------------------------------------------------------------------------
+
+void RouterNode::LogAnswer(const Request& request,
+                           Arrival arrival,
+                           const Answer& answer,
+                           Duration took) {
+  const char* arrived = arrival == Arrival::kCaller      ? "caller"
+                        : arrival == Arrival::kForIssuer ? "for-issuer"
+                                                         : "for-target";
+  metrics_
+      .Counter("figstall_requests_total",
+               fmt::format("service=\"{}\",arrival=\"{}\",outcome=\"{}\","
+                           "reason=\"{}\"",
+                           request.service.value(), arrived,
+                           ToString(answer.outcome), ToString(answer.reason)))
+      .fetch_add(1);
+  metrics_
+      .Latency("figstall_request_seconds",
+               fmt::format("lane=\"{}\",arrival=\"{}\"", ToString(request.lane),
+                           arrived))
+      .Record(took);
+  if (!log_.Enabled(LogLevel::kInfo))
+    return;
+  const auto configuration = configuration_.Current();
+  const ServiceRecord* service =
+      configuration ? configuration->FindService(request.service) : nullptr;
+  const std::string partition =
+      service ? std::to_string(PartitionOf(request.key, service->partitions))
+              : "";
+  log_.Write(LogLevel::kInfo, "route",
+             {{"arrival", arrived},
+              {"id", request.id ? request.id->ToString() : "-"},
+              {"service", request.service.value()},
+              {"partition", partition},
+              {"target", answer.target.value()},
+              {"term", answer.term.ToString()},
+              {"outcome", ToString(answer.outcome)},
+              {"reason", ToString(answer.reason)},
+              {"status", std::to_string(answer.status)},
+              {"took_us", std::to_string(took.count())}});
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/rpc_node.cc
@@ -0,0 +1,380 @@
+// Implements Cap'n Proto RPC on a thread of its own.
+#include "figstall/rpc_node.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/debug.h>
+
+#include <future>
+#include <map>
+#include <thread>
+#include <utility>
+
+#include "figstall/wire.h"
+
+namespace figstall {
+namespace {
+
+constexpr auto kCallTimeout = 500 * kj::MILLISECONDS;
+constexpr auto kOfferTimeout = 2 * kj::SECONDS;
+constexpr auto kConnectTimeout = 200 * kj::MILLISECONDS;
+
+std::string BytesOf(capnp::Data::Reader data) {
+  return std::string(reinterpret_cast<const char*>(data.begin()), data.size());
+}
+
+capnp::Data::Reader DataOf(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+Instant SteadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+class StewardServer final : public wire::StewardPeer::Server {
+ public:
+  explicit StewardServer(StewardHandlers handlers)
+      : handlers_(std::move(handlers)) {}
+
+  kj::Promise<void> deliver(DeliverContext context) override {
+    const auto params = context.getParams();
+    handlers_.on_message(Read(params.getFrom()), Read(params.getMessage()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> offerConfiguration(
+      OfferConfigurationContext context) override {
+    const auto params = context.getParams();
+    context.getResults().setHeld(handlers_.on_configuration(
+        params.getRevision(), BytesOf(params.getText())));
+    return kj::READY_NOW;
+  }
+
+ private:
+  const StewardHandlers handlers_;
+};
+
+class RouterServer final : public wire::RouterPeer::Server {
+ public:
+  explicit RouterServer(RouterHandlers handlers)
+      : handlers_(std::move(handlers)) {}
+
+  kj::Promise<void> order(OrderContext context) override {
+    const HolderOrder order = Read(context.getParams().getOrder());
+    Write(handlers_.on_order(order), context.getResults().initStatus());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> offerConfiguration(
+      OfferConfigurationContext context) override {
+    const auto params = context.getParams();
+    context.getResults().setHeld(handlers_.on_configuration(
+        params.getRevision(), BytesOf(params.getText())));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> forward(ForwardContext context) override {
+    const auto params = context.getParams();
+    const Request request = Read(params.getRequest(), SteadyNow());
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<Answer>();
+    // std::function must be copyable, hence the shared owner.
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<Answer>>>(
+            kj::mv(pair.fulfiller));
+    handlers_.on_forward(request, params.getAsIssuer(),
+                         [fulfiller](const Answer& answer) {
+                           (*fulfiller)->fulfill(Answer(answer));
+                         });
+    return pair.promise.then([context](Answer&& answer) mutable {
+      Write(answer, context.getResults().initAnswer());
+    });
+  }
+
+ private:
+  const RouterHandlers handlers_;
+};
+
+}  // namespace
+
+class RpcNode::Impl {
+ public:
+  using MakeServer = std::function<capnp::Capability::Client()>;
+
+  Impl(const Endpoint& listen, MakeServer make_server) {
+    std::promise<void> ready;
+    std::future<void> started = ready.get_future();
+    thread_ = std::thread([this, listen, make_server = std::move(make_server),
+                           &ready] { Run(listen, make_server, ready); });
+    started.get();
+  }
+
+  ~Impl() {
+    stop_->fulfill();
+    thread_.join();
+  }
+
+  // Runs `job` on the event loop and waits until it returned (not until what it
+  // started has ended).
+  template <typename Job>
+  void Post(Job job) {
+    executor_->executeSync([&] { job(); });
+  }
+
+  template <typename Interface, typename Start>
+  void CallAndForget(const Endpoint& to, Start start) {
+    Post([&] {
+      tasks_->add(Connect(to)
+                      .then([start](capnp::Capability::Client client) {
+                        return start(client.castAs<Interface>());
+                      })
+                      .catch_([](kj::Exception&&) {}));
+    });
+  }
+
+  kj::Promise<capnp::Capability::Client> Connect(const Endpoint& to) {
+    Peer& peer = peers_[to];
+    if (peer.broken) {
+      // This may run inside one of the connection's own callbacks.
+      tasks_->add(kj::evalLater([old = kj::mv(peer.client)]() mutable {}));
+      peer = Peer{};
+    }
+    if (peer.client.get() != nullptr)
+      return capnp::Capability::Client(peer.client->bootstrap);
+    if (peer.connecting)
+      return peer.connecting->addBranch();
+    auto connected =
+        timer_
+            ->timeoutAfter(kConnectTimeout,
+                           io_->provider->getNetwork()
+                               .parseAddress(to.ToString().c_str())
+                               .then([](kj::Own<kj::NetworkAddress> address) {
+                                 auto promise = address->connect();
+                                 return promise.attach(kj::mv(address));
+                               }))
+            .then(
+                [this, to](kj::Own<kj::AsyncIoStream> stream) {
+                  Peer& entry = peers_[to];
+                  DropConnecting(entry);
+                  entry.client = kj::heap<Connection>(kj::mv(stream));
+                  Watch(to);
+                  return capnp::Capability::Client(entry.client->bootstrap);
+                },
+                [this, to](kj::Exception&& error) -> capnp::Capability::Client {
+                  DropConnecting(peers_[to]);
+                  kj::throwFatalException(kj::mv(error));
+                });
+    peer.connecting.emplace(connected.fork());
+    return peer.connecting->addBranch();
+  }
+
+  void MarkBroken(const Endpoint& to) { peers_[to].broken = true; }
+
+  kj::Timer& timer() { return *timer_; }
+  const kj::Executor& executor() const { return *executor_; }
+
+ private:
+  // One connection to another process, with its bootstrap capability.
+  struct Connection {
+    explicit Connection(kj::Own<kj::AsyncIoStream> opened)
+        : stream(kj::mv(opened)),
+          client(*stream),
+          bootstrap(client.bootstrap()) {}
+
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient client;
+    capnp::Capability::Client bootstrap;
+  };
+
+  struct Peer {
+    kj::Own<Connection> client;
+    std::optional<kj::ForkedPromise<capnp::Capability::Client>> connecting;
+    bool broken = false;
+  };
+
+  class IgnoreFailures final : public kj::TaskSet::ErrorHandler {
+   public:
+    void taskFailed(kj::Exception&&) override {}
+  };
+
+  void Run(const Endpoint& listen,
+           const MakeServer& make_server,
+           std::promise<void>& ready) {
+    auto io = kj::setupAsyncIo();
+    io_ = &io;
+    timer_ = &io.provider->getTimer();
+    IgnoreFailures ignore;
+    tasks_ = kj::heap<kj::TaskSet>(ignore);
+    capnp::TwoPartyServer server(make_server());
+    kj::Own<kj::ConnectionReceiver> receiver;
+    try {
+      receiver = io.provider->getNetwork()
+                     .parseAddress(listen.ToString().c_str())
+                     .wait(io.waitScope)
+                     ->listen();
+    } catch (const kj::Exception& error) {
+      ready.set_exception(std::make_exception_ptr(
+          std::runtime_error("cannot listen on " + listen.ToString() + ": " +
+                             error.getDescription().cStr())));
+      return;
+    }
+    tasks_->add(server.listen(*receiver));
+    auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
+    stop_ = kj::mv(stop.fulfiller);
+    executor_ = kj::getCurrentThreadExecutor().addRef();
+    ready.set_value();
+    stop.promise.wait(io.waitScope);
+    // Calls under way refer to their connections, so they go first.
+    tasks_ = nullptr;
+    peers_.clear();
+  }
+
+  // This may run inside the promise that is dropped, hence later.
+  void DropConnecting(Peer& peer) {
+    if (!peer.connecting)
+      return;
+    tasks_->add(kj::evalLater([old = kj::mv(*peer.connecting)]() mutable {}));
+    peer.connecting.reset();
+  }
+
+  void Watch(const Endpoint& to) {
+    tasks_->add(peers_[to].client->client.onDisconnect().then(
+        [this, to] { MarkBroken(to); }));
+  }
+
+  kj::AsyncIoContext* io_ = nullptr;
+  kj::Timer* timer_ = nullptr;
+  kj::Own<kj::TaskSet> tasks_;
+  kj::Own<const kj::Executor> executor_;
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop_;
+  std::map<Endpoint, Peer> peers_;
+  std::thread thread_;
+};
+
+RpcNode::RpcNode(const Endpoint& listen, StewardHandlers handlers)
+    : impl_(std::make_unique<Impl>(listen,
+                                   [handlers]() -> capnp::Capability::Client {
+                                     return kj::heap<StewardServer>(handlers);
+                                   })) {}
+
+RpcNode::RpcNode(const Endpoint& listen, RouterHandlers handlers)
+    : impl_(std::make_unique<Impl>(listen,
+                                   [handlers]() -> capnp::Capability::Client {
+                                     return kj::heap<RouterServer>(handlers);
+                                   })) {}
+
+RpcNode::~RpcNode() = default;
+
+void RpcNode::Deliver(const Endpoint& to,
+                      const StewardId& from,
+                      const PeerMessage& message) {
+  Impl* impl = impl_.get();
+  impl->CallAndForget<wire::StewardPeer>(
+      to, [impl, to, from, message](wire::StewardPeer::Client client) {
+        auto request = client.deliverRequest();
+        Write(from, request.initFrom());
+        Write(message, request.initMessage());
+        return impl->timer()
+            .timeoutAfter(kCallTimeout, request.send().ignoreResult())
+            .catch_([impl, to](kj::Exception&&) { impl->MarkBroken(to); });
+      });
+}
+
+namespace {
+
+// Asks which revision the other process holds, and sends the text only if it
+// holds an older one.
+template <typename Client>
+kj::Promise<void> OfferIfOlder(Client client,
+                               std::uint64_t revision,
+                               const std::string& text) {
+  auto question = client.offerConfigurationRequest();
+  question.setRevision(revision);
+  return question.send().then(
+      [client, revision, text](auto&& results) mutable -> kj::Promise<void> {
+        if (results.getHeld() >= revision)
+          return kj::READY_NOW;
+        auto offer = client.offerConfigurationRequest();
+        offer.setRevision(revision);
+        offer.setText(DataOf(text));
+        return offer.send().ignoreResult();
+      });
+}
+
+}  // namespace
+
+void RpcNode::OfferConfigurationToSteward(const Endpoint& to,
+                                          std::uint64_t revision,
+                                          const std::string& text) {
+  Impl* impl = impl_.get();
+  impl->CallAndForget<wire::StewardPeer>(
+      to, [impl, revision, text](wire::StewardPeer::Client client) {
+        return impl->timer().timeoutAfter(kOfferTimeout,
+                                          OfferIfOlder(client, revision, text));
+      });
+}
+
+void RpcNode::OfferConfigurationToRouter(const Endpoint& to,
+                                         std::uint64_t revision,
+                                         const std::string& text) {
+  Impl* impl = impl_.get();
+  impl->CallAndForget<wire::RouterPeer>(
+      to, [impl, revision, text](wire::RouterPeer::Client client) {
+        return impl->timer().timeoutAfter(kOfferTimeout,
+                                          OfferIfOlder(client, revision, text));
+      });
+}
+
+void RpcNode::SendOrder(const Endpoint& to,
+                        const HolderOrder& order,
+                        std::function<void(std::optional<HolderStatus>)> done) {
+  Impl* impl = impl_.get();
+  impl->CallAndForget<wire::RouterPeer>(
+      to, [impl, to, order, done](wire::RouterPeer::Client client) {
+        auto request = client.orderRequest();
+        Write(order, request.initOrder());
+        auto reply = request.send().then(
+            [done](capnp::Response<wire::RouterPeer::OrderResults>&& results) {
+              done(Read(results.getStatus()));
+            });
+        return impl->timer()
+            .timeoutAfter(kCallTimeout, kj::mv(reply))
+            .catch_([impl, to, done](kj::Exception&&) {
+              impl->MarkBroken(to);
+              done(std::nullopt);
+            });
+      });
+}
+
+Answer RpcNode::Forward(const Endpoint& to,
+                        const Request& request,
+                        bool as_issuer,
+                        Instant now) {
+  Impl* impl = impl_.get();
+  const auto patience = (request.deadline - now).count() * kj::MICROSECONDS;
+  Answer unreached;
+  unreached.outcome = Outcome::kNotRun;
+  unreached.reason = Reason::kZoneUnreachable;
+  Answer lost = unreached;
+  lost.outcome = Outcome::kUnknown;
+  return impl->executor().executeSync([&]() -> kj::Promise<Answer> {
+    return impl->Connect(to).then(
+        [&, impl](capnp::Capability::Client client) -> kj::Promise<Answer> {
+          auto call = client.castAs<wire::RouterPeer>().forwardRequest();
+          Write(request, now, call.initRequest());
+          call.setAsIssuer(as_issuer);
+          auto reply = call.send().then(
+              [](capnp::Response<wire::RouterPeer::ForwardResults>&& results) {
+                return Read(results.getAnswer());
+              });
+          return impl->timer()
+              .timeoutAfter(patience, kj::mv(reply))
+              .catch_([&lost](kj::Exception&&) { return lost; });
+        },
+        [&unreached](kj::Exception&&) -> kj::Promise<Answer> {
+          return unreached;
+        });
+  });
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/schema_check.cc
@@ -0,0 +1,95 @@
+// Implements schema checks by valijson.
+#include "figstall/schema_check.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace figstall {
+namespace {
+
+using JsonAdapter = valijson::adapters::NlohmannJsonAdapter;
+
+std::string LineAndColumn(const std::string& text, std::size_t byte) {
+  std::size_t line = 1;
+  std::size_t column = 1;
+  for (std::size_t i = 0; i + 1 < byte && i < text.size(); ++i) {
+    ++column;
+    if (text[i] != '\n')
+      continue;
+    ++line;
+    column = 1;
+  }
+  return fmt::format("line {}, column {}", line, column);
+}
+
+// Turns valijson's context into a JSON pointer below `pointer`.
+std::string PointerOf(const std::vector<std::string>& context,
+                      const std::string& pointer) {
+  std::string place = pointer;
+  for (const std::string& part : context) {
+    if (part == "<root>")
+      continue;
+    if (part.size() < 2)
+      continue;
+    place += "/" + part.substr(1, part.size() - 2);
+  }
+  return place;
+}
+
+}  // namespace
+
+Result<nlohmann::json> ParseJson(const std::string& text,
+                                 const std::string& source) {
+  if (text.size() > kMaxDocumentBytes) {
+    return Fail(ErrorCode::kInvalidInput, "document too large",
+                {{source, "",
+                  fmt::format("{} bytes; at most {} are accepted", text.size(),
+                              kMaxDocumentBytes)}});
+  }
+  try {
+    return nlohmann::json::parse(text);
+  } catch (const nlohmann::json::parse_error& error) {
+    return Fail(ErrorCode::kInvalidInput, "malformed JSON",
+                {{source, LineAndColumn(text, error.byte), error.what()}});
+  }
+}
+
+bool CheckSchema(const nlohmann::json& schema,
+                 const nlohmann::json& value,
+                 const std::string& source,
+                 const std::string& pointer,
+                 Findings& findings) {
+  valijson::Schema compiled;
+  valijson::SchemaParser parser;
+  parser.populateSchema(JsonAdapter(schema), compiled);
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  if (validator.validate(compiled, JsonAdapter(value), &results))
+    return true;
+  valijson::ValidationResults::Error error;
+  while (results.popError(error)) {
+    findings.push_back(
+        {source, PointerOf(error.context, pointer), error.description});
+  }
+  return false;
+}
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream stream(path, std::ios::binary);
+  if (!stream) {
+    return Fail(ErrorCode::kInvalidInput, "cannot read file",
+                {{path, "", "the file cannot be opened"}});
+  }
+  std::ostringstream content;
+  content << stream.rdbuf();
+  return content.str();
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/target_pool.cc
@@ -0,0 +1,101 @@
+// Implements a router's links to targets.
+#include "figstall/target_pool.h"
+
+#include <algorithm>
+
+namespace figstall {
+namespace {
+
+constexpr Duration kSuspectFor = std::chrono::milliseconds(100);
+constexpr double kSmoothing = 0.1;
+constexpr std::uint32_t kQueuePerConnection = 4;
+
+// All of a target's share is open to any lane: a service has one lane, and the
+// router's own admission keeps lanes apart.
+AdmissionLimits LimitsFor(std::uint32_t connections) {
+  AdmissionLimits limits;
+  limits.slots = std::max<std::uint32_t>(connections, 1);
+  for (LaneLimits& lane : limits.lanes)
+    lane = {0, limits.slots, limits.slots * kQueuePerConnection};
+  return limits;
+}
+
+}  // namespace
+
+TargetLink::TargetLink(const VmRecord& record, std::uint32_t connections)
+    : id_(record.id),
+      endpoint_(record.http),
+      client_(std::max<std::uint32_t>(connections, 1)),
+      gate_(LimitsFor(connections)) {}
+
+bool TargetLink::Suspect(Instant now) const {
+  return now.time_since_epoch().count() < suspect_until_us_;
+}
+
+void TargetLink::OnUnreachable(Instant now) {
+  suspect_until_us_ = (now + kSuspectFor).time_since_epoch().count();
+}
+
+void TargetLink::OnAnswer(Duration latency) {
+  const double seconds = std::chrono::duration<double>(latency).count();
+  smoothed_seconds_ =
+      (1 - kSmoothing) * smoothed_seconds_ + kSmoothing * seconds;
+  suspect_until_us_ = 0;
+}
+
+double TargetLink::Burden() const {
+  return (1.0 + in_flight_) * smoothed_seconds_;
+}
+
+void TargetPool::SetConfiguration(const Configuration& configuration) {
+  const std::lock_guard lock(mutex_);
+  const auto routers = static_cast<std::uint32_t>(
+      std::max<std::size_t>(configuration.EntryVms(zone_).size(), 1));
+  std::map<VmId, Entry> next;
+  usable_.clear();
+  for (const VmRecord& vm : configuration.records().vms) {
+    const bool mine = vm.role == VmRole::kTarget && vm.zone == zone_ &&
+                      vm.state != VmState::kLost;
+    if (!mine)
+      continue;
+    const auto known = entries_.find(vm.id);
+    const bool same = known != entries_.end() &&
+                      known->second.record.http == vm.http &&
+                      known->second.record.connections == vm.connections;
+    Entry entry{vm, nullptr};
+    entry.link =
+        same ? known->second.link
+             : std::make_shared<TargetLink>(vm, vm.connections / routers);
+    if (vm.state != VmState::kLeaving)
+      usable_[vm.service].push_back(entry.link);
+    next.emplace(vm.id, std::move(entry));
+  }
+  entries_ = std::move(next);
+}
+
+TargetPool::Link TargetPool::Find(const VmId& target) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = entries_.find(target);
+  return found == entries_.end() ? nullptr : found->second.link;
+}
+
+TargetPool::Link TargetPool::PickShared(Instant now,
+                                        const ServiceId& service,
+                                        std::uint64_t draw) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = usable_.find(service);
+  if (found == usable_.end())
+    return nullptr;
+  std::vector<Link> fit;
+  for (const Link& link : found->second) {
+    if (!link->Suspect(now))
+      fit.push_back(link);
+  }
+  if (fit.empty())
+    return nullptr;
+  const Link& first = fit[draw % fit.size()];
+  const Link& second = fit[(draw >> 32) % fit.size()];
+  return first->Burden() <= second->Burden() ? first : second;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/zone_steward.cc
@@ -0,0 +1,404 @@
+// Implements one steward of an availability zone.
+#include "figstall/zone_steward.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace figstall {
+namespace {
+
+// Rank of `steward` among the renewers of `holder`; smaller goes first.
+std::uint64_t RenewerRank(const VmId& steward, const VmId& holder) {
+  const std::string input = steward.value() + "|" + holder.value();
+  return XXH3_64bits(input.data(), input.size());
+}
+
+}  // namespace
+
+ZoneSteward::ZoneSteward(StewardId self,
+                         StewardTiming timing,
+                         StewardLimits limits)
+    : self_(self),
+      timing_(timing),
+      limits_(limits),
+      election_(std::move(self), timing),
+      keeper_(timing.renew_interval, timing.validity) {}
+
+StewardActions ZoneSteward::Step(Instant now, const StewardEvent& event) {
+  StewardActions actions;
+  if (resigned_)
+    return actions;
+  std::visit([&](const auto& one) { Handle(now, one, actions); }, event);
+  Advance(now, actions);
+  return actions;
+}
+
+StewardActions ZoneSteward::Resign() {
+  StewardActions actions;
+  resigned_ = true;
+  mover_.reset();
+  keeper_.DropLeases();
+  for (const VmId& steward : plan_.stewards) {
+    if (steward != self_.vm)
+      actions.push_back(SendPeer{steward, Resignation{}});
+  }
+  election_.Resign(actions);
+  return actions;
+}
+
+bool ZoneSteward::leader_silent(Instant now) const {
+  if (leading())
+    return false;
+  return !leader_heard_at_ || now - *leader_heard_at_ >= timing_.leader_silence;
+}
+
+std::vector<PartitionRow> ZoneSteward::KnownRows() const {
+  if (mover_)
+    return mover_->table().ChangedSince(0);
+  std::vector<PartitionRow> rows;
+  for (const auto& [key, row] : pushed_rows_)
+    rows.push_back(row);
+  return rows;
+}
+
+// --- Events ------------------------------------------------------------------
+
+void ZoneSteward::Handle(Instant, const Tick&, StewardActions&) {}
+
+void ZoneSteward::Handle(Instant now,
+                         const PlanChanged& changed,
+                         StewardActions&) {
+  if (changed.plan.revision < plan_.revision)
+    return;
+  plan_ = changed.plan;
+  std::vector<VmId> holders = plan_.routers;
+  for (const TargetPlan& target : plan_.targets)
+    holders.push_back(target.id);
+  keeper_.Watch(holders);
+  if (mover_)
+    mover_->SetPlan(plan_);
+  for (const VmId& vm : plan_.declared_lost)
+    MarkVmGone(now, vm);
+}
+
+void ZoneSteward::Handle(Instant, const VmListChanged& list, StewardActions&) {
+  election_.OnVmList(list.version, list.listed);
+}
+
+void ZoneSteward::Handle(Instant now,
+                         const ZoneRead& read,
+                         StewardActions& actions) {
+  election_.OnRead(now, read, actions);
+  const auto rows = election_.TakeConfirmedRows();
+  if (mover_)
+    mover_->OnStored(rows);
+}
+
+void ZoneSteward::Handle(Instant now,
+                         const ZoneWritten& written,
+                         StewardActions& actions) {
+  const auto rows = election_.OnWritten(now, written, actions);
+  if (mover_)
+    mover_->OnStored(rows);
+}
+
+void ZoneSteward::Handle(Instant now,
+                         const LeaderLeaseReply& reply,
+                         StewardActions& actions) {
+  election_.OnLease(now, reply, actions);
+}
+
+void ZoneSteward::Handle(Instant now,
+                         const PeerReceived& received,
+                         StewardActions& actions) {
+  NoteIncarnation(now, received.from);
+  std::visit(
+      [&](const auto& message) {
+        OnPeer(now, received.from, message, actions);
+      },
+      received.message);
+}
+
+void ZoneSteward::Handle(Instant now,
+                         const HolderReplied& replied,
+                         StewardActions& actions) {
+  keeper_.OnStatus(now, replied.status);
+  if (replied.status.epoch > election_.seen_epoch()) {
+    election_.OnEpochSeen(now, replied.status.epoch, /*from_leader=*/false,
+                          actions);
+  }
+  if (mover_)
+    mover_->OnStatus(now, replied.status, Around(), actions);
+}
+
+// --- Messages of other stewards
+// ------------------------------------------------
+
+void ZoneSteward::OnPeer(Instant,
+                         const StewardId& from,
+                         const JoinRequest&,
+                         StewardActions&) {
+  const bool in_zone = std::find(plan_.stewards.begin(), plan_.stewards.end(),
+                                 from.vm) != plan_.stewards.end();
+  if (in_zone)
+    election_.OnJoin(from);
+}
+
+void ZoneSteward::OnPeer(Instant now,
+                         const StewardId& from,
+                         const StatePush& message,
+                         StewardActions& actions) {
+  if (message.epoch < election_.seen_epoch())
+    return;
+  if (election_.leading() && message.epoch == election_.epoch())
+    return;
+  election_.OnEpochSeen(now, message.epoch, /*from_leader=*/true, actions);
+  leader_heard_at_ = now;
+  leader_ = from;
+  if (applied_epoch_ != message.epoch) {
+    applied_epoch_ = message.epoch;
+    applied_change_ = 0;
+  }
+  const bool applies = message.full && message.base <= applied_change_ &&
+                       message.change >= applied_change_;
+  if (applies) {
+    applied_change_ = message.change;
+    known_roster_ = {message.roster.begin(), message.roster.end()};
+    if (known_roster_.contains(self_))
+      election_.OnAdmitted();
+    keeper_.DropLeases();
+    for (const LeaseEntry& entry : message.leases)
+      keeper_.Adopt(entry.holder, entry.lease);
+    for (const PartitionRow& row : message.rows)
+      pushed_rows_[row.key] = row;
+  }
+  actions.push_back(
+      SendPeer{from.vm, StatePushAck{message.epoch, applied_change_}});
+}
+
+void ZoneSteward::OnPeer(Instant,
+                         const StewardId& from,
+                         const StatePushAck& message,
+                         StewardActions&) {
+  if (!mover_ || message.epoch != mover_epoch_)
+    return;
+  const auto member = members_.find(from);
+  if (member == members_.end())
+    return;
+  member->second.acknowledged =
+      std::max(member->second.acknowledged, message.change);
+}
+
+void ZoneSteward::OnPeer(Instant now,
+                         const StewardId& from,
+                         const StepDown& message,
+                         StewardActions& actions) {
+  if (message.epoch < election_.seen_epoch())
+    return;
+  if (election_.leading() && message.epoch == election_.epoch())
+    return;
+  election_.OnEpochSeen(now, message.epoch, /*from_leader=*/true, actions);
+  mover_.reset();
+  actions.push_back(SendPeer{from.vm, StepDownAck{message.epoch}});
+}
+
+void ZoneSteward::OnPeer(Instant,
+                         const StewardId& from,
+                         const StepDownAck& message,
+                         StewardActions&) {
+  election_.OnStepDownAck(from, message.epoch);
+}
+
+void ZoneSteward::OnPeer(Instant now,
+                         const StewardId& from,
+                         const SealRequest& message,
+                         StewardActions& actions) {
+  if (message.epoch < election_.seen_epoch())
+    return;
+  election_.OnEpochSeen(now, message.epoch, /*from_leader=*/true, actions);
+  SealReply reply;
+  reply.epoch = message.epoch;
+  reply.holder = message.holder;
+  reply.lease = message.lease;
+  reply.stamp_age = keeper_.StampAge(message.holder, now);
+  reply.stopped = message.insist ||
+                  !keeper_.HeardWithin(message.holder, now, timing_.lost_after);
+  if (message.insist)
+    keeper_.Seal(message.holder, message.lease);
+  actions.push_back(SendPeer{from.vm, reply});
+}
+
+void ZoneSteward::OnPeer(Instant now,
+                         const StewardId& from,
+                         const SealReply& message,
+                         StewardActions&) {
+  if (mover_)
+    mover_->OnSealReply(now, from, message);
+}
+
+void ZoneSteward::OnPeer(Instant now,
+                         const StewardId& from,
+                         const Resignation&,
+                         StewardActions&) {
+  MarkGone(now, from);
+  if (from == leader_)
+    election_.OnLeaderLeft();
+}
+
+void ZoneSteward::NoteIncarnation(Instant now, const StewardId& from) {
+  // Incarnations of one VM only rise: an earlier run cannot be running.
+  std::vector<StewardId> replaced;
+  for (const StewardId& id : election_.roster()) {
+    if (id.vm == from.vm && id.incarnation < from.incarnation)
+      replaced.push_back(id);
+  }
+  for (const UnsealedLeader& old : election_.unsealed()) {
+    if (old.id.vm == from.vm && old.id.incarnation < from.incarnation)
+      replaced.push_back(old.id);
+  }
+  for (const StewardId& id : replaced)
+    MarkGone(now, id);
+}
+
+void ZoneSteward::MarkGone(Instant now, const StewardId& id) {
+  election_.OnGone(id);
+  members_.erase(id);
+  if (mover_)
+    mover_->OnGone(now, id);
+}
+
+void ZoneSteward::MarkVmGone(Instant now, const VmId& vm) {
+  if (vm == self_.vm)
+    return;
+  std::vector<StewardId> gone(known_roster_.begin(), known_roster_.end());
+  gone.insert(gone.end(), election_.roster().begin(), election_.roster().end());
+  std::erase_if(gone, [&](const StewardId& id) { return id.vm != vm; });
+  for (const UnsealedLeader& old : election_.unsealed()) {
+    if (old.id.vm == vm)
+      gone.push_back(old.id);
+  }
+  for (const StewardId& id : gone)
+    MarkGone(now, id);
+}
+
+// --- What follows from the new state
+// -------------------------------------------
+
+void ZoneSteward::Advance(Instant now, StewardActions& actions) {
+  FollowLeadership(now);
+  if (!election_.leading())
+    AskToJoin(now, actions);
+  if (election_.leading() && !election_.authority())
+    AskOldLeaders(now, actions);
+  if (mover_) {
+    mover_->Advance(now, Around(), actions);
+    if (mover_->table().change() != proposed_change_) {
+      proposed_change_ = mover_->table().change();
+      election_.ProposeRows(mover_->table().Stored());
+    }
+  }
+  election_.Tick(now, actions);
+  if (election_.leading())
+    PushState(now, actions);
+  SendOrders(now, actions);
+}
+
+void ZoneSteward::FollowLeadership(Instant now) {
+  for (const StewardId& id : election_.MissingFromList())
+    MarkGone(now, id);
+  const bool stale = mover_ && mover_epoch_ != election_.epoch();
+  if (stale)
+    mover_.reset();
+  if (mover_ || !election_.authority())
+    return;
+  mover_epoch_ = election_.epoch();
+  mover_ = std::make_unique<PartitionMover>(self_, mover_epoch_, timing_,
+                                            limits_, now, keeper_);
+  proposed_change_ = 0;
+  mover_->SetPlan(plan_);
+  mover_->Inherit(election_.inherited());
+  members_.clear();
+  for (const VmId& holder : keeper_.watched())
+    keeper_.ForceDue(holder);
+}
+
+void ZoneSteward::AskToJoin(Instant now, StewardActions& actions) {
+  const bool due =
+      !join_asked_at_ || now - *join_asked_at_ >= timing_.join_interval;
+  if (election_.admitted() || !due)
+    return;
+  join_asked_at_ = now;
+  for (const VmId& steward : plan_.stewards) {
+    if (steward != self_.vm)
+      actions.push_back(SendPeer{steward, JoinRequest{}});
+  }
+}
+
+void ZoneSteward::AskOldLeaders(Instant now, StewardActions& actions) {
+  const bool due = !step_down_asked_at_ ||
+                   now - *step_down_asked_at_ >= timing_.renew_interval;
+  if (!due)
+    return;
+  step_down_asked_at_ = now;
+  for (const UnsealedLeader& old : election_.unsealed())
+    actions.push_back(SendPeer{old.id.vm, StepDown{election_.epoch()}});
+}
+
+void ZoneSteward::PushState(Instant now, StewardActions& actions) {
+  for (const StewardId& id : election_.confirmed()) {
+    if (id == self_)
+      continue;
+    Member& member = members_[id];
+    const bool behind = mover_ && member.acknowledged < mover_->change();
+    const bool due =
+        !member.pushed_at || now - *member.pushed_at >= timing_.renew_interval;
+    if (!due)
+      continue;
+    member.pushed_at = now;
+    StatePush push;
+    push.epoch = election_.epoch();
+    if (behind) {
+      push.full = true;
+      push.base = member.acknowledged;
+      push.change = mover_->change();
+      push.roster.assign(election_.confirmed().begin(),
+                         election_.confirmed().end());
+      push.leases = mover_->OpenLeases();
+      push.rows = mover_->table().ChangedSince(member.acknowledged);
+    }
+    actions.push_back(SendPeer{id.vm, std::move(push)});
+  }
+}
+
+void ZoneSteward::SendOrders(Instant now, StewardActions& actions) {
+  if (!election_.admitted())
+    return;
+  for (HolderOrder& order : keeper_.DueOrders(now)) {
+    if (mover_) {
+      mover_->Decorate(order);
+    } else if (!Renews(order.holder)) {
+      continue;
+    }
+    actions.push_back(SendOrder{std::move(order)});
+  }
+}
+
+bool ZoneSteward::Renews(const VmId& holder) const {
+  if (election_.leading())
+    return true;
+  std::size_t before = 0;
+  const std::uint64_t mine = RenewerRank(self_.vm, holder);
+  for (const StewardId& id : known_roster_) {
+    if (RenewerRank(id.vm, holder) < mine)
+      ++before;
+  }
+  return before < limits_.renewers_per_holder;
+}
+
+PartitionMover::Surroundings ZoneSteward::Around() const {
+  return {election_.roster(), election_.store_out()};
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/test/fakes/target_standin.cc
@@ -0,0 +1,242 @@
+// Stand-in for a target: answers requests for the keys it owns, takes grants,
+// deadlines and cancellation, journals what it ran, and fails on command.
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+#include "figstall/grant_book.h"
+#include "figstall/holder_json.h"
+#include "figstall/http_server.h"
+#include "process.h"
+
+namespace figstall {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kUsage = R"(target-standin: one server of a service.
+
+Usage:
+  target-standin --name=VM --listen=ADDRESS [--slots N] [--work-us N] [--unchecked]
+
+Options:
+  --slots N     Requests worked on at once [default: 4].
+  --work-us N   Time that each request takes [default: 1000].
+  --unchecked   Does not check who gives it an order.
+
+Faults: POST /standin/fault {"mode": "ok" | "silent" | "garbage" | "shed"}.
+Journal of what ran: GET /standin/journal.
+)";
+
+Instant Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+Term ParseTerm(const std::string& text) {
+  const std::size_t dot = text.find('.');
+  if (dot == std::string::npos)
+    return {};
+  return {std::strtoull(text.c_str(), nullptr, 10),
+          std::strtoull(text.c_str() + dot + 1, nullptr, 10)};
+}
+
+class TargetStandin {
+ public:
+  TargetStandin(VmId name, bool checks, int slots, Duration work)
+      : name_(name),
+        checks_(checks),
+        work_(work),
+        free_slots_(slots),
+        book_(name, detail::Incarnation(), [this](const PartitionKey& key) {
+          return in_flight_[key] > 0;
+        }) {}
+
+  HttpReply OnHttp(const HttpCall& call) {
+    if (call.path == "/figstall/live")
+      return {200, "text/plain", {}, "live\n"};
+    if (call.path == "/standin/fault")
+      return SetFault(call);
+    if (call.path == "/standin/journal")
+      return ShowJournal();
+    if (call.path == "/figstall/cancel")
+      return Cancel(call);
+    if (call.path == kOrderPath)
+      return TakeOrder(call);
+    return Serve(call);
+  }
+
+ private:
+  struct Run {
+    PartitionKey key;
+    Term term;
+    std::string attempt;
+    std::string request_id;
+    std::string path;
+    std::int64_t at_us = 0;
+  };
+
+  static HttpReply NotRun(const std::string& reason) {
+    return {409, "text/plain", {{"Figstall-Not-Run", reason}}, reason + "\n"};
+  }
+
+  HttpReply SetFault(const HttpCall& call) {
+    const std::lock_guard lock(mutex_);
+    mode_ = json::parse(call.body).value("mode", "ok");
+    wake_.notify_all();
+    return {200, "text/plain", {}, ""};
+  }
+
+  HttpReply ShowJournal() {
+    const std::lock_guard lock(mutex_);
+    json journal = json::array();
+    for (const Run& run : journal_) {
+      journal.push_back({{"service", run.key.service.value()},
+                         {"partition", run.key.partition},
+                         {"term", run.term.ToString()},
+                         {"attempt", run.attempt},
+                         {"id", run.request_id},
+                         {"path", run.path},
+                         {"at_us", run.at_us}});
+    }
+    return {200, "application/json", {}, journal.dump()};
+  }
+
+  HttpReply TakeOrder(const HttpCall& call) {
+    return HandleError(
+        [&]() -> Result<HttpReply> {
+          BOOST_LEAF_AUTO(order, ParseOrder(call.body));
+          const std::lock_guard lock(mutex_);
+          const HolderStatus status = book_.Apply(Now(), order);
+          return HttpReply{
+              200, "application/json", {}, SerializeStatus(status)};
+        },
+        [](const Error& error) {
+          return HttpReply{400, "text/plain", {}, error.message + "\n"};
+        });
+  }
+
+  // A cancelled attempt that arrives later is refused; one being worked on is
+  // waited for.
+  HttpReply Cancel(const HttpCall& call) {
+    const std::string attempt = json::parse(call.body).value("attempt", "");
+    const std::lock_guard lock(mutex_);
+    cancelled_.insert(attempt);
+    wake_.notify_all();
+    const bool working = working_.contains(attempt);
+    return {working ? 202 : 200, "text/plain", {}, ""};
+  }
+
+  bool MayServe(const PartitionKey& key, Term term) {
+    if (!checks_ || !term.valid())
+      return true;
+    const auto row = book_.MayServe(Now(), key);
+    return row && row->term == term;
+  }
+
+  HttpReply Serve(const HttpCall& call) {
+    Run run;
+    run.key = {ServiceId(call.header("Figstall-Service")),
+               static_cast<std::uint32_t>(std::strtoul(
+                   call.header("Figstall-Partition").c_str(), nullptr, 10))};
+    run.term = ParseTerm(call.header("Figstall-Term"));
+    run.attempt = call.header("Figstall-Attempt");
+    run.request_id = call.header("Figstall-Request-Id");
+    run.path = call.method + " " + call.path;
+    std::unique_lock lock(mutex_);
+    if (mode_ == "shed")
+      return NotRun("shedding");
+    if (cancelled_.contains(run.attempt))
+      return NotRun("cancelled");
+    if (!MayServe(run.key, run.term))
+      return NotRun("not-owner");
+    ++in_flight_[run.key];
+    working_.insert(run.attempt);
+    wake_.wait(lock, [&] { return free_slots_ > 0; });
+    --free_slots_;
+    HttpReply reply = Work(call, run, lock);
+    ++free_slots_;
+    working_.erase(run.attempt);
+    --in_flight_[run.key];
+    wake_.notify_all();
+    return reply;
+  }
+
+  HttpReply Work(const HttpCall& call,
+                 Run& run,
+                 std::unique_lock<std::mutex>& lock) {
+    const auto cancelled = [&] { return cancelled_.contains(run.attempt); };
+    const std::string delay = call.parameter("work_us");
+    const Duration work =
+        delay.empty() ? work_
+                      : Duration(std::strtol(delay.c_str(), nullptr, 10));
+    lock.unlock();
+    if (work > Duration{0})
+      std::this_thread::sleep_for(work);
+    lock.lock();
+    wake_.wait(lock, [&] { return mode_ != "silent" || cancelled(); });
+    if (cancelled())
+      return NotRun("cancelled");
+    // The fence is checked once more where the effect takes place.
+    if (!MayServe(run.key, run.term))
+      return NotRun("not-owner");
+    run.at_us = Now().time_since_epoch().count();
+    journal_.push_back(run);
+    if (mode_ == "garbage")
+      return {200, "text/plain", {{"Figstall-Attempt", "another"}}, "garbage"};
+    json body = {{"target", name_.value()},
+                 {"path", call.path},
+                 {"run", journal_.size()},
+                 {"echo", call.body}};
+    const std::string bytes = call.parameter("bytes");
+    std::string text = body.dump();
+    if (!bytes.empty())
+      text.resize(std::strtoul(bytes.c_str(), nullptr, 10), 'x');
+    return {200,
+            "application/json",
+            {{"Figstall-Attempt", run.attempt}},
+            std::move(text)};
+  }
+
+  const VmId name_;
+  const bool checks_;
+  const Duration work_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::string mode_ = "ok";
+  int free_slots_;
+  std::map<PartitionKey, int> in_flight_;
+  std::set<std::string> working_;
+  std::set<std::string> cancelled_;
+  std::vector<Run> journal_;
+  GrantBook book_;
+};
+
+}  // namespace
+}  // namespace figstall
+
+int main(int argc, char** argv) {
+  using namespace figstall;
+  const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+  return detail::RunProgram([&]() -> Result<int> {
+    BOOST_LEAF_AUTO(listen, ParseEndpoint(arguments.at("--listen").asString()));
+    const sigset_t signals = detail::BlockStopSignals();
+    TargetStandin standin(
+        VmId(arguments.at("--name").asString()),
+        !arguments.at("--unchecked").asBool(),
+        std::stoi(arguments.at("--slots").asString()),
+        Duration(std::stoi(arguments.at("--work-us").asString())));
+    HttpServer server(listen, HttpServerLimits{}, [&](const HttpCall& call) {
+      return standin.OnHttp(call);
+    });
+    detail::WaitForStopSignal(signals);
+    return 0;
+  });
+}
