Keep rows told before the configuration; judge a run by what was recorded

Cause: a router that a steward reached before its first configuration dropped the rows it was told and acknowledged them all the same, so it never learned some owners. Seen as one start in three that never became complete.

Ruled out: a lost grant (the zone documents held all 128 partitions of each service) and a port taken by another process (all processes had started).

Change: rows of services not yet declared are kept and filled in later. The demonstration and its verdict, which compares callers' reports with the targets' journals; waiting for an owner backs off to 50 ms instead of 200 ms.

Not run: any test but this.

--- a/include/figstall/request_flow.h
+++ b/include/figstall/request_flow.h
@@ -11,7 +11,7 @@
 struct RetryPolicy {
   int max_attempts = 8;
   Duration first_backoff = std::chrono::milliseconds(10);
-  Duration max_backoff = std::chrono::milliseconds(200);
+  Duration max_backoff = std::chrono::milliseconds(50);
 
   friend auto operator<=>(const RetryPolicy&, const RetryPolicy&) = default;
 };
--- a/include/figstall/route_table.h
+++ b/include/figstall/route_table.h
@@ -121,6 +121,8 @@
   std::vector<VmId> targets_;
   std::map<VmId, RouteTargetIndex> target_index_;
   GrantBook book_;
+  // Rows told before the configuration that declares their service.
+  std::map<PartitionKey, PartitionRow> unplaced_;
   // The lease that the rows' grants belong to.
   Term lease_;
 };
--- a/include/figstall/router_node.h
+++ b/include/figstall/router_node.h
@@ -101,7 +101,7 @@
 
   void OnForward(const Request& request,
                  bool as_issuer,
-                 RouterHandlers::Reply reply);
+                 const RouterHandlers::Reply& reply);
   void RunForwards(Ring<ForwardJob>& ring, Arrival arrival);
   void RunCancels();
   bool TryCancel(const CancelJob& job);
--- a/include/figstall/rpc_node.h
+++ b/include/figstall/rpc_node.h
@@ -39,8 +39,8 @@
 // Calls never throw; a call that fails says so to its callback or result.
 class RpcNode {
  public:
-  RpcNode(const Endpoint& listen, StewardHandlers handlers);
-  RpcNode(const Endpoint& listen, RouterHandlers handlers);
+  RpcNode(const Endpoint& listen, const StewardHandlers& handlers);
+  RpcNode(const Endpoint& listen, const RouterHandlers& handlers);
   ~RpcNode();
   RpcNode(const RpcNode&) = delete;
   RpcNode& operator=(const RpcNode&) = delete;
@@ -60,7 +60,7 @@
   // Sends an order to a router; `done` runs on the event loop.
   void SendOrder(const Endpoint& to,
                  const HolderOrder& order,
-                 std::function<void(std::optional<HolderStatus>)> done);
+                 const std::function<void(std::optional<HolderStatus>)>& done);
 
   // Runs a request at another router and waits for the answer. Not run if the
   // other router was never reached, unknown if its answer was lost.
--- a/src/load_main.cc
+++ b/src/load_main.cc
@@ -118,6 +118,7 @@
     const Instant begin = Now();
     std::vector<std::thread> callers;
     std::vector<std::vector<Sample>> samples(options_.connections);
+    callers.reserve(samples.size());
     for (int i = 0; i < options_.connections; ++i)
       callers.emplace_back([this, i, &samples] { Call(i, samples[i]); });
     for (std::thread& caller : callers)
@@ -125,7 +126,7 @@
     std::vector<Sample> all;
     for (const auto& part : samples)
       all.insert(all.end(), part.begin(), part.end());
-    return Summarize(std::move(all), Now() - begin);
+    return Summarize(all, Now() - begin);
   }
 
  private:
@@ -252,7 +253,7 @@
     return line;
   }
 
-  json Summarize(std::vector<Sample> samples, Duration took) const {
+  json Summarize(const std::vector<Sample>& samples, Duration took) const {
     std::map<std::string, int> outcomes;
     std::vector<Duration> latencies;
     for (const Sample& sample : samples) {
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -61,6 +61,12 @@
     next.push_back(std::move(service));
   }
   services_ = std::move(next);
+  for (const auto& [key, row] : std::exchange(unplaced_, {}))
+    ApplyHint(row);
+  for (const auto& [key, row] : book_.rows()) {
+    if (Row* known = FindRow(key))
+      known->granted = row.term;
+  }
 }
 
 HolderStatus RouteTable::Apply(Instant now, const HolderOrder& order) {
@@ -165,7 +171,13 @@
 
 void RouteTable::ApplyHint(const PartitionRow& row) {
   Row* known = FindRow(row.key);
-  if (!known || row.term < known->term)
+  if (!known) {
+    PartitionRow& kept = unplaced_[row.key];
+    if (kept.term < row.term)
+      kept = row;
+    return;
+  }
+  if (row.term < known->term)
     return;
   known->term = row.term;
   known->target = IndexOf(row.owner);
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -141,8 +141,8 @@
     return configuration_.revision();
   };
   handlers.on_forward = [this](const Request& request, bool as_issuer,
-                               RouterHandlers::Reply reply) {
-    OnForward(request, as_issuer, std::move(reply));
+                               const RouterHandlers::Reply& reply) {
+    OnForward(request, as_issuer, reply);
   };
   return handlers;
 }
@@ -170,7 +170,7 @@
 
 void RouterNode::OnForward(const Request& request,
                            bool as_issuer,
-                           RouterHandlers::Reply reply) {
+                           const RouterHandlers::Reply& reply) {
   Ring<ForwardJob>& own =
       request.lane == Lane::kBulk ? for_target_bulk_ : for_target_;
   Ring<ForwardJob>& ring = as_issuer ? for_issuer_ : own;
@@ -336,7 +336,7 @@
 Answer RouterNode::Serve(const Request& request, Arrival arrival) {
   const Instant begin = Now();
   ++in_flight_;
-  const Answer answer =
+  Answer answer =
       refusing_ ? NotRun(Reason::kStopping) : ServeOnce(request, arrival);
   --in_flight_;
   const Duration took = Now() - begin;
@@ -383,7 +383,7 @@
     case OnceVerdict::kReused:
       return NotRun(Reason::kIdReused);
   }
-  const Answer answer = RunFlow(request, Arrival::kForIssuer);
+  Answer answer = RunFlow(request, Arrival::kForIssuer);
   const std::lock_guard lock(once_mutex_);
   once_.Finish(Now(), *request.id, answer);
   return answer;
@@ -521,7 +521,7 @@
   for (const VmRecord* router : routers) {
     if (Now() >= request.deadline)
       return NotRun(Reason::kDeadline);
-    const Answer answer =
+    Answer answer =
         peers_->Forward(router->router, request, /*as_issuer=*/false, Now());
     if (crosses) {
       const std::lock_guard lock(budget_mutex_);
--- a/src/rpc_node.cc
+++ b/src/rpc_node.cc
@@ -251,13 +251,13 @@
   std::thread thread_;
 };
 
-RpcNode::RpcNode(const Endpoint& listen, StewardHandlers handlers)
+RpcNode::RpcNode(const Endpoint& listen, const StewardHandlers& handlers)
     : impl_(std::make_unique<Impl>(listen,
                                    [handlers]() -> capnp::Capability::Client {
                                      return kj::heap<StewardServer>(handlers);
                                    })) {}
 
-RpcNode::RpcNode(const Endpoint& listen, RouterHandlers handlers)
+RpcNode::RpcNode(const Endpoint& listen, const RouterHandlers& handlers)
     : impl_(std::make_unique<Impl>(listen,
                                    [handlers]() -> capnp::Capability::Client {
                                      return kj::heap<RouterServer>(handlers);
@@ -325,9 +325,10 @@
       });
 }
 
-void RpcNode::SendOrder(const Endpoint& to,
-                        const HolderOrder& order,
-                        std::function<void(std::optional<HolderStatus>)> done) {
+void RpcNode::SendOrder(
+    const Endpoint& to,
+    const HolderOrder& order,
+    const std::function<void(std::optional<HolderStatus>)>& done) {
   Impl* impl = impl_.get();
   impl->CallAndForget<wire::RouterPeer>(
       to, [impl, to, order, done](wire::RouterPeer::Client client) {
--- /dev/null
+++ b/support/demo.py
@@ -0,0 +1,101 @@
+#!/usr/bin/env python3
+"""Runs the whole path on stand-ins, in the shapes of both deployments: load on
+every service, then the loss of a target and of a whole entry VM while it runs.
+Prints what callers saw and the three measures; exits with 1 if anything that
+must hold was broken."""
+import argparse
+import json
+import sys
+import time
+
+import fleet
+import verdict
+
+
+def say(text):
+    print(text, flush=True)
+
+
+def start_loads(running, seconds):
+    loads = {}
+    for service in running.shape["services"]:
+        name = service["name"]
+        options = {"seconds": seconds, "requests": 100000, "keys": 500}
+        if service["lane"] == "enquiry":
+            options |= {"connections": 12, "pause_us": 5000}
+        elif service["lane"] == "order":
+            options |= {"connections": 6, "pause_us": 10000, "method": "POST",
+                        "deadline_ms": 3000}
+        else:
+            options |= {"connections": 3, "pause_us": 20000,
+                        "query": "bytes=200000&work_us=20000"}
+        loads[name] = running.load(name, f"{name}.jsonl", **options)
+    return loads
+
+
+def run(shape, seconds):
+    say(f"== {shape['name']}: "
+        f"{sum(n for _, n in shape['zones'].values())} entry VMs, "
+        f"{sum(s['targets'] for s in shape['services'])} targets, "
+        f"{len(shape['zones'])} zones")
+    with fleet.Fleet(shape) as running:
+        vm = next(iter(running.vms))
+        exclusive = shape["services"][0]["name"]
+        status, headers, body = fleet.http(
+            "GET", f"http://{running.vms[vm]['callers']}/v1/{exclusive}/key-1")
+        say(f"one request through {vm}: {status} "
+            f"{headers.get('Figstall-Outcome')} {body.decode().strip()}")
+        before = {s["name"]: running.owners(s["name"])
+                  for s in shape["services"]}
+        loads = start_loads(running, seconds)
+        time.sleep(seconds / 4)
+        victim = next(name for name, t in running.targets.items()
+                      if t["service"] == exclusive)
+        say(f"killing target {victim}")
+        running.kill(f"target/{victim}")
+        time.sleep(seconds / 4)
+        lost = list(running.vms)[1]
+        say(f"killing entry VM {lost}: its router and its steward")
+        running.kill(f"router/{lost}")
+        running.kill(f"steward/{lost}")
+        running.list_vms(without=[lost])
+        summaries = {name: json.loads(load.communicate()[0])
+                     for name, load in loads.items()}
+        after = {s["name"]: running.owners(s["name"])
+                 for s in shape["services"]}
+        return judge(running, summaries, before, after, victim)
+
+
+def judge(running, summaries, before, after, victim):
+    journal = running.journal()
+    violations = verdict.check_ownership(journal)
+    for service in running.shape["services"]:
+        name = service["name"]
+        report = running.report(f"{name}.jsonl")
+        violations += verdict.check_requests(report, journal)
+        moved = verdict.churn(before[name], after[name])
+        least = sum(1 for owner, _ in before[name].values() if owner == victim)
+        summary = summaries[name]
+        say(f"{name}: {summary['outcomes']}, p50 {summary['p50_ms']:.1f} ms, "
+            f"p99 {summary['p99_ms']:.1f} ms; imbalance "
+            f"{verdict.imbalance(journal, name):.2f}, churn {moved} "
+            f"(least possible {least}), unavailable at most "
+            f"{verdict.unavailable_seconds(report):.2f} s for any key")
+    say(f"what must always hold: {len(violations)} violations")
+    for violation in violations[:10]:
+        say(f"  {violation}")
+    return not violations
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=int, default=12,
+                        help="how long the load runs for each deployment")
+    options = parser.parse_args()
+    shapes = (fleet.CARONI, fleet.UMURAGE)
+    good = [run(shape, options.seconds) for shape in shapes]
+    sys.exit(0 if all(good) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/support/fleet.py
+++ b/support/fleet.py
@@ -243,7 +243,8 @@
         extra = [] if target["checks"] else ["--unchecked"]
         self.spawn(f"target/{name}", BIN / "target-standin", "--name", name,
                    "--listen", target["http"], "--slots", self.shape["slots"],
-                   "--work-us", self.work_us, *extra)
+                   "--work-us", self.work_us, "--journal",
+                   self.directory / "journal.jsonl", *extra)
 
     def start(self):
         self.spawn("platform", BIN / "platform-standin", "--listen",
@@ -349,11 +350,11 @@
             return None
         return json.loads(base64.b64decode(json.loads(body)[0]["Value"]))
 
-    def journal(self, name):
-        status, _, body = http(
-            "GET", f"http://{self.targets[name]['http']}/standin/journal",
-            timeout=20)
-        return json.loads(body) if status == 200 else None
+    def journal(self):
+        """Every run of every target, also of those that were killed."""
+        path = self.directory / "journal.jsonl"
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines]
 
     def routers(self, zone=None):
         return ",".join(vm["callers"] for vm in self.vms.values()
--- /dev/null
+++ b/support/run_tests.py
@@ -0,0 +1,73 @@
+"""Runs every test and prints a closing count.
+
+A test is one Catch2 test case, one recorded trace, or one test of real
+processes. Only tests that KNOWN-RED.txt names may fail without failing the run.
+"""
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = ROOT / "build" / "bin"
+
+
+def known_red():
+    """Names at the start of lines of the form `test: NAME`."""
+    path = ROOT / "KNOWN-RED.txt"
+    if not path.exists():
+        return set()
+    return {line.split(":", 1)[1].strip()
+            for line in path.read_text().splitlines()
+            if line.startswith("test:")}
+
+
+def catch_tests():
+    program = str(BIN / "figstall-test")
+    listed = subprocess.run([program, "--list-test-names-only"],
+                            capture_output=True, text=True, check=False)
+    for name in filter(None, map(str.strip, listed.stdout.splitlines())):
+        # Catch reads commas and brackets in names as syntax.
+        escaped = name.replace(",", "\\,").replace("[", "\\[")
+        yield f"unit {name}", [program, escaped]
+
+
+def trace_tests():
+    for trace in sorted((ROOT / "test" / "traces").glob("*.jsonl")):
+        yield f"trace {trace.stem}", [str(BIN / "figstall-replay"), str(trace)]
+
+
+def process_tests():
+    script = ROOT / "test" / "process_test.py"
+    if not script.exists():
+        return
+    listed = subprocess.run([sys.executable, str(script), "--list"],
+                            capture_output=True, text=True, check=True)
+    for name in listed.stdout.split():
+        yield f"process {name}", [sys.executable, str(script), name]
+
+
+def main():
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    red = known_red()
+    passed = failed = 0
+    for tests in (catch_tests(), trace_tests(), process_tests()):
+        for name, command in tests:
+            if wanted not in name:
+                continue
+            done = subprocess.run(command, capture_output=True, text=True,
+                                  check=False)
+            if done.returncode == 0:
+                passed += 1
+                print(f"ok   {name}", flush=True)
+                continue
+            if name in red:
+                print(f"KNOWN RED {name}", flush=True)
+                continue
+            failed += 1
+            print(f"FAIL {name}\n{done.stdout}{done.stderr}", flush=True)
+    print(f"{passed} passed, {failed} failed")
+    sys.exit(1 if failed or not passed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/test/fakes/target_standin.cc
+++ b/test/fakes/target_standin.cc
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -24,15 +25,16 @@
 constexpr const char* kUsage = R"(target-standin: one server of a service.
 
 Usage:
-  target-standin --name=VM --listen=ADDRESS [--slots N] [--work-us N] [--unchecked]
+  target-standin --name=VM --listen=ADDRESS [--slots N] [--work-us N] [--unchecked] [--journal FILE]
 
 Options:
   --slots N     Requests worked on at once [default: 4].
   --work-us N   Time that each request takes [default: 1000].
   --unchecked   Does not check who gives it an order.
+  --journal FILE  Appends a JSON line for each request that ran, before it is
+                  answered.
 
 Faults: POST /standin/fault {"mode": "ok" | "silent" | "garbage" | "shed"}.
-Journal of what ran: GET /standin/journal.
 )";
 
 Instant Now() {
@@ -50,22 +52,27 @@
 
 class TargetStandin {
  public:
-  TargetStandin(VmId name, bool checks, int slots, Duration work)
+  TargetStandin(const VmId& name,
+                bool checks,
+                int slots,
+                Duration work,
+                const std::string& journal)
       : name_(name),
         checks_(checks),
         work_(work),
         free_slots_(slots),
         book_(name, detail::Incarnation(), [this](const PartitionKey& key) {
           return in_flight_[key] > 0;
-        }) {}
+        }) {
+    if (!journal.empty())
+      journal_.open(journal, std::ios::app);
+  }
 
   HttpReply OnHttp(const HttpCall& call) {
     if (call.path == "/figstall/live")
       return {200, "text/plain", {}, "live\n"};
     if (call.path == "/standin/fault")
       return SetFault(call);
-    if (call.path == "/standin/journal")
-      return ShowJournal();
     if (call.path == "/figstall/cancel")
       return Cancel(call);
     if (call.path == kOrderPath)
@@ -94,19 +101,19 @@
     return {200, "text/plain", {}, ""};
   }
 
-  HttpReply ShowJournal() {
-    const std::lock_guard lock(mutex_);
-    json journal = json::array();
-    for (const Run& run : journal_) {
-      journal.push_back({{"service", run.key.service.value()},
-                         {"partition", run.key.partition},
-                         {"term", run.term.ToString()},
-                         {"attempt", run.attempt},
-                         {"id", run.request_id},
-                         {"path", run.path},
-                         {"at_us", run.at_us}});
-    }
-    return {200, "application/json", {}, journal.dump()};
+  void WriteJournal(const Run& run) {
+    ++runs_;
+    if (!journal_.is_open())
+      return;
+    const json line = {{"service", run.key.service.value()},
+                       {"partition", run.key.partition},
+                       {"term", {run.term.epoch, run.term.count}},
+                       {"target", name_.value()},
+                       {"attempt", run.attempt},
+                       {"id", run.request_id},
+                       {"path", run.path},
+                       {"at_us", run.at_us}};
+    journal_ << line.dump() << std::endl;
   }
 
   HttpReply TakeOrder(const HttpCall& call) {
@@ -188,12 +195,12 @@
     if (!MayServe(run.key, run.term))
       return NotRun("not-owner");
     run.at_us = Now().time_since_epoch().count();
-    journal_.push_back(run);
+    WriteJournal(run);
     if (mode_ == "garbage")
       return {200, "text/plain", {{"Figstall-Attempt", "another"}}, "garbage"};
     json body = {{"target", name_.value()},
                  {"path", call.path},
-                 {"run", journal_.size()},
+                 {"run", runs_},
                  {"echo", call.body}};
     const std::string bytes = call.parameter("bytes");
     std::string text = body.dump();
@@ -215,7 +222,8 @@
   std::map<PartitionKey, int> in_flight_;
   std::set<std::string> working_;
   std::set<std::string> cancelled_;
-  std::vector<Run> journal_;
+  std::ofstream journal_;
+  std::uint64_t runs_ = 0;
   GrantBook book_;
 };
 
@@ -232,7 +240,8 @@
         VmId(arguments.at("--name").asString()),
         !arguments.at("--unchecked").asBool(),
         std::stoi(arguments.at("--slots").asString()),
-        Duration(std::stoi(arguments.at("--work-us").asString())));
+        Duration(std::stoi(arguments.at("--work-us").asString())),
+        arguments.at("--journal") ? arguments.at("--journal").asString() : "");
     HttpServer server(listen, HttpServerLimits{}, [&](const HttpCall& call) {
       return standin.OnHttp(call);
     });
