Replay recorded traces in virtual time against stated outcomes

Cause: nothing yet showed what the decisions do under failure; a freeze, a cut or a lost answer cannot be timed with real processes.

Change: figstall-replay runs the same decision code behind small fakes of the store, VM list, targets and callers, with a checker that shares no code with it. Traces are JSON lines; faults can be drawn from seeds, and a seed that breaks something is shortened and printed. Flaws break one rule each on purpose.

Found by the first traces and mended: - A member that had heard a lost target 200 ms later than the leader objected, and the leader then waited a whole lost_after again. The age in the objection now counts.

--- a/include/figstall/request_flow.h
+++ b/include/figstall/request_flow.h
@@ -16,6 +16,11 @@
   friend auto operator<=>(const RetryPolicy&, const RetryPolicy&) = default;
 };
 
+// How long one attempt may wait for its answer. An idempotent request keeps
+// half of its time for another attempt, since its target may have frozen; bulk
+// takes long by nature, and what must run once is never attempted again.
+Duration AttemptPatience(const Request& request, Instant now);
+
 enum class FlowVerdict {
   // Make another attempt, not before `not_before`.
   kRetry,
--- a/include/figstall/route_table.h
+++ b/include/figstall/route_table.h
@@ -85,6 +85,9 @@
                        const ServiceId& service,
                        std::uint32_t partition);
 
+  // True once an owner of every partition at home was known.
+  bool Complete() const { return complete_; }
+
   VmId TargetName(RouteTargetIndex index) const;
 
  private:
@@ -110,6 +113,7 @@
                              std::uint32_t partition) const;
   void ApplyFence(const HolderOrder& order, const HolderStatus& status);
   Row* FindRow(const PartitionKey& key);
+  void CheckComplete();
   void ApplyHint(const PartitionRow& row);
   RouteTargetIndex IndexOf(const VmId& target);
   bool InFlight(const PartitionKey& key) const;
@@ -121,6 +125,8 @@
   std::vector<VmId> targets_;
   std::map<VmId, RouteTargetIndex> target_index_;
   GrantBook book_;
+  std::atomic<bool> complete_ = false;
+  bool configured_ = false;
   // Rows told before the configuration that declares their service.
   std::map<PartitionKey, PartitionRow> unplaced_;
   // The lease that the rows' grants belong to.
--- a/src/partition_mover.cc
+++ b/src/partition_mover.cc
@@ -214,8 +214,9 @@
     holder.unpolled.erase(from);
     if (reply.stopped)
       return;
+    // The holder counts as lost when the member that heard it says so too.
     holder.phase = Phase::kOpen;
-    holder.since = now;
+    holder.since = now - std::min(reply.stamp_age, timing_.lost_after);
     return;
   }
   const bool answers = holder.phase == Phase::kSealing && reply.stopped &&
--- /dev/null
+++ b/src/replay_checker.cc
@@ -0,0 +1,111 @@
+// Implements the checker of replayed runs.
+#include "replay_checker.h"
+
+#include <fmt/format.h>
+
+namespace figstall::replay {
+
+void Checker::OnFence(Instant now,
+                      const VmId& target,
+                      const std::set<PartitionKey>& standing) {
+  std::set<PartitionKey>& before = standing_[target];
+  for (const PartitionKey& key : before) {
+    if (!standing.contains(key))
+      fences_[key].erase(target);
+  }
+  for (const PartitionKey& key : standing) {
+    std::set<VmId>& holders = fences_[key];
+    holders.insert(target);
+    if (holders.size() < 2)
+      continue;
+    std::string names;
+    for (const VmId& holder : holders)
+      names += " " + holder.value();
+    Report(now, ToString(key) + " has two owners:" + names);
+  }
+  before = standing;
+}
+
+void Checker::OnWorkBegin(Instant now,
+                          const VmId& target,
+                          const PartitionKey& key) {
+  std::multiset<VmId>& workers = working_[key];
+  workers.insert(target);
+  if (*workers.begin() == *workers.rbegin())
+    return;
+  Report(now, ToString(key) + " is worked on by " + workers.begin()->value() +
+                  " and " + workers.rbegin()->value());
+}
+
+void Checker::OnWorkEnd(const VmId& target, const PartitionKey& key) {
+  std::multiset<VmId>& workers = working_[key];
+  const auto found = workers.find(target);
+  if (found != workers.end())
+    workers.erase(found);
+}
+
+void Checker::OnRun(Instant,
+                    const std::string& token,
+                    const VmId&,
+                    const PartitionKey&) {
+  ++runs_[token];
+}
+
+int Checker::runs(const std::string& token) const {
+  const auto found = runs_.find(token);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+void Checker::OnOutcome(Instant now,
+                        const std::string& token,
+                        bool repeatable,
+                        const Answer& answer) {
+  const int count = runs(token);
+  if (!repeatable && count > 1)
+    Report(now, fmt::format("{} ran {} times", token, count));
+  if (answer.outcome == Outcome::kNotRun && count > 0)
+    Report(now, token + " ran but was called not run");
+  if (answer.outcome != Outcome::kAnswered)
+    return;
+  if (answer.body != token)
+    Report(now, token + " got the answer of " + answer.body);
+  if (count == 0)
+    Report(now, token + " was answered without a run");
+}
+
+void Checker::OnStored(Instant now,
+                       const ZoneId& zone,
+                       const ZoneDocument& document) {
+  Epoch& epoch = epochs_[zone];
+  if (document.epoch < epoch)
+    Report(now, "the epoch of zone " + zone.value() + " went back");
+  epoch = document.epoch;
+  std::set<PartitionKey> present;
+  for (const PartitionRow& row : document.rows) {
+    present.insert(row.key);
+    Term& term = terms_[row.key];
+    if (row.term < term)
+      Report(now, "the term of " + ToString(row.key) + " went back");
+    term = row.term;
+  }
+}
+
+void Checker::OnRevision(Instant now,
+                         const std::string& process,
+                         std::uint64_t revision) {
+  std::uint64_t& known = revisions_[process];
+  if (revision < known)
+    Report(now, process + " went back to revision " + std::to_string(revision));
+  known = revision;
+}
+
+void Checker::Report(Instant now, const std::string& what) {
+  constexpr std::size_t kMostReported = 100;
+  if (violations_.size() >= kMostReported)
+    return;
+  const double seconds =
+      std::chrono::duration<double>(now.time_since_epoch()).count();
+  violations_.push_back(fmt::format("{:.3f} s: {}", seconds, what));
+}
+
+}  // namespace figstall::replay
--- /dev/null
+++ b/src/replay_requests.cc
@@ -0,0 +1,552 @@
+// Implements the data side of a replayed deployment: callers, routers and
+// targets.
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "replay_world.h"
+
+namespace figstall::replay {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kSlow = std::chrono::milliseconds(200);
+constexpr Duration kPeerSuspectFor = std::chrono::milliseconds(500);
+constexpr Duration kCancelInterval = std::chrono::milliseconds(100);
+constexpr Duration kConnectionLoss = std::chrono::milliseconds(1);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
+constexpr Duration kRepeatPause = std::chrono::milliseconds(50);
+constexpr const char* kCallers = "callers";
+
+Answer NotRun(Reason reason) {
+  Answer answer;
+  answer.reason = reason;
+  return answer;
+}
+
+Answer Unknown(Reason reason) {
+  Answer answer;
+  answer.outcome = Outcome::kUnknown;
+  answer.reason = reason;
+  return answer;
+}
+
+std::uint64_t DigestOf(const Request& request) {
+  return XXH3_64bits(request.body.data(), request.body.size()) | 1;
+}
+
+}  // namespace
+
+// --- Callers
+// ---------------------------------------------------------------------
+
+void World::ScheduleCalls(const json& event) {
+  const Duration length = std::chrono::milliseconds(event.at("for_ms"));
+  const double rate = event.at("per_second");
+  const auto count = static_cast<std::int64_t>(
+      rate * std::chrono::duration<double>(length).count());
+  const int keys = event.value("keys", 200);
+  const std::string fixed_key = event.value("key", "");
+  const ServiceId service(event.at("service").get<std::string>());
+  const ServiceRecord* record = configuration_->FindService(service);
+  const std::string method = event.value("method", "GET");
+  const std::string home = event.value("home", "");
+  std::uniform_int_distribution<int> pick(0, keys - 1);
+  for (std::int64_t i = 0; i < count; ++i) {
+    auto call = std::make_shared<Call>();
+    call->token = fmt::format("t{}", ++next_token_);
+    Request& request = call->request;
+    request.service = service;
+    do {
+      request.key = fixed_key.empty()
+                        ? fmt::format("key-{}", pick(timeline_.random()))
+                        : fixed_key;
+    } while (
+        !home.empty() &&
+        configuration_
+                ->HomeOf(*record, PartitionOf(request.key, record->partitions))
+                .value() != home);
+    request.method = method;
+    request.lane = record->lane;
+    request.body = call->token;
+    const auto& methods = record->repeatable_methods;
+    request.idempotent =
+        std::find(methods.begin(), methods.end(), method) != methods.end();
+    call->patience =
+        std::chrono::milliseconds(event.value("deadline_ms", 2000));
+    call->uses_left = request.idempotent ? 1 : event.value("uses", 3);
+    if (event.contains("router"))
+      call->only_router = VmId(event.at("router").get<std::string>());
+    const Instant at = timeline_.now() + i * length / count;
+    timeline_.At(at, [this, call] { StartCall(call); });
+  }
+}
+
+void World::StartCall(const CallPtr& call) {
+  if (call->begin == Instant{})
+    call->begin = timeline_.now();
+  std::vector<Router*> usable;
+  for (auto& [id, router] : routers_) {
+    const bool named = call->only_router.empty() || call->only_router == id;
+    // The balancer leaves out what is down or not ready.
+    const bool ready =
+        router.process->alive && !router.stopping && router.routes->Complete();
+    if (named && ready)
+      usable.push_back(&router);
+  }
+  if (usable.empty()) {
+    EndUse(call, NotRun(Reason::kZoneUnreachable));
+    return;
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, usable.size() - 1);
+  Router& router = *usable[pick(timeline_.random())];
+  const bool needs_id = !call->request.idempotent && !call->request.id;
+  Process& callers = timeline_.Find(kCallers);
+  if (!needs_id) {
+    UseRouter(call, router);
+    return;
+  }
+  // Taking an id and using it are two calls, often at two routers.
+  timeline_.Send(callers, *router.process, [this, call, &router, &callers] {
+    const RequestId id = router.once->Issue(timeline_.now());
+    timeline_.Send(*router.process, callers, [this, call, id] {
+      call->request.id = id;
+      StartCall(call);
+    });
+  });
+}
+
+void World::UseRouter(const CallPtr& call, Router& router) {
+  Process& callers = timeline_.Find(kCallers);
+  const auto ended = std::make_shared<bool>(false);
+  const auto end = [this, call, ended](const Answer& answer) {
+    if (std::exchange(*ended, true))
+      return;
+    EndUse(call, answer);
+  };
+  Request request = call->request;
+  request.deadline = timeline_.now() + call->patience;
+  timeline_.Send(
+      callers, *router.process,
+      [this, &router, request, end, &callers] {
+        ServeAtRouter(router, request,
+                      [this, &router, end, &callers](const Answer& answer) {
+                        timeline_.Send(*router.process, callers,
+                                       [end, answer] { end(answer); });
+                      });
+      },
+      [end] { end(NotRun(Reason::kZoneUnreachable)); });
+  router.callers.push_back([this, end, &callers] {
+    timeline_.After(callers, kConnectionLoss,
+                    [end] { end(Unknown(Reason::kTargetSilent)); });
+  });
+  // A router that froze leaves the caller without an answer.
+  timeline_.After(callers, 2 * call->patience,
+                  [end] { end(Unknown(Reason::kTargetSilent)); });
+}
+
+void World::EndUse(const CallPtr& call, const Answer& answer) {
+  --call->uses_left;
+  if (answer.outcome != Outcome::kAnswered && call->uses_left > 0) {
+    timeline_.After(timeline_.Find(kCallers), kRepeatPause,
+                    [this, call] { StartCall(call); });
+    return;
+  }
+  checker_.OnOutcome(timeline_.now(), call->token, call->request.idempotent,
+                     answer);
+  const std::string outcome =
+      call->request.service.value() + " " + ToString(answer.outcome);
+  ++outcomes_[outcome];
+  const bool answered = answer.outcome == Outcome::kAnswered;
+  const bool slow = timeline_.now() - call->begin > kSlow || !answered;
+  const ServiceRecord* service =
+      configuration_->FindService(call->request.service);
+  const PartitionKey key{service->id,
+                         PartitionOf(call->request.key, service->partitions)};
+  served_[key].push_back({call->begin, timeline_.now(), answered, slow});
+  if (!slow)
+    return;
+  Print(fmt::format("request {} for {} from {}: {} {}", call->token,
+                    ToString(key), call->begin.time_since_epoch().count(),
+                    ToString(answer.outcome), ToString(answer.reason)));
+}
+
+// --- Routers
+// ---------------------------------------------------------------------
+
+void World::ServeAtRouter(Router& router, const Request& request, Done done) {
+  if (router.stopping) {
+    done(NotRun(Reason::kStopping));
+    return;
+  }
+  if (request.idempotent) {
+    StartCourse(router, request, /*for_target=*/false, std::move(done));
+    return;
+  }
+  if (!request.id) {
+    done(NotRun(Reason::kBadRequest));
+    return;
+  }
+  if (request.id->router == router.vm) {
+    DecideOnce(router, request, done);
+    return;
+  }
+  const auto found = routers_.find(request.id->router);
+  if (found == routers_.end()) {
+    done(Unknown(Reason::kIssuerLost));
+    return;
+  }
+  Router& issuer = found->second;
+  const auto ended = std::make_shared<bool>(false);
+  const Done once = [ended, done](const Answer& answer) {
+    if (!std::exchange(*ended, true))
+      done(answer);
+  };
+  timeline_.Send(
+      *router.process, *issuer.process,
+      [this, &router, &issuer, request, once] {
+        DecideOnce(issuer, request,
+                   [this, &router, &issuer, once](const Answer& answer) {
+                     timeline_.Send(*issuer.process, *router.process,
+                                    [once, answer] { once(answer); });
+                   });
+      },
+      [once] { once(Unknown(Reason::kIssuerLost)); });
+  timeline_.After(*router.process, request.deadline - timeline_.now(),
+                  [once] { once(Unknown(Reason::kIssuerLost)); });
+}
+
+void World::DecideOnce(Router& router,
+                       const Request& request,
+                       const Done& done) {
+  const Instant now = timeline_.now();
+  const OnceDecision decision =
+      router.once->Begin(now, *request.id, DigestOf(request));
+  switch (decision.verdict) {
+    case OnceVerdict::kRun:
+      StartCourse(router, request, /*for_target=*/false,
+                  [this, &router, request, done](const Answer& answer) {
+                    router.once->Finish(timeline_.now(), *request.id, answer);
+                    done(answer);
+                  });
+      return;
+    case OnceVerdict::kRepeat:
+      done(decision.answer);
+      return;
+    case OnceVerdict::kNeverIssued:
+      done(NotRun(Reason::kIdNeverIssued));
+      return;
+    case OnceVerdict::kReused:
+      done(NotRun(Reason::kIdReused));
+      return;
+    case OnceVerdict::kInProgress:
+    case OnceVerdict::kExpired:
+    case OnceVerdict::kForeign:
+      done(Unknown(Reason::kIssuerLost));
+      return;
+  }
+}
+
+void World::StartCourse(Router& router,
+                        const Request& request,
+                        bool for_target,
+                        Done done) {
+  auto course = std::make_shared<Course>();
+  course->request = request;
+  course->for_target = for_target;
+  course->done = std::move(done);
+  const bool repeatable =
+      request.idempotent || options_.flaw == Flaw::kRetryUnknown;
+  router.retries->OnFirstAttempt();
+  course->flow = std::make_unique<RequestFlow>(
+      repeatable, request.deadline, RetryPolicy{},
+      [&router] { return router.retries->TryRetry(); });
+  Attempt(router, course);
+}
+
+void World::Attempt(Router& router, const CoursePtr& course) {
+  const Instant now = timeline_.now();
+  const auto configuration = router.configuration->Current();
+  const auto refuse = [&](Reason reason) {
+    OnAttempt(router, course, NotRun(reason));
+  };
+  if (now >= course->request.deadline)
+    return refuse(Reason::kDeadline);
+  if (!configuration)
+    return refuse(Reason::kNoConfiguration);
+  const ServiceRecord* service =
+      configuration->FindService(course->request.service);
+  if (!service)
+    return refuse(Reason::kNoSuchService);
+  const std::uint32_t partition =
+      PartitionOf(course->request.key, service->partitions);
+  if (!service->exclusive) {
+    // Shared services are not owned; any live target of the zone will do.
+    for (auto& [id, target] : targets_) {
+      const bool fits = target.record.service == service->id &&
+                        target.record.zone == router.zone &&
+                        target.process->alive;
+      if (fits)
+        return SendToTarget(router, course, target, Term{}, partition, {});
+    }
+    return refuse(Reason::kNoTarget);
+  }
+  RoutedWork work =
+      router.routes->BeginWork(LocalTime(router), service->id, partition);
+  if (work.decision.kind == RouteKind::kOtherZone) {
+    if (course->for_target)
+      return refuse(Reason::kNoOwner);
+    return ForwardToZone(router, course,
+                         configuration->HomeOf(*service, partition), 0);
+  }
+  if (work.decision.kind == RouteKind::kNoOwner)
+    return refuse(Reason::kNoOwner);
+  const VmId name = router.routes->TargetName(work.decision.target);
+  const auto target = targets_.find(name);
+  if (target == targets_.end())
+    return refuse(Reason::kNoTarget);
+  if (router.suspects[name] > now)
+    return refuse(Reason::kNoOwner);
+  SendToTarget(router, course, target->second, work.decision.term, partition,
+               std::move(work.guard));
+}
+
+void World::OnAttempt(Router& router,
+                      const CoursePtr& course,
+                      const Answer& answer) {
+  const Instant now = timeline_.now();
+  const FlowDecision decision = course->flow->OnAttempt(now, answer);
+  if (decision.verdict == FlowVerdict::kFinish) {
+    course->done(decision.answer);
+    return;
+  }
+  timeline_.After(*router.process, decision.not_before - now,
+                  [this, &router, course] { Attempt(router, course); });
+}
+
+void World::ForwardToZone(Router& router,
+                          const CoursePtr& course,
+                          const ZoneId& zone,
+                          std::size_t index) {
+  const auto routers = router.configuration->Current()->EntryVms(zone);
+  if (index >= routers.size()) {
+    OnAttempt(router, course, NotRun(Reason::kZoneUnreachable));
+    return;
+  }
+  Router& other = routers_.at(routers[index]->id);
+  const Instant now = timeline_.now();
+  const auto next = [this, &router, course, zone, index] {
+    ForwardToZone(router, course, zone, index + 1);
+  };
+  if (router.suspects[other.vm] > now) {
+    next();
+    return;
+  }
+  if (!router.connected.contains(other.vm)) {
+    Connect(
+        router, other,
+        [this, &router, course, zone, index] {
+          ForwardToZone(router, course, zone, index);
+        },
+        next);
+    return;
+  }
+  const auto ended = std::make_shared<bool>(false);
+  const Done once = [this, &router, course, ended](const Answer& answer) {
+    if (!std::exchange(*ended, true))
+      OnAttempt(router, course, answer);
+  };
+  timeline_.Send(
+      *router.process, *other.process,
+      [this, &router, &other, course, once] {
+        const Done reply = [this, &router, &other, once](const Answer& answer) {
+          timeline_.Send(*other.process, *router.process,
+                         [once, answer] { once(answer); });
+        };
+        if (other.stopping) {
+          reply(NotRun(Reason::kZoneUnreachable));
+        } else {
+          StartCourse(other, course->request, /*for_target=*/true, reply);
+        }
+      },
+      [&router, &other, ended, next] {
+        if (std::exchange(*ended, true))
+          return;
+        router.connected.erase(other.vm);
+        next();
+      });
+  timeline_.After(*router.process, course->request.deadline - now,
+                  [&router, &other, ended, once] {
+                    if (!*ended)
+                      router.connected.erase(other.vm);
+                    once(Unknown(Reason::kZoneUnreachable));
+                  });
+}
+
+void World::Connect(Router& router,
+                    Router& other,
+                    Work connected,
+                    Work failed) {
+  const auto ended = std::make_shared<bool>(false);
+  const auto fail = [this, &router, &other, ended, failed] {
+    if (std::exchange(*ended, true))
+      return;
+    router.suspects[other.vm] = timeline_.now() + kPeerSuspectFor;
+    failed();
+  };
+  timeline_.Send(
+      *router.process, *other.process,
+      [this, &router, &other, ended, connected] {
+        timeline_.Send(*other.process, *router.process,
+                       [&router, &other, ended, connected] {
+                         if (std::exchange(*ended, true))
+                           return;
+                         router.connected.insert(other.vm);
+                         connected();
+                       });
+      },
+      fail);
+  timeline_.After(*router.process, kConnectTimeout, fail);
+}
+
+void World::SendToTarget(Router& router,
+                         const CoursePtr& course,
+                         Target& target,
+                         Term term,
+                         std::uint32_t partition,
+                         WorkGuard guard) {
+  const std::string attempt = fmt::format("a{}", ++next_attempt_);
+  const auto held = std::make_shared<WorkGuard>(std::move(guard));
+  router.waiting[attempt] = [this, &router, course,
+                             held](const Answer& answer) {
+    *held = WorkGuard{};
+    OnAttempt(router, course, answer);
+  };
+  const VmId name = target.record.id;
+  timeline_.Send(
+      *router.process, *target.process,
+      [this, &target, course, attempt, term, partition, &router] {
+        WorkAtTarget(target, course, attempt, term, partition, router);
+      },
+      [this, &router, attempt, name] {
+        const auto waiting = router.waiting.find(attempt);
+        if (waiting == router.waiting.end())
+          return;
+        constexpr Duration kSuspectFor = std::chrono::milliseconds(100);
+        router.suspects[name] = timeline_.now() + kSuspectFor;
+        const auto end = std::move(waiting->second);
+        router.waiting.erase(waiting);
+        end(NotRun(Reason::kTargetUnreachable));
+      });
+  const Duration patience = AttemptPatience(course->request, timeline_.now());
+  timeline_.After(*router.process, patience,
+                  [this, &router, attempt, course, held, name] {
+                    if (router.waiting.erase(attempt) == 0)
+                      return;
+                    CancelAtTarget(router, name, attempt, held);
+                    OnAttempt(router, course, Unknown(Reason::kTargetSilent));
+                  });
+}
+
+void World::CancelAtTarget(Router& router,
+                           const VmId& name,
+                           const std::string& attempt,
+                           std::shared_ptr<WorkGuard> guard) {
+  Target& target = targets_.at(name);
+  const auto released = std::make_shared<bool>(false);
+  const auto release = [guard, released] {
+    *guard = WorkGuard{};
+    *released = true;
+  };
+  timeline_.Send(
+      *router.process, *target.process,
+      [this, &router, &target, attempt, release] {
+        target.cancelled.insert(attempt);
+        timeline_.Send(*target.process, *router.process, release);
+      },
+      release);
+  timeline_.After(*router.process, kCancelInterval,
+                  [this, &router, name, attempt, guard, released] {
+                    if (!*released)
+                      CancelAtTarget(router, name, attempt, guard);
+                  });
+}
+
+// --- Targets
+// ---------------------------------------------------------------------
+
+void World::WorkAtTarget(Target& target,
+                         const CoursePtr& course,
+                         const std::string& attempt,
+                         Term term,
+                         std::uint32_t partition,
+                         Router& router) {
+  const PartitionKey key{course->request.service, partition};
+  const auto reply = [this, &target, &router, attempt](const Answer& answer) {
+    timeline_.Send(
+        *target.process, *router.process, [this, &router, attempt, answer] {
+          auto waiting = router.waiting.find(attempt);
+          const bool by_connection = options_.flaw == Flaw::kReusedConnection;
+          if (by_connection && waiting == router.waiting.end())
+            waiting = router.waiting.begin();
+          if (waiting == router.waiting.end())
+            return;
+          const auto end = std::move(waiting->second);
+          router.waiting.erase(waiting);
+          end(answer);
+        });
+  };
+  const auto may_serve = [this, &target, key, term] {
+    if (!target.checks || !term.valid())
+      return true;
+    const auto row = target.book->MayServe(LocalTime(target), key);
+    return row && row->term == term;
+  };
+  if (target.cancelled.contains(attempt) || !may_serve()) {
+    reply(NotRun(Reason::kTargetRefused));
+    return;
+  }
+  const Instant now = timeline_.now();
+  if (target.leaving_since)
+    leaving_worked_ =
+        std::max<Duration>(leaving_worked_, now - *target.leaving_since);
+  const bool fenced_by_routers = term.valid() && !target.checks;
+  if (fenced_by_routers)
+    checker_.OnWorkBegin(now, target.record.id, key);
+  ++target.working[key];
+  const Duration work = target.mode == "slow" ? std::chrono::milliseconds(500)
+                                              : std::chrono::milliseconds(1);
+  timeline_.After(*target.process, work,
+                  [this, &target, course, attempt, key, reply, may_serve,
+                   fenced_by_routers] {
+                    --target.working[key];
+                    if (fenced_by_routers)
+                      checker_.OnWorkEnd(target.record.id, key);
+                    // The fence is checked once more where the effect takes
+                    // place.
+                    if (target.cancelled.contains(attempt) || !may_serve()) {
+                      reply(NotRun(Reason::kTargetRefused));
+                      return;
+                    }
+                    ++target.runs;
+                    checker_.OnRun(timeline_.now(), course->request.body,
+                                   target.record.id, key);
+                    if (target.mode == "silent")
+                      return;
+                    if (target.mode == "garbage") {
+                      reply(Unknown(Reason::kAnswerBroken));
+                      return;
+                    }
+                    Answer answer;
+                    answer.outcome = Outcome::kAnswered;
+                    answer.status = 200;
+                    answer.body = course->request.body;
+                    answer.target = target.record.id;
+                    reply(answer);
+                  });
+}
+
+}  // namespace figstall::replay
--- a/src/request_flow.cc
+++ b/src/request_flow.cc
@@ -29,6 +29,13 @@
 
 }  // namespace
 
+Duration AttemptPatience(const Request& request, Instant now) {
+  constexpr Duration kShortest = std::chrono::milliseconds(250);
+  const Duration left = request.deadline - now;
+  const bool may_repeat = request.idempotent && request.lane != Lane::kBulk;
+  return may_repeat ? std::min(left, std::max(left / 2, kShortest)) : left;
+}
+
 RequestFlow::RequestFlow(bool idempotent,
                          Instant deadline,
                          RetryPolicy policy,
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -67,6 +67,8 @@
     if (Row* known = FindRow(key))
       known->granted = row.term;
   }
+  configured_ = true;
+  CheckComplete();
 }
 
 HolderStatus RouteTable::Apply(Instant now, const HolderOrder& order) {
@@ -80,9 +82,22 @@
   for (const PartitionRow& row : order.grants)
     ApplyHint(row);
   ApplyFence(order, status);
+  CheckComplete();
   return status;
 }
 
+void RouteTable::CheckComplete() {
+  if (complete_ || !configured_)
+    return;
+  for (const Service& service : services_) {
+    for (const Row& row : service.rows) {
+      if (row.home_here && row.target == kNoRouteTarget)
+        return;
+    }
+  }
+  complete_ = true;
+}
+
 RouteDecision RouteTable::Decide(Instant now,
                                  const ServiceId& service,
                                  std::uint32_t partition) const {
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -192,7 +192,8 @@
 }
 
 bool RouterNode::ready() const {
-  return !not_ready_ && configuration_.Current() != nullptr;
+  return !not_ready_ && configuration_.Current() != nullptr &&
+         routes_.Complete();
 }
 
 // --- HTTP
@@ -220,7 +221,7 @@
   return {503,
           "text/plain",
           {},
-          not_ready_ ? "stopping\n" : "no configuration yet\n"};
+          not_ready_ ? "stopping\n" : "some owners are not known yet\n"};
 }
 
 HttpReply RouterNode::IssueId() {
@@ -512,11 +513,10 @@
               routers.end());
   {
     const std::lock_guard lock(suspect_mutex_);
-    std::stable_partition(
-        routers.begin(), routers.end(), [&](const VmRecord* vm) {
-          const auto suspect = suspect_peers_.find(vm->id);
-          return suspect == suspect_peers_.end() || suspect->second <= Now();
-        });
+    std::erase_if(routers, [&](const VmRecord* vm) {
+      const auto suspect = suspect_peers_.find(vm->id);
+      return suspect != suspect_peers_.end() && suspect->second > Now();
+    });
   }
   for (const VmRecord* router : routers) {
     if (Now() >= request.deadline)
@@ -557,7 +557,7 @@
   sent.method = request.method;
   sent.url = "http://" + link->endpoint().ToString() + request.path;
   sent.body = request.body;
-  sent.timeout = left;
+  sent.timeout = AttemptPatience(request, begin);
   sent.fresh_connection = !request.idempotent;
   sent.expected_header = {"figstall-attempt", attempt};
   sent.headers = {
--- a/src/rpc_node.cc
+++ b/src/rpc_node.cc
@@ -370,7 +370,12 @@
               });
           return impl->timer()
               .timeoutAfter(patience, kj::mv(reply))
-              .catch_([&lost](kj::Exception&&) { return lost; });
+              .catch_([&lost, impl, to](kj::Exception&&) {
+                // The next call connects anew, and so learns whether anybody
+                // is there before it sends.
+                impl->MarkBroken(to);
+                return lost;
+              });
         },
         [&unreached](kj::Exception&&) -> kj::Promise<Answer> {
           return unreached;
