Refuse a repeated id as not run only where nothing can have run

Cause: three faults that drawn faults and the rolling replacement showed. - A lease's first order carried the table's change number but no rows, so a restarted router acknowledged rows of router-fenced services it never got. It stayed without them until the next leader (15 s in the trace). - A restarted router was told owners only once it had a lease again; members and the leader now tell it those that targets check. - A refusal before the issuing router was asked (overload, stopping) called a repeated id not run although an earlier use had run.

Ruled out: slow election (the new leader settled in 75 ms) and suspects kept too long (the replies were 'not ready').

--- a/include/figstall/once_registry.h
+++ b/include/figstall/once_registry.h
@@ -53,6 +53,9 @@
   OnceDecision Begin(Instant now, const RequestId& id, std::uint64_t digest);
   void Finish(Instant now, const RequestId& id, const Answer& answer);
 
+  // True only if this registry can tell that no use of the id has run.
+  bool SurelyNotRun(const RequestId& id) const;
+
   std::size_t size() const { return entries_.size(); }
 
  private:
--- a/include/figstall/partition_mover.h
+++ b/include/figstall/partition_mover.h
@@ -148,6 +148,8 @@
   // While nothing was ever placed, placement waits for the leases that are
   // being opened, so that the first target does not take everything.
   bool AnyOpening() const;
+  // What a router that has just started needs before it gets a lease.
+  std::vector<PartitionRow> HintsForNewRouter(const VmId& router) const;
   bool HasFree(const ServiceId& service) const;
   Assignment CurrentAssignment(
       const ServicePlan& service,
--- a/include/figstall/request.h
+++ b/include/figstall/request.h
@@ -50,6 +50,7 @@
   kLinkBudget,
   kDeadline,
   kStopping,
+  kNotReady,
   kIssuerLost,
   kIdExpired,
   kIdNeverIssued,
--- a/include/figstall/request_flow.h
+++ b/include/figstall/request_flow.h
@@ -21,6 +21,13 @@
 // takes long by nature, and what must run once is never attempted again.
 Duration AttemptPatience(const Request& request, Instant now);
 
+// The deadline that a forwarded request is given, a little before its own, so
+// that the other router's word still arrives in time.
+Instant ForwardedDeadline(Instant deadline, Instant now);
+
+// Whether a forwarded request did not run and another router may take it.
+bool MayTryOtherRouter(const Answer& answer);
+
 enum class FlowVerdict {
   // Make another attempt, not before `not_before`.
   kRetry,
--- a/include/figstall/router_node.h
+++ b/include/figstall/router_node.h
@@ -74,6 +74,9 @@
 
   Answer Serve(const Request& request, Arrival arrival);
   Answer ServeOnce(const Request& request, Arrival arrival);
+  // Refuses a request without trying it. An id that may have run under an
+  // earlier use is answered as unknown.
+  Answer Refuse(const Request& request, Arrival arrival, Reason reason);
   Answer DecideOnce(const Request& request);
   Answer RunFlow(const Request& request, Arrival arrival);
   Answer Attempt(const Request& request, Arrival arrival);
--- a/include/figstall/zone_steward.h
+++ b/include/figstall/zone_steward.h
@@ -106,6 +106,9 @@
   void AskOldLeaders(Instant now, StewardActions& actions);
   void PushState(Instant now, StewardActions& actions);
   void SendOrders(Instant now, StewardActions& actions);
+  // Owners that a member tells a router which has just started, so that it can
+  // serve before the leader gets to it.
+  std::vector<PartitionRow> HintsFor(const VmId& holder) const;
   bool Renews(const VmId& holder) const;
   PartitionMover::Surroundings Around() const;
 
--- a/src/load_main.cc
+++ b/src/load_main.cc
@@ -159,7 +159,12 @@
     json line;
     std::string outcome;
     for (int use = 0; use <= (once ? options_.repeats : 0); ++use) {
-      line = Send(client, pick(generator), key, token, id);
+      json next = Send(client, pick(generator), key, token, id);
+      // Not having reached a router says nothing about an earlier use.
+      const bool no_news =
+          outcome == "unknown" && next.at("reason") == "no-router";
+      if (!no_news)
+        line = std::move(next);
       outcome = line.at("outcome");
       if (outcome == "answered")
         break;
--- a/src/once_registry.cc
+++ b/src/once_registry.cc
@@ -71,6 +71,13 @@
   }
 }
 
+bool OnceRegistry::SurelyNotRun(const RequestId& id) const {
+  const bool own = id.router == router_ && id.incarnation == incarnation_;
+  const bool kept = id.sequence >= first_kept_ && id.sequence < next_;
+  return own && kept &&
+         entries_[id.sequence - first_kept_].state == State::kIssued;
+}
+
 void OnceRegistry::Expire(Instant now) {
   while (!entries_.empty() &&
          now - entries_.front().issued_at >= limits_.lifetime)
--- a/src/partition_mover.cc
+++ b/src/partition_mover.cc
@@ -549,7 +549,6 @@
     return;
   Holder& holder = found->second;
   order.epoch = epoch_;
-  order.change = table_.change();
   order.want_report = holder.phase == Phase::kUnreported;
   if (holder.phase == Phase::kOpening) {
     order.open = true;
@@ -558,8 +557,13 @@
   }
   const bool open =
       holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
-  if (!open)
+  if (!open) {
+    if (holder.is_router)
+      order.hints = HintsForNewRouter(order.holder);
     return;
+  }
+  // Only an order with all that changed may be acknowledged by its number.
+  order.change = table_.change();
   for (const PartitionKey& key : table_.InState(RowState::kRevoking)) {
     const OwnedRow& row = table_.rows().at(key);
     if (row.pending.contains(order.holder))
@@ -580,6 +584,17 @@
   }
 }
 
+std::vector<PartitionRow> PartitionMover::HintsForNewRouter(
+    const VmId& router) const {
+  const auto status = keeper_.LatestStatus(router);
+  if (!status || status->lease.valid())
+    return {};
+  std::vector<PartitionRow> hints = table_.ChangedSince(0);
+  std::erase_if(
+      hints, [&](const PartitionRow& row) { return !ChecksGrants(row.key); });
+  return hints;
+}
+
 std::vector<LeaseEntry> PartitionMover::OpenLeases() const {
   std::vector<LeaseEntry> leases;
   for (const auto& [id, holder] : holders_) {
--- a/src/replay_requests.cc
+++ b/src/replay_requests.cc
@@ -98,7 +98,7 @@
       usable.push_back(&router);
   }
   if (usable.empty()) {
-    EndUse(call, NotRun(Reason::kZoneUnreachable));
+    EndUse(call, CallersOwnWord(call));
     return;
   }
   std::uniform_int_distribution<std::size_t> pick(0, usable.size() - 1);
@@ -119,6 +119,11 @@
   });
 }
 
+Answer World::CallersOwnWord(const CallPtr& call) {
+  return call->may_have_run ? Unknown(Reason::kZoneUnreachable)
+                            : NotRun(Reason::kZoneUnreachable);
+}
+
 void World::UseRouter(const CallPtr& call, Router& router) {
   Process& callers = timeline_.Find(kCallers);
   const auto ended = std::make_shared<bool>(false);
@@ -138,7 +143,7 @@
                                        [end, answer] { end(answer); });
                       });
       },
-      [end] { end(NotRun(Reason::kZoneUnreachable)); });
+      [this, call, end] { end(CallersOwnWord(call)); });
   router.callers.push_back([this, end, &callers] {
     timeline_.After(callers, kConnectionLoss,
                     [end] { end(Unknown(Reason::kTargetSilent)); });
@@ -150,6 +155,8 @@
 
 void World::EndUse(const CallPtr& call, const Answer& answer) {
   --call->uses_left;
+  call->may_have_run =
+      call->may_have_run || answer.outcome == Outcome::kUnknown;
   if (answer.outcome != Outcome::kAnswered && call->uses_left > 0) {
     timeline_.After(timeline_.Find(kCallers), kRepeatPause,
                     [this, call] { StartCall(call); });
@@ -179,7 +186,9 @@
 
 void World::ServeAtRouter(Router& router, const Request& request, Done done) {
   if (router.stopping) {
-    done(NotRun(Reason::kStopping));
+    const bool not_run = request.idempotent || !request.id ||
+                         router.once->SurelyNotRun(*request.id);
+    done(not_run ? NotRun(Reason::kStopping) : Unknown(Reason::kStopping));
     return;
   }
   if (request.idempotent) {
@@ -355,9 +364,16 @@
     return;
   }
   const auto ended = std::make_shared<bool>(false);
-  const Done once = [this, &router, course, ended](const Answer& answer) {
-    if (!std::exchange(*ended, true))
+  const Done once = [this, &router, &other, course, ended,
+                     next](const Answer& answer) {
+    if (std::exchange(*ended, true))
+      return;
+    if (!MayTryOtherRouter(answer)) {
       OnAttempt(router, course, answer);
+      return;
+    }
+    router.suspects[other.vm] = timeline_.now() + kPeerSuspectFor;
+    next();
   };
   timeline_.Send(
       *router.process, *other.process,
@@ -367,9 +383,14 @@
                          [once, answer] { once(answer); });
         };
         if (other.stopping) {
-          reply(NotRun(Reason::kZoneUnreachable));
+          reply(NotRun(Reason::kStopping));
+        } else if (!other.routes->Complete()) {
+          reply(NotRun(Reason::kNotReady));
         } else {
-          StartCourse(other, course->request, /*for_target=*/true, reply);
+          Request request = course->request;
+          request.deadline =
+              ForwardedDeadline(request.deadline, timeline_.now());
+          StartCourse(other, request, /*for_target=*/true, reply);
         }
       },
       [&router, &other, ended, next] {
--- a/src/replay_world.cc
+++ b/src/replay_world.cc
@@ -548,7 +548,11 @@
     targets_.at(VmId(event.at("vm").get<std::string>())).mode =
         event.at("mode");
   } else if (what == "drain") {
-    routers_.at(VmId(event.at("vm").get<std::string>())).stopping = true;
+    // A planned stop: the steward resigns, the router takes nothing new.
+    const VmId vm(event.at("vm").get<std::string>());
+    routers_.at(vm).stopping = true;
+    Steward& steward = stewards_.at(vm);
+    Carry(steward, steward.machine->Resign());
   } else {
     throw std::runtime_error("unknown event \"" + what + "\"");
   }
--- a/src/replay_world.h
+++ b/src/replay_world.h
@@ -164,6 +164,8 @@
     Duration patience{0};
     int uses_left = 0;
     VmId only_router;
+    // Set once a use ended as unknown.
+    bool may_have_run = false;
   };
   using CallPtr = std::shared_ptr<Call>;
 
@@ -197,6 +199,8 @@
   // Requests.
   void ScheduleCalls(const nlohmann::json& event);
   void StartCall(const CallPtr& call);
+  // What a caller knows that reached no router at all.
+  static Answer CallersOwnWord(const CallPtr& call);
   void UseRouter(const CallPtr& call, Router& router);
   void EndUse(const CallPtr& call, const Answer& answer);
   void ServeAtRouter(Router& router, const Request& request, Done done);
--- a/src/request.cc
+++ b/src/request.cc
@@ -81,6 +81,8 @@
       return "deadline";
     case Reason::kStopping:
       return "stopping";
+    case Reason::kNotReady:
+      return "not-ready";
     case Reason::kIssuerLost:
       return "issuer-lost";
     case Reason::kIdExpired:
--- a/src/request_flow.cc
+++ b/src/request_flow.cc
@@ -36,6 +36,21 @@
   return may_repeat ? std::min(left, std::max(left / 2, kShortest)) : left;
 }
 
+Instant ForwardedDeadline(Instant deadline, Instant now) {
+  constexpr Duration kMostHeldBack = std::chrono::milliseconds(50);
+  constexpr int kShareHeldBack = 10;
+  const Duration left = deadline - now;
+  return deadline - std::min(left / kShareHeldBack, kMostHeldBack);
+}
+
+bool MayTryOtherRouter(const Answer& answer) {
+  if (answer.outcome != Outcome::kNotRun)
+    return false;
+  return answer.reason == Reason::kZoneUnreachable ||
+         answer.reason == Reason::kStopping ||
+         answer.reason == Reason::kNotReady;
+}
+
 RequestFlow::RequestFlow(bool idempotent,
                          Instant deadline,
                          RetryPolicy policy,
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -175,7 +175,8 @@
       request.lane == Lane::kBulk ? for_target_bulk_ : for_target_;
   Ring<ForwardJob>& ring = as_issuer ? for_issuer_ : own;
   if (!ring.TryPush(ForwardJob{request, reply}))
-    reply(NotRun(Reason::kOverloaded));
+    reply(Refuse(request, as_issuer ? Arrival::kForIssuer : Arrival::kForTarget,
+                 Reason::kOverloaded));
 }
 
 void RouterNode::RunForwards(Ring<ForwardJob>& ring, Arrival arrival) {
@@ -337,8 +338,10 @@
 Answer RouterNode::Serve(const Request& request, Arrival arrival) {
   const Instant begin = Now();
   ++in_flight_;
-  Answer answer =
-      refusing_ ? NotRun(Reason::kStopping) : ServeOnce(request, arrival);
+  // A stopping router still decides about the ids that it has issued.
+  const bool refused = refusing_ && arrival != Arrival::kForIssuer;
+  Answer answer = refused ? Refuse(request, arrival, Reason::kStopping)
+                          : ServeOnce(request, arrival);
   --in_flight_;
   const Duration took = Now() - begin;
   LogAnswer(request, arrival, answer, took);
@@ -346,19 +349,33 @@
 }
 
 Answer RouterNode::ServeOnce(const Request& request, Arrival arrival) {
-  if (arrival == Arrival::kForTarget)
+  if (arrival == Arrival::kForTarget) {
+    if (!routes_.Complete())
+      return NotRun(Reason::kNotReady);
     return RunFlow(request, arrival);
+  }
   if (arrival == Arrival::kForIssuer)
     return DecideOnce(request);
   const AdmissionSlot slot(gate_, request.lane, request.deadline);
   if (!slot.entered())
-    return NotRun(Reason::kOverloaded);
+    return Refuse(request, arrival, Reason::kOverloaded);
   if (request.idempotent)
     return RunFlow(request, arrival);
   const bool own = request.id && request.id->router == settings_.vm;
   return own ? DecideOnce(request) : ForwardToIssuer(request);
 }
 
+Answer RouterNode::Refuse(const Request& request,
+                          Arrival arrival,
+                          Reason reason) {
+  const bool repeatable =
+      request.idempotent || !request.id || arrival == Arrival::kForTarget;
+  if (repeatable)
+    return NotRun(reason);
+  const std::lock_guard lock(once_mutex_);
+  return once_.SurelyNotRun(*request.id) ? NotRun(reason) : Unknown(reason);
+}
+
 Answer RouterNode::DecideOnce(const Request& request) {
   if (!request.id)
     return NotRun(Reason::kBadRequest);
@@ -398,8 +415,7 @@
     return Unknown(Reason::kIssuerLost);
   Answer answer =
       peers_->Forward(issuer->router, request, /*as_issuer=*/true, Now());
-  if (answer.reason == Reason::kZoneUnreachable ||
-      answer.reason == Reason::kStopping)
+  if (MayTryOtherRouter(answer))
     return Unknown(Reason::kIssuerLost);
   return answer;
 }
@@ -528,10 +544,7 @@
       link_.Charge(Now(), kRequestOverheadBytes + request.body.size() +
                               answer.body.size());
     }
-    const bool elsewhere = answer.outcome == Outcome::kNotRun &&
-                           (answer.reason == Reason::kZoneUnreachable ||
-                            answer.reason == Reason::kStopping);
-    if (!elsewhere)
+    if (!MayTryOtherRouter(answer))
       return answer;
     const std::lock_guard lock(suspect_mutex_);
     suspect_peers_[router->id] = Now() + kPeerSuspectFor;
--- a/src/rpc_node.cc
+++ b/src/rpc_node.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "figstall/request_flow.h"
 #include "figstall/wire.h"
 
 namespace figstall {
@@ -362,7 +363,9 @@
     return impl->Connect(to).then(
         [&, impl](capnp::Capability::Client client) -> kj::Promise<Answer> {
           auto call = client.castAs<wire::RouterPeer>().forwardRequest();
-          Write(request, now, call.initRequest());
+          Request sent = request;
+          sent.deadline = ForwardedDeadline(request.deadline, now);
+          Write(sent, now, call.initRequest());
           call.setAsIssuer(as_issuer);
           auto reply = call.send().then(
               [](capnp::Response<wire::RouterPeer::ForwardResults>&& results) {
--- a/src/zone_steward.cc
+++ b/src/zone_steward.cc
@@ -380,11 +380,28 @@
       mover_->Decorate(order);
     } else if (!Renews(order.holder)) {
       continue;
+    } else {
+      order.hints = HintsFor(order.holder);
     }
     actions.push_back(SendOrder{std::move(order)});
   }
 }
 
+std::vector<PartitionRow> ZoneSteward::HintsFor(const VmId& holder) const {
+  const auto status = keeper_.LatestStatus(holder);
+  const bool new_router =
+      plan_.IsRouter(holder) && status && !status->lease.valid();
+  if (!new_router)
+    return {};
+  std::vector<PartitionRow> hints;
+  for (const auto& [key, row] : pushed_rows_) {
+    const ServicePlan* service = plan_.FindService(key.service);
+    if (service && service->checks_grants)
+      hints.push_back(row);
+  }
+  return hints;
+}
+
 bool ZoneSteward::Renews(const VmId& holder) const {
   if (election_.leading())
     return true;
