Count a holder's acknowledgement from zero under each leader

Cause: a holder kept the greatest change number of the leader before. A new leader counts from zero, so the old, greater number passed for the acknowledgement of a revoke that had not been sent: two owners.

Ruled out: a lease taken for lapsed too early (no seal was involved; the partition was revoked and assigned in the same step).

--- a/include/figstall/grant_book.h
+++ b/include/figstall/grant_book.h
@@ -66,6 +66,7 @@
   std::set<PartitionKey> draining_;
   // No grant of a partition below this term is accepted any more.
   std::map<PartitionKey, Term> floor_;
+  // Greatest change number obeyed, of the leader of epoch_ and under lease_.
   std::uint64_t change_ = 0;
 };
 
--- a/src/grant_book.cc
+++ b/src/grant_book.cc
@@ -18,8 +18,11 @@
   const bool from_leader = order.epoch != 0;
   if (from_leader && order.epoch < epoch_)
     return Status(now, order, /*refused=*/true);
-  if (from_leader)
+  if (from_leader && order.epoch > epoch_) {
     epoch_ = order.epoch;
+    // Each leader counts its changes from zero.
+    change_ = 0;
+  }
   if (from_leader && order.open && order.lease > lease_)
     Open(order);
   if (order.lease == lease_ && lease_.valid())
--- a/src/once_registry.cc
+++ b/src/once_registry.cc
@@ -50,7 +50,8 @@
 }
 
 void OnceRegistry::Finish(Instant, const RequestId& id, const Answer& answer) {
-  if (id.sequence < first_kept_ || id.sequence >= next_)
+  const bool own = id.router == router_ && id.incarnation == incarnation_;
+  if (!own || id.sequence < first_kept_ || id.sequence >= next_)
     return;
   Entry& entry = entries_[id.sequence - first_kept_];
   if (entry.state != State::kRunning)
--- a/src/replay_checker.cc
+++ b/src/replay_checker.cc
@@ -5,25 +5,18 @@
 
 namespace figstall::replay {
 
-void Checker::OnFence(Instant now,
-                      const VmId& target,
-                      const std::set<PartitionKey>& standing) {
-  std::set<PartitionKey>& before = standing_[target];
-  for (const PartitionKey& key : before) {
-    if (!standing.contains(key))
-      fences_[key].erase(target);
+void Checker::OnFences(Instant now,
+                       const std::map<VmId, std::set<PartitionKey>>& standing) {
+  std::map<PartitionKey, VmId> owners;
+  for (const auto& [target, keys] : standing) {
+    for (const PartitionKey& key : keys) {
+      const auto [owner, sole] = owners.emplace(key, target);
+      if (sole)
+        continue;
+      Report(now, fmt::format("{} has two owners: {} {}", ToString(key),
+                              owner->second.value(), target.value()));
+    }
   }
-  for (const PartitionKey& key : standing) {
-    std::set<VmId>& holders = fences_[key];
-    holders.insert(target);
-    if (holders.size() < 2)
-      continue;
-    std::string names;
-    for (const VmId& holder : holders)
-      names += " " + holder.value();
-    Report(now, ToString(key) + " has two owners:" + names);
-  }
-  before = standing;
 }
 
 void Checker::OnWorkBegin(Instant now,
--- a/src/replay_checker.h
+++ b/src/replay_checker.h
@@ -17,11 +17,10 @@
 
 class Checker {
  public:
-  // A target's fence after it took an order; `standing` rows are those under
-  // which it would act now.
-  void OnFence(Instant now,
-               const VmId& target,
-               const std::set<PartitionKey>& standing);
+  // The fences of all targets at one moment: the partitions for which each
+  // would act now.
+  void OnFences(Instant now,
+                const std::map<VmId, std::set<PartitionKey>>& standing);
   // A target started or ended work for a key.
   void OnWorkBegin(Instant now, const VmId& target, const PartitionKey& key);
   void OnWorkEnd(const VmId& target, const PartitionKey& key);
@@ -46,8 +45,6 @@
  private:
   void Report(Instant now, const std::string& what);
 
-  std::map<PartitionKey, std::set<VmId>> fences_;
-  std::map<VmId, std::set<PartitionKey>> standing_;
   std::map<PartitionKey, std::multiset<VmId>> working_;
   std::map<std::string, int> runs_;
   std::map<ZoneId, Epoch> epochs_;
--- a/src/replay_requests.cc
+++ b/src/replay_requests.cc
@@ -210,10 +210,10 @@
   }
   Router& issuer = found->second;
   const auto ended = std::make_shared<bool>(false);
-  const Done once = [ended, done](const Answer& answer) {
+  const Done once = ForThisRun(router, [ended, done](const Answer& answer) {
     if (!std::exchange(*ended, true))
       done(answer);
-  };
+  });
   timeline_.Send(
       *router.process, *issuer.process,
       [this, &router, &issuer, request, once] {
@@ -228,6 +228,14 @@
                   [once] { once(Unknown(Reason::kIssuerLost)); });
 }
 
+World::Done World::ForThisRun(Router& router, Done done) {
+  return [&router, run = router.process->run,
+          done = std::move(done)](const Answer& answer) {
+    if (router.process->run == run)
+      done(answer);
+  };
+}
+
 void World::DecideOnce(Router& router,
                        const Request& request,
                        const Done& done) {
@@ -364,8 +372,8 @@
     return;
   }
   const auto ended = std::make_shared<bool>(false);
-  const Done once = [this, &router, &other, course, ended,
-                     next](const Answer& answer) {
+  const auto end = [this, &router, &other, course, ended,
+                    next](const Answer& answer) {
     if (std::exchange(*ended, true))
       return;
     if (!MayTryOtherRouter(answer)) {
@@ -375,6 +383,7 @@
     router.suspects[other.vm] = timeline_.now() + kPeerSuspectFor;
     next();
   };
+  const Done once = ForThisRun(router, end);
   timeline_.Send(
       *router.process, *other.process,
       [this, &router, &other, course, once] {
--- a/src/replay_world.cc
+++ b/src/replay_world.cc
@@ -375,19 +375,17 @@
     return alive;
   }
   const HolderStatus status = target.book->Apply(LocalTime(target), order);
-  // Every fence is looked at again, since others lapse by time alone.
+  // Every fence is looked at, since others lapse by time alone.
+  std::map<VmId, std::set<PartitionKey>> standing;
   for (auto& [id, other] : targets_) {
-    if (!other.checks || !other.book)
+    const bool stands = other.checks && other.process->alive &&
+                        other.book->Standing(LocalTime(other));
+    if (!stands)
       continue;
-    std::set<PartitionKey> standing;
-    const bool stands =
-        other.process->alive && other.book->Standing(LocalTime(other));
-    if (stands) {
-      for (const auto& [key, row] : other.book->rows())
-        standing.insert(key);
-    }
-    checker_.OnFence(timeline_.now(), id, standing);
+    for (const auto& [key, row] : other.book->rows())
+      standing[id].insert(key);
   }
+  checker_.OnFences(timeline_.now(), standing);
   return status;
 }
 
--- a/src/replay_world.h
+++ b/src/replay_world.h
@@ -204,6 +204,8 @@
   void UseRouter(const CallPtr& call, Router& router);
   void EndUse(const CallPtr& call, const Answer& answer);
   void ServeAtRouter(Router& router, const Request& request, Done done);
+  // Drops the answer if the router was restarted meanwhile.
+  static Done ForThisRun(Router& router, Done done);
   void DecideOnce(Router& router, const Request& request, const Done& done);
   void StartCourse(Router& router,
                    const Request& request,
