Wait for what a router still has in flight after its lease lapsed

Cause: for targets that check nothing, a router whose lease had lapsed counted as having stopped, though a request it had sent was still being worked on; the partition went to a second target meanwhile.

Ruled out: a cut or a lost cancel (the router was alive and reported nothing, because a lapse cleared its rows and with them what it reported as draining).

Change: a lapsed or replaced lease leaves its partitions draining; a move waits for a router without lease until it reports them drained, and for a lost one until the longest deadline has passed. A partition that nobody reported goes back to the same owner, which needs no such wait.

--- a/include/figstall/grant_book.h
+++ b/include/figstall/grant_book.h
@@ -62,7 +62,7 @@
   // The lease stands while now < valid_until_; empty once lapsed.
   std::optional<Instant> valid_until_;
   std::map<PartitionKey, PartitionRow> rows_;
-  // Revoked partitions whose requests in flight may not have ended.
+  // Partitions given up whose requests in flight may not have ended.
   std::set<PartitionKey> draining_;
   // No grant of a partition below this term is accepted any more.
   std::map<PartitionKey, Term> floor_;
--- a/include/figstall/messages.h
+++ b/include/figstall/messages.h
@@ -50,7 +50,7 @@
   // Greatest epoch that this holder has obeyed.
   Epoch epoch = 0;
   bool refused = false;
-  // Revoked partitions whose requests in flight have not ended yet.
+  // Partitions given up whose requests in flight have not ended yet.
   std::vector<PartitionKey> draining;
   // Complete only when the order asked for a report.
   bool has_report = false;
--- a/include/figstall/partition_mover.h
+++ b/include/figstall/partition_mover.h
@@ -85,6 +85,9 @@
     std::uint64_t incarnation = 0;
     // Greatest order change this holder acknowledged under its lease.
     std::uint64_t acknowledged = 0;
+    // A router's requests of an earlier run, or of a run that was lost, have
+    // ended by then.
+    Instant quiet_at{};
     // Rows that the holder's report named.
     std::set<PartitionKey> reported;
   };
@@ -92,9 +95,13 @@
   Term NextTerm() { return Term{epoch_, ++term_count_}; }
   bool ChecksGrants(const PartitionKey& key) const;
   bool IsLeaseHolder(const VmId& id) const;
-  // Holders that may be serving `key` now.
+  // Holders that must confirm before `key` may go to another owner.
   std::set<VmId> PossibleHolders(const PartitionKey& key,
                                  const OwnedRow& row) const;
+  // Longest that a request which a router left behind may last at a target.
+  Duration LongestRequest() const;
+  // Confirms for routers without a lease, whose work in flight has ended.
+  void ConfirmLapsedRouters(Instant now);
 
   void AdoptReport(const VmId& id, Holder& holder, const HolderStatus& status);
   void CheckLease(const VmId& id,
@@ -110,6 +117,8 @@
                 Holder& holder,
                 const std::string& reason,
                 StewardActions& actions);
+  // Takes back a partition that nobody reported to hold.
+  void RegainRow(const PartitionKey& key);
   void Settle(StewardActions& actions);
 
   void DriveHolder(Instant now,
--- a/include/figstall/zone_plan.h
+++ b/include/figstall/zone_plan.h
@@ -27,6 +27,8 @@
   std::vector<std::uint32_t> partitions;
   // False: routers, not the targets, are the fence.
   bool checks_grants = true;
+  // No request lasts longer than this at a target.
+  Duration max_deadline = std::chrono::seconds(10);
   // True: partitions move only off targets that are lost or leaving.
   bool frozen = false;
 
--- a/src/configuration.cc
+++ b/src/configuration.cc
@@ -118,6 +118,7 @@
     entry.id = service.id;
     entry.checks_grants = service.checks_grants;
     entry.frozen = service.frozen;
+    entry.max_deadline = service.max_deadline;
     for (std::uint32_t p = 0; p < service.partitions; ++p) {
       if (HomeOf(service, p) == zone)
         entry.partitions.push_back(p);
--- a/src/grant_book.cc
+++ b/src/grant_book.cc
@@ -44,6 +44,9 @@
   if (now < *valid_until_)
     return true;
   valid_until_.reset();
+  // A lapsed lease stops new work; what is in flight ends later.
+  for (const auto& [key, row] : rows_)
+    draining_.insert(key);
   rows_.clear();
   return false;
 }
@@ -69,6 +72,8 @@
   if (!order.stamp || order.stamp->incarnation != incarnation_)
     return;
   lease_ = order.lease;
+  for (const auto& [key, row] : rows_)
+    draining_.insert(key);
   rows_.clear();
   change_ = 0;
   valid_until_ = Instant(Duration(order.stamp->micros)) + order.validity;
--- a/src/partition_mover.cc
+++ b/src/partition_mover.cc
@@ -53,13 +53,50 @@
   std::set<VmId> possible;
   const bool target_checks = ChecksGrants(key);
   for (const auto& [id, holder] : holders_) {
-    const bool may_serve = target_checks ? id == row.owner : holder.is_router;
-    if (may_serve && holder.phase != Phase::kNone)
+    const bool owner_has_lease =
+        target_checks && id == row.owner && holder.phase != Phase::kNone;
+    // A router without a lease may still have work in flight.
+    const bool fence = !target_checks && holder.is_router;
+    if (owner_has_lease || fence)
       possible.insert(id);
   }
   return possible;
 }
 
+Duration PartitionMover::LongestRequest() const {
+  Duration longest{0};
+  for (const ServicePlan& service : plan_.services) {
+    if (!service.checks_grants)
+      longest = std::max(longest, service.max_deadline);
+  }
+  return longest;
+}
+
+void PartitionMover::ConfirmLapsedRouters(Instant now) {
+  if (table_.InState(RowState::kRevoking).empty())
+    return;
+  for (const auto& [id, holder] : holders_) {
+    if (!holder.is_router || holder.phase != Phase::kNone)
+      continue;
+    if (now < holder.quiet_at)
+      continue;
+    const bool heard = keeper_.HeardWithin(id, now, timing_.lost_after);
+    const bool lost_lately =
+        !heard && keeper_.HeardWithin(id, now, LongestRequest());
+    if (lost_lately)
+      continue;
+    const auto status = keeper_.LatestStatus(id);
+    std::set<PartitionKey> draining;
+    if (heard && status)
+      draining.insert(status->draining.begin(), status->draining.end());
+    const std::set<PartitionKey> revoking = table_.InState(RowState::kRevoking);
+    for (const PartitionKey& key : revoking) {
+      if (!draining.contains(key))
+        table_.Confirm(key, id);
+    }
+  }
+}
+
 // --- What holders say -------------------------------------------------------
 
 void PartitionMover::OnStatus(Instant now,
@@ -78,6 +115,8 @@
       holder.incarnation != 0 && holder.incarnation != status.incarnation;
   const bool has_lease =
       holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
+  if (holder.incarnation != status.incarnation)
+    holder.quiet_at = now + LongestRequest();
   holder.incarnation = status.incarnation;
   if (restarted && has_lease) {
     StartSeal(now, status.holder, holder, around, actions);
@@ -104,7 +143,6 @@
                                  const HolderStatus& status) {
   if (!status.standing) {
     holder.phase = Phase::kNone;
-    table_.ConfirmAll(id);
     return;
   }
   holder.phase = Phase::kOpen;
@@ -193,9 +231,9 @@
   holder.seal.reset();
   holder.reported.clear();
   table_.Bump();
-  table_.ConfirmAll(id);
   if (holder.is_router)
     return;
+  table_.ConfirmAll(id);
   const std::set<PartitionKey> owned = table_.OwnedBy(id);
   for (const PartitionKey& key : owned) {
     if (ChecksGrants(key))
@@ -261,6 +299,7 @@
     Settle(actions);
   if (!settled_)
     return;
+  ConfirmLapsedRouters(now);
   RevokeFromUnfit(now, actions);
   for (const ServicePlan& service : plan_.services)
     PlaceService(now, service, actions);
@@ -309,6 +348,7 @@
       return;
     case Phase::kSealing:
       if (holder.seal->Lapsed(now)) {
+        holder.quiet_at = now + LongestRequest();
         OnLapsed(id, holder, "no steward renews it and its validity has passed",
                  actions);
       } else if (now - *holder.asked_at >= timing_.renew_interval) {
@@ -397,13 +437,21 @@
   const std::set<PartitionKey> claimed = table_.InState(RowState::kHeld);
   for (const PartitionKey& key : claimed) {
     if (!held.contains(key))
-      table_.Revoke(key, {});
+      RegainRow(key);
   }
   actions.push_back(Decision{"zone-settled", self_.ToString(), "",
                              Term{epoch_, 0},
                              "every holder reported or lapsed"});
 }
 
+void PartitionMover::RegainRow(const PartitionKey& key) {
+  const VmId owner = table_.rows().at(key).owner;
+  table_.Revoke(key, {});
+  // The same owner needs no wait for what routers still have in flight there.
+  if (!ChecksGrants(key))
+    table_.Assign(key, owner, NextTerm());
+}
+
 // --- Placement ---------------------------------------------------------------
 
 bool PartitionMover::Eligible(Instant now, const TargetPlan& target) const {
--- a/src/records.cc
+++ b/src/records.cc
@@ -20,7 +20,7 @@
 using nlohmann::json;
 
 constexpr std::int64_t kDefaultDeadlineMs = 2'000;
-constexpr std::int64_t kMaxDeadlineMs = 60'000;
+constexpr std::int64_t kMaxDeadlineMs = 10'000;
 constexpr std::uint32_t kDefaultConnections = 120;
 
 // The place of one record, for its findings.
--- a/src/replay_requests.cc
+++ b/src/replay_requests.cc
@@ -420,6 +420,7 @@
                     Router& other,
                     Work connected,
                     Work failed) {
+  const std::uint64_t run = router.process->run;
   const auto ended = std::make_shared<bool>(false);
   const auto fail = [this, &router, &other, ended, failed] {
     if (std::exchange(*ended, true))
@@ -429,11 +430,13 @@
   };
   timeline_.Send(
       *router.process, *other.process,
-      [this, &router, &other, ended, connected] {
+      [this, &router, &other, ended, connected, run] {
         timeline_.Send(*other.process, *router.process,
-                       [&router, &other, ended, connected] {
+                       [&router, &other, ended, connected, run] {
                          if (std::exchange(*ended, true))
                            return;
+                         if (router.process->run != run)
+                           return;
                          router.connected.insert(other.vm);
                          connected();
                        });
@@ -549,34 +552,36 @@
   ++target.working[key];
   const Duration work = target.mode == "slow" ? std::chrono::milliseconds(500)
                                               : std::chrono::milliseconds(1);
-  timeline_.After(*target.process, work,
-                  [this, &target, course, attempt, key, reply, may_serve,
-                   fenced_by_routers] {
-                    --target.working[key];
-                    if (fenced_by_routers)
-                      checker_.OnWorkEnd(target.record.id, key);
-                    // The fence is checked once more where the effect takes
-                    // place.
-                    if (target.cancelled.contains(attempt) || !may_serve()) {
-                      reply(NotRun(Reason::kTargetRefused));
-                      return;
-                    }
-                    ++target.runs;
-                    checker_.OnRun(timeline_.now(), course->request.body,
-                                   target.record.id, key);
-                    if (target.mode == "silent")
-                      return;
-                    if (target.mode == "garbage") {
-                      reply(Unknown(Reason::kAnswerBroken));
-                      return;
-                    }
-                    Answer answer;
-                    answer.outcome = Outcome::kAnswered;
-                    answer.status = 200;
-                    answer.body = course->request.body;
-                    answer.target = target.record.id;
-                    reply(answer);
-                  });
+  timeline_.After(
+      *target.process, work,
+      [this, &target, course, attempt, key, reply, may_serve,
+       fenced_by_routers] {
+        --target.working[key];
+        if (fenced_by_routers)
+          checker_.OnWorkEnd(target.record.id, key);
+        // The fence is checked once more where the effect takes
+        // place.
+        const bool late = timeline_.now() >= course->request.deadline;
+        if (late || target.cancelled.contains(attempt) || !may_serve()) {
+          reply(NotRun(Reason::kTargetRefused));
+          return;
+        }
+        ++target.runs;
+        checker_.OnRun(timeline_.now(), course->request.body, target.record.id,
+                       key);
+        if (target.mode == "silent")
+          return;
+        if (target.mode == "garbage") {
+          reply(Unknown(Reason::kAnswerBroken));
+          return;
+        }
+        Answer answer;
+        answer.outcome = Outcome::kAnswered;
+        answer.status = 200;
+        answer.body = course->request.body;
+        answer.target = target.record.id;
+        reply(answer);
+      });
 }
 
 }  // namespace figstall::replay
--- a/src/replay_shapes.cc
+++ b/src/replay_shapes.cc
@@ -83,6 +83,9 @@
       record["zones"].push_back(zone.zone);
     return record;
   }
+  // Short where routers are the fence: a move may have to wait this long.
+  if (!service.checks)
+    record["max_deadline_ms"] = 2000;
   record["ownership"] = service.exclusive ? "exclusive" : "shared";
   record["fence"] = service.checks ? "target" : "router";
   for (const ZoneShape& zone : shape.zones)
