--- /dev/null
+++ b/test/records_test.cc
@@ -0,0 +1,194 @@
+// Operators' records, settings and requests: what is wrong is told with its
+// place, and nothing else is disturbed.
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include "figstall/caller_request.h"
+#include "figstall/configuration.h"
+#include "figstall/holder_json.h"
+#include "figstall/schema_check.h"
+
+namespace figstall {
+namespace {
+
+using nlohmann::json;
+
+const char* const kService =
+    R"({"kind":"service","schema":2,"name":"accounts","partitions":8,
+        "home_weights":{"arima":1},"max_deadline_ms":5000})";
+const char* const kEntry =
+    R"({"kind":"vm","schema":2,"name":"e1","zone":"arima","region":"north",
+        "role":"entry","endpoints":{"callers":"127.0.0.1:1",
+        "router":"127.0.0.1:2","steward":"127.0.0.1:3"}})";
+const char* const kTarget =
+    R"({"kind":"vm","schema":1,"name":"t1","zone":"arima","region":"north",
+        "role":"target","address":"127.0.0.1","port":4,"service":"accounts"})";
+
+using ConfigurationPointer = std::shared_ptr<const Configuration>;
+
+std::string Document(std::initializer_list<std::string> records,
+                     int revision = 1) {
+  json document = {{"revision", revision}, {"records", json::array()}};
+  for (const std::string& record : records)
+    document["records"].push_back(json::parse(record));
+  return document.dump();
+}
+
+ConfigurationPointer Parse(const std::string& text, Findings& findings) {
+  return HandleError([&] { return Configuration::Parse(text, "file"); },
+                     [&](const Error& error) {
+                       findings = error.findings;
+                       return ConfigurationPointer();
+                     });
+}
+
+ConfigurationPointer Good(int revision = 1) {
+  Findings findings;
+  return Parse(Document({kService, kEntry, kTarget}, revision), findings);
+}
+
+bool Names(const Findings& findings, const std::string& place) {
+  for (const Finding& finding : findings) {
+    if (finding.place.starts_with(place))
+      return true;
+  }
+  return false;
+}
+
+std::string Changed(const char* record, const char* field, const json& value) {
+  json changed = json::parse(record);
+  changed[field] = value;
+  return changed.dump();
+}
+
+Findings CallerFindings(const std::string& path, const std::string& deadline) {
+  HttpCall call;
+  call.method = "GET";
+  call.path = path;
+  call.header = [&](const char* name) {
+    return std::string(name) == kDeadlineHeader ? deadline : "";
+  };
+  return HandleError(
+      [&]() -> Result<Findings> {
+        BOOST_LEAF_CHECK(ParseCallerRequest(call, *Good(), Instant{}));
+        return Findings{};
+      },
+      [](const Error& error) { return error.findings; });
+}
+
+}  // namespace
+
+TEST_CASE("records of both schema versions stand side by side") {
+  const auto configuration = Good();
+  REQUIRE(configuration);
+  CHECK(configuration->records().vms.size() == 2);
+  CHECK(configuration->PlanFor(ZoneId("arima")).targets.size() == 1);
+}
+
+TEST_CASE("a service keeps its home zones from schema 1 to schema 2") {
+  Findings findings;
+  const std::string v1 =
+      R"({"kind":"service","schema":1,"name":"accounts","partitions":8,
+          "zones":["sando","arima"]})";
+  std::string v2 =
+      Changed(kService, "home_weights", json{{"arima", 1}, {"sando", 1}});
+  const json parsed = json::array({json::parse(v1)});
+  const json next = json::array({json::parse(v2)});
+  const RecordSet before = ParseRecords(parsed, "a", "", findings);
+  const RecordSet after = ParseRecords(next, "b", "", findings);
+  CHECK(CheckTransition(before, after, "b").empty());
+}
+
+TEST_CASE("every fault of a record is found, with its place") {
+  const auto faults = std::vector<std::pair<std::string, std::string>>{
+      {Changed(kService, "partitions", 12), "/records/0/partitions"},
+      {Changed(kService, "schema", 9), "/records/0/schema"},
+      {Changed(kService, "unheard", 1), "/records/0"},
+      {Changed(kService, "home_weights", json{{"nowhere", 1}}), "/records/0"},
+      {Changed(kTarget, "address", "not-an-ip"), "/records/0/address"},
+      {Changed(kTarget, "zone", ""), "/records/0/zone"},
+      {Changed(kTarget, "service", "nothing"), "/records/0/service"},
+      {Changed(kTarget, "region", "south"), "/records/2/region"},
+      {R"({"kind":"lamp","schema":1})", "/records/0/schema"},
+      {R"([1])", "/records/0"}};
+  for (const auto& [record, place] : faults) {
+    Findings findings;
+    CHECK_FALSE(Parse(Document({record, kEntry, kTarget}), findings));
+    INFO(record);
+    CHECK(Names(findings, place));
+  }
+}
+
+TEST_CASE("names and endpoints are unique") {
+  Findings findings;
+  CHECK_FALSE(Parse(Document({kService, kService, kEntry, kTarget, kTarget}),
+                    findings));
+  CHECK(Names(findings, "/records/1/name"));
+  CHECK(Names(findings, "/records/4/name"));
+}
+
+TEST_CASE("malformed and oversized documents are told by place and size") {
+  Findings findings;
+  CHECK_FALSE(Parse("{\"records\": [\n  1,,\n]}", findings));
+  CHECK(findings.at(0).place == "line 2, column 5");
+  CHECK_FALSE(Parse(std::string(kMaxDocumentBytes + 1, ' '), findings));
+  CHECK(findings.at(0).message.find("at most") != std::string::npos);
+}
+
+TEST_CASE("partitions, homes and fence of a service cannot be changed") {
+  const auto before = Good();
+  for (const auto& [field, value] : std::vector<std::pair<const char*, json>>{
+           {"partitions", 16},
+           {"home_weights", json{{"arima", 2}}},
+           {"fence", "router"}}) {
+    Findings findings;
+    const auto after = Parse(
+        Document({Changed(kService, field, value), kEntry, kTarget}), findings);
+    REQUIRE(after);
+    CHECK_FALSE(
+        CheckTransition(before->records(), after->records(), "b").empty());
+  }
+}
+
+TEST_CASE("a lower or equal revision is never taken over") {
+  ConfigurationHolder holder;
+  CHECK(holder.Offer(Good(5)));
+  CHECK_FALSE(holder.Offer(Good(4)));
+  CHECK_FALSE(holder.Offer(Good(5)));
+  CHECK(holder.Offer(Good(6)));
+  CHECK(holder.revision() == 6);
+}
+
+TEST_CASE("a caller's faults are told by place") {
+  CHECK(CallerFindings("/v1/accounts/k1", "").empty());
+  CHECK(CallerFindings("/v1/accounts/k1", "5000").empty());
+  CHECK(Names(CallerFindings("/v1/accounts", ""), "path"));
+  CHECK(Names(CallerFindings("/v1/nothing/k1", ""), "path"));
+  CHECK(Names(CallerFindings("/v1/accounts/" + std::string(600, 'k'), ""),
+              "path"));
+  for (const char* absurd :
+       {"0", "-1", "5001", "9e9", "soon", "99999999999999999999"})
+    CHECK(Names(CallerFindings("/v1/accounts/k1", absurd), kDeadlineHeader));
+}
+
+TEST_CASE("garbage in place of an order or status is an error, not a crash") {
+  for (const char* text : {"", "garbage", "{}", "[]", R"({"holder":1})",
+                           R"({"holder":"t","epoch":-1,"lease":[]})"}) {
+    const auto failed = [](const Error&) { return false; };
+    CHECK_FALSE(HandleError(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(ParseOrder(text));
+          return true;
+        },
+        failed));
+    CHECK_FALSE(HandleError(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(ParseStatus(text));
+          return true;
+        },
+        failed));
+  }
+}
+
+}  // namespace figstall
