Spend a leader's time on what changed; count leases from stamps that were sent

Cause: a leading steward walked all holders and rows after each of 1,400 answers to renewals a second. Now only a tick, a change, or an order made due does so.

Ruled out: the size of the table (1,024 and 24,576 partitions cost 3.1 % and 3.8 % of a core) and JSON (the bytes are the same before and after).

Also tried: taking a lease for lapsed by the newest stamp that was sent rather than received.

--- a/include/figstall/lease_keeper.h
+++ b/include/figstall/lease_keeper.h
@@ -36,11 +36,17 @@
 
   // Makes the next order to `holder` due at once.
   void ForceDue(const VmId& holder);
+  // True if an order was made due since DueOrders was last asked.
+  bool forced() const { return forced_; }
 
   bool HeardWithin(const VmId& holder, Instant now, Duration window) const;
-  // Age of the newest stamp received from the holder; `validity` if none.
-  Duration StampAge(const VmId& holder, Instant now) const;
-  std::optional<Stamp> LatestStamp(const VmId& holder) const;
+  // Time since the holder was last heard; `validity` at most.
+  Duration HeardAge(const VmId& holder, Instant now) const;
+  // Time since the newest stamp that this steward ever sent in a renewal was
+  // received; `validity` at most. No lease lasts longer than validity past it.
+  Duration UsedStampAge(const VmId& holder, Instant now) const;
+  // Takes the latest stamp for an order that is about to be sent.
+  std::optional<Stamp> UseStamp(const VmId& holder);
   std::optional<HolderStatus> LatestStatus(const VmId& holder) const;
   Term LeaseOf(const VmId& holder) const;
   std::vector<VmId> watched() const;
@@ -52,13 +58,18 @@
     Term sealed;
     std::optional<HolderStatus> status;
     std::optional<Instant> heard_at;
+    // When the newest stamp that was sent in an order had been received.
+    std::optional<Instant> used_at;
     std::optional<Instant> sent_at;
     bool watched = false;
   };
 
+  Duration AgeOf(const std::optional<Instant>& instant, Instant now) const;
+
   const Duration interval_;
   const Duration validity_;
   std::map<VmId, Entry> entries_;
+  bool forced_ = false;
 };
 
 }  // namespace figstall
--- a/include/figstall/messages.h
+++ b/include/figstall/messages.h
@@ -124,7 +124,8 @@
   VmId holder;
   Term lease;
   bool stopped = false;
-  // Age of the newest stamp this member ever received from the holder.
+  // If stopped for good: the age of the newest stamp that this member ever sent
+  // in a renewal. Otherwise: the time since it last heard the holder.
   Duration stamp_age{0};
 
   friend bool operator==(const SealReply&, const SealReply&) = default;
--- a/src/lease_keeper.cc
+++ b/src/lease_keeper.cc
@@ -48,6 +48,7 @@
 
 std::vector<HolderOrder> LeaseKeeper::DueOrders(Instant now) {
   std::vector<HolderOrder> orders;
+  forced_ = false;
   for (auto& [holder, entry] : entries_) {
     if (!entry.watched)
       continue;
@@ -58,8 +59,8 @@
     order.holder = holder;
     order.lease = entry.lease;
     order.validity = validity_;
-    if (entry.lease.valid() && entry.status)
-      order.stamp = entry.status->stamp;
+    if (entry.lease.valid())
+      order.stamp = UseStamp(holder);
     orders.push_back(order);
   }
   return orders;
@@ -67,6 +68,7 @@
 
 void LeaseKeeper::ForceDue(const VmId& holder) {
   entries_[holder].sent_at.reset();
+  forced_ = true;
 }
 
 bool LeaseKeeper::HeardWithin(const VmId& holder,
@@ -78,18 +80,31 @@
   return now - *found->second.heard_at <= window;
 }
 
-Duration LeaseKeeper::StampAge(const VmId& holder, Instant now) const {
-  const auto found = entries_.find(holder);
-  if (found == entries_.end() || !found->second.heard_at)
+Duration LeaseKeeper::AgeOf(const std::optional<Instant>& instant,
+                            Instant now) const {
+  if (!instant)
     return validity_;
-  return std::min<Duration>(validity_, now - *found->second.heard_at);
+  return std::min<Duration>(validity_, now - *instant);
+}
+
+Duration LeaseKeeper::HeardAge(const VmId& holder, Instant now) const {
+  const auto found = entries_.find(holder);
+  return found == entries_.end() ? validity_
+                                 : AgeOf(found->second.heard_at, now);
 }
 
-std::optional<Stamp> LeaseKeeper::LatestStamp(const VmId& holder) const {
-  const auto status = LatestStatus(holder);
-  if (!status)
+Duration LeaseKeeper::UsedStampAge(const VmId& holder, Instant now) const {
+  const auto found = entries_.find(holder);
+  return found == entries_.end() ? validity_
+                                 : AgeOf(found->second.used_at, now);
+}
+
+std::optional<Stamp> LeaseKeeper::UseStamp(const VmId& holder) {
+  const auto found = entries_.find(holder);
+  if (found == entries_.end() || !found->second.status)
     return std::nullopt;
-  return status->stamp;
+  found->second.used_at = found->second.heard_at;
+  return found->second.status->stamp;
 }
 
 std::optional<HolderStatus> LeaseKeeper::LatestStatus(
--- a/src/partition_mover.cc
+++ b/src/partition_mover.cc
@@ -385,7 +385,7 @@
       std::vector<StewardId>(around.roster.begin(), around.roster.end()),
       timing_.validity, timing_.drift_margin,
       last_gone_at_ + timing_.validity + timing_.drift_margin);
-  holder.seal->Stopped(self_, now, keeper_.StampAge(id, now));
+  holder.seal->Stopped(self_, now, keeper_.UsedStampAge(id, now));
   keeper_.Seal(id, holder.lease);
   table_.Bump();
   actions.push_back(Decision{"lease-sealed", id.value(), "", holder.lease,
@@ -601,7 +601,7 @@
   if (holder.phase == Phase::kOpening) {
     order.open = true;
     order.lease = holder.lease;
-    order.stamp = keeper_.LatestStamp(order.holder);
+    order.stamp = keeper_.UseStamp(order.holder);
   }
   const bool open =
       holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
--- a/src/zone_steward.cc
+++ b/src/zone_steward.cc
@@ -30,8 +30,13 @@
   StewardActions actions;
   if (resigned_)
     return actions;
+  const std::uint64_t change = mover_ ? mover_->change() : 0;
   std::visit([&](const auto& one) { Handle(now, one, actions); }, event);
-  Advance(now, actions);
+  // Most events are answers to renewals that change nothing.
+  const bool routine = std::holds_alternative<HolderReplied>(event);
+  const bool changed = (mover_ ? mover_->change() : 0) != change;
+  if (!routine || changed || keeper_.forced())
+    Advance(now, actions);
   return actions;
 }
 
@@ -222,7 +227,8 @@
   reply.epoch = message.epoch;
   reply.holder = message.holder;
   reply.lease = message.lease;
-  reply.stamp_age = keeper_.StampAge(message.holder, now);
+  reply.stamp_age = message.insist ? keeper_.UsedStampAge(message.holder, now)
+                                   : keeper_.HeardAge(message.holder, now);
   reply.stopped = message.insist ||
                   !keeper_.HeardWithin(message.holder, now, timing_.lost_after);
   if (message.insist)
