--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t kSubmitRing = 16'384;
-constexpr int kPollMillis = 50;
+constexpr int kPollMillis = 1000;
 
 long Millis(Duration duration) {
   const auto millis =
--- a/src/log.cc
+++ b/src/log.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kRingLines = 65'536;
-constexpr std::chrono::milliseconds kIdleWait{100};
+constexpr std::chrono::milliseconds kIdleWait{1000};
 
 const char* LevelName(LogLevel level) {
   switch (level) {
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -26,7 +26,8 @@
 constexpr Duration kPeerSuspectFor = std::chrono::milliseconds(500);
 constexpr Duration kCancelInterval = std::chrono::milliseconds(100);
 constexpr Duration kCancelTimeout = std::chrono::milliseconds(200);
-constexpr std::chrono::milliseconds kIdleWait{50};
+// Closing a ring wakes whoever waits, so this bounds nothing but idle wake-ups.
+constexpr std::chrono::milliseconds kIdleWait{1000};
 constexpr std::uint64_t kRequestOverheadBytes = 256;
 
 Instant Now() {
--- a/src/steward_node.cc
+++ b/src/steward_node.cc
@@ -19,7 +19,8 @@
 constexpr std::size_t kStoreRing = 64;
 constexpr std::size_t kOfferRing = 16;
 constexpr std::chrono::milliseconds kStepInterval{10};
-constexpr std::chrono::milliseconds kIdleWait{50};
+// Closing a ring wakes whoever waits, so this bounds nothing but idle wake-ups.
+constexpr std::chrono::milliseconds kIdleWait{1000};
 constexpr Duration kStoreCallTimeout = std::chrono::milliseconds(140);
 constexpr Duration kLeaseTimeToLive = std::chrono::milliseconds(2000);
 constexpr Duration kWatchWait = std::chrono::seconds(2);
@@ -86,6 +87,8 @@
   if (stopping_.exchange(true))
     return;
   events_.Close();
+  store_jobs_.Close();
+  offered_.Close();
   for (std::thread& thread : threads_)
     thread.join();
   threads_.clear();
--- /dev/null
+++ b/support/measure_router.py
@@ -0,0 +1,55 @@
+#!/usr/bin/env python3
+"""Measures what a router adds to a request: the same load against a target
+directly and through one router, in one run on loopback. Prints a table."""
+import json
+
+import fleet
+
+ONE_ZONE = dict(fleet.SMALL, zones={"arima": ("northcaroni", 1)}, services=[
+    dict(fleet.SMALL["services"][0], targets=1)], slots=64, connections=200)
+REQUESTS = {1: 3000, 16: 40000, 64: 80000}
+
+
+def resident_megabytes(process):
+    with open(f"/proc/{process.pid}/status", encoding="utf-8") as status:
+        line = next(s for s in status if s.startswith("VmRSS"))
+    return int(line.split()[1]) / 1000
+
+
+def measure(running, connections, routers, **options):
+    load = running.load("account-enquiry", "measure.jsonl", routers=routers,
+                        connections=connections, seconds=60,
+                        requests=REQUESTS[connections], **options)
+    return json.loads(load.communicate()[0])
+
+
+def main():
+    for work_us in (1000, 0):
+        print(f"target works {work_us} us; log level warning")
+        print("| connections | direct p50/p99 ms | router p50/p99 ms | ratio "
+              "p50/p99 | direct/s | router/s |\n|---|---|---|---|---|---|")
+        with fleet.Fleet(ONE_ZONE, work_us=work_us,
+                         log_level="warning") as running:
+            target = next(iter(running.targets.values()))["http"]
+            router = running.vms["arima-e1"]["callers"]
+            for connections in REQUESTS:
+                direct = None
+                process = running.load(
+                    "account-enquiry", "direct.jsonl", routers=target,
+                    connections=connections, seconds=60,
+                    requests=REQUESTS[connections])
+                direct = json.loads(process.communicate()[0])
+                through = measure(running, connections, router)
+                print(f"| {connections} | {direct['p50_ms']:.2f} / "
+                      f"{direct['p99_ms']:.2f} | {through['p50_ms']:.2f} / "
+                      f"{through['p99_ms']:.2f} | "
+                      f"{through['p50_ms'] / direct['p50_ms']:.2f} / "
+                      f"{through['p99_ms'] / direct['p99_ms']:.2f} | "
+                      f"{direct['per_second']:.0f} | "
+                      f"{through['per_second']:.0f} |", flush=True)
+            rss = resident_megabytes(running.processes["router/arima-e1"])
+            print(f"router resident after the run: {rss:.0f} MB\n")
+
+
+if __name__ == "__main__":
+    main()
