--- /dev/null
+++ b/include/figstall/clock.h
@@ -0,0 +1,16 @@
+// The monotonic clock of a running process; decisions never read it themselves.
+#ifndef FIGSTALL_CLOCK_H_
+#define FIGSTALL_CLOCK_H_
+
+#include "figstall/types.h"
+
+namespace figstall {
+
+inline Instant SteadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_CLOCK_H_
--- a/include/figstall/request.h
+++ b/include/figstall/request.h
@@ -93,6 +93,10 @@
   friend bool operator==(const Answer&, const Answer&) = default;
 };
 
+// Answers of requests that were refused, or whose fate is not known.
+Answer NotRun(Reason reason);
+Answer Unknown(Reason reason);
+
 // HTTP status that tells a caller about an outcome that is not an answer.
 int HttpStatusFor(Outcome outcome, Reason reason);
 
--- a/include/figstall/zone_plan.h
+++ b/include/figstall/zone_plan.h
@@ -31,6 +31,12 @@
   Duration max_deadline = std::chrono::seconds(10);
   // True: partitions move only off targets that are lost or leaving.
   bool frozen = false;
+  // Partitions with a key whose record freezes it.
+  std::vector<std::uint32_t> frozen_partitions;
+  // Expected load of each of `partitions`; empty if all are alike.
+  std::vector<double> weights;
+
+  bool IsFrozen(std::uint32_t partition) const;
 
   friend auto operator<=>(const ServicePlan&, const ServicePlan&) = default;
 };
--- a/src/configuration.cc
+++ b/src/configuration.cc
@@ -34,6 +34,26 @@
   return names;
 }
 
+// Adds what the operators know about single keys to their partitions.
+void AddKeys(const ServiceRecord& service,
+             const std::vector<KeyRecord>& keys,
+             ServicePlan& plan) {
+  for (const KeyRecord& key : keys) {
+    if (key.service != service.id)
+      continue;
+    const std::uint32_t partition = PartitionOf(key.key, service.partitions);
+    const auto found = std::lower_bound(plan.partitions.begin(),
+                                        plan.partitions.end(), partition);
+    if (found == plan.partitions.end() || *found != partition)
+      continue;
+    if (key.frozen)
+      plan.frozen_partitions.push_back(partition);
+    if (plan.weights.empty())
+      plan.weights.assign(plan.partitions.size(), 1.0);
+    plan.weights[found - plan.partitions.begin()] += key.weight;
+  }
+}
+
 TargetPlan MakeTargetPlan(const VmRecord& vm) {
   TargetPlan plan;
   plan.id = vm.id;
@@ -132,6 +152,7 @@
       if (HomeOf(service, p) == zone)
         entry.partitions.push_back(p);
     }
+    AddKeys(service, records_.keys, entry);
     plan.services.push_back(std::move(entry));
   }
   for (const VmRecord& vm : records_.vms) {
--- a/src/load_main.cc
+++ b/src/load_main.cc
@@ -16,6 +16,7 @@
 #include <thread>
 
 #include "figstall/caller_request.h"
+#include "figstall/clock.h"
 #include "figstall/http_client.h"
 #include "process.h"
 
@@ -52,11 +53,6 @@
 Prints one JSON object: requests by outcome, rate, and latency percentiles.
 )";
 
-Instant Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 struct LoadOptions {
   std::vector<std::string> routers;
   std::string service;
@@ -109,13 +105,13 @@
   explicit LoadRun(LoadOptions options)
       : options_(std::move(options)),
         keys_(options_.keys, options_.skew),
-        ends_at_(Now() + options_.time_limit) {
+        ends_at_(SteadyNow() + options_.time_limit) {
     if (!options_.report.empty())
       report_.open(options_.report);
   }
 
   json Run() {
-    const Instant begin = Now();
+    const Instant begin = SteadyNow();
     std::vector<std::thread> callers;
     std::vector<std::vector<Sample>> samples(options_.connections);
     callers.reserve(samples.size());
@@ -126,14 +122,14 @@
     std::vector<Sample> all;
     for (const auto& part : samples)
       all.insert(all.end(), part.begin(), part.end());
-    return Summarize(all, Now() - begin);
+    return Summarize(all, SteadyNow() - begin);
   }
 
  private:
   void Call(int caller, std::vector<Sample>& samples) {
     HttpClient client(options_.routers.size());
     boost::random::mt19937_64 generator(options_.seed * 7919 + caller);
-    while (Now() < ends_at_) {
+    while (SteadyNow() < ends_at_) {
       const std::int64_t number = started_++;
       if (number >= options_.requests)
         return;
@@ -151,7 +147,7 @@
     const std::string token = fmt::format("r{}-{}", options_.seed, number);
     boost::random::uniform_int_distribution<std::size_t> pick(
         0, options_.routers.size() - 1);
-    const Instant begin = Now();
+    const Instant begin = SteadyNow();
     const bool once = options_.method == "POST";
     std::string id;
     if (once && !options_.direct)
@@ -169,7 +165,7 @@
       if (outcome == "answered")
         break;
     }
-    const Instant end = Now();
+    const Instant end = SteadyNow();
     line["key"] = key;
     line["token"] = token;
     line["method"] = options_.method;
--- a/src/partition_mover.cc
+++ b/src/partition_mover.cc
@@ -544,7 +544,7 @@
     return;
   const Assignment current = CurrentAssignment(service, eligible);
   const TableRepair policy{limits_.placement_slack};
-  const Assignment next = policy.Place(candidates, current, {});
+  const Assignment next = policy.Place(candidates, current, service.weights);
   std::size_t moving = 0;
   bool more = false;
   for (std::size_t i = 0; i < next.size(); ++i) {
@@ -556,7 +556,7 @@
     } else if (row.state == RowState::kRevoking) {
       ++moving;
     } else if (row.state == RowState::kHeld && current[i] &&
-               row.owner != owner && !service.frozen) {
+               row.owner != owner && !service.IsFrozen(key.partition)) {
       more = true;
       if (moving >= limits_.rebalancing_moves)
         continue;
--- a/src/replay_requests.cc
+++ b/src/replay_requests.cc
@@ -21,19 +21,6 @@
 constexpr Duration kRepeatPause = std::chrono::milliseconds(50);
 constexpr const char* kCallers = "callers";
 
-Answer NotRun(Reason reason) {
-  Answer answer;
-  answer.reason = reason;
-  return answer;
-}
-
-Answer Unknown(Reason reason) {
-  Answer answer;
-  answer.outcome = Outcome::kUnknown;
-  answer.reason = reason;
-  return answer;
-}
-
 std::uint64_t DigestOf(const Request& request) {
   return XXH3_64bits(request.body.data(), request.body.size()) | 1;
 }
--- a/src/request.cc
+++ b/src/request.cc
@@ -99,6 +99,20 @@
   return "none";
 }
 
+Answer NotRun(Reason reason) {
+  Answer answer;
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = reason;
+  return answer;
+}
+
+Answer Unknown(Reason reason) {
+  Answer answer;
+  answer.outcome = Outcome::kUnknown;
+  answer.reason = reason;
+  return answer;
+}
+
 int HttpStatusFor(Outcome outcome, Reason reason) {
   constexpr int kBadRequest = 400;
   constexpr int kNotFound = 404;
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "figstall/caller_request.h"
+#include "figstall/clock.h"
 
 namespace figstall {
 namespace {
@@ -30,25 +31,6 @@
 constexpr std::chrono::milliseconds kIdleWait{1000};
 constexpr std::uint64_t kRequestOverheadBytes = 256;
 
-Instant Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
-Answer NotRun(Reason reason) {
-  Answer answer;
-  answer.outcome = Outcome::kNotRun;
-  answer.reason = reason;
-  return answer;
-}
-
-Answer Unknown(Reason reason) {
-  Answer answer;
-  answer.outcome = Outcome::kUnknown;
-  answer.reason = reason;
-  return answer;
-}
-
 // Identifies a request's content; never zero.
 std::uint64_t DigestOf(const Request& request) {
   const std::string content = request.method + "\n" + request.path + "\n" +
@@ -133,7 +115,7 @@
 RouterHandlers RouterNode::PeerHandlers() {
   RouterHandlers handlers;
   handlers.on_order = [this](const HolderOrder& order) {
-    return routes_.Apply(Now(), order);
+    return routes_.Apply(SteadyNow(), order);
   };
   handlers.on_configuration = [this](std::uint64_t revision,
                                      const std::string& text) {
@@ -230,13 +212,13 @@
   if (refusing_)
     return RefusalReply(Outcome::kNotRun, Reason::kStopping, {});
   const std::lock_guard lock(once_mutex_);
-  const RequestId id = once_.Issue(Now());
+  const RequestId id = once_.Issue(SteadyNow());
   return {
       200, "application/json", {}, json{{"id", id.ToString()}}.dump() + "\n"};
 }
 
 HttpReply RouterNode::OnCallerRequest(const HttpCall& call) {
-  const Instant arrived = Now();
+  const Instant arrived = SteadyNow();
   const auto configuration = configuration_.Current();
   if (!configuration)
     return RefusalReply(Outcome::kNotRun, Reason::kNoConfiguration, {});
@@ -288,7 +270,7 @@
     body["why"] = "shared service: any live target may answer";
     return {200, "application/json", {}, body.dump() + "\n"};
   }
-  const RouteDecision decision = routes_.Decide(Now(), id, partition);
+  const RouteDecision decision = routes_.Decide(SteadyNow(), id, partition);
   body["home"] = configuration->HomeOf(*service, partition).value();
   switch (decision.kind) {
     case RouteKind::kOwner:
@@ -323,7 +305,7 @@
       continue;
     std::map<std::string, int> owners;
     for (std::uint32_t p = 0; p < service.partitions; ++p) {
-      const RouteDecision decision = routes_.Decide(Now(), service.id, p);
+      const RouteDecision decision = routes_.Decide(SteadyNow(), service.id, p);
       if (decision.kind == RouteKind::kOtherZone)
         continue;
       ++owners[routes_.TargetName(decision.target).value()];
@@ -337,14 +319,14 @@
 // -----------------------------------------------------
 
 Answer RouterNode::Serve(const Request& request, Arrival arrival) {
-  const Instant begin = Now();
+  const Instant begin = SteadyNow();
   ++in_flight_;
   // A stopping router still decides about the ids that it has issued.
   const bool refused = refusing_ && arrival != Arrival::kForIssuer;
   Answer answer = refused ? Refuse(request, arrival, Reason::kStopping)
                           : ServeOnce(request, arrival);
   --in_flight_;
-  const Duration took = Now() - begin;
+  const Duration took = SteadyNow() - begin;
   LogAnswer(request, arrival, answer, took);
   return answer;
 }
@@ -383,7 +365,7 @@
   OnceDecision decision;
   {
     const std::lock_guard lock(once_mutex_);
-    decision = once_.Begin(Now(), *request.id, DigestOf(request));
+    decision = once_.Begin(SteadyNow(), *request.id, DigestOf(request));
   }
   switch (decision.verdict) {
     case OnceVerdict::kRun:
@@ -404,7 +386,7 @@
   }
   Answer answer = RunFlow(request, Arrival::kForIssuer);
   const std::lock_guard lock(once_mutex_);
-  once_.Finish(Now(), *request.id, answer);
+  once_.Finish(SteadyNow(), *request.id, answer);
   return answer;
 }
 
@@ -415,7 +397,7 @@
   if (!issuer || issuer->role != VmRole::kEntry)
     return Unknown(Reason::kIssuerLost);
   Answer answer =
-      peers_->Forward(issuer->router, request, /*as_issuer=*/true, Now());
+      peers_->Forward(issuer->router, request, /*as_issuer=*/true, SteadyNow());
   if (MayTryOtherRouter(answer))
     return Unknown(Reason::kIssuerLost);
   return answer;
@@ -432,7 +414,7 @@
   });
   for (;;) {
     const Answer attempt = Attempt(request, arrival);
-    const FlowDecision decision = flow.OnAttempt(Now(), attempt);
+    const FlowDecision decision = flow.OnAttempt(SteadyNow(), attempt);
     if (decision.verdict == FlowVerdict::kFinish)
       return decision.answer;
     std::this_thread::sleep_until(decision.not_before);
@@ -440,7 +422,7 @@
 }
 
 Answer RouterNode::Attempt(const Request& request, Arrival arrival) {
-  if (Now() >= request.deadline)
+  if (SteadyNow() >= request.deadline)
     return NotRun(Reason::kDeadline);
   const auto configuration = configuration_.Current();
   if (!configuration)
@@ -458,7 +440,7 @@
                                 const Configuration& configuration,
                                 Arrival arrival) {
   const std::uint32_t partition = PartitionOf(request.key, service.partitions);
-  RoutedWork work = routes_.BeginWork(Now(), service.id, partition);
+  RoutedWork work = routes_.BeginWork(SteadyNow(), service.id, partition);
   if (work.decision.kind == RouteKind::kOtherZone) {
     if (arrival == Arrival::kForTarget)
       return NotRun(Reason::kNoOwner);
@@ -471,7 +453,7 @@
       targets_.Find(routes_.TargetName(work.decision.target));
   if (!link)
     return NotRun(Reason::kNoTarget);
-  if (link->Suspect(Now()))
+  if (link->Suspect(SteadyNow()))
     return NotRun(Reason::kNoOwner);
   return SendToTarget(request, link, partition, work.decision.term,
                       std::move(work.guard));
@@ -482,7 +464,7 @@
                                  const Configuration& configuration,
                                  Arrival arrival) {
   const TargetPool::Link link =
-      targets_.PickShared(Now(), service.id, DrawRandom());
+      targets_.PickShared(SteadyNow(), service.id, DrawRandom());
   if (link) {
     return SendToTarget(request, link,
                         PartitionOf(request.key, service.partitions), Term{},
@@ -518,7 +500,7 @@
   const bool crosses = configuration.RegionOf(zone) != settings_.region;
   if (crosses) {
     const std::lock_guard lock(budget_mutex_);
-    if (!link_.MayCross(Now(), request.lane))
+    if (!link_.MayCross(SteadyNow(), request.lane))
       return NotRun(Reason::kLinkBudget);
   }
   std::vector<const VmRecord*> routers = configuration.EntryVms(zone);
@@ -532,23 +514,23 @@
     const std::lock_guard lock(suspect_mutex_);
     std::erase_if(routers, [&](const VmRecord* vm) {
       const auto suspect = suspect_peers_.find(vm->id);
-      return suspect != suspect_peers_.end() && suspect->second > Now();
+      return suspect != suspect_peers_.end() && suspect->second > SteadyNow();
     });
   }
   for (const VmRecord* router : routers) {
-    if (Now() >= request.deadline)
+    if (SteadyNow() >= request.deadline)
       return NotRun(Reason::kDeadline);
-    Answer answer =
-        peers_->Forward(router->router, request, /*as_issuer=*/false, Now());
+    Answer answer = peers_->Forward(router->router, request,
+                                    /*as_issuer=*/false, SteadyNow());
     if (crosses) {
       const std::lock_guard lock(budget_mutex_);
-      link_.Charge(Now(), kRequestOverheadBytes + request.body.size() +
-                              answer.body.size());
+      link_.Charge(SteadyNow(), kRequestOverheadBytes + request.body.size() +
+                                    answer.body.size());
     }
     if (!MayTryOtherRouter(answer))
       return answer;
     const std::lock_guard lock(suspect_mutex_);
-    suspect_peers_[router->id] = Now() + kPeerSuspectFor;
+    suspect_peers_[router->id] = SteadyNow() + kPeerSuspectFor;
   }
   return NotRun(Reason::kZoneUnreachable);
 }
@@ -561,7 +543,7 @@
   const AdmissionSlot slot(link->gate(), request.lane, request.deadline);
   if (!slot.entered())
     return NotRun(Reason::kOverloaded);
-  const Instant begin = Now();
+  const Instant begin = SteadyNow();
   const Duration left = request.deadline - begin;
   if (left <= Duration{0})
     return NotRun(Reason::kDeadline);
@@ -594,12 +576,12 @@
   answer.target = link->id();
   answer.term = term;
   if (answer.reason == Reason::kTargetUnreachable)
-    link->OnUnreachable(Now());
+    link->OnUnreachable(SteadyNow());
   if (answer.outcome == Outcome::kAnswered)
-    link->OnAnswer(Now() - begin);
+    link->OnAnswer(SteadyNow() - begin);
   if (answer.outcome == Outcome::kUnknown) {
     CancelJob job{link, attempt, std::make_shared<WorkGuard>(std::move(guard)),
-                  Now()};
+                  SteadyNow()};
     if (!cancels_.TryPush(job))
       job.guard->Abandon();
   }
@@ -637,7 +619,7 @@
         configuration->FindVm(job->link->id())->state == VmState::kLost;
     if (declared_gone)
       continue;
-    job->next = Now() + kCancelInterval;
+    job->next = SteadyNow() + kCancelInterval;
     if (!cancels_.TryPush(*job))
       job->guard->Abandon();
   }
--- a/src/rpc_node.cc
+++ b/src/rpc_node.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "figstall/clock.h"
 #include "figstall/request_flow.h"
 #include "figstall/wire.h"
 
@@ -28,11 +29,6 @@
   return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
 }
 
-Instant SteadyNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 class StewardServer final : public wire::StewardPeer::Server {
  public:
   explicit StewardServer(StewardHandlers handlers)
@@ -354,11 +350,8 @@
                         Instant now) {
   Impl* impl = impl_.get();
   const auto patience = (request.deadline - now).count() * kj::MICROSECONDS;
-  Answer unreached;
-  unreached.outcome = Outcome::kNotRun;
-  unreached.reason = Reason::kZoneUnreachable;
-  Answer lost = unreached;
-  lost.outcome = Outcome::kUnknown;
+  const Answer unreached = NotRun(Reason::kZoneUnreachable);
+  const Answer lost = Unknown(Reason::kZoneUnreachable);
   return impl->executor().executeSync([&]() -> kj::Promise<Answer> {
     return impl->Connect(to).then(
         [&, impl](capnp::Capability::Client client) -> kj::Promise<Answer> {
--- a/src/steward_node.cc
+++ b/src/steward_node.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "figstall/clock.h"
 #include "figstall/holder_json.h"
 #include "figstall/schema_check.h"
 
@@ -28,11 +29,6 @@
 constexpr Duration kVmListTimeout = std::chrono::seconds(1);
 constexpr std::chrono::seconds kSpreadInterval{2};
 
-Instant Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 }  // namespace
 
 std::string ZoneDocumentKey(const ZoneId& zone) {
@@ -110,7 +106,7 @@
   Instant last_tick{};
   while (!stopping_) {
     const auto event = events_.Pop(kStepInterval);
-    const Instant now = Now();
+    const Instant now = SteadyNow();
     if (event)
       Carry(steward_.Step(now, *event));
     if (now - last_tick < kStepInterval)
@@ -269,7 +265,7 @@
     if (!checks) {
       HolderStatus alive;
       alive.holder = holder;
-      alive.stamp.micros = Now().time_since_epoch().count();
+      alive.stamp.micros = SteadyNow().time_since_epoch().count();
       Push(HolderReplied{std::move(alive)});
       return;
     }
--- a/src/zone_plan.cc
+++ b/src/zone_plan.cc
@@ -5,6 +5,11 @@
 
 namespace figstall {
 
+bool ServicePlan::IsFrozen(std::uint32_t partition) const {
+  return frozen || std::find(frozen_partitions.begin(), frozen_partitions.end(),
+                             partition) != frozen_partitions.end();
+}
+
 const ServicePlan* ZonePlan::FindService(const ServiceId& id) const {
   const auto found = std::find_if(services.begin(), services.end(),
                                   [&](const auto& s) { return s.id == id; });
--- a/test/fakes/target_standin.cc
+++ b/test/fakes/target_standin.cc
@@ -12,6 +12,7 @@
 #include <set>
 #include <thread>
 
+#include "figstall/clock.h"
 #include "figstall/grant_book.h"
 #include "figstall/holder_json.h"
 #include "figstall/http_server.h"
@@ -37,11 +38,6 @@
 Faults: POST /standin/fault {"mode": "ok" | "silent" | "garbage" | "shed"}.
 )";
 
-Instant Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 Term ParseTerm(const std::string& text) {
   const std::size_t dot = text.find('.');
   if (dot == std::string::npos)
@@ -121,7 +117,7 @@
         [&]() -> Result<HttpReply> {
           BOOST_LEAF_AUTO(order, ParseOrder(call.body));
           const std::lock_guard lock(mutex_);
-          const HolderStatus status = book_.Apply(Now(), order);
+          const HolderStatus status = book_.Apply(SteadyNow(), order);
           return HttpReply{
               200, "application/json", {}, SerializeStatus(status)};
         },
@@ -144,7 +140,7 @@
   bool MayServe(const PartitionKey& key, Term term) {
     if (!checks_ || !term.valid())
       return true;
-    const auto row = book_.MayServe(Now(), key);
+    const auto row = book_.MayServe(SteadyNow(), key);
     return row && row->term == term;
   }
 
@@ -194,7 +190,7 @@
     // The fence is checked once more where the effect takes place.
     if (!MayServe(run.key, run.term))
       return NotRun("not-owner");
-    run.at_us = Now().time_since_epoch().count();
+    run.at_us = SteadyNow().time_since_epoch().count();
     WriteJournal(run);
     if (mode_ == "garbage")
       return {200, "text/plain", {{"Figstall-Attempt", "another"}}, "garbage"};
--- a/test/records_test.cc
+++ b/test/records_test.cc
@@ -165,6 +165,27 @@
   CHECK(CheckTransition(Good()->records(), after->records(), "b").empty());
 }
 
+TEST_CASE("a key's record weighs and freezes its partition, in both schemas") {
+  Findings findings;
+  const auto configuration = Parse(
+      Document({kService, kEntry, kTarget,
+                R"({"kind":"key","schema":1,"service":"accounts","key":"a",
+                    "weight":4})",
+                R"({"kind":"key","schema":2,"service":"accounts","key":"d",
+                    "placement":{"weight":2,"frozen":true}})"}),
+      findings);
+  REQUIRE(configuration);
+  const ZonePlan zone = configuration->PlanFor(ZoneId("arima"));
+  const ServicePlan& plan = zone.services.at(0);
+  const std::uint32_t a = PartitionOf("a", 8);
+  const std::uint32_t b = PartitionOf("d", 8);
+  REQUIRE(a != b);
+  CHECK(plan.weights.at(a) == 5);
+  CHECK(plan.weights.at(b) == 3);
+  CHECK(plan.IsFrozen(b));
+  CHECK_FALSE(plan.IsFrozen(a));
+}
+
 TEST_CASE("a lower or equal revision is never taken over") {
   ConfigurationHolder holder;
   CHECK(holder.Offer(Good(5)));
