Let a stopping router write every answer to its end

Cause: a router counted a request as done once its answer was made, and then closed connections on which the answer was still being written.

Change: the HTTP server counts calls until libmicrohttpd says that the answer is written or the connection lost, and the stop waits for those. After: all 8,000,000 bytes arrive.

A router's threads end before the RPC that they call.

--- a/include/figstall/http_server.h
+++ b/include/figstall/http_server.h
@@ -52,6 +52,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // Calls whose answer has not been written to its end yet.
+  std::uint32_t open_calls() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/include/figstall/router_node.h
+++ b/include/figstall/router_node.h
@@ -49,6 +49,9 @@
   void OfferConfiguration(const std::string& text);
   // Fails readiness; with `refuse`, new requests are answered as not run.
   void StartDraining(bool refuse);
+  // Ends the threads that call other processes; call before SetPeers' node
+  // goes.
+  void Stop();
   std::uint32_t in_flight() const { return in_flight_; }
   bool ready() const;
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -6,6 +6,7 @@
 #include <microhttpd.h>
 #include <ulfius.h>
 
+#include <atomic>
 #include <stdexcept>
 #include <utility>
 
@@ -77,9 +78,9 @@
         {MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024, nullptr},
         {MHD_OPTION_SOCK_ADDR, 0, &address},
         {MHD_OPTION_NOTIFY_COMPLETED,
-         reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
-        {MHD_OPTION_URI_LOG_CALLBACK,
-         reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
+         reinterpret_cast<intptr_t>(&Impl::OnCompleted), this},
+        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&Impl::OnUri),
+         this},
         {MHD_OPTION_END, 0, nullptr}};
     const unsigned flags = MHD_USE_THREAD_PER_CONNECTION |
                            MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
@@ -90,6 +91,8 @@
     }
   }
 
+  std::uint32_t open_calls() const { return open_calls_; }
+
   ~Impl() {
     ulfius_stop_framework(&instance_);
     ulfius_clean_instance(&instance_);
@@ -104,7 +107,23 @@
     return U_CALLBACK_COMPLETE;
   }
 
+  // libmicrohttpd calls this for every call, and OnCompleted once its answer is
+  // written or its connection is lost; both go on to ulfius's own.
+  static void* OnUri(void* context, const char* uri, MHD_Connection*) {
+    ++static_cast<Impl*>(context)->open_calls_;
+    return ulfius_uri_logger(nullptr, uri);
+  }
+
+  static void OnCompleted(void* context,
+                          MHD_Connection* connection,
+                          void** request,
+                          MHD_RequestTerminationCode code) {
+    mhd_request_completed(nullptr, connection, request, code);
+    --static_cast<Impl*>(context)->open_calls_;
+  }
+
   const Handler handler_;
+  std::atomic<std::uint32_t> open_calls_ = 0;
   struct _u_instance instance_ {};
 };
 
@@ -115,6 +134,10 @@
 
 HttpServer::~HttpServer() = default;
 
+std::uint32_t HttpServer::open_calls() const {
+  return impl_->open_calls();
+}
+
 std::vector<std::string> PathParts(const std::string& path) {
   std::vector<std::string> parts;
   std::size_t begin = 0;
--- /dev/null
+++ b/src/partition_mover_placement.cc
@@ -0,0 +1,211 @@
+// Implements where a leader places partitions, and its part of orders.
+#include <algorithm>
+#include <utility>
+
+#include "figstall/partition_mover.h"
+
+namespace figstall {
+
+// --- Placement ---------------------------------------------------------------
+
+bool PartitionMover::Eligible(Instant now, const TargetPlan& target) const {
+  if (target.leaving || target.capacity <= 0)
+    return false;
+  const ServicePlan* service = plan_.FindService(target.service);
+  if (service && !service->checks_grants)
+    return keeper_.HeardWithin(target.id, now, timing_.lost_after);
+  const auto holder = holders_.find(target.id);
+  return holder != holders_.end() && (holder->second.phase == Phase::kOpen ||
+                                      holder->second.phase == Phase::kPolling);
+}
+
+void PartitionMover::RevokeFromUnfit(Instant now, StewardActions& actions) {
+  for (const TargetPlan& target : plan_.targets) {
+    if (target.leaving) {
+      RevokeAll(target.id, "the target is leaving", actions);
+      continue;
+    }
+    const ServicePlan* service = plan_.FindService(target.service);
+    if (!service || service->checks_grants)
+      continue;
+    if (!keeper_.HeardWithin(target.id, now, timing_.lost_after))
+      RevokeAll(target.id, "the target was not heard", actions);
+  }
+}
+
+void PartitionMover::RevokeAll(const VmId& owner,
+                               const std::string& reason,
+                               StewardActions& actions) {
+  const std::set<PartitionKey> owned = table_.OwnedBy(owner);
+  for (const PartitionKey& key : owned) {
+    const OwnedRow& row = table_.rows().at(key);
+    const bool stops =
+        row.state != RowState::kFree && row.state != RowState::kRevoking;
+    if (!stops)
+      continue;
+    RevokeRow(key, reason, actions);
+  }
+}
+
+bool PartitionMover::AnyOpening() const {
+  return std::any_of(holders_.begin(), holders_.end(), [](const auto& entry) {
+    return entry.second.phase == Phase::kOpening;
+  });
+}
+
+bool PartitionMover::HasFree(const ServiceId& service) const {
+  const auto& free = table_.InState(RowState::kFree);
+  const auto first = free.lower_bound(PartitionKey{service, 0});
+  return first != free.end() && first->service == service;
+}
+
+Assignment PartitionMover::CurrentAssignment(
+    const ServicePlan& service,
+    const std::vector<const TargetPlan*>& eligible) const {
+  std::map<VmId, TargetIndex> index;
+  for (TargetIndex t = 0; t < eligible.size(); ++t)
+    index[eligible[t]->id] = t;
+  Assignment current(service.partitions.size());
+  for (std::size_t i = 0; i < current.size(); ++i) {
+    const OwnedRow& row = table_.rows().at({service.id, service.partitions[i]});
+    const bool owned =
+        row.state != RowState::kFree && row.state != RowState::kRevoking;
+    const auto owner = index.find(row.owner);
+    if (owned && owner != index.end())
+      current[i] = owner->second;
+  }
+  return current;
+}
+
+void PartitionMover::PlaceService(Instant now,
+                                  const ServicePlan& service,
+                                  StewardActions& actions) {
+  if (!HasFree(service.id) && !unplaced_.contains(service.id))
+    return;
+  std::vector<const TargetPlan*> eligible;
+  std::vector<PlacementTarget> candidates;
+  for (const TargetPlan& target : plan_.targets) {
+    if (target.service != service.id || !Eligible(now, target))
+      continue;
+    eligible.push_back(&target);
+    candidates.push_back({candidates.size(), target.capacity});
+  }
+  if (eligible.empty())
+    return;
+  const bool first_placement =
+      table_.OwnedBy(VmId{}).size() == table_.rows().size();
+  if (first_placement && AnyOpening())
+    return;
+  const Assignment current = CurrentAssignment(service, eligible);
+  const TableRepair policy{limits_.placement_slack};
+  const Assignment next = policy.Place(candidates, current, service.weights);
+  std::size_t moving = 0;
+  bool more = false;
+  for (std::size_t i = 0; i < next.size(); ++i) {
+    const PartitionKey key{service.id, service.partitions[i]};
+    const OwnedRow& row = table_.rows().at(key);
+    const VmId& owner = eligible[*next[i]]->id;
+    if (row.state == RowState::kFree) {
+      AssignRow(key, owner, actions);
+    } else if (row.state == RowState::kRevoking) {
+      ++moving;
+    } else if (row.state == RowState::kHeld && current[i] &&
+               row.owner != owner && !service.IsFrozen(key.partition)) {
+      more = true;
+      if (moving >= limits_.rebalancing_moves)
+        continue;
+      ++moving;
+      RevokeRow(key, "evening out load", actions);
+    }
+  }
+  if (!more && moving == 0)
+    unplaced_.erase(service.id);
+}
+
+void PartitionMover::AssignRow(const PartitionKey& key,
+                               const VmId& owner,
+                               StewardActions& actions) {
+  const Term term = NextTerm();
+  actions.push_back(Decision{"partition-assigned", ToString(key), owner.value(),
+                             term, "fairest live target"});
+  table_.Assign(key, owner, term);
+}
+
+void PartitionMover::RevokeRow(const PartitionKey& key,
+                               const std::string& reason,
+                               StewardActions& actions) {
+  const OwnedRow& row = table_.rows().at(key);
+  const std::set<VmId> holders = PossibleHolders(key, row);
+  for (const VmId& holder : holders)
+    keeper_.ForceDue(holder);
+  actions.push_back(Decision{"partition-revoked", ToString(key),
+                             row.owner.value(), row.term, reason});
+  table_.Revoke(key, holders);
+}
+
+// --- Orders ------------------------------------------------------------------
+
+void PartitionMover::Decorate(HolderOrder& order) {
+  const auto found = holders_.find(order.holder);
+  if (found == holders_.end())
+    return;
+  Holder& holder = found->second;
+  order.epoch = epoch_;
+  order.want_report = holder.phase == Phase::kUnreported;
+  if (holder.phase == Phase::kOpening) {
+    order.open = true;
+    order.lease = holder.lease;
+    order.stamp = keeper_.UseStamp(order.holder);
+  }
+  const bool open =
+      holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
+  if (!open) {
+    if (holder.is_router)
+      order.hints = HintsForNewRouter(order.holder);
+    return;
+  }
+  // Only an order with all that changed may be acknowledged by its number.
+  order.change = table_.change();
+  for (const PartitionKey& key : table_.InState(RowState::kRevoking)) {
+    const OwnedRow& row = table_.rows().at(key);
+    if (row.pending.contains(order.holder))
+      order.revokes.push_back({key, row.term, row.owner});
+  }
+  for (const PartitionKey& key : table_.InState(RowState::kGrantable)) {
+    const OwnedRow& row = table_.rows().at(key);
+    const bool granted =
+        ChecksGrants(key) ? row.owner == order.holder : holder.is_router;
+    if (granted)
+      order.grants.push_back({key, row.term, row.owner});
+  }
+  if (!holder.is_router)
+    return;
+  for (const PartitionRow& row : table_.ChangedSince(holder.acknowledged)) {
+    auto& rows = ChecksGrants(row.key) ? order.hints : order.grants;
+    rows.push_back(row);
+  }
+}
+
+std::vector<PartitionRow> PartitionMover::HintsForNewRouter(
+    const VmId& router) const {
+  const auto status = keeper_.LatestStatus(router);
+  if (!status || status->lease.valid())
+    return {};
+  std::vector<PartitionRow> hints = table_.ChangedSince(0);
+  std::erase_if(
+      hints, [&](const PartitionRow& row) { return !ChecksGrants(row.key); });
+  return hints;
+}
+
+std::vector<LeaseEntry> PartitionMover::OpenLeases() const {
+  std::vector<LeaseEntry> leases;
+  for (const auto& [id, holder] : holders_) {
+    const bool open =
+        holder.phase == Phase::kOpen || holder.phase == Phase::kPolling;
+    if (open)
+      leases.push_back({id, holder.lease});
+  }
+  return leases;
+}
+
+}  // namespace figstall
--- a/src/router_main.cc
+++ b/src/router_main.cc
@@ -33,7 +33,9 @@
 
 constexpr std::chrono::milliseconds kDrainPoll{10};
 
+// Returns once nothing is worked on and every answer is written to its end.
 void Drain(figstall::RouterNode& node,
+           const figstall::HttpServer& server,
            const figstall::RouterSettings& settings,
            figstall::Log& log) {
   log.Write(figstall::LogLevel::kInfo, "draining",
@@ -42,10 +44,12 @@
   std::this_thread::sleep_for(settings.drain_grace);
   node.StartDraining(/*refuse=*/true);
   const auto limit = std::chrono::steady_clock::now() + settings.drain_limit;
-  while (node.in_flight() > 0 && std::chrono::steady_clock::now() < limit)
+  while ((node.in_flight() > 0 || server.open_calls() > 0) &&
+         std::chrono::steady_clock::now() < limit)
     std::this_thread::sleep_for(kDrainPoll);
   log.Write(figstall::LogLevel::kInfo, "drained",
-            {{"in_flight", std::to_string(node.in_flight())}});
+            {{"in_flight", std::to_string(node.in_flight())},
+             {"open_calls", std::to_string(server.open_calls())}});
 }
 
 int Run(const figstall::RouterSettings& settings) {
@@ -64,7 +68,8 @@
             {{"callers", settings.callers.ToString()},
              {"peers", settings.peers.ToString()}});
   figstall::detail::WaitForStopSignal(signals);
-  Drain(node, settings, log);
+  Drain(node, server, settings, log);
+  node.Stop();
   return 0;
 }
 
--- a/support/measure_router.py
+++ b/support/measure_router.py
@@ -2,6 +2,7 @@
 """Measures what a router adds to a request: the same load against a target
 directly and through one router, in one run on loopback. Prints a table."""
 import json
+import socket
 
 import fleet
 
@@ -23,6 +24,24 @@
     return json.loads(load.communicate()[0])
 
 
+def measure_callers(running, count):
+    """Memory of a router with `count` connected callers, each answered once."""
+    address, port = running.vms["arima-e1"]["callers"].split(":")
+    callers = []
+    for number in range(count):
+        caller = socket.create_connection((address, int(port)), timeout=10)
+        caller.sendall(f"GET /v1/account-enquiry/k{number} HTTP/1.1\r\n"
+                       "Host: router\r\n\r\n".encode())
+        callers.append(caller)
+    answered = sum(caller.recv(4096).startswith(b"HTTP/1.1 200")
+                   for caller in callers)
+    memory = resident_megabytes(running.processes["router/arima-e1"])
+    print(f"{answered} of {count} connected callers answered; router resident "
+          f"{memory:.0f} MB")
+    for caller in callers:
+        caller.close()
+
+
 def main():
     for work_us in (1000, 0):
         print(f"target works {work_us} us; log level warning")
@@ -48,7 +67,8 @@
                       f"{direct['per_second']:.0f} | "
                       f"{through['per_second']:.0f} |", flush=True)
             rss = resident_megabytes(running.processes["router/arima-e1"])
-            print(f"router resident after the run: {rss:.0f} MB\n")
+            print(f"router resident after the run: {rss:.0f} MB")
+            measure_callers(running, 1000)
 
 
 if __name__ == "__main__":
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -135,6 +135,32 @@
             assert running.processes[name].wait(30) == 0, f"{name} failed"
 
 
+def planned_stop_lets_a_slow_reader_finish():
+    size = 8_000_000
+    with fleet.Fleet(fleet.SMALL,
+                     router_limits={"drain_grace_ms": 0}) as running:
+        address, port = running.vms["arima-e1"]["callers"].split(":")
+        with socket.socket() as reader:
+            reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            reader.connect((address, int(port)))
+            reader.sendall(b"GET /v1/account-enquiry/k1?bytes=%d HTTP/1.1\r\n"
+                           b"Host: router\r\nConnection: close\r\n\r\n" % size)
+            answer = reader.recv(1000)
+            running.signal("router/arima-e1", signal.SIGTERM)
+            running.wait(lambda: (running.router_status("arima-e1") or
+                                  {"ready": False})["ready"] is False,
+                         "the router is stopping")
+            time.sleep(1)
+            while True:
+                part = reader.recv(1 << 20)
+                if not part:
+                    break
+                answer += part
+        body = answer.split(b"\r\n\r\n", 1)[1]
+        assert len(body) == size, f"{len(body)} of {size} bytes arrived"
+        assert running.processes["router/arima-e1"].wait(60) == 0
+
+
 def leaving_target_gets_no_new_work():
     with fleet.Fleet(fleet.SMALL) as running:
         loads = start_load(running, seconds=8)
@@ -237,6 +263,7 @@
 
 
 TESTS = [loss_of_target_and_entry_vm, frozen_target_returns,
+         planned_stop_lets_a_slow_reader_finish,
          frozen_leader_returns, store_out_while_target_dies,
          store_answers_lost, planned_stop_cuts_off_nothing,
          leaving_target_gets_no_new_work, schemas_roll_and_operators_race,
