--- a/src/rpc_node.cc
+++ b/src/rpc_node.cc
@@ -350,8 +350,8 @@
                         Instant now) {
   Impl* impl = impl_.get();
   const auto patience = (request.deadline - now).count() * kj::MICROSECONDS;
-  const Answer unreached = NotRun(Reason::kZoneUnreachable);
-  const Answer lost = Unknown(Reason::kZoneUnreachable);
+  Answer unreached = NotRun(Reason::kZoneUnreachable);
+  Answer lost = Unknown(Reason::kZoneUnreachable);
   return impl->executor().executeSync([&]() -> kj::Promise<Answer> {
     return impl->Connect(to).then(
         [&, impl](capnp::Capability::Client client) -> kj::Promise<Answer> {
