--- a/support/fleet.py
+++ b/support/fleet.py
@@ -113,7 +113,12 @@
         self._lay_out()
 
     def __enter__(self):
-        self.start()
+        try:
+            self.start()
+        except BaseException:
+            # A start that fails must leave no process behind.
+            self.stop()
+            raise
         return self
 
     def __exit__(self, *unused):
