Remove code that nothing calls

Cause: reading the whole change once more. Resizing of admission, a changing rate of the link, two accessors and a member of the replay were written ahead of a caller that never came; what they changed is constant now.

--- a/include/figstall/admission.h
+++ b/include/figstall/admission.h
@@ -51,8 +51,6 @@
   std::vector<Ticket> Finish(Lane lane);
   // Takes a request out of its queue; false if it was not waiting.
   bool Abandon(Ticket ticket, Lane lane);
-  // Changes the number of slots, as routers come and go.
-  std::vector<Ticket> Resize(AdmissionLimits limits);
 
   std::uint32_t in_use() const;
   std::uint32_t in_use(Lane lane) const;
@@ -71,7 +69,7 @@
     return lanes_[static_cast<std::size_t>(lane)];
   }
 
-  AdmissionLimits limits_;
+  const AdmissionLimits limits_;
   std::array<LaneState, kLaneCount> lanes_{};
 };
 
--- a/include/figstall/admission_gate.h
+++ b/include/figstall/admission_gate.h
@@ -17,7 +17,6 @@
   // Waits for a slot until `deadline`; false if refused or too late.
   bool Enter(Lane lane, Instant deadline);
   void Leave(Lane lane);
-  void Resize(AdmissionLimits limits);
   std::uint32_t in_use() const;
 
  private:
--- a/include/figstall/budgets.h
+++ b/include/figstall/budgets.h
@@ -20,7 +20,6 @@
   void OnFirstAttempt();
   // Takes one retry; false if the budget is spent.
   bool TryRetry();
-  double tokens() const { return tokens_; }
 
  private:
   const double ratio_;
@@ -40,13 +39,11 @@
   // half the burst, so that it never takes what enquiries need.
   bool MayCross(Instant now, Lane lane);
   void Charge(Instant now, std::uint64_t bytes);
-  void SetRate(Instant now, double bytes_per_second);
-  double balance() const { return balance_; }
 
  private:
   void Refill(Instant now);
 
-  double rate_;
+  const double rate_;
   const Duration burst_;
   double balance_;
   std::optional<Instant> refilled_at_;
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -44,11 +44,6 @@
   return std::erase(state(lane).queue, ticket) > 0;
 }
 
-std::vector<Ticket> Admission::Resize(AdmissionLimits limits) {
-  limits_ = limits;
-  return StartWaiting();
-}
-
 std::uint32_t Admission::in_use() const {
   std::uint32_t total = 0;
   for (const LaneState& lane : lanes_)
--- a/src/admission_gate.cc
+++ b/src/admission_gate.cc
@@ -24,11 +24,6 @@
   Admit(admission_.Finish(lane));
 }
 
-void AdmissionGate::Resize(AdmissionLimits limits) {
-  const std::lock_guard lock(mutex_);
-  Admit(admission_.Resize(limits));
-}
-
 std::uint32_t AdmissionGate::in_use() const {
   const std::lock_guard lock(mutex_);
   return admission_.in_use();
--- a/src/budgets.cc
+++ b/src/budgets.cc
@@ -41,11 +41,6 @@
   balance_ -= static_cast<double>(bytes);
 }
 
-void LinkBudget::SetRate(Instant now, double bytes_per_second) {
-  Refill(now);
-  rate_ = bytes_per_second;
-}
-
 void LinkBudget::Refill(Instant now) {
   const Instant since = refilled_at_.value_or(now);
   refilled_at_ = now;
--- a/src/replay_world.h
+++ b/src/replay_world.h
@@ -272,7 +272,6 @@
   std::map<VmId, Target> targets_;
   std::uint64_t next_attempt_ = 0;
   std::uint64_t next_token_ = 0;
-  std::shared_ptr<bool> ended_ = std::make_shared<bool>(false);
 
   // Measures.
   std::map<std::string, int> outcomes_;
