Keep one local clock for targets and routers in replays

Cause: the same offset and rate, and the same reading of them, stood twice.

The whole test run was not repeated after this.

--- a/src/replay_timeline.h
+++ b/src/replay_timeline.h
@@ -28,6 +28,17 @@
   std::deque<std::function<void()>> held;
 };
 
+// A VM's monotonic clock: starts anywhere and runs slightly fast or slow.
+struct LocalClock {
+  Duration offset{0};
+  double rate = 1.0;
+
+  Instant At(Instant now) const {
+    const auto passed = static_cast<double>(now.time_since_epoch().count());
+    return Instant(offset + Duration(static_cast<std::int64_t>(passed * rate)));
+  }
+};
+
 struct NetworkOptions {
   Duration delay = std::chrono::microseconds(500);
   Duration region_delay = std::chrono::milliseconds(12);
--- a/src/replay_world.cc
+++ b/src/replay_world.cc
@@ -79,8 +79,8 @@
     target.process = &timeline_.Add("target/" + name, zone, region);
     target.record = vm;
     target.checks = configuration_->FindService(vm.service)->checks_grants;
-    target.clock_offset = Duration(offset(random));
-    target.clock_rate = 1.0 + drift(random);
+    target.clock.offset = Duration(offset(random));
+    target.clock.rate = 1.0 + drift(random);
     return;
   }
   Steward& steward = stewards_[vm.id];
@@ -91,8 +91,8 @@
   router.process = &timeline_.Add("router/" + name, zone, region);
   router.vm = vm.id;
   router.zone = vm.zone;
-  router.clock_offset = Duration(offset(random));
-  router.clock_rate = 1.0 + drift(random);
+  router.clock.offset = Duration(offset(random));
+  router.clock.rate = 1.0 + drift(random);
 }
 
 void World::StartProcess(const std::string& name) {
@@ -159,20 +159,6 @@
   router.stopping = false;
 }
 
-Instant World::LocalTime(const Target& target) const {
-  const auto passed =
-      static_cast<double>(timeline_.now().time_since_epoch().count());
-  return Instant(target.clock_offset + Duration(static_cast<std::int64_t>(
-                                           passed * target.clock_rate)));
-}
-
-Instant World::LocalTime(const Router& router) const {
-  const auto passed =
-      static_cast<double>(timeline_.now().time_since_epoch().count());
-  return Instant(router.clock_offset + Duration(static_cast<std::int64_t>(
-                                           passed * router.clock_rate)));
-}
-
 // --- Stewards
 // --------------------------------------------------------------------
 
--- a/src/replay_world.h
+++ b/src/replay_world.h
@@ -106,8 +106,7 @@
     Process* process = nullptr;
     VmRecord record;
     bool checks = true;
-    Duration clock_offset{0};
-    double clock_rate = 1.0;
+    LocalClock clock;
     std::string mode = "ok";
     std::unique_ptr<GrantBook> book;
     std::set<std::string> cancelled;
@@ -120,8 +119,7 @@
     Process* process = nullptr;
     VmId vm;
     ZoneId zone;
-    Duration clock_offset{0};
-    double clock_rate = 1.0;
+    LocalClock clock;
     std::unique_ptr<RouteTable> routes;
     std::unique_ptr<OnceRegistry> once;
     std::unique_ptr<RetryBudget> retries;
@@ -193,8 +191,11 @@
                          const ConfigurationHolder::Pointer& next);
   void Spread(Steward& steward);
   HolderStatus OrderAtTarget(Target& target, const HolderOrder& order);
-  Instant LocalTime(const Target& target) const;
-  Instant LocalTime(const Router& router) const;
+  // Time by the clock of a target or router.
+  template <typename Holder>
+  Instant LocalTime(const Holder& holder) const {
+    return holder.clock.At(timeline_.now());
+  }
 
   // Requests.
   void ScheduleCalls(const nlohmann::json& event);
