--- /dev/null
+++ b/include/figstall/entry_control.h
@@ -0,0 +1,165 @@
+// The control of an entry VM: membership, the desired state, the directory of
+// targets, grants of key ranges and, on the elected member, their moves. Runs on
+// the same Asio loop as the traffic; every decision is a class of its own.
+#ifndef FIGSTALL_ENTRY_CONTROL_H_
+#define FIGSTALL_ENTRY_CONTROL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+#include "figstall/entry_settings.h"
+#include "figstall/entry_traffic.h"
+#include "figstall/entry_view.h"
+#include "figstall/log.h"
+#include "figstall/metrics.h"
+#include "figstall/range_granter.h"
+#include "figstall/range_mover.h"
+#include "platform/store_client.h"
+
+namespace figstall {
+
+struct ControlTiming {
+  // Membership: a member that is cut off stops granting after this. Together
+  // with the hold of a grant it is how long an outage of the store lapses no key.
+  Duration membership = std::chrono::seconds(6);
+  Duration membership_renewal = std::chrono::milliseconds(1500);
+  // The mover's lease; its loss delays moves only.
+  Duration mover = std::chrono::milliseconds(2500);
+  Duration mover_renewal = std::chrono::milliseconds(800);
+  // A lease counts as over this much before it ends, for clocks that differ.
+  Duration lease_margin = std::chrono::milliseconds(150);
+  Duration store_patience = std::chrono::milliseconds(900);
+  Duration watch_wait = std::chrono::seconds(20);
+  // Between two watches, so that changes in quick succession cost one call.
+  Duration watch_pause = std::chrono::milliseconds(60);
+  Duration retry = std::chrono::milliseconds(250);
+  // A target that left the directory is used this long, ...
+  Duration absence = std::chrono::milliseconds(200);
+  // ... or this long around trouble of the store, which returns entries within
+  // two seconds. Source: the platform's protocol.
+  Duration absence_in_trouble = std::chrono::milliseconds(2300);
+};
+
+class EntryControl {
+ public:
+  EntryControl(boost::asio::io_context& io,
+               const EntrySettings& settings,
+               std::string incarnation,
+               EntryView& view,
+               EntryTraffic& traffic,
+               Log& log,
+               Metrics& metrics);
+
+  void Start();
+  void Tick(Instant now);
+  // Gives up the membership and the moves; `done` is called when told.
+  void Resign();
+  bool ready() const { return view_.routes != nullptr && read_once_; }
+
+ private:
+  using StoreAnswer = platform::StoreAnswer;
+  struct MoverState {
+    std::unique_ptr<RangeMover> mover;
+    platform::Revision revision = 0;
+    // A write of unknown fate is resolved by reading before the next.
+    bool writing = false;
+    bool reading = false;
+    std::set<ReleaseOrder> releasing;
+  };
+  struct ReadAll {
+    std::map<std::string, platform::StoreItem> items;
+    platform::Revision first_revision = 0;
+  };
+
+  void Join();
+  void WriteMember(bool then_read);
+  void KeepMembership(Instant now);
+  void StartReadAll();
+  void ReadPage(std::shared_ptr<ReadAll> read, const std::string& after);
+  void ApplyAll(const ReadAll& read);
+  void Watch();
+  void OnWatch(const StoreAnswer& answer);
+  void Apply(const platform::StoreItem& item);
+  void ApplyDesiredState(const platform::StoreItem& item);
+  void ApplyTarget(const std::string& id, const platform::StoreItem& item);
+  void ApplyMember(const VmId& vm, const platform::StoreItem& item);
+  void ApplyTable(const ServiceId& service, const platform::StoreItem& item);
+  void RemoveAbsent(Instant now);
+  void NoteStore(const StoreAnswer& answer, const char* call);
+
+  void Campaign(Instant now);
+  void KeepMover(Instant now);
+  void LoseMover(const char* why);
+  bool IsMover(Instant now) const { return now < mover_until_; }
+  void MoveRanges(Instant now);
+  void WriteTable(const ServiceId& service, const RangeTable& next);
+  void ReadTable(const ServiceId& service);
+  void SendReleases(const ServiceId& service, MoverState& state);
+  void SendGrants(Instant now);
+  bool GrantsHere(const ServiceId& service, const RangeEntry& entry) const;
+  void ReportToMover(Instant now);
+  std::shared_ptr<HttpChannel> ChannelTo(const TargetId& owner,
+                                         const Endpoint& address);
+  void After(Duration delay, std::function<void()> work);
+  void ViewChanged() { view_changed_ = true; }
+
+  boost::asio::io_context& io_;
+  const EntrySettings& settings_;
+  const std::string incarnation_;
+  const ControlTiming timing_;
+  EntryView& view_;
+  EntryTraffic& traffic_;
+  Log& log_;
+  Metrics& metrics_;
+  platform::StoreClient store_;
+  std::mt19937_64 random_;
+  bool resigned_ = false;
+  bool view_changed_ = false;
+
+  // Membership. It stands until `member_until_` by this process's own count.
+  platform::LeaseId member_lease_ = 0;
+  Instant member_until_{};
+  Instant keep_at_{};
+  bool joining_ = false;
+  bool keeping_ = false;
+  // Tables were read after the membership began; grants need that.
+  bool tables_current_ = false;
+  // Newest change of each table that this member's record in the store names.
+  std::map<ServiceId, std::uint64_t> reported_;
+  bool reporting_ = false;
+
+  // What was read of the store, up to `cursor_`.
+  platform::Revision cursor_ = 0;
+  bool reading_ = false;
+  bool read_once_ = false;
+  std::optional<Instant> trouble_at_;
+  bool store_lost_ = false;
+  std::map<TargetId, Instant> absent_;
+  std::map<VmId, MemberReport> reports_;
+  Instant last_departure_{};
+
+  // Election of the mover.
+  bool mover_key_exists_ = false;
+  bool campaigning_ = false;
+  bool keeping_mover_ = false;
+  std::optional<Instant> campaign_at_;
+  platform::LeaseId mover_lease_ = 0;
+  platform::Revision mover_revision_ = 0;
+  Instant mover_until_{};
+  Instant keep_mover_at_{};
+  std::map<ServiceId, MoverState> movers_;
+
+  RangeGranter granter_;
+  std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
+      channels_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_ENTRY_CONTROL_H_
--- /dev/null
+++ b/include/figstall/entry_settings.h
@@ -0,0 +1,41 @@
+// Settings of figstall-entry, one JSON file.
+#ifndef FIGSTALL_ENTRY_SETTINGS_H_
+#define FIGSTALL_ENTRY_SETTINGS_H_
+
+#include <map>
+#include <string>
+
+#include "figstall/error.h"
+#include "figstall/range_granter.h"
+#include "figstall/records.h"
+#include "figstall/settings.h"
+#include "figstall/shared_retry_budget.h"
+
+namespace figstall {
+
+struct EntrySettings {
+  VmId vm;
+  ZoneId zone;
+  RegionId region;
+  Endpoint callers;
+  // Readiness for the balancer, and status.
+  Endpoint ready;
+  // Metrics for operators.
+  Endpoint metrics;
+  Endpoint store;
+  std::map<ZoneId, RegionId> regions;
+  LogSettings log;
+  GrantTiming grants;
+  RetryAllowance retries;
+  // From SIGTERM until the process is killed.
+  Duration stop_grace = std::chrono::seconds(6);
+  // Most file descriptors that the process may have open.
+  std::uint32_t max_descriptors = 4096;
+
+};
+
+Result<EntrySettings> ReadEntrySettings(const std::string& path);
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/include/figstall/entry_traffic.h
@@ -0,0 +1,140 @@
+// Carries callers' requests to targets and answers back: the data path of an
+// entry VM. Runs on one Asio loop.
+#ifndef FIGSTALL_ENTRY_TRAFFIC_H_
+#define FIGSTALL_ENTRY_TRAFFIC_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "figstall/caller_connection.h"
+#include "figstall/entry_settings.h"
+#include "figstall/entry_view.h"
+#include "figstall/log.h"
+#include "figstall/metrics.h"
+#include "figstall/shared_retry_budget.h"
+#include "figstall/target_connection.h"
+#include "figstall/target_load.h"
+
+namespace figstall {
+
+class Exchange;
+
+// One target as this router sees it: its connections and its load.
+class TargetLink {
+ public:
+  TargetLink(boost::asio::io_context& io, TargetEntry entry);
+  ~TargetLink();
+  TargetLink(const TargetLink&) = delete;
+  TargetLink& operator=(const TargetLink&) = delete;
+
+  // An idle connection that the target surely still keeps open, or a new one.
+  std::shared_ptr<TargetConnection> Acquire(Instant now);
+  void SetEntry(TargetEntry entry) { entry_ = std::move(entry); }
+
+  const TargetEntry& entry() const { return entry_; }
+  TargetLoad& load() { return load_; }
+  const TargetLoad& load() const { return load_; }
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  boost::asio::io_context& io_;
+  TargetEntry entry_;
+  TargetLoad load_;
+  std::set<std::shared_ptr<TargetConnection>> connections_;
+  // Tells handlers of connections whether this link still exists.
+  const std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+// Busy time per second by equal parts of the key space, as a moving average.
+class KeyHeat {
+ public:
+  static constexpr std::size_t kParts = 1024;
+
+  void Add(ShardKey key, Duration busy);
+  // To be called once a second or so; older observations fade.
+  void Fade(Instant now);
+  const std::vector<double>& parts() const { return parts_; }
+
+ private:
+  std::vector<double> parts_ = std::vector<double>(kParts);
+  std::vector<double> recent_ = std::vector<double>(kParts);
+  std::optional<Instant> faded_at_;
+};
+
+class EntryTraffic {
+ public:
+  EntryTraffic(boost::asio::io_context& io,
+               const EntrySettings& settings,
+               const EntryView& view,
+               Log& log,
+               Metrics& metrics);
+  ~EntryTraffic();
+
+  // Throws boost::system::system_error if the address cannot be listened on.
+  void Listen();
+  // Control changed the view.
+  void OnViewChanged();
+  // From now on connections end after their current answer.
+  void StartStopping() { stopping_ = true; }
+  void CloseIdleCallers();
+  bool Quiet() const { return exchanges_.empty(); }
+  std::size_t in_flight() const { return exchanges_.size(); }
+  // Advances time limits; called every kTickInterval.
+  void Tick(Instant now);
+
+  const KeyHeat* heat(const ServiceId& service) const;
+  // Relative capacity of targets, from their slots and measured times.
+  std::map<TargetId, double> Capacities(const ServiceId& service) const;
+
+ private:
+  friend class Exchange;
+
+  void Accept();
+  void OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                 HttpRequest request);
+  void Retire(Exchange* exchange);
+  void Wait(Exchange* exchange);
+  void ServeWaiting();
+  // The link to send to now; null if none may take the request.
+  TargetLink* PickShared(const ServiceId& service, bool bulk,
+                         const std::set<TargetId>& tried);
+  TargetLink* LinkTo(const TargetId& id);
+  Distance DistanceTo(const ZoneId& zone) const;
+  std::uint32_t SharersOf(const TargetEntry& entry, bool keyed) const;
+  SharedRetryBudget& BudgetOf(const ServiceId& service);
+  Duration TypicalTime(const ServiceId& service) const;
+  std::uint32_t Routers() const;
+
+  boost::asio::io_context& io_;
+  const EntrySettings& settings_;
+  const EntryView& view_;
+  Log& log_;
+  Metrics& metrics_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  bool stopping_ = false;
+  std::unordered_map<const CallerConnection*,
+                     std::shared_ptr<CallerConnection>>
+      callers_;
+  std::map<TargetId, std::unique_ptr<TargetLink>> links_;
+  std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
+  // Requests without a target that may take them, oldest first.
+  std::list<Exchange*> waiting_;
+  bool serving_waiting_ = false;
+  std::map<std::string, WeightedSpread> spreads_;
+  std::map<ServiceId, SharedRetryBudget> budgets_;
+  std::map<ServiceId, KeyHeat> heat_;
+  std::map<ServiceId, double> typical_us_;
+  std::uint64_t requests_seen_ = 0;
+  Instant checked_callers_{};
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_ENTRY_TRAFFIC_H_
--- /dev/null
+++ b/include/figstall/entry_view.h
@@ -0,0 +1,49 @@
+// What an entry VM believes about the world, shared by its control and its
+// traffic. Both run on one thread; control alone writes it.
+#ifndef FIGSTALL_ENTRY_VIEW_H_
+#define FIGSTALL_ENTRY_VIEW_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "figstall/desired_state.h"
+#include "figstall/range_table.h"
+#include "figstall/target_entry.h"
+#include "figstall/types.h"
+
+namespace figstall {
+
+struct EntryMember {
+  VmId vm;
+  ZoneId zone;
+  // Distinguishes runs of the process on one VM.
+  std::string incarnation;
+
+  friend bool operator==(const EntryMember&, const EntryMember&) = default;
+};
+
+struct EntryView {
+  // Null until the first desired state is known.
+  std::shared_ptr<const RouteIndex> routes;
+  // Targets that are in use, or leave.
+  TargetDirectory targets;
+  std::map<ServiceId, RangeTable> tables;
+  std::map<VmId, EntryMember> members;
+  // Region of each zone.
+  std::map<ZoneId, RegionId> regions;
+
+  std::uint32_t MembersIn(const ZoneId& zone) const {
+    std::uint32_t count = 0;
+    for (const auto& [vm, member] : members)
+      count += member.zone == zone ? 1 : 0;
+    return count;
+  }
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_ENTRY_VIEW_H_
--- /dev/null
+++ b/include/figstall/exchange.h
@@ -0,0 +1,109 @@
+// One request of a caller, from its arrival to its end. What it became is
+// decided here and nowhere else: not sent, sent without an answer, answered,
+// refused by its target as not run, or given up.
+#ifndef FIGSTALL_EXCHANGE_H_
+#define FIGSTALL_EXCHANGE_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "figstall/entry_traffic.h"
+
+namespace figstall {
+
+// What is known of whether a request ran at any target.
+enum class RunState {
+  // No byte of it was sent, or each target said that it did not run it.
+  kNotRun,
+  // It may have run, or may run still.
+  kUnknown,
+};
+
+// The status of figstall's own answer to a request that has no target's answer.
+// 503 promises that it has not run and never will.
+int OwnStatus(RunState state, bool out_of_time);
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(EntryTraffic& traffic,
+           std::shared_ptr<CallerConnection> caller,
+           HttpRequest request,
+           std::uint64_t number);
+
+  // Finds the route and sends, waits or refuses.
+  void Start();
+  // Tries to send to a target; false if it has to go on waiting.
+  bool TrySend();
+  void Tick(Instant now);
+
+  std::uint32_t priority() const { return route_ ? route_->priority : 0; }
+  bool waiting() const { return waiting_; }
+
+ private:
+  using Clock = Instant;
+  struct Attempt {
+    TargetLink* link = nullptr;
+    TargetId target;
+    std::shared_ptr<TargetConnection> connection;
+    Instant sent;
+    bool reused = false;
+    // The attempt is given up for another one after this.
+    Instant patience_ends;
+    AnswerHead head;
+    std::string body;
+    bool head_seen = false;
+    bool streaming = false;
+  };
+
+  void Send(TargetLink* link);
+  std::shared_ptr<const HttpRequest> Outgoing(const TargetLink& link) const;
+  void OnHead(const AnswerHead& head);
+  void OnBody(std::string_view bytes);
+  void OnEnd();
+  void OnBroken(BreakPoint point, const std::string& why);
+  void OnRejected(int status);
+  void OnCallerGone();
+  void EndAttempt(AttemptKind kind);
+  // Sends once more if that is allowed; else ends the request.
+  void RetryOr(const std::string& reason);
+  bool MayRetry() const;
+  void GoWaiting();
+  void Forward();
+  AnswerHead CallerHead() const;
+  void Refuse(const std::string& reason);
+  void FinishOwn(int status, const std::string& reason,
+                 std::optional<Duration> retry_after);
+  void Finish(const std::string& outcome, int status,
+              const std::string& reason);
+  Duration TimeLeft(Instant now) const { return due_ - now; }
+
+  EntryTraffic& traffic_;
+  std::shared_ptr<CallerConnection> caller_;
+  HttpRequest request_;
+  const std::uint64_t number_;
+  const Instant arrived_;
+  std::string id_;
+  // Keeps the desired state alive that the request is served by.
+  std::shared_ptr<const RouteIndex> routes_;
+  const IngressRoute* route_ = nullptr;
+  ServiceId service_;
+  bool keyed_ = false;
+  ShardKey key_ = 0;
+  Instant due_;
+  Instant wait_ends_;
+  bool waiting_ = false;
+  bool ended_ = false;
+  RunState run_ = RunState::kNotRun;
+  // Attempts that may have run, and all that were sent.
+  std::uint32_t runs_ = 0;
+  std::uint32_t sends_ = 0;
+  std::set<TargetId> tried_;
+  std::optional<Instant> not_before_;
+  std::optional<Attempt> attempt_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_EXCHANGE_H_
--- a/include/figstall/log.h
+++ b/include/figstall/log.h
@@ -1,9 +1,10 @@
-// Structured log lines on standard error, written by a thread of their own.
+// Structured log lines, written by a thread of their own.
 #ifndef FIGSTALL_LOG_H_
 #define FIGSTALL_LOG_H_
 
 #include <atomic>
 #include <cstdint>
+#include <cstdio>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -28,7 +29,11 @@
  public:
   using Field = std::pair<std::string_view, std::string_view>;
 
-  Log(std::string process, LogLevel level, LogFormat format);
+  // Lines go to `stream`.
+  Log(std::string process,
+      LogLevel level,
+      LogFormat format,
+      std::FILE* stream = stderr);
   ~Log();
   Log(const Log&) = delete;
   Log& operator=(const Log&) = delete;
@@ -46,6 +51,7 @@
   const std::string process_;
   const LogLevel level_;
   const LogFormat format_;
+  std::FILE* const stream_;
   std::atomic<std::uint64_t> dropped_ = 0;
   Ring<std::string> lines_;
   std::thread writer_;
--- /dev/null
+++ b/include/figstall/range_granter.h
@@ -0,0 +1,118 @@
+// Decides which grants a member sends, and when: those of settled ranges, while
+// its membership is known to stand. Granting and renewing are one act.
+#ifndef FIGSTALL_RANGE_GRANTER_H_
+#define FIGSTALL_RANGE_GRANTER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "figstall/range_mover.h"
+#include "figstall/range_table.h"
+#include "figstall/target_entry.h"
+#include "figstall/types.h"
+
+namespace figstall {
+
+struct GrantOrder {
+  ServiceId service;
+  KeyRange range;
+  TargetLife owner;
+  Endpoint address;
+  std::uint64_t fence = 0;
+  Duration hold{0};
+  std::string handover;
+
+  friend auto operator<=>(const GrantOrder&, const GrantOrder&) = default;
+};
+
+struct GranterTiming {
+  // Between two grants of one range by one member; leaves room for two that are
+  // lost before a hold runs out.
+  Duration renew_interval = std::chrono::milliseconds(1100);
+  // A connection to an owner broke: it may have started again, so nothing is
+  // granted until it has had time to say so. Longer than a target's heartbeat.
+  Duration doubt = std::chrono::milliseconds(1200);
+  // After a grant that was not answered or was refused.
+  Duration retry_interval = std::chrono::milliseconds(500);
+};
+
+enum class GrantOutcome {
+  kGranted,
+  // The owner has seen a higher token.
+  kRefused,
+  // Another target answers at that address.
+  kNotThere,
+  // The connection could not be opened; nothing was sent.
+  kNotSent,
+  // Sent, and no answer.
+  kUnknown,
+};
+
+class RangeGranter {
+ public:
+  RangeGranter(GrantTiming timing, GranterTiming granter = {});
+
+  // Newer tables only; an older one is ignored. False if it was older.
+  bool OnTable(const ServiceId& service, const RangeTable& table);
+  // Forgets everything: the membership ended.
+  void Clear();
+  const std::map<ServiceId, RangeTable>& tables() const { return tables_; }
+
+  // Grants to send now to owners for which `is_mine` holds. The caller sends
+  // them at once and reads the clock again before it does.
+  template <typename IsMine>
+  std::vector<GrantOrder> Due(Instant now,
+                              const TargetDirectory& directory,
+                              IsMine&& is_mine) {
+    std::vector<GrantOrder> due;
+    for (const auto& [service, table] : tables_) {
+      for (const RangeEntry& entry : table.entries) {
+        if (is_mine(service, entry) && IsDue(now, directory, service, entry))
+          due.push_back(Order(now, service, entry));
+      }
+    }
+    return due;
+  }
+  // To be asked right before the bytes of a grant are written, since the entry
+  // may have begun to move while its connection was opened.
+  bool MaySend(Instant now, const GrantOrder& order);
+  void OnOutcome(Instant now, const GrantOrder& order, GrantOutcome outcome);
+  // A connection to this owner broke without a call on it.
+  void Doubt(Instant now, const TargetId& owner);
+  // Whether this member has not granted the entry yet.
+  bool IsNew(const ServiceId& service, const RangeEntry& entry) const {
+    return !next_.contains({service, entry.range.first, entry.fence});
+  }
+  // When a grant was last sent to each owner that may still hold by it.
+  std::map<TargetId, Instant> LastSent(Instant now) const;
+  std::uint64_t SeenFence(const ServiceId& service) const;
+
+ private:
+  struct OwnerState {
+    // Grants that may be on their way.
+    std::uint32_t in_flight = 0;
+    std::optional<Instant> last_sent;
+    std::optional<Instant> doubted_until;
+  };
+
+  bool IsDue(Instant now,
+             const TargetDirectory& directory,
+             const ServiceId& service,
+             const RangeEntry& entry) const;
+  GrantOrder Order(Instant now,
+                   const ServiceId& service,
+                   const RangeEntry& entry);
+
+  const GrantTiming timing_;
+  const GranterTiming granter_;
+  std::map<ServiceId, RangeTable> tables_;
+  // By service, first key and token.
+  std::map<std::tuple<ServiceId, ShardKey, std::uint64_t>, Instant> next_;
+  std::map<TargetId, OwnerState> owners_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_RANGE_GRANTER_H_
--- /dev/null
+++ b/include/figstall/range_mover.h
@@ -0,0 +1,149 @@
+// Decides how key ranges of one service move between targets. Only the elected
+// mover runs it; it has no clock, socket or thread of its own.
+//
+// The rule: an entry is settled or moving. Any member grants settled entries; no
+// one grants a moving one. The mover writes `moving` under a new fencing token,
+// asks the old owner to release at that token (after which the owner refuses
+// every older grant), and settles the new owner under it. Where the owner does not
+// answer, it waits until every member has said when it last sent a grant, or has
+// lost its membership, and until that grant has run out.
+#ifndef FIGSTALL_RANGE_MOVER_H_
+#define FIGSTALL_RANGE_MOVER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "figstall/range_table.h"
+#include "figstall/target_entry.h"
+#include "figstall/types.h"
+
+namespace figstall {
+
+struct GrantTiming {
+  // How long a grant is valid from its arrival. At most the platform's
+  // `maxHoldS`.
+  Duration hold = std::chrono::milliseconds(4000);
+  // A target's clock may run this much slow. Source: the platform's protocol.
+  double clock_slack = 0.02;
+  // A grant call that is not answered by then is given up and its connection
+  // reset, so that it arrives no later.
+  Duration call_limit = std::chrono::milliseconds(800);
+  // How long an owner is asked to release before members are asked instead.
+  // Longer than the work that a release may wait for is not needed: the owner
+  // is then asked again.
+  Duration release_patience = std::chrono::milliseconds(900);
+
+  // From the sending of a grant until it has surely run out.
+  Duration LongestHold() const {
+    return call_limit + Duration(static_cast<Duration::rep>(
+                            static_cast<double>(hold.count()) *
+                            (1 + clock_slack)));
+  }
+};
+
+// What a member has said about grants to owners that are being moved away from.
+struct MemberReport {
+  // Fencing token of the newest change of each service's table that it has seen.
+  std::map<ServiceId, std::uint64_t> seen_fence;
+  // When it last sent each owner a grant, by the mover's clock; no entry: never,
+  // or longer ago than any grant is valid.
+  std::map<TargetId, Instant> last_sent;
+};
+
+// Load that the mover's own requests showed, used for the balance only.
+struct RangeLoad {
+  // Busy time per second, by equal parts of the key space.
+  std::vector<double> parts;
+};
+
+struct MoverView {
+  Instant now;
+  const TargetDirectory* directory = nullptr;
+  // Members by VM; a member whose membership ended is not here any more.
+  const std::map<VmId, MemberReport>* members = nullptr;
+  // Whether `members` is at least as new as the table in the store. Else a member
+  // that joined meanwhile might be missing.
+  bool members_current = false;
+  // When a membership was last seen to end or to be replaced by a later run of
+  // the same VM; at the latest when this mover first saw the members.
+  Instant last_departure{};
+  // Relative capacity of targets; a missing one counts by its slots.
+  const std::map<TargetId, double>* capacity = nullptr;
+  const RangeLoad* load = nullptr;
+};
+
+struct ReleaseOrder {
+  KeyRange range;
+  TargetLife owner;
+  Endpoint address;
+  std::uint64_t fence = 0;
+
+  friend auto operator<=>(const ReleaseOrder&, const ReleaseOrder&) = default;
+};
+
+struct MoverLimits {
+  // No balance move while one is under way, nor sooner after the last one.
+  Duration balance_interval = std::chrono::milliseconds(1500);
+  // A target is overloaded above this multiple of its fair share ...
+  double overload = 1.35;
+  // ... and if it is this busy, as a share of its capacity.
+  double busy = 0.45;
+  // An owner that left the directory keeps its ranges this long, since entries
+  // come back within two seconds of the store's return. Source: the platform's
+  // protocol.
+  Duration absence = std::chrono::milliseconds(300);
+};
+
+class RangeMover {
+ public:
+  RangeMover(ServiceId service, GrantTiming timing, MoverLimits limits = {});
+
+  // The table as it stands in the store; forgets plans that it does not bear out.
+  void OnTable(const RangeTable& table, Instant now);
+  // The owner answered a release of this token: it holds the range no longer.
+  // `handover` is empty where it gave none.
+  void OnReleased(const ReleaseOrder& order, const std::string& handover);
+
+  // The next table, if it is to change now; at most one write may be under way.
+  std::optional<RangeTable> Plan(const MoverView& view);
+  // Releases that are owed; repeat them until answered or settled.
+  std::vector<ReleaseOrder> OwedReleases() const;
+  const RangeTable& table() const { return table_; }
+
+ private:
+  struct Progress {
+    Instant since;
+    bool released = false;
+    std::string handover;
+  };
+
+  std::vector<const TargetEntry*> Usable(const MoverView& view) const;
+  RangeTable FirstAssignment(const std::vector<const TargetEntry*>& usable,
+                             const MoverView& view) const;
+  bool StartMoves(RangeTable& next, const MoverView& view);
+  bool AskMembers(RangeTable& next, const MoverView& view) const;
+  bool Settle(RangeTable& next, const MoverView& view) const;
+  bool Balance(RangeTable& next, const MoverView& view);
+  bool MayLeave(const RangeEntry& entry, const MoverView& view);
+  bool IsFree(const RangeEntry& entry, const MoverView& view) const;
+
+  const ServiceId service_;
+  const GrantTiming timing_;
+  const MoverLimits limits_;
+  RangeTable table_;
+  // By first key of a moving entry and its token.
+  std::map<std::pair<ShardKey, std::uint64_t>, Progress> progress_;
+  // Since when an owner has been missing from the directory.
+  std::map<TargetId, Instant> missing_since_;
+  // Where a range that moves for balance shall go, by first key.
+  std::map<ShardKey, TargetId> wanted_owner_;
+  std::optional<Instant> balanced_at_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_RANGE_MOVER_H_
--- /dev/null
+++ b/include/figstall/shared_retry_budget.h
@@ -0,0 +1,43 @@
+// Retries that one router may add, so that all routers together stay within the
+// operator's budget in every window of time. Pure decisions.
+#ifndef FIGSTALL_SHARED_RETRY_BUDGET_H_
+#define FIGSTALL_SHARED_RETRY_BUDGET_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "figstall/types.h"
+
+namespace figstall {
+
+struct RetryAllowance {
+  // Retries per request of the window. Source: the platform's bounds.
+  double ratio = 0.2;
+  Duration window = std::chrono::seconds(10);
+  // Retries beyond that, for all routers together.
+  double slack = 60;
+  // Share that is used, since routers do not see each other's counts.
+  double margin = 0.6;
+};
+
+// One for each service.
+class SharedRetryBudget {
+ public:
+  explicit SharedRetryBudget(RetryAllowance allowance)
+      : allowance_(allowance) {}
+
+  void OnRequest(Instant now);
+  // Takes one retry; false if this router's share of `routers` is spent.
+  bool TryRetry(Instant now, std::uint32_t routers);
+
+ private:
+  void Forget(Instant now);
+
+  const RetryAllowance allowance_;
+  std::deque<Instant> requests_;
+  std::deque<Instant> retries_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_SHARED_RETRY_BUDGET_H_
--- /dev/null
+++ b/include/figstall/target_entry.h
@@ -0,0 +1,45 @@
+// What a target says of itself, and the directory of all targets known.
+#ifndef FIGSTALL_TARGET_ENTRY_H_
+#define FIGSTALL_TARGET_ENTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "figstall/records.h"
+#include "figstall/types.h"
+
+namespace figstall {
+
+using TargetId = Name<struct TargetTag>;
+
+// One life of a target: a restart under the same id is another life, which
+// knows nothing of the earlier one.
+struct TargetLife {
+  TargetId id;
+  // When it started, in milliseconds of the target's own clock.
+  std::int64_t born_ms = 0;
+
+  friend auto operator<=>(const TargetLife&, const TargetLife&) = default;
+};
+
+struct TargetEntry {
+  TargetLife life;
+  Endpoint address;
+  ServiceId service;
+  ZoneId zone;
+  std::uint32_t slots = 1;
+  // It takes no new work once it is leaving.
+  bool leaving = false;
+  // How much longer it is slow after its start.
+  Duration warm_up_left{0};
+
+  friend bool operator==(const TargetEntry&, const TargetEntry&) = default;
+};
+
+using TargetDirectory = std::map<TargetId, TargetEntry>;
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_TARGET_ENTRY_H_
--- /dev/null
+++ b/include/figstall/target_load.h
@@ -0,0 +1,95 @@
+// What this router knows about one target from its own requests, and the choice
+// among targets that may serve a request. Pure decisions.
+#ifndef FIGSTALL_TARGET_LOAD_H_
+#define FIGSTALL_TARGET_LOAD_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "figstall/target_entry.h"
+#include "figstall/types.h"
+
+namespace figstall {
+
+struct LoadLimits {
+  // Work that all routers together give a target, as a multiple of its slots;
+  // what is more waits at the routers, where it can still go elsewhere.
+  double total_per_slot = 3.0;
+  // Weight of the newest observation in moving averages.
+  double smoothing = 0.1;
+  // Failures in a row after which a target is left alone ...
+  std::uint32_t failures_to_eject = 3;
+  // ... for this long, doubled each time up to the longest.
+  Duration first_ejection = std::chrono::milliseconds(600);
+  Duration longest_ejection = std::chrono::milliseconds(4800);
+};
+
+enum class AttemptKind {
+  kAnswered,
+  // The target's own failure (5xx) although it ran the request.
+  kFailed,
+  // It said that it did not run the request.
+  kRefused,
+  // No connection, or none that lasted until an answer.
+  kBroken,
+  // It was given up for lack of an answer.
+  kTimedOut,
+  // The caller left; says nothing about the target.
+  kAbandoned,
+};
+
+class TargetLoad {
+ public:
+  explicit TargetLoad(LoadLimits limits = {}) : limits_(limits) {}
+
+  void OnSent() { ++in_flight_; }
+  void OnDone(Instant now, AttemptKind kind, Duration took);
+
+  std::uint32_t in_flight() const { return in_flight_; }
+  // Mean time of an answer; none until the first.
+  std::optional<Duration> latency() const;
+  // Share of recent attempts that failed, 0 to 1.
+  double failure_rate() const { return failure_rate_; }
+  bool Ejected(Instant now) const { return now < ejected_until_; }
+  // A target that came back from ejection is tried with one request first.
+  bool Probing() const { return failures_ >= limits_.failures_to_eject; }
+  // Requests that this one of `sharers` routers may have at the target.
+  std::uint32_t Limit(std::uint32_t slots, std::uint32_t sharers) const;
+
+ private:
+  const LoadLimits limits_;
+  std::uint32_t in_flight_ = 0;
+  std::uint32_t failures_ = 0;
+  std::uint32_t ejections_ = 0;
+  double failure_rate_ = 0;
+  double latency_us_ = 0;
+  Instant ejected_until_{};
+};
+
+enum class Distance { kSameZone, kSameRegion, kOtherRegion };
+
+struct Candidate {
+  const TargetEntry* entry = nullptr;
+  const TargetLoad* load = nullptr;
+  Distance distance = Distance::kSameZone;
+  // Routers that send work to this target.
+  std::uint32_t sharers = 1;
+};
+
+struct PickRule {
+  // Large answers stay in their region.
+  bool bulk = false;
+  // Mean answer time of the service, for targets without an own one.
+  Duration typical = std::chrono::milliseconds(100);
+};
+
+// The candidate with the shortest expected time to an answer, or null if none
+// has room. Ejected ones are taken only where all of a region are.
+const Candidate* PickTarget(const std::vector<Candidate>& candidates,
+                            const PickRule& rule,
+                            Instant now);
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_TARGET_LOAD_H_
--- a/include/figstall/types.h
+++ b/include/figstall/types.h
@@ -11,10 +11,18 @@
 
 namespace figstall {
 
-// All clocks are monotonic; wall time never enters a decision.
 using Duration = std::chrono::microseconds;
-using Instant = std::chrono::time_point<std::chrono::steady_clock,
-                                        std::chrono::microseconds>;
+
+// The monotonic clock that also counts while a VM is suspended, so that a lease
+// lapses for a holder that slept through it. Wall time never enters a decision.
+struct BootClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock, duration>;
+  static constexpr bool is_steady = true;
+};
+using Instant = BootClock::time_point;
 
 // A name that cannot be confused with a name of another kind.
 template <typename Tag>
--- /dev/null
+++ b/src/entry_control.cc
@@ -0,0 +1,546 @@
+// Implements membership and what is read from the store. Grants and moves are in
+// entry_control_ranges.cc.
+#include "figstall/entry_control.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include "figstall/schema_check.h"
+#include "platform/decode.h"
+
+namespace figstall {
+namespace {
+
+using nlohmann::json;
+using platform::StoreStatus;
+
+constexpr char kMembersPrefix[] = "figstall/members/";
+constexpr char kTablesPrefix[] = "figstall/ranges/";
+constexpr char kMoverKey[] = "figstall/mover";
+// Everything in the store is of interest: one watch serves all.
+constexpr char kEverything[] = "";
+constexpr Duration kCampaignSpread = std::chrono::milliseconds(350);
+
+bool StartsWith(const std::string& text, std::string_view prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+std::string Describe(const Error& error) {
+  std::string text = error.message;
+  for (const Finding& finding : error.findings)
+    text += "; " + finding.ToString();
+  return text;
+}
+
+}  // namespace
+
+EntryControl::EntryControl(boost::asio::io_context& io,
+                           const EntrySettings& settings,
+                           std::string incarnation,
+                           EntryView& view,
+                           EntryTraffic& traffic,
+                           Log& log,
+                           Metrics& metrics)
+    : io_(io),
+      settings_(settings),
+      incarnation_(std::move(incarnation)),
+      view_(view),
+      traffic_(traffic),
+      log_(log),
+      metrics_(metrics),
+      store_(io, settings.store, timing_.store_patience),
+      random_(std::hash<std::string>()(incarnation_ + settings.vm.value())),
+      granter_(settings.grants) {
+  view_.regions = settings.regions;
+}
+
+void EntryControl::After(Duration delay, std::function<void()> work) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+  timer->async_wait([timer, work = std::move(work)](
+                        const boost::system::error_code& error) {
+    if (!error)
+      work();
+  });
+}
+
+void EntryControl::Start() {
+  Join();
+}
+
+void EntryControl::NoteStore(const StoreAnswer& answer, const char* call) {
+  const bool lost = answer.status == StoreStatus::kUnknown ||
+                    answer.status == StoreStatus::kRefused;
+  ++metrics_.Counter("figstall_store_calls_total",
+                     fmt::format("call=\"{}\",outcome=\"{}\"", call,
+                                 ToString(answer.status)));
+  if (lost)
+    trouble_at_ = BootNow();
+  if (lost == store_lost_)
+    return;
+  store_lost_ = lost;
+  log_.Write(lost ? LogLevel::kWarning : LogLevel::kInfo,
+             lost ? "store-lost" : "store-regained",
+             {{"call", call},
+              {"outcome", ToString(answer.status)},
+              {"failure", answer.failure}});
+}
+
+// --- Membership
+
+void EntryControl::Join() {
+  if (joining_ || resigned_)
+    return;
+  joining_ = true;
+  tables_current_ = false;
+  member_until_ = {};
+  const Instant asked = BootNow();
+  store_.OpenLease(timing_.membership, [this, asked](const StoreAnswer& answer) {
+    NoteStore(answer, "open-lease");
+    joining_ = false;
+    if (answer.status != StoreStatus::kOk) {
+      if (!read_once_)
+        StartReadAll();
+      return After(timing_.retry, [this] { Join(); });
+    }
+    member_lease_ = answer.lease;
+    member_until_ = asked + answer.time_to_live - timing_.lease_margin;
+    keep_at_ = asked + timing_.membership_renewal;
+    WriteMember(/*then_read=*/true);
+  });
+}
+
+void EntryControl::WriteMember(bool then_read) {
+  const Instant now = BootNow();
+  json sent = json::object();
+  for (const auto& [owner, at] : granter_.LastSent(now))
+    sent[owner.value()] = Millis(now - at);
+  std::map<ServiceId, std::uint64_t> seen;
+  json seen_by_service = json::object();
+  for (const auto& [service, table] : granter_.tables()) {
+    seen_by_service[service.value()] = table.last_fence;
+    seen[service] = table.last_fence;
+  }
+  const json value = {{"zone", settings_.zone.value()},
+                      {"incarnation", incarnation_},
+                      {"seen_fence", seen_by_service},
+                      {"sent_ms_ago", sent}};
+  reporting_ = true;
+  store_.Write({},
+               {{kMembersPrefix + settings_.vm.value(), value.dump(),
+                 member_lease_}},
+               {}, [this, then_read, seen](const StoreAnswer& answer) {
+                 NoteStore(answer, "write-member");
+                 reporting_ = false;
+                 if (answer.status == StoreStatus::kOk) {
+                   reported_ = seen;
+                   if (then_read) {
+                     log_.Write(LogLevel::kInfo, "joined",
+                                {{"lease", std::to_string(member_lease_)},
+                                 {"incarnation", incarnation_}});
+                     StartReadAll();
+                   }
+                   return;
+                 }
+                 if (answer.status == StoreStatus::kNotFound)
+                   return Join();
+                 if (then_read)
+                   After(timing_.retry, [this] { WriteMember(true); });
+               });
+}
+
+void EntryControl::KeepMembership(Instant now) {
+  if (keeping_ || joining_ || member_lease_ == 0 || now < keep_at_ || resigned_)
+    return;
+  keeping_ = true;
+  const platform::LeaseId lease = member_lease_;
+  store_.KeepLease(lease, [this, now, lease](const StoreAnswer& answer) {
+    NoteStore(answer, "keep-member");
+    keeping_ = false;
+    if (lease != member_lease_)
+      return;
+    if (answer.status == StoreStatus::kOk) {
+      member_until_ =
+          std::max(member_until_, now + timing_.membership - timing_.lease_margin);
+      keep_at_ = now + timing_.membership_renewal;
+      return;
+    }
+    keep_at_ = BootNow() + timing_.retry;
+    if (answer.status != StoreStatus::kNotFound)
+      return;
+    log_.Write(LogLevel::kWarning, "membership-lost",
+               {{"lease", std::to_string(lease)}});
+    member_lease_ = 0;
+    Join();
+  });
+}
+
+void EntryControl::Resign() {
+  resigned_ = true;
+  log_.Write(LogLevel::kInfo, "resigning",
+             {{"mover", IsMover(BootNow()) ? "yes" : "no"}});
+  const auto ignore = [](const StoreAnswer&) {};
+  if (mover_lease_ != 0)
+    store_.EndLease(mover_lease_, ignore);
+  if (member_lease_ != 0)
+    store_.EndLease(member_lease_, ignore);
+  mover_until_ = member_until_ = {};
+}
+
+// --- Reading and watching
+
+void EntryControl::StartReadAll() {
+  if (reading_)
+    return;
+  reading_ = true;
+  ReadPage(std::make_shared<ReadAll>(), "");
+}
+
+void EntryControl::ReadPage(std::shared_ptr<ReadAll> read,
+                            const std::string& after) {
+  store_.List(kEverything, after, [this, read](const StoreAnswer& answer) {
+    NoteStore(answer, "list");
+    if (answer.status != StoreStatus::kOk) {
+      reading_ = false;
+      return After(timing_.retry, [this] { StartReadAll(); });
+    }
+    if (read->first_revision == 0)
+      read->first_revision = answer.revision;
+    for (const platform::StoreItem& item : answer.items)
+      read->items[item.key] = item;
+    if (answer.more && !answer.items.empty())
+      return ReadPage(read, answer.items.back().key);
+    reading_ = false;
+    ApplyAll(*read);
+  });
+}
+
+void EntryControl::ApplyAll(const ReadAll& read) {
+  const bool first = !read_once_;
+  if (first)
+    last_departure_ = BootNow();
+  // What is known and was not read is gone.
+  const auto forget = [&](const std::string& key) {
+    if (!read.items.contains(key))
+      Apply({key, "", read.first_revision, true});
+  };
+  for (const auto& [id, target] : TargetDirectory(view_.targets))
+    forget(platform::kTargetsPrefix + id.value());
+  for (const auto& [vm, member] : std::map(view_.members))
+    forget(kMembersPrefix + vm.value());
+  if (mover_key_exists_)
+    forget(kMoverKey);
+  for (const auto& [key, item] : read.items)
+    Apply(item);
+  const bool watching = cursor_ != 0;
+  cursor_ = std::max(cursor_, read.first_revision);
+  tables_current_ = member_lease_ != 0 && !joining_;
+  read_once_ = true;
+  log_.Write(LogLevel::kInfo, "store-read",
+             {{"items", std::to_string(read.items.size())},
+              {"revision", std::to_string(read.first_revision)}});
+  if (!watching)
+    Watch();
+}
+
+void EntryControl::Watch() {
+  if (resigned_)
+    return;
+  store_.Watch(kEverything, cursor_, timing_.watch_wait,
+               [this](const StoreAnswer& answer) { OnWatch(answer); });
+}
+
+void EntryControl::OnWatch(const StoreAnswer& answer) {
+  NoteStore(answer, "watch");
+  if (answer.status == StoreStatus::kOk) {
+    for (const platform::StoreItem& item : answer.items)
+      Apply(item);
+    cursor_ = std::max(cursor_, answer.revision);
+    return After(timing_.watch_pause, [this] { Watch(); });
+  }
+  if (answer.status == StoreStatus::kCompacted) {
+    cursor_ = 0;
+    log_.Write(LogLevel::kWarning, "watch-history-gone", {});
+    return StartReadAll();
+  }
+  After(timing_.retry, [this] { Watch(); });
+}
+
+void EntryControl::Apply(const platform::StoreItem& item) {
+  if (item.key == platform::kDesiredStateKey)
+    return ApplyDesiredState(item);
+  if (StartsWith(item.key, platform::kTargetsPrefix))
+    return ApplyTarget(
+        item.key.substr(std::string_view(platform::kTargetsPrefix).size()),
+        item);
+  if (StartsWith(item.key, kMembersPrefix))
+    return ApplyMember(
+        VmId(item.key.substr(std::string_view(kMembersPrefix).size())), item);
+  if (StartsWith(item.key, kTablesPrefix))
+    return ApplyTable(
+        ServiceId(item.key.substr(std::string_view(kTablesPrefix).size())),
+        item);
+  if (item.key == kMoverKey) {
+    mover_key_exists_ = !item.deleted;
+    if (item.deleted && IsMover(BootNow()))
+      LoseMover("key-removed");
+  }
+}
+
+void EntryControl::ApplyDesiredState(const platform::StoreItem& item) {
+  if (item.deleted)
+    return;
+  HandleError(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(state, platform::DecodeDesiredState(item.value));
+        const std::uint64_t known =
+            view_.routes ? view_.routes->state().version : 0;
+        if (view_.routes && state.version <= known)
+          return {};
+        log_.Write(LogLevel::kInfo, "desired-state-in-force",
+                   {{"version", std::to_string(state.version)},
+                    {"earlier", std::to_string(known)},
+                    {"revision", std::to_string(item.revision)},
+                    {"routes", std::to_string(state.routes.size())}});
+        view_.routes = std::make_shared<const RouteIndex>(std::move(state));
+        ViewChanged();
+        return {};
+      },
+      [&](const Error& error) {
+        log_.Write(LogLevel::kError, "desired-state-refused",
+                   {{"revision", std::to_string(item.revision)},
+                    {"findings", Describe(error)}});
+      });
+}
+
+void EntryControl::ApplyTarget(const std::string& id,
+                               const platform::StoreItem& item) {
+  const TargetId target(id);
+  if (item.deleted) {
+    const auto known = view_.targets.find(target);
+    if (known == view_.targets.end() || absent_.contains(target))
+      return;
+    const Instant now = BootNow();
+    const bool trouble =
+        trouble_at_ && now - *trouble_at_ < timing_.absence_in_trouble;
+    const Duration keep = known->second.leaving ? Duration{0}
+                          : trouble             ? timing_.absence_in_trouble
+                                                : timing_.absence;
+    absent_[target] = now + keep;
+    return;
+  }
+  HandleError(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(entry, platform::DecodeTargetEntry(id, item.value));
+        absent_.erase(target);
+        const auto known = view_.targets.find(target);
+        if (known != view_.targets.end() && known->second == entry)
+          return {};
+        log_.Write(LogLevel::kInfo,
+                   known == view_.targets.end() ? "target-joined"
+                                                : "target-changed",
+                   {{"target", id},
+                    {"service", entry.service.value()},
+                    {"zone", entry.zone.value()},
+                    {"address", entry.address.ToString()},
+                    {"state", entry.leaving ? "leaving" : "ready"},
+                    {"born", std::to_string(entry.life.born_ms)},
+                    {"revision", std::to_string(item.revision)}});
+        // Another target at its address: the earlier one is gone.
+        for (const auto& [other, each] : view_.targets) {
+          if (other != target && each.address == entry.address)
+            absent_[other] = {};
+        }
+        view_.targets[target] = std::move(entry);
+        ViewChanged();
+        return {};
+      },
+      [&](const Error& error) {
+        log_.Write(LogLevel::kWarning, "target-entry-refused",
+                   {{"target", id},
+                    {"revision", std::to_string(item.revision)},
+                    {"findings", Describe(error)}});
+      });
+}
+
+void EntryControl::RemoveAbsent(Instant now) {
+  for (auto each = absent_.begin(); each != absent_.end();) {
+    if (now < each->second) {
+      ++each;
+      continue;
+    }
+    log_.Write(LogLevel::kInfo, "target-gone",
+               {{"target", each->first.value()}});
+    view_.targets.erase(each->first);
+    each = absent_.erase(each);
+    ViewChanged();
+  }
+}
+
+void EntryControl::ApplyMember(const VmId& vm,
+                               const platform::StoreItem& item) {
+  const auto known = view_.members.find(vm);
+  if (item.deleted) {
+    if (known == view_.members.end())
+      return;
+    view_.members.erase(known);
+    reports_.erase(vm);
+    last_departure_ = BootNow();
+    log_.Write(LogLevel::kInfo, "member-left", {{"vm", vm.value()}});
+    return ViewChanged();
+  }
+  try {
+    const json value = json::parse(item.value);
+    EntryMember member{vm, ZoneId(value.at("zone")), value.at("incarnation")};
+    MemberReport report;
+    const Instant now = BootNow();
+    for (const auto& [service, fence] : value.at("seen_fence").items())
+      report.seen_fence[ServiceId(service)] = fence;
+    for (const auto& [owner, age] : value.at("sent_ms_ago").items())
+      report.last_sent[TargetId(owner)] =
+          now - std::chrono::milliseconds(age.get<std::int64_t>());
+    reports_[vm] = std::move(report);
+    if (known != view_.members.end() && known->second == member)
+      return;
+    if (known != view_.members.end())
+      last_departure_ = now;
+    log_.Write(LogLevel::kInfo, "member-joined",
+               {{"vm", vm.value()},
+                {"zone", member.zone.value()},
+                {"incarnation", member.incarnation}});
+    view_.members[vm] = std::move(member);
+    ViewChanged();
+  } catch (const json::exception& error) {
+    log_.Write(LogLevel::kError, "member-refused",
+               {{"vm", vm.value()}, {"findings", error.what()}});
+  }
+}
+
+void EntryControl::ApplyTable(const ServiceId& service,
+                              const platform::StoreItem& item) {
+  if (item.deleted)
+    return;
+  MoverState& state = movers_[service];
+  if (item.revision <= state.revision)
+    return;
+  HandleError(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(table, DecodeRangeTable(item.value, item.key));
+        state.revision = item.revision;
+        if (!state.mover)
+          state.mover = std::make_unique<RangeMover>(service, settings_.grants);
+        state.mover->OnTable(table, BootNow());
+        granter_.OnTable(service, table);
+        log_.Write(LogLevel::kInfo, "ranges-changed",
+                   {{"service", service.value()},
+                    {"revision", std::to_string(item.revision)},
+                    {"fence", std::to_string(table.last_fence)},
+                    {"entries", std::to_string(table.entries.size())}});
+        view_.tables[service] = std::move(table);
+        ViewChanged();
+        return {};
+      },
+      [&](const Error& error) {
+        log_.Write(LogLevel::kError, "ranges-refused",
+                   {{"service", service.value()},
+                    {"findings", Describe(error)}});
+      });
+}
+
+// --- Election of the mover
+
+void EntryControl::Campaign(Instant now) {
+  if (mover_key_exists_ || campaigning_ || resigned_ || !tables_current_ ||
+      now >= member_until_) {
+    campaign_at_.reset();
+    return;
+  }
+  if (!campaign_at_) {
+    campaign_at_ =
+        now + Duration(static_cast<Duration::rep>(
+                  random_() % static_cast<std::uint64_t>(
+                                  kCampaignSpread.count())));
+  }
+  if (now < *campaign_at_)
+    return;
+  campaign_at_.reset();
+  campaigning_ = true;
+  store_.OpenLease(timing_.mover, [this, now](const StoreAnswer& opened) {
+    NoteStore(opened, "open-lease");
+    if (opened.status != StoreStatus::kOk) {
+      campaigning_ = false;
+      return;
+    }
+    const platform::LeaseId lease = opened.lease;
+    const Instant until = now + opened.time_to_live - timing_.lease_margin;
+    store_.Write(
+        {{kMoverKey, 0}},
+        {{kMoverKey, settings_.vm.value() + "#" + incarnation_, lease}}, {},
+        [this, lease, until](const StoreAnswer& answer) {
+          NoteStore(answer, "write-mover");
+          campaigning_ = false;
+          if (answer.status == StoreStatus::kOk) {
+            mover_lease_ = lease;
+            mover_revision_ = answer.revision;
+            mover_until_ = until;
+            mover_key_exists_ = true;
+            keep_mover_at_ = BootNow() + timing_.mover_renewal;
+            log_.Write(LogLevel::kInfo, "mover-elected",
+                       {{"revision", std::to_string(answer.revision)}});
+            return;
+          }
+          if (answer.status == StoreStatus::kConflict)
+            mover_key_exists_ = true;
+          store_.EndLease(lease, [](const StoreAnswer&) {});
+        });
+  });
+}
+
+void EntryControl::KeepMover(Instant now) {
+  if (mover_lease_ == 0 || keeping_mover_ || now < keep_mover_at_)
+    return;
+  keeping_mover_ = true;
+  const platform::LeaseId lease = mover_lease_;
+  store_.KeepLease(lease, [this, now, lease](const StoreAnswer& answer) {
+    NoteStore(answer, "keep-mover");
+    keeping_mover_ = false;
+    if (lease != mover_lease_)
+      return;
+    if (answer.status == StoreStatus::kOk) {
+      mover_until_ = std::max(
+          mover_until_, now + timing_.mover - timing_.lease_margin);
+      keep_mover_at_ = now + timing_.mover_renewal;
+      return;
+    }
+    keep_mover_at_ = BootNow() + timing_.retry;
+    if (answer.status == StoreStatus::kNotFound)
+      LoseMover("lease-ended");
+  });
+}
+
+void EntryControl::LoseMover(const char* why) {
+  log_.Write(LogLevel::kWarning, "mover-lost", {{"why", why}});
+  mover_lease_ = 0;
+  mover_until_ = {};
+}
+
+void EntryControl::Tick(Instant now) {
+  KeepMembership(now);
+  RemoveAbsent(now);
+  KeepMover(now);
+  Campaign(now);
+  if (view_changed_) {
+    view_changed_ = false;
+    traffic_.OnViewChanged();
+  }
+  MoveRanges(now);
+  SendGrants(now);
+  ReportToMover(now);
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/entry_control_ranges.cc
@@ -0,0 +1,215 @@
+// Implements the grants and moves of key ranges.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "figstall/entry_control.h"
+#include "platform/target_orders.h"
+
+namespace figstall {
+namespace {
+
+using platform::StoreStatus;
+
+constexpr char kTablesPrefix[] = "figstall/ranges/";
+constexpr char kMoverKey[] = "figstall/mover";
+constexpr std::size_t kMaxQueuedOrders = 256;
+// Members of a zone that grant the same range, by rank.
+constexpr std::size_t kGrantersPerRange = 3;
+// A release is answered once the work on its keys has ended.
+constexpr Duration kReleaseLimit = std::chrono::milliseconds(2500);
+constexpr Duration kReleaseAgain = std::chrono::milliseconds(200);
+
+}  // namespace
+
+std::shared_ptr<HttpChannel> EntryControl::ChannelTo(const TargetId& owner,
+                                                     const Endpoint& address) {
+  auto& channel = channels_[{owner, address}];
+  if (!channel) {
+    channel = HttpChannel::Make(io_, address, kMaxQueuedOrders);
+    channel->OnBroken([this, owner] { granter_.Doubt(BootNow(), owner); });
+  }
+  return channel;
+}
+
+bool EntryControl::GrantsHere(const ServiceId& service,
+                              const RangeEntry& entry) const {
+  if (IsMover(BootNow()) &&
+      (granter_.IsNew(service, entry) || view_.MembersIn(entry.zone) == 0))
+    return true;
+  if (entry.zone != settings_.zone)
+    return false;
+  // Rank of this member among those of its zone, by rendezvous hash.
+  const auto weight = [&](const VmId& vm) {
+    return std::hash<std::string>()(vm.value() + "/" + entry.owner.id.value());
+  };
+  const std::size_t mine = weight(settings_.vm);
+  std::size_t ahead = 0;
+  for (const auto& [vm, member] : view_.members) {
+    if (member.zone == settings_.zone && vm != settings_.vm &&
+        weight(vm) > mine)
+      ++ahead;
+  }
+  return ahead < kGrantersPerRange;
+}
+
+void EntryControl::SendGrants(Instant now) {
+  if (resigned_ || !tables_current_ || now >= member_until_)
+    return;
+  const auto due = granter_.Due(
+      now, view_.targets,
+      [this](const ServiceId& service, const RangeEntry& entry) {
+        return GrantsHere(service, entry);
+      });
+  for (const GrantOrder& order : due) {
+    const auto may_send = [this, order] {
+      const Instant at = BootNow();
+      return !resigned_ && tables_current_ && at < member_until_ &&
+             granter_.MaySend(at, order);
+    };
+    platform::SendGrant(
+        *ChannelTo(order.owner.id, order.address), order,
+        settings_.grants.call_limit, may_send, [this, order](GrantOutcome outcome) {
+          granter_.OnOutcome(BootNow(), order, outcome);
+          static const char* const kNames[] = {"granted", "refused",
+                                               "not-there", "not-sent",
+                                               "unknown"};
+          const char* name = kNames[static_cast<int>(outcome)];
+          ++metrics_.Counter("figstall_grants_total",
+                             fmt::format("outcome=\"{}\"", name));
+          if (outcome == GrantOutcome::kGranted)
+            return;
+          log_.Write(LogLevel::kInfo, "grant-failed",
+                     {{"service", order.service.value()},
+                      {"target", order.owner.id.value()},
+                      {"first", std::to_string(order.range.first)},
+                      {"last", std::to_string(order.range.last)},
+                      {"fence", std::to_string(order.fence)},
+                      {"outcome", name}});
+        });
+  }
+}
+
+void EntryControl::ReportToMover(Instant now) {
+  if (reporting_ || resigned_ || !tables_current_ || now >= member_until_)
+    return;
+  bool owed = false;
+  for (const auto& [service, table] : granter_.tables()) {
+    for (const RangeEntry& entry : table.entries) {
+      owed = owed || (entry.phase == RangePhase::kAwaitingMembers &&
+                      entry.fence > reported_[service]);
+    }
+  }
+  if (owed)
+    WriteMember(/*then_read=*/false);
+}
+
+void EntryControl::MoveRanges(Instant now) {
+  if (!IsMover(now) || !view_.routes)
+    return;
+  for (const auto& [service, each] : view_.routes->state().services) {
+    if (!each.keyed)
+      continue;
+    MoverState& state = movers_[service];
+    if (!state.mover)
+      state.mover = std::make_unique<RangeMover>(service, settings_.grants);
+    SendReleases(service, state);
+    if (state.writing || state.reading)
+      continue;
+    RangeLoad load;
+    if (const KeyHeat* heat = traffic_.heat(service)) {
+      load.parts = heat->parts();
+      // This member's requests stand for those of all.
+      for (double& part : load.parts)
+        part *= static_cast<double>(std::max<std::size_t>(
+            1, view_.members.size()));
+    }
+    const auto capacity = traffic_.Capacities(service);
+    MoverView view;
+    view.now = now;
+    view.directory = &view_.targets;
+    view.members = &reports_;
+    view.members_current = cursor_ >= state.revision;
+    view.last_departure = last_departure_;
+    view.capacity = &capacity;
+    view.load = &load;
+    if (const auto next = state.mover->Plan(view))
+      WriteTable(service, *next);
+  }
+}
+
+void EntryControl::WriteTable(const ServiceId& service,
+                              const RangeTable& next) {
+  MoverState& state = movers_[service];
+  state.writing = true;
+  const std::string key = kTablesPrefix + service.value();
+  store_.Write({{kMoverKey, mover_revision_}, {key, state.revision}},
+               {{key, EncodeRangeTable(next), 0}}, {},
+               [this, service, next, key](const StoreAnswer& answer) {
+                 NoteStore(answer, "write-ranges");
+                 MoverState& written = movers_[service];
+                 written.writing = false;
+                 log_.Write(LogLevel::kInfo, "ranges-written",
+                            {{"service", service.value()},
+                             {"fence", std::to_string(next.last_fence)},
+                             {"entries", std::to_string(next.entries.size())},
+                             {"outcome", ToString(answer.status)}});
+                 if (answer.status == StoreStatus::kOk)
+                   return ApplyTable(service, {key, EncodeRangeTable(next),
+                                               answer.revision, false});
+                 if (answer.status == StoreStatus::kConflict &&
+                     std::none_of(answer.items.begin(), answer.items.end(),
+                                  [this](const platform::StoreItem& item) {
+                                    return item.key == kMoverKey &&
+                                           item.revision == mover_revision_;
+                                  }))
+                   LoseMover("write-refused");
+                 ReadTable(service);
+               });
+}
+
+void EntryControl::ReadTable(const ServiceId& service) {
+  movers_[service].reading = true;
+  const std::string key = kTablesPrefix + service.value();
+  store_.Get(key, [this, service](const StoreAnswer& answer) {
+    NoteStore(answer, "read-ranges");
+    const bool known = answer.status == StoreStatus::kOk ||
+                       answer.status == StoreStatus::kNotFound;
+    if (!known)
+      return After(timing_.retry, [this, service] { ReadTable(service); });
+    movers_[service].reading = false;
+    for (const platform::StoreItem& item : answer.items)
+      ApplyTable(service, item);
+  });
+}
+
+void EntryControl::SendReleases(const ServiceId& service, MoverState& state) {
+  for (const ReleaseOrder& order : state.mover->OwedReleases()) {
+    if (!state.releasing.insert(order).second)
+      continue;
+    platform::SendRelease(
+        *ChannelTo(order.owner.id, order.address), order, kReleaseLimit,
+        [this, service, order](platform::ReleaseOutcome outcome,
+                               const std::string& handover) {
+          MoverState& now = movers_[service];
+          static const char* const kNames[] = {"released", "owner-gone",
+                                               "unknown"};
+          log_.Write(LogLevel::kInfo, "release",
+                     {{"service", service.value()},
+                      {"target", order.owner.id.value()},
+                      {"first", std::to_string(order.range.first)},
+                      {"last", std::to_string(order.range.last)},
+                      {"fence", std::to_string(order.fence)},
+                      {"outcome", kNames[static_cast<int>(outcome)]}});
+          if (outcome == platform::ReleaseOutcome::kUnknown) {
+            return After(kReleaseAgain, [this, service, order] {
+              movers_[service].releasing.erase(order);
+            });
+          }
+          now.releasing.erase(order);
+          now.mover->OnReleased(order, handover);
+        });
+  }
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/entry_main.cc
@@ -0,0 +1,212 @@
+// The figstall-entry program: one process on each entry VM, in front of the
+// platform's targets. One thread carries traffic and control on an Asio loop;
+// others answer readiness and metrics, and write the log.
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+
+#include "figstall/entry_control.h"
+#include "figstall/entry_settings.h"
+#include "figstall/entry_traffic.h"
+#include "figstall/http_server.h"
+#include "process.h"
+
+namespace {
+
+using figstall::BootNow;
+using figstall::Duration;
+using figstall::Instant;
+using figstall::LogLevel;
+
+constexpr const char* kUsage =
+    R"(figstall-entry: routes callers' requests to the platform's targets.
+
+Usage:
+  figstall-entry --settings FILE
+  figstall-entry --check --settings FILE
+  figstall-entry --help
+
+Options:
+  --settings FILE  This entry's settings, in JSON.
+  --check          Check the settings and exit.
+  --help           Show this text.
+
+Signals:
+  SIGTERM, SIGINT  Fail readiness, go on serving until the balancer has noticed,
+                   finish what is in flight and exit with status 0.
+  SIGHUP           Read the settings again; a wrong file changes nothing.
+
+Exit status: 0 after a planned stop, 1 on a failure, 2 on invalid settings.
+)";
+
+constexpr std::chrono::milliseconds kTickInterval{25};
+// The balancer asks once a second and takes an entry out after two misses.
+// Source: the platform's protocol.
+constexpr Duration kReadinessNotice = std::chrono::milliseconds(2800);
+// Left between the last work and the platform's kill.
+constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+// A loop that has not ticked for this long is not ready.
+constexpr Duration kStall = std::chrono::seconds(2);
+constexpr unsigned kStatusConnections = 16;
+
+std::string MakeIncarnation() {
+  std::random_device device;
+  return fmt::format("{:08x}{:08x}", device(), device());
+}
+
+class EntryProcess {
+ public:
+  EntryProcess(const figstall::EntrySettings& settings, std::string path)
+      : settings_(settings),
+        path_(std::move(path)),
+        log_(settings.vm.value(),
+             settings.log.level,
+             settings.log.format,
+             stdout),
+        traffic_(io_, settings_, view_, log_, metrics_),
+        control_(io_,
+                 settings_,
+                 MakeIncarnation(),
+                 view_,
+                 traffic_,
+                 log_,
+                 metrics_),
+        signals_(io_, SIGTERM, SIGINT, SIGHUP),
+        timer_(io_) {}
+
+  int Run() {
+    figstall::HttpServerLimits limits;
+    limits.max_connections = kStatusConnections;
+    const auto answer = [this](const figstall::HttpCall& call) {
+      return Answer(call);
+    };
+    const figstall::HttpServer ready(settings_.ready, limits, answer);
+    const figstall::HttpServer metrics(settings_.metrics, limits, answer);
+    traffic_.Listen();
+    control_.Start();
+    WaitForSignal();
+    ScheduleTick();
+    log_.Write(LogLevel::kInfo, "started",
+               {{"callers", settings_.callers.ToString()},
+                {"store", settings_.store.ToString()},
+                {"zone", settings_.zone.value()}});
+    io_.run();
+    log_.Write(LogLevel::kInfo, "stopped",
+               {{"in_flight", std::to_string(traffic_.in_flight())}});
+    return 0;
+  }
+
+ private:
+  figstall::HttpReply Answer(const figstall::HttpCall& call) const {
+    figstall::HttpReply reply;
+    reply.content_type = "text/plain";
+    if (call.path == "/metrics") {
+      reply.body = metrics_.Expose();
+      return reply;
+    }
+    const Instant ticked(Duration(last_tick_us_.load()));
+    const bool ready = ready_ && BootNow() - ticked < kStall;
+    reply.status = ready ? 200 : 503;
+    reply.body = ready ? "ready\n" : "not ready\n";
+    return reply;
+  }
+
+  void WaitForSignal() {
+    signals_.async_wait([this](boost::system::error_code error, int signal) {
+      if (error)
+        return;
+      if (signal == SIGHUP)
+        Reload();
+      else
+        Stop();
+      WaitForSignal();
+    });
+  }
+
+  // Addresses and places stay; what the file says of them counts after a restart.
+  void Reload() {
+    figstall::HandleError(
+        [&]() -> figstall::Result<void> {
+          BOOST_LEAF_AUTO(read, figstall::ReadEntrySettings(path_));
+          settings_.retries = read.retries;
+          log_.Write(LogLevel::kInfo, "settings-reloaded", {});
+          return {};
+        },
+        [&](const figstall::Error& error) {
+          std::string findings = error.message;
+          for (const figstall::Finding& finding : error.findings)
+            findings += "; " + finding.ToString();
+          log_.Write(LogLevel::kError, "settings-refused",
+                     {{"findings", findings}});
+        });
+  }
+
+  void Stop() {
+    if (stop_begun_)
+      return;
+    stop_begun_ = BootNow();
+    ready_ = false;
+    log_.Write(LogLevel::kInfo, "stopping",
+               {{"in_flight", std::to_string(traffic_.in_flight())}});
+    traffic_.StartStopping();
+    control_.Resign();
+  }
+
+  void ScheduleTick() {
+    timer_.expires_after(kTickInterval);
+    timer_.async_wait([this](boost::system::error_code error) {
+      if (error)
+        return;
+      const Instant now = BootNow();
+      last_tick_us_ = now.time_since_epoch().count();
+      control_.Tick(now);
+      traffic_.Tick(now);
+      if (!stop_begun_)
+        ready_ = control_.ready();
+      else if (IsStopped(now))
+        return io_.stop();
+      ScheduleTick();
+    });
+  }
+
+  bool IsStopped(Instant now) {
+    const Duration age = now - *stop_begun_;
+    if (age < kReadinessNotice)
+      return false;
+    traffic_.CloseIdleCallers();
+    return traffic_.Quiet() || age > settings_.stop_grace - kStopMargin;
+  }
+
+  figstall::EntrySettings settings_;
+  const std::string path_;
+  figstall::Log log_;
+  figstall::Metrics metrics_;
+  boost::asio::io_context io_{1};
+  figstall::EntryView view_;
+  figstall::EntryTraffic traffic_;
+  figstall::EntryControl control_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+  std::atomic<bool> ready_ = false;
+  std::atomic<Duration::rep> last_tick_us_ = 0;
+  std::optional<Instant> stop_begun_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto arguments =
+      docopt::docopt(kUsage, {argv + 1, argv + argc}, /*help=*/true);
+  return figstall::detail::RunProgram([&]() -> figstall::Result<int> {
+    const std::string path = arguments.at("--settings").asString();
+    BOOST_LEAF_AUTO(settings, figstall::ReadEntrySettings(path));
+    if (arguments.at("--check").asBool())
+      return 0;
+    std::signal(SIGPIPE, SIG_IGN);
+    return EntryProcess(settings, path).Run();
+  });
+}
--- /dev/null
+++ b/src/entry_settings.cc
@@ -0,0 +1,113 @@
+// Implements reading of the entry's settings.
+#include "figstall/entry_settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include "figstall/schema_check.h"
+
+namespace figstall {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kSchema = R"json({
+  "type": "object",
+  "required": ["vm", "zone", "region", "listen", "store", "regions"],
+  "additionalProperties": false,
+  "properties": {
+    "vm": {"type": "string", "minLength": 1},
+    "zone": {"type": "string", "minLength": 1},
+    "region": {"type": "string", "minLength": 1},
+    "listen": {"type": "object", "required": ["callers", "ready", "metrics"],
+      "additionalProperties": false,
+      "properties": {"callers": {"type": "string"},
+                     "ready": {"type": "string"},
+                     "metrics": {"type": "string"}}},
+    "store": {"type": "string"},
+    "regions": {"type": "object", "additionalProperties": {"type": "string"}},
+    "log": {"type": "object", "additionalProperties": false,
+      "properties": {
+        "level": {"enum": ["debug", "info", "warning", "error"]},
+        "format": {"enum": ["text", "json"]}}},
+    "grants": {"type": "object", "additionalProperties": false,
+      "properties": {
+        "hold_s": {"type": "number", "exclusiveMinimum": 0},
+        "longest_hold_s": {"type": "number", "exclusiveMinimum": 0}}},
+    "retries": {"type": "object", "additionalProperties": false,
+      "properties": {
+        "ratio": {"type": "number", "minimum": 0},
+        "window_s": {"type": "number", "exclusiveMinimum": 0},
+        "slack": {"type": "number", "minimum": 0}}},
+    "stop_grace_s": {"type": "number", "exclusiveMinimum": 0},
+    "max_descriptors": {"type": "integer", "minimum": 64}}
+})json";
+
+Duration Seconds(const json& object, const char* field, Duration fallback) {
+  if (!object.contains(field))
+    return fallback;
+  return Duration(static_cast<Duration::rep>(
+      object.at(field).get<double>() * 1e6));
+}
+
+struct EndpointReader {
+  const std::string& path;
+  Findings& findings;
+
+  Endpoint At(const std::string& pointer, const std::string& text) {
+    return HandleError(
+        [&]() -> Result<Endpoint> { return ParseEndpoint(text); },
+        [&](const Error& error) {
+          findings.push_back({path, pointer, error.message});
+          return Endpoint{};
+        });
+  }
+};
+
+}  // namespace
+
+Result<EntrySettings> ReadEntrySettings(const std::string& path) {
+  BOOST_LEAF_AUTO(text, ReadFile(path));
+  BOOST_LEAF_AUTO(value, ParseJson(text, path));
+  Findings findings;
+  if (!CheckSchema(json::parse(kSchema), value, path, "", findings))
+    return Fail(ErrorCode::kInvalidInput, "invalid settings",
+                std::move(findings));
+  EndpointReader endpoints{path, findings};
+  EntrySettings settings;
+  settings.vm = VmId(value.at("vm"));
+  settings.zone = ZoneId(value.at("zone"));
+  settings.region = RegionId(value.at("region"));
+  const json& listen = value.at("listen");
+  settings.callers = endpoints.At("/listen/callers", listen.at("callers"));
+  settings.ready = endpoints.At("/listen/ready", listen.at("ready"));
+  settings.metrics = endpoints.At("/listen/metrics", listen.at("metrics"));
+  settings.store = endpoints.At("/store", value.at("store"));
+  for (const auto& [zone, region] : value.at("regions").items())
+    settings.regions[ZoneId(zone)] = RegionId(region);
+  const json log = value.value("log", json::object());
+  settings.log.level =
+      ParseLogLevel(log.value("level", "info")).value_or(LogLevel::kInfo);
+  settings.log.format =
+      ParseLogFormat(log.value("format", "json")).value_or(LogFormat::kJson);
+  const json grants = value.value("grants", json::object());
+  settings.grants.hold =
+      std::min(Seconds(grants, "hold_s", settings.grants.hold),
+               Seconds(grants, "longest_hold_s", settings.grants.hold));
+  const json retries = value.value("retries", json::object());
+  settings.retries.ratio = retries.value("ratio", settings.retries.ratio);
+  settings.retries.window =
+      Seconds(retries, "window_s", settings.retries.window);
+  settings.retries.slack = retries.value("slack", settings.retries.slack);
+  settings.stop_grace =
+      Seconds(value, "stop_grace_s", settings.stop_grace);
+  settings.max_descriptors =
+      value.value("max_descriptors", settings.max_descriptors);
+  if (!settings.regions.contains(settings.zone))
+    findings.push_back({path, "/regions", "the own zone is missing"});
+  if (!findings.empty())
+    return Fail(ErrorCode::kInvalidInput, "invalid settings",
+                std::move(findings));
+  return settings;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/entry_traffic.cc
@@ -0,0 +1,304 @@
+// Implements the data path of an entry VM.
+#include "figstall/entry_traffic.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "figstall/exchange.h"
+#include "figstall/http_channel.h"
+
+namespace figstall {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// Until a service has answered, an answer is taken to need this long.
+constexpr Duration kFirstTypicalTime = std::chrono::milliseconds(100);
+// A target's measured speed counts within these factors of the usual one, since
+// a short queue looks like slowness.
+constexpr double kLeastSpeed = 0.5;
+constexpr double kMostSpeed = 1.8;
+constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(500);
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+// Weight of the newest second in the heat of keys.
+constexpr double kHeatWeight = 0.4;
+
+}  // namespace
+
+TargetLink::TargetLink(asio::io_context& io, TargetEntry entry)
+    : io_(io), entry_(std::move(entry)) {}
+
+TargetLink::~TargetLink() {
+  // Connections with a request on them live on until it ends.
+  const auto connections = std::move(connections_);
+  connections_.clear();
+  for (const auto& connection : connections) {
+    if (connection->idle())
+      connection->Abandon();
+  }
+}
+
+std::shared_ptr<TargetConnection> TargetLink::Acquire(Instant now) {
+  std::shared_ptr<TargetConnection> found;
+  for (const auto& connection : connections_) {
+    if (connection->idle() && connection->FreshUntil(now)) {
+      found = connection;
+      break;
+    }
+  }
+  if (found)
+    return found;
+  const auto slot = std::make_shared<std::weak_ptr<TargetConnection>>();
+  auto made = std::make_shared<TargetConnection>(
+      io_, entry_.address, [] {},
+      [this, slot, alive = std::weak_ptr<int>(alive_)] {
+        if (alive.expired())
+          return;
+        if (const auto self = slot->lock())
+          connections_.erase(self);
+      });
+  *slot = made;
+  connections_.insert(made);
+  return made;
+}
+
+void KeyHeat::Add(ShardKey key, Duration busy) {
+  recent_[key * kParts / kShardKeys] +=
+      std::chrono::duration<double>(busy).count();
+}
+
+void KeyHeat::Fade(Instant now) {
+  if (!faded_at_) {
+    faded_at_ = now;
+    return;
+  }
+  const double span = std::chrono::duration<double>(now - *faded_at_).count();
+  if (span < 0.5)
+    return;
+  faded_at_ = now;
+  for (std::size_t part = 0; part < kParts; ++part) {
+    parts_[part] += kHeatWeight * (recent_[part] / span - parts_[part]);
+    recent_[part] = 0;
+  }
+}
+
+EntryTraffic::EntryTraffic(asio::io_context& io,
+                           const EntrySettings& settings,
+                           const EntryView& view,
+                           Log& log,
+                           Metrics& metrics)
+    : io_(io),
+      settings_(settings),
+      view_(view),
+      log_(log),
+      metrics_(metrics),
+      acceptor_(io) {}
+
+EntryTraffic::~EntryTraffic() = default;
+
+void EntryTraffic::Listen() {
+  const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(settings_.callers.address),
+      settings_.callers.port);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(asio::socket_base::max_listen_connections);
+  Accept();
+}
+
+void EntryTraffic::Accept() {
+  acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted)
+      return;
+    if (error) {
+      log_.Write(LogLevel::kWarning, "accept-failed",
+                 {{"error", error.message()}});
+      const auto pause = std::make_shared<asio::steady_timer>(io_, kAcceptPause);
+      pause->async_wait([this, pause](error_code stopped) {
+        if (!stopped)
+          Accept();
+      });
+      return;
+    }
+    CallerConnection::Handlers handlers;
+    handlers.on_request = [this](const auto& caller, HttpRequest request) {
+      OnRequest(caller, std::move(request));
+    };
+    handlers.on_closed = [this](const CallerConnection* caller) {
+      callers_.erase(caller);
+    };
+    handlers.stopping = [this] { return stopping_; };
+    const auto caller = std::make_shared<CallerConnection>(
+        std::move(socket),
+        view_.routes ? view_.routes->state().limits : CallerLimits{},
+        std::move(handlers));
+    callers_.emplace(caller.get(), caller);
+    caller->Start();
+    Accept();
+  });
+}
+
+void EntryTraffic::OnRequest(const std::shared_ptr<CallerConnection>& caller,
+                             HttpRequest request) {
+  const auto exchange = std::make_shared<Exchange>(
+      *this, caller, std::move(request), ++requests_seen_);
+  exchanges_.emplace(exchange.get(), exchange);
+  exchange->Start();
+}
+
+void EntryTraffic::Retire(Exchange* exchange) {
+  waiting_.remove(exchange);
+  const auto found = exchanges_.find(exchange);
+  if (found == exchanges_.end())
+    return;
+  // The exchange may be on the stack; it goes once its handlers have returned.
+  asio::post(io_, [this, kept = std::move(found->second)] { ServeWaiting(); });
+  exchanges_.erase(found);
+}
+
+void EntryTraffic::Wait(Exchange* exchange) {
+  waiting_.remove(exchange);
+  const auto place = std::find_if(
+      waiting_.begin(), waiting_.end(), [exchange](const Exchange* other) {
+        return other->priority() > exchange->priority();
+      });
+  waiting_.insert(place, exchange);
+}
+
+void EntryTraffic::ServeWaiting() {
+  if (serving_waiting_)
+    return;
+  serving_waiting_ = true;
+  const std::vector<Exchange*> waiting(waiting_.begin(), waiting_.end());
+  for (Exchange* each : waiting) {
+    const auto found = exchanges_.find(each);
+    if (found == exchanges_.end() || !each->waiting())
+      continue;
+    const auto kept = found->second;
+    if (kept->TrySend())
+      waiting_.remove(each);
+  }
+  serving_waiting_ = false;
+}
+
+void EntryTraffic::OnViewChanged() {
+  for (const auto& [id, entry] : view_.targets) {
+    auto& link = links_[id];
+    if (!link || link->entry().life != entry.life ||
+        link->entry().address != entry.address)
+      link = std::make_unique<TargetLink>(io_, entry);
+    else
+      link->SetEntry(entry);
+  }
+  std::erase_if(links_, [this](const auto& item) {
+    return !view_.targets.contains(item.first);
+  });
+  ServeWaiting();
+}
+
+void EntryTraffic::CloseIdleCallers() {
+  std::vector<std::shared_ptr<CallerConnection>> all;
+  for (const auto& [key, caller] : callers_)
+    all.push_back(caller);
+  for (const auto& caller : all)
+    caller->CloseIfIdle();
+}
+
+void EntryTraffic::Tick(Instant now) {
+  std::vector<std::shared_ptr<Exchange>> all;
+  all.reserve(exchanges_.size());
+  for (const auto& [key, exchange] : exchanges_)
+    all.push_back(exchange);
+  for (const auto& exchange : all)
+    exchange->Tick(now);
+  if (!waiting_.empty())
+    ServeWaiting();
+  for (auto& [service, heat] : heat_)
+    heat.Fade(now);
+  if (now - checked_callers_ < kCallerCheckInterval)
+    return;
+  checked_callers_ = now;
+  std::vector<std::shared_ptr<CallerConnection>> callers;
+  for (const auto& [key, caller] : callers_)
+    callers.push_back(caller);
+  for (const auto& caller : callers)
+    caller->CheckTimes(now);
+}
+
+TargetLink* EntryTraffic::LinkTo(const TargetId& id) {
+  const auto found = links_.find(id);
+  return found == links_.end() ? nullptr : found->second.get();
+}
+
+Distance EntryTraffic::DistanceTo(const ZoneId& zone) const {
+  if (zone == settings_.zone)
+    return Distance::kSameZone;
+  const auto region = view_.regions.find(zone);
+  return region != view_.regions.end() && region->second == settings_.region
+             ? Distance::kSameRegion
+             : Distance::kOtherRegion;
+}
+
+std::uint32_t EntryTraffic::Routers() const {
+  return std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(view_.members.size()));
+}
+
+std::uint32_t EntryTraffic::SharersOf(const TargetEntry& entry,
+                                      bool keyed) const {
+  if (keyed)
+    return Routers();
+  return std::max(1U, view_.MembersIn(entry.zone));
+}
+
+TargetLink* EntryTraffic::PickShared(const ServiceId& service,
+                                     bool bulk,
+                                     const std::set<TargetId>& tried) {
+  std::vector<Candidate> candidates;
+  for (const auto& [id, link] : links_) {
+    const TargetEntry& entry = link->entry();
+    if (entry.service != service || entry.leaving || tried.contains(id))
+      continue;
+    candidates.push_back({&entry, &link->load(), DistanceTo(entry.zone),
+                          SharersOf(entry, false)});
+  }
+  const Candidate* best = PickTarget(
+      candidates, PickRule{bulk, TypicalTime(service)}, BootNow());
+  return best ? LinkTo(best->entry->life.id) : nullptr;
+}
+
+SharedRetryBudget& EntryTraffic::BudgetOf(const ServiceId& service) {
+  return budgets_.try_emplace(service, settings_.retries).first->second;
+}
+
+Duration EntryTraffic::TypicalTime(const ServiceId& service) const {
+  const auto found = typical_us_.find(service);
+  if (found == typical_us_.end() || found->second == 0)
+    return kFirstTypicalTime;
+  return Duration(static_cast<Duration::rep>(found->second));
+}
+
+const KeyHeat* EntryTraffic::heat(const ServiceId& service) const {
+  const auto found = heat_.find(service);
+  return found == heat_.end() ? nullptr : &found->second;
+}
+
+std::map<TargetId, double> EntryTraffic::Capacities(
+    const ServiceId& service) const {
+  std::map<TargetId, double> capacities;
+  const auto typical = static_cast<double>(TypicalTime(service).count());
+  for (const auto& [id, link] : links_) {
+    if (link->entry().service != service)
+      continue;
+    const auto latency = link->load().latency();
+    const double speed =
+        latency ? typical / static_cast<double>(latency->count()) : 1.0;
+    capacities[id] =
+        link->entry().slots * std::clamp(speed, kLeastSpeed, kMostSpeed);
+  }
+  return capacities;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/exchange.cc
@@ -0,0 +1,523 @@
+// Implements the life of one request.
+#include "figstall/exchange.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "platform/headers.h"
+
+namespace figstall {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+constexpr int kMisdirected = 421;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kFirstFailure = 500;
+
+// An answer up to this size is held until it is whole, so that one that breaks
+// off can be replaced; a longer one is passed on as it comes.
+constexpr std::size_t kHeldBytes = 262'144;
+// A caller that has not taken this much pauses its target's answer.
+constexpr std::size_t kMaxUnsentBytes = 262'144;
+// A request waits for a target at most this part of its latency objective; then
+// it is refused, so that its caller can come back while there is time.
+constexpr double kWaitShare = 0.25;
+constexpr Duration kLongestWait = std::chrono::milliseconds(250);
+// Less than this part of the latency objective left is no honest offer.
+constexpr double kLeastOffer = 0.1;
+// A target that said "not run" is asked again after this.
+constexpr Duration kAskAgain = std::chrono::milliseconds(60);
+// An idempotent request gets another attempt after this multiple of the usual
+// time, between these bounds.
+constexpr double kPatienceFactor = 3.0;
+constexpr Duration kLeastPatience = std::chrono::milliseconds(150);
+// Callers come back after at most a third of the time that they have left.
+// Source: the platform's protocol.
+constexpr double kRetryAfterShare = 0.3;
+constexpr Duration kRetryAfterFull = std::chrono::milliseconds(150);
+constexpr Duration kRetryAfterMoving = std::chrono::milliseconds(300);
+// One in so many answered requests is logged.
+constexpr std::uint64_t kLogSample = 16;
+
+// Fields that concern one connection only.
+bool IsHopField(http::field field) {
+  switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+template <typename Message>
+void EraseHopFields(Message& message) {
+  std::vector<std::string> named;
+  for (const auto& token :
+       http::token_list(message[http::field::connection]))
+    named.emplace_back(token);
+  for (const std::string& name : named)
+    message.erase(name);
+  for (auto field = message.begin(); field != message.end();) {
+    if (IsHopField(field->name()))
+      field = message.erase(field);
+    else
+      ++field;
+  }
+}
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+template <typename Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number value{};
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return value;
+}
+
+std::int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+int OwnStatus(RunState state, bool out_of_time) {
+  if (state == RunState::kNotRun)
+    return kUnavailable;
+  return out_of_time ? kGatewayTimeout : kBadGateway;
+}
+
+Exchange::Exchange(EntryTraffic& traffic,
+                   std::shared_ptr<CallerConnection> caller,
+                   HttpRequest request,
+                   std::uint64_t number)
+    : traffic_(traffic),
+      caller_(std::move(caller)),
+      request_(std::move(request)),
+      number_(number),
+      arrived_(BootNow()),
+      id_(View(request_[platform::kRequestIdHeader])),
+      routes_(traffic.view_.routes) {}
+
+void Exchange::Start() {
+  caller_->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  due_ = arrived_ + std::chrono::seconds(1);
+  if (!routes_)
+    return FinishOwn(kUnavailable, "no-desired-state", kRetryAfterMoving);
+  route_ = routes_->Find(View(request_[http::field::host]),
+                         View(request_.target()));
+  if (!route_)
+    return FinishOwn(kNotFound, "no-route", std::nullopt);
+  Duration limit = route_->time_limit;
+  const auto left =
+      ParseNumber<std::int64_t>(View(request_[platform::kTimeLeftHeader]));
+  if (left)
+    limit = std::min<Duration>(limit, std::chrono::milliseconds(*left));
+  due_ = arrived_ + limit;
+  service_ = traffic_.spreads_[route_->name].Next(route_->services);
+  const TargetService* service = routes_->FindService(service_);
+  keyed_ = service && service->keyed;
+  if (keyed_) {
+    const auto key =
+        ParseNumber<ShardKey>(View(request_[platform::kShardKeyHeader]));
+    if (!key)
+      return FinishOwn(kBadRequest, "no-key", std::nullopt);
+    key_ = *key;
+    traffic_.heat_[service_].Add(key_, traffic_.TypicalTime(service_));
+  }
+  traffic_.BudgetOf(service_).OnRequest(arrived_);
+  wait_ends_ = arrived_ + std::min(kLongestWait,
+                                   Scaled(route_->latency_objective,
+                                          kWaitShare));
+  if (!TrySend())
+    GoWaiting();
+}
+
+bool Exchange::TrySend() {
+  if (ended_)
+    return true;
+  const Instant now = BootNow();
+  if (not_before_ && now < *not_before_)
+    return false;
+  TargetLink* link = nullptr;
+  if (keyed_) {
+    const auto table = traffic_.view_.tables.find(service_);
+    const RangeEntry* entry =
+        table == traffic_.view_.tables.end() ? nullptr
+                                             : table->second.Find(key_);
+    if (!entry || entry->phase != RangePhase::kSettled)
+      return false;
+    link = traffic_.LinkTo(entry->owner.id);
+    if (link &&
+        link->load().in_flight() >=
+            link->load().Limit(link->entry().slots,
+                               traffic_.SharersOf(link->entry(), true)))
+      return false;
+  } else {
+    link = traffic_.PickShared(service_, route_->bulk, tried_);
+  }
+  if (!link)
+    return false;
+  waiting_ = false;
+  Send(link);
+  return true;
+}
+
+void Exchange::GoWaiting() {
+  const Instant now = BootNow();
+  if (now >= wait_ends_ || now >= due_)
+    return Refuse("no-target-free");
+  waiting_ = true;
+  traffic_.Wait(this);
+}
+
+std::shared_ptr<const HttpRequest> Exchange::Outgoing(
+    const TargetLink& link) const {
+  auto out = std::make_shared<HttpRequest>(request_);
+  EraseHopFields(*out);
+  out->version(11);
+  out->set(platform::kTimeLeftHeader,
+           std::to_string(std::max<std::int64_t>(1, Millis(TimeLeft(BootNow())))));
+  out->set(platform::kExpectedTargetHeader, link.entry().life.id.value());
+  if (!out->body().empty() || request_.has_content_length() ||
+      request_.chunked())
+    out->content_length(out->body().size());
+  return out;
+}
+
+void Exchange::Send(TargetLink* link) {
+  const Instant now = BootNow();
+  if (TimeLeft(now) < Scaled(route_->latency_objective, kLeastOffer))
+    return Refuse("no-time-left");
+  ++sends_;
+  ++runs_;
+  attempt_.emplace();
+  Attempt& attempt = *attempt_;
+  attempt.link = link;
+  attempt.target = link->entry().life.id;
+  attempt.sent = now;
+  attempt.connection = link->Acquire(now);
+  attempt.reused = attempt.connection->used();
+  const Duration usual =
+      std::max(link->load().latency().value_or(Duration{0}),
+               traffic_.TypicalTime(service_));
+  attempt.patience_ends =
+      now + std::max(kLeastPatience, Scaled(usual, kPatienceFactor));
+  link->load().OnSent();
+  const auto self = shared_from_this();
+  AnswerObserver observer;
+  observer.on_head = [self](const AnswerHead& head) {
+    const std::string_view echoed = View(head[platform::kRequestIdHeader]);
+    const bool refused = head.count(platform::kNotRunHeader) > 0;
+    if (echoed != self->id_ && !(echoed.empty() && refused))
+      return false;
+    self->OnHead(head);
+    return true;
+  };
+  observer.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
+  observer.on_end = [self] { self->OnEnd(); };
+  observer.on_broken = [self](BreakPoint point, const std::string& why) {
+    self->OnBroken(point, why);
+  };
+  attempt.connection->Send(Outgoing(*link), std::move(observer));
+}
+
+void Exchange::OnHead(const AnswerHead& head) {
+  if (!attempt_)
+    return;
+  attempt_->head = head;
+  attempt_->head_seen = true;
+}
+
+AnswerHead Exchange::CallerHead() const {
+  AnswerHead head = attempt_->head;
+  EraseHopFields(head);
+  return head;
+}
+
+void Exchange::OnBody(std::string_view bytes) {
+  if (!attempt_)
+    return;
+  Attempt& attempt = *attempt_;
+  if (attempt.streaming) {
+    caller_->SendBody(std::string(bytes), false);
+    if (caller_->unsent() > kMaxUnsentBytes)
+      attempt.connection->Pause();
+    return;
+  }
+  attempt.body += bytes;
+  // Only an answer of known or marked length can be cut visibly.
+  const bool framed = attempt.head.count(http::field::content_length) > 0 ||
+                      attempt.head.count(http::field::transfer_encoding) > 0;
+  const bool success = attempt.head.result_int() < kFirstFailure;
+  if (attempt.body.size() <= kHeldBytes || !framed || !success ||
+      attempt.head.count(platform::kNotRunHeader) > 0)
+    return;
+  attempt.streaming = true;
+  const std::weak_ptr<TargetConnection> connection = attempt.connection;
+  caller_->BeginAnswer(CallerHead(), [connection] {
+    if (const auto paused = connection.lock())
+      paused->Resume();
+  });
+  caller_->SendBody(std::move(attempt.body), false);
+}
+
+void Exchange::OnEnd() {
+  if (!attempt_)
+    return;
+  const int status = static_cast<int>(attempt_->head.result_int());
+  if (attempt_->head.count(platform::kNotRunHeader) > 0)
+    return OnRejected(status);
+  const bool failed = status >= kFirstFailure;
+  if (failed && !attempt_->streaming && MayRetry() &&
+      traffic_.BudgetOf(service_).TryRetry(BootNow(), traffic_.Routers())) {
+    tried_.insert(attempt_->target);
+    EndAttempt(AttemptKind::kFailed);
+    if (!TrySend())
+      GoWaiting();
+    return;
+  }
+  Forward();
+}
+
+void Exchange::Forward() {
+  const int status = static_cast<int>(attempt_->head.result_int());
+  if (attempt_->streaming) {
+    caller_->SendBody({}, true);
+  } else {
+    HttpResponse answer;
+    answer.base() = CallerHead();
+    answer.version(11);
+    answer.body() = std::move(attempt_->body);
+    if (request_.method() != http::verb::head)
+      answer.erase(http::field::content_length);
+    caller_->Reply(std::move(answer));
+  }
+  EndAttempt(status >= kFirstFailure ? AttemptKind::kFailed
+                                     : AttemptKind::kAnswered);
+  Finish("answered", status, "");
+}
+
+void Exchange::OnRejected(int status) {
+  --runs_;
+  const bool misdirected = status == kMisdirected;
+  if (!keyed_)
+    tried_.insert(attempt_->target);
+  EndAttempt(misdirected && !keyed_ ? AttemptKind::kBroken
+                                    : AttemptKind::kRefused);
+  if (keyed_)
+    not_before_ = BootNow() + kAskAgain;
+  if (!traffic_.BudgetOf(service_).TryRetry(BootNow(), traffic_.Routers()))
+    return Refuse("rejected-by-target");
+  if (!TrySend())
+    GoWaiting();
+}
+
+bool Exchange::MayRetry() const {
+  return route_->idempotent && runs_ < route_->attempts;
+}
+
+void Exchange::RetryOr(const std::string& reason) {
+  if ((run_ == RunState::kNotRun || MayRetry()) && BootNow() < due_ &&
+      traffic_.BudgetOf(service_).TryRetry(BootNow(), traffic_.Routers())) {
+    if (!TrySend())
+      GoWaiting();
+    return;
+  }
+  Refuse(reason);
+}
+
+void Exchange::OnBroken(BreakPoint point, const std::string& why) {
+  if (!attempt_)
+    return;
+  if (attempt_->streaming) {
+    EndAttempt(AttemptKind::kBroken);
+    caller_->Abort();
+    return Finish("cut", 0, why);
+  }
+  if (!keyed_)
+    tried_.insert(attempt_->target);
+  if (point == BreakPoint::kNotSent) {
+    --runs_;
+  } else {
+    run_ = RunState::kUnknown;
+  }
+  EndAttempt(AttemptKind::kBroken);
+  if (keyed_ && point == BreakPoint::kNotSent)
+    not_before_ = BootNow() + kAskAgain;
+  RetryOr(point == BreakPoint::kAnswerCut ? "answer-cut: " + why
+                                          : "target-broke: " + why);
+}
+
+void Exchange::OnCallerGone() {
+  if (ended_)
+    return;
+  if (attempt_) {
+    const auto connection = attempt_->connection;
+    EndAttempt(AttemptKind::kAbandoned);
+    connection->Abandon();
+  }
+  Finish("caller-left", 0, "");
+}
+
+void Exchange::EndAttempt(AttemptKind kind) {
+  const Instant now = BootNow();
+  const Duration took = now - attempt_->sent;
+  // The link may have been dropped meanwhile.
+  TargetLink* link = traffic_.LinkTo(attempt_->target);
+  if (link && link == attempt_->link)
+    link->load().OnDone(now, kind, took);
+  if (kind == AttemptKind::kAnswered) {
+    double& typical = traffic_.typical_us_[service_];
+    constexpr double kWeight = 0.03;
+    const auto sample = static_cast<double>(took.count());
+    typical = typical == 0 ? sample : typical + kWeight * (sample - typical);
+  }
+  if (kind != AttemptKind::kAnswered && kind != AttemptKind::kAbandoned) {
+    static const char* const kNames[] = {"answered", "failed",    "refused",
+                                         "broken",   "timed-out", "abandoned"};
+    traffic_.log_.Write(
+        LogLevel::kInfo, "attempt-failed",
+        {{"id", id_},
+         {"target", attempt_->target.value()},
+         {"how", kNames[static_cast<int>(kind)]},
+         {"status", std::to_string(attempt_->head_seen
+                                       ? attempt_->head.result_int()
+                                       : 0)},
+         {"took_us", std::to_string(took.count())},
+         {"reused", attempt_->reused ? "yes" : "no"}});
+  }
+  attempt_.reset();
+}
+
+void Exchange::Tick(Instant now) {
+  if (ended_)
+    return;
+  const auto self = shared_from_this();
+  if (now >= due_) {
+    bool streaming = false;
+    if (attempt_) {
+      run_ = RunState::kUnknown;
+      streaming = attempt_->streaming;
+      const auto connection = attempt_->connection;
+      EndAttempt(AttemptKind::kTimedOut);
+      connection->Abandon();
+    }
+    if (streaming) {
+      caller_->Abort();
+      return Finish("cut", 0, "out-of-time");
+    }
+    return FinishOwn(OwnStatus(run_, true), "out-of-time", std::nullopt);
+  }
+  if (waiting_) {
+    if (now >= wait_ends_)
+      Refuse("no-target-free");
+    return;
+  }
+  if (attempt_ && !attempt_->streaming && now >= attempt_->patience_ends &&
+      MayRetry() && TimeLeft(now) > traffic_.TypicalTime(service_) &&
+      traffic_.BudgetOf(service_).TryRetry(now, traffic_.Routers())) {
+    if (!keyed_)
+      tried_.insert(attempt_->target);
+    run_ = RunState::kUnknown;
+    const auto connection = attempt_->connection;
+    EndAttempt(AttemptKind::kTimedOut);
+    connection->Abandon();
+    if (!TrySend())
+      GoWaiting();
+  }
+}
+
+void Exchange::Refuse(const std::string& reason) {
+  const Duration wait =
+      reason == "no-target-free" && keyed_ ? kRetryAfterMoving
+                                           : kRetryAfterFull;
+  FinishOwn(OwnStatus(run_, false), reason, wait);
+}
+
+void Exchange::FinishOwn(int status,
+                         const std::string& reason,
+                         std::optional<Duration> retry_after) {
+  if (ended_)
+    return;
+  HttpResponse answer;
+  answer.result(static_cast<unsigned>(status));
+  answer.version(11);
+  if (!id_.empty())
+    answer.set(platform::kRequestIdHeader, id_);
+  if (status == kUnavailable && retry_after) {
+    const Duration longest = Scaled(TimeLeft(BootNow()), kRetryAfterShare);
+    const Duration wait =
+        std::max(Duration{0}, std::min(*retry_after, longest));
+    answer.set(http::field::retry_after,
+               fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1e6));
+  }
+  answer.set("Figstall-Reason", reason);
+  const auto caller = caller_;
+  Finish(run_ == RunState::kNotRun ? "not-run" : "unknown", status, reason);
+  caller->Reply(std::move(answer));
+}
+
+void Exchange::Finish(const std::string& outcome,
+                      int status,
+                      const std::string& reason) {
+  if (ended_)
+    return;
+  ended_ = true;
+  waiting_ = false;
+  caller_->OnGone(nullptr);
+  const Duration took = BootNow() - arrived_;
+  const std::string labels = fmt::format(
+      "route=\"{}\",outcome=\"{}\",reason=\"{}\"",
+      route_ ? (route_->bulk ? "bulk" : route_->idempotent ? "safe" : "once")
+             : "none",
+      outcome, reason.substr(0, reason.find(':')));
+  ++traffic_.metrics_.Counter("figstall_requests_total", labels);
+  traffic_.metrics_.Latency("figstall_request_seconds", "").Record(took);
+  if (outcome != "answered" || status >= kFirstFailure ||
+      number_ % kLogSample == 0) {
+    traffic_.log_.Write(
+        LogLevel::kInfo, "request",
+        {{"id", id_},
+         {"route", route_ ? std::string_view(route_->name) : ""},
+         {"version",
+          std::to_string(routes_ ? routes_->state().version : 0)},
+         {"service", service_.value()},
+         {"key", keyed_ ? std::to_string(key_) : ""},
+         {"outcome", outcome},
+         {"status", std::to_string(status)},
+         {"reason", reason},
+         {"sends", std::to_string(sends_)},
+         {"left_ms", std::to_string(Millis(TimeLeft(BootNow())))},
+         {"took_us", std::to_string(took.count())}});
+  }
+  traffic_.Retire(this);
+}
+
+}  // namespace figstall
--- a/src/load_main.cc
+++ b/src/load_main.cc
@@ -105,13 +105,13 @@
   explicit LoadRun(LoadOptions options)
       : options_(std::move(options)),
         keys_(options_.keys, options_.skew),
-        ends_at_(SteadyNow() + options_.time_limit) {
+        ends_at_(BootNow() + options_.time_limit) {
     if (!options_.report.empty())
       report_.open(options_.report);
   }
 
   json Run() {
-    const Instant begin = SteadyNow();
+    const Instant begin = BootNow();
     std::vector<std::thread> callers;
     std::vector<std::vector<Sample>> samples(options_.connections);
     callers.reserve(samples.size());
@@ -122,14 +122,14 @@
     std::vector<Sample> all;
     for (const auto& part : samples)
       all.insert(all.end(), part.begin(), part.end());
-    return Summarize(all, SteadyNow() - begin);
+    return Summarize(all, BootNow() - begin);
   }
 
  private:
   void Call(int caller, std::vector<Sample>& samples) {
     HttpClient client(options_.routers.size());
     boost::random::mt19937_64 generator(options_.seed * 7919 + caller);
-    while (SteadyNow() < ends_at_) {
+    while (BootNow() < ends_at_) {
       const std::int64_t number = started_++;
       if (number >= options_.requests)
         return;
@@ -147,7 +147,7 @@
     const std::string token = fmt::format("r{}-{}", options_.seed, number);
     boost::random::uniform_int_distribution<std::size_t> pick(
         0, options_.routers.size() - 1);
-    const Instant begin = SteadyNow();
+    const Instant begin = BootNow();
     const bool once = options_.method == "POST";
     std::string id;
     if (once && !options_.direct)
@@ -165,7 +165,7 @@
       if (outcome == "answered")
         break;
     }
-    const Instant end = SteadyNow();
+    const Instant end = BootNow();
     line["key"] = key;
     line["token"] = token;
     line["method"] = options_.method;
--- a/src/log.cc
+++ b/src/log.cc
@@ -71,10 +71,14 @@
   return std::nullopt;
 }
 
-Log::Log(std::string process, LogLevel level, LogFormat format)
+Log::Log(std::string process,
+         LogLevel level,
+         LogFormat format,
+         std::FILE* stream)
     : process_(std::move(process)),
       level_(level),
       format_(format),
+      stream_(stream),
       lines_(kRingLines),
       writer_([this] { Run(); }) {}
 
@@ -111,7 +115,8 @@
   for (;;) {
     const auto line = lines_.Pop(kIdleWait);
     if (line) {
-      fmt::print(stderr, "{}", *line);
+      std::fwrite(line->data(), 1, line->size(), stream_);
+      std::fflush(stream_);
     } else if (lines_.closed()) {
       return;
     }
--- /dev/null
+++ b/src/range_granter.cc
@@ -0,0 +1,117 @@
+// Implements the choice of grants to send.
+#include "figstall/range_granter.h"
+
+namespace figstall {
+
+RangeGranter::RangeGranter(GrantTiming timing, GranterTiming granter)
+    : timing_(timing), granter_(granter) {}
+
+bool RangeGranter::OnTable(const ServiceId& service, const RangeTable& table) {
+  RangeTable& known = tables_[service];
+  if (table.last_fence < known.last_fence)
+    return false;
+  known = table;
+  // Times of entries that are gone are of no use.
+  std::erase_if(next_, [&](const auto& item) {
+    const auto& [key, at] = item;
+    if (std::get<0>(key) != service)
+      return false;
+    const RangeEntry* entry = known.Find(std::get<1>(key));
+    return !entry || entry->range.first != std::get<1>(key) ||
+           entry->fence != std::get<2>(key);
+  });
+  return true;
+}
+
+void RangeGranter::Clear() {
+  tables_.clear();
+  next_.clear();
+}
+
+bool RangeGranter::IsDue(Instant now,
+                         const TargetDirectory& directory,
+                         const ServiceId& service,
+                         const RangeEntry& entry) const {
+  if (entry.phase != RangePhase::kSettled)
+    return false;
+  const auto known = directory.find(entry.owner.id);
+  // An owner that left the directory goes on being granted: only a moving entry
+  // ends that, so that a store that forgets targets lapses nothing.
+  if (known != directory.end() && known->second.life != entry.owner)
+    return false;
+  const auto owner = owners_.find(entry.owner.id);
+  if (owner != owners_.end() && owner->second.doubted_until &&
+      now < *owner->second.doubted_until)
+    return false;
+  const auto next = next_.find({service, entry.range.first, entry.fence});
+  return next == next_.end() || now >= next->second;
+}
+
+GrantOrder RangeGranter::Order(Instant now,
+                               const ServiceId& service,
+                               const RangeEntry& entry) {
+  next_[{service, entry.range.first, entry.fence}] =
+      now + granter_.renew_interval;
+  return {service,     entry.range,  entry.owner,   entry.address,
+          entry.fence, timing_.hold, entry.handover};
+}
+
+bool RangeGranter::MaySend(Instant now, const GrantOrder& order) {
+  const auto table = tables_.find(order.service);
+  if (table == tables_.end())
+    return false;
+  const RangeEntry* entry = table->second.Find(order.range.first);
+  if (!entry || entry->range != order.range || entry->fence != order.fence ||
+      entry->owner != order.owner || entry->phase != RangePhase::kSettled)
+    return false;
+  OwnerState& owner = owners_[order.owner.id];
+  ++owner.in_flight;
+  owner.last_sent = now;
+  return true;
+}
+
+void RangeGranter::OnOutcome(Instant now,
+                             const GrantOrder& order,
+                             GrantOutcome outcome) {
+  OwnerState& owner = owners_[order.owner.id];
+  if (outcome != GrantOutcome::kNotSent) {
+    owner.last_sent = now;
+    if (owner.in_flight > 0)
+      --owner.in_flight;
+  }
+  const std::tuple key(order.service, order.range.first, order.fence);
+  switch (outcome) {
+    case GrantOutcome::kGranted:
+    case GrantOutcome::kRefused:
+      break;
+    case GrantOutcome::kNotThere:
+    case GrantOutcome::kUnknown:
+    case GrantOutcome::kNotSent:
+      if (next_.contains(key))
+        next_[key] = now + granter_.retry_interval;
+      owner.doubted_until = now + granter_.doubt;
+      break;
+  }
+}
+
+void RangeGranter::Doubt(Instant now, const TargetId& owner) {
+  owners_[owner].doubted_until = now + granter_.doubt;
+}
+
+std::map<TargetId, Instant> RangeGranter::LastSent(Instant now) const {
+  std::map<TargetId, Instant> sent;
+  for (const auto& [id, owner] : owners_) {
+    if (owner.in_flight > 0)
+      sent[id] = now;
+    else if (owner.last_sent && now < *owner.last_sent + timing_.LongestHold())
+      sent[id] = *owner.last_sent;
+  }
+  return sent;
+}
+
+std::uint64_t RangeGranter::SeenFence(const ServiceId& service) const {
+  const auto found = tables_.find(service);
+  return found == tables_.end() ? 0 : found->second.last_fence;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/range_mover.cc
@@ -0,0 +1,363 @@
+// Implements the moves of key ranges.
+#include "figstall/range_mover.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+
+namespace figstall {
+namespace {
+
+// Load of a range by the mover's sample, with a floor that stands for traffic
+// that the sample missed.
+double LoadOf(const KeyRange& range, const RangeLoad* load) {
+  const double floor = static_cast<double>(range.size()) / kShardKeys;
+  if (!load || load->parts.empty())
+    return floor;
+  const double part_size =
+      static_cast<double>(kShardKeys) / static_cast<double>(load->parts.size());
+  double sum = 0;
+  for (std::size_t part = static_cast<std::size_t>(range.first / part_size);
+       part < load->parts.size() &&
+       static_cast<double>(part) * part_size <= range.last;
+       ++part) {
+    const double begin = static_cast<double>(part) * part_size;
+    const double overlap =
+        std::min<double>(range.last + 1.0, begin + part_size) -
+        std::max<double>(range.first, begin);
+    sum += load->parts[part] * std::max(0.0, overlap) / part_size;
+  }
+  const double total =
+      std::accumulate(load->parts.begin(), load->parts.end(), 0.0);
+  return sum + floor * 0.02 * total;
+}
+
+double CapacityOf(const TargetEntry& target, const MoverView& view) {
+  if (view.capacity) {
+    const auto known = view.capacity->find(target.life.id);
+    if (known != view.capacity->end())
+      return known->second;
+  }
+  return std::max<std::uint32_t>(1, target.slots);
+}
+
+struct Share {
+  const TargetEntry* target = nullptr;
+  double load = 0;
+  double capacity = 1;
+
+  double pressure() const { return load / capacity; }
+};
+
+std::map<TargetId, Share> SharesOf(
+    const RangeTable& table,
+    const std::vector<const TargetEntry*>& usable,
+    const MoverView& view) {
+  std::map<TargetId, Share> shares;
+  for (const TargetEntry* target : usable)
+    shares[target->life.id] = {target, 0, CapacityOf(*target, view)};
+  for (const RangeEntry& entry : table.entries) {
+    const auto share = shares.find(entry.owner.id);
+    if (share != shares.end() && entry.phase == RangePhase::kSettled)
+      share->second.load += LoadOf(entry.range, view.load);
+  }
+  return shares;
+}
+
+Share* LeastPressed(std::map<TargetId, Share>& shares, double extra) {
+  Share* best = nullptr;
+  double best_pressure = std::numeric_limits<double>::infinity();
+  for (auto& [id, share] : shares) {
+    const double pressure = (share.load + extra) / share.capacity;
+    if (pressure < best_pressure) {
+      best = &share;
+      best_pressure = pressure;
+    }
+  }
+  return best;
+}
+
+void SetOwner(RangeEntry& entry, const TargetEntry& owner) {
+  entry.owner = owner.life;
+  entry.address = owner.address;
+  entry.zone = owner.zone;
+}
+
+}  // namespace
+
+RangeMover::RangeMover(ServiceId service,
+                       GrantTiming timing,
+                       MoverLimits limits)
+    : service_(std::move(service)), timing_(timing), limits_(limits) {}
+
+void RangeMover::OnTable(const RangeTable& table, Instant now) {
+  table_ = table;
+  std::map<std::pair<ShardKey, std::uint64_t>, Progress> kept;
+  for (const RangeEntry& entry : table_.entries) {
+    if (entry.phase == RangePhase::kSettled)
+      continue;
+    const std::pair key(entry.range.first, entry.fence);
+    const auto known = progress_.find(key);
+    kept[key] = known == progress_.end() ? Progress{now, false, {}}
+                                         : known->second;
+  }
+  progress_ = std::move(kept);
+}
+
+void RangeMover::OnReleased(const ReleaseOrder& order,
+                            const std::string& handover) {
+  const auto found = progress_.find({order.range.first, order.fence});
+  if (found == progress_.end())
+    return;
+  found->second.released = true;
+  found->second.handover = handover;
+}
+
+std::vector<const TargetEntry*> RangeMover::Usable(
+    const MoverView& view) const {
+  std::vector<const TargetEntry*> usable;
+  for (const auto& [id, target] : *view.directory) {
+    if (target.service == service_ && !target.leaving)
+      usable.push_back(&target);
+  }
+  return usable;
+}
+
+RangeTable RangeMover::FirstAssignment(
+    const std::vector<const TargetEntry*>& usable,
+    const MoverView& view) const {
+  RangeTable first;
+  first.last_fence = 1;
+  double total = 0;
+  for (const TargetEntry* target : usable)
+    total += CapacityOf(*target, view);
+  double sum = 0;
+  std::uint32_t begin = 0;
+  for (const TargetEntry* target : usable) {
+    sum += CapacityOf(*target, view);
+    const auto end = target == usable.back()
+                         ? kShardKeys
+                         : static_cast<std::uint32_t>(
+                               std::lround(kShardKeys * sum / total));
+    if (end <= begin)
+      continue;
+    RangeEntry entry;
+    entry.range = {static_cast<ShardKey>(begin),
+                   static_cast<ShardKey>(end - 1)};
+    SetOwner(entry, *target);
+    entry.fence = 1;
+    first.entries.push_back(std::move(entry));
+    begin = end;
+  }
+  return first;
+}
+
+bool RangeMover::MayLeave(const RangeEntry& entry, const MoverView& view) {
+  const auto known = view.directory->find(entry.owner.id);
+  if (known == view.directory->end()) {
+    const auto since =
+        missing_since_.try_emplace(entry.owner.id, view.now).first->second;
+    return view.now - since >= limits_.absence;
+  }
+  missing_since_.erase(entry.owner.id);
+  return known->second.leaving || known->second.life != entry.owner;
+}
+
+bool RangeMover::StartMoves(RangeTable& next, const MoverView& view) {
+  bool changed = false;
+  for (RangeEntry& entry : next.entries) {
+    if (entry.phase != RangePhase::kSettled || !MayLeave(entry, view))
+      continue;
+    if (!changed)
+      ++next.last_fence;
+    changed = true;
+    entry.phase = RangePhase::kMoving;
+    entry.fence = next.last_fence;
+    entry.handover.clear();
+  }
+  return changed;
+}
+
+bool RangeMover::AskMembers(RangeTable& next, const MoverView& view) const {
+  bool changed = false;
+  for (RangeEntry& entry : next.entries) {
+    if (entry.phase != RangePhase::kMoving)
+      continue;
+    const auto progress = progress_.find({entry.range.first, entry.fence});
+    if (progress == progress_.end() || progress->second.released ||
+        view.now - progress->second.since < timing_.release_patience)
+      continue;
+    entry.phase = RangePhase::kAwaitingMembers;
+    changed = true;
+  }
+  return changed;
+}
+
+bool RangeMover::IsFree(const RangeEntry& entry, const MoverView& view) const {
+  const auto progress = progress_.find({entry.range.first, entry.fence});
+  if (progress == progress_.end())
+    return false;
+  if (progress->second.released)
+    return true;
+  if (entry.phase != RangePhase::kAwaitingMembers || !view.members_current)
+    return false;
+  // Members that are not listed any more sent nothing after they departed.
+  if (view.now < view.last_departure + timing_.LongestHold())
+    return false;
+  for (const auto& [vm, member] : *view.members) {
+    const auto seen = member.seen_fence.find(service_);
+    if (seen == member.seen_fence.end() || seen->second < entry.fence)
+      return false;
+    const auto sent = member.last_sent.find(entry.owner.id);
+    if (sent != member.last_sent.end() &&
+        view.now < sent->second + timing_.LongestHold())
+      return false;
+  }
+  return true;
+}
+
+bool RangeMover::Settle(RangeTable& next, const MoverView& view) const {
+  const auto usable = Usable(view);
+  if (usable.empty())
+    return false;
+  auto shares = SharesOf(next, usable, view);
+  bool changed = false;
+  for (RangeEntry& entry : next.entries) {
+    if (entry.phase == RangePhase::kSettled || !IsFree(entry, view))
+      continue;
+    const double load = LoadOf(entry.range, view.load);
+    Share* share = LeastPressed(shares, load);
+    const auto wanted = wanted_owner_.find(entry.range.first);
+    if (wanted != wanted_owner_.end() && shares.contains(wanted->second))
+      share = &shares.at(wanted->second);
+    SetOwner(entry, *share->target);
+    share->load += load;
+    entry.phase = RangePhase::kSettled;
+    entry.handover =
+        progress_.at({entry.range.first, entry.fence}).handover;
+    changed = true;
+  }
+  return changed;
+}
+
+bool RangeMover::Balance(RangeTable& next, const MoverView& view) {
+  if (!view.load || view.load->parts.empty())
+    return false;
+  if (!progress_.empty() ||
+      (balanced_at_ && view.now - *balanced_at_ < limits_.balance_interval))
+    return false;
+  const auto usable = Usable(view);
+  if (usable.size() < 2)
+    return false;
+  auto shares = SharesOf(next, usable, view);
+  double load = 0;
+  double capacity = 0;
+  for (const auto& [id, share] : shares) {
+    load += share.load;
+    capacity += share.capacity;
+  }
+  const double fair = load / capacity;
+  Share* donor = nullptr;
+  for (auto& [id, share] : shares) {
+    if (!donor || share.pressure() > donor->pressure())
+      donor = &share;
+  }
+  Share* receiver = LeastPressed(shares, 0);
+  const bool idle_receiver = receiver->load < 0.05 * fair * receiver->capacity;
+  if (!idle_receiver && (donor->pressure() < fair * limits_.overload ||
+                         donor->pressure() < limits_.busy))
+    return false;
+  // What brings both to the same pressure.
+  const double wanted =
+      (donor->load * receiver->capacity - receiver->load * donor->capacity) /
+      (donor->capacity + receiver->capacity);
+  // The donor's range with the most load gives its cooler end, up to `wanted`.
+  const RangeEntry* from = nullptr;
+  double from_load = 0;
+  for (const RangeEntry& entry : next.entries) {
+    if (entry.owner.id != donor->target->life.id ||
+        entry.phase != RangePhase::kSettled)
+      continue;
+    const double each = LoadOf(entry.range, view.load);
+    if (!from || each > from_load) {
+      from = &entry;
+      from_load = each;
+    }
+  }
+  if (!from || from->range.size() < 2)
+    return false;
+  const std::uint32_t step =
+      std::max<std::uint32_t>(1, kShardKeys / static_cast<std::uint32_t>(
+                                                  view.load->parts.size()));
+  const KeyRange whole = from->range;
+  // The longest run of parts from either end that fits.
+  KeyRange best{};
+  double best_load = 0;
+  const auto try_cut = [&](std::uint32_t first, std::uint32_t last) {
+    const KeyRange piece{static_cast<ShardKey>(first),
+                         static_cast<ShardKey>(last)};
+    const double each = LoadOf(piece, view.load);
+    if (each <= wanted * 1.1 && each > best_load) {
+      best = piece;
+      best_load = each;
+    }
+  };
+  for (std::uint32_t cut = whole.first + step; cut <= whole.last; cut += step) {
+    try_cut(cut, whole.last);
+    try_cut(whole.first, cut - 1);
+  }
+  if (best_load <= 0.15 * wanted || best_load <= 0)
+    return false;
+  SplitAt(next, best.first);
+  SplitAt(next, std::uint32_t{best.last} + 1);
+  ++next.last_fence;
+  for (RangeEntry& entry : next.entries) {
+    if (entry.range.first < best.first || entry.range.last > best.last)
+      continue;
+    entry.phase = RangePhase::kMoving;
+    entry.fence = next.last_fence;
+    entry.handover.clear();
+    wanted_owner_[entry.range.first] = receiver->target->life.id;
+  }
+  balanced_at_ = view.now;
+  return true;
+}
+
+std::optional<RangeTable> RangeMover::Plan(const MoverView& view) {
+  const auto usable = Usable(view);
+  if (table_.entries.empty()) {
+    if (usable.empty())
+      return std::nullopt;
+    return FirstAssignment(usable, view);
+  }
+  RangeTable next = table_;
+  bool changed = Settle(next, view);
+  if (!usable.empty())
+    changed = StartMoves(next, view) || changed;
+  changed = AskMembers(next, view) || changed;
+  if (!changed) {
+    if (progress_.empty())
+      wanted_owner_.clear();
+    changed = Balance(next, view);
+  }
+  if (!changed)
+    return std::nullopt;
+  JoinNeighbours(next);
+  return next;
+}
+
+std::vector<ReleaseOrder> RangeMover::OwedReleases() const {
+  std::vector<ReleaseOrder> owed;
+  for (const RangeEntry& entry : table_.entries) {
+    if (entry.phase == RangePhase::kSettled)
+      continue;
+    const auto progress = progress_.find({entry.range.first, entry.fence});
+    if (progress != progress_.end() && progress->second.released)
+      continue;
+    owed.push_back({entry.range, entry.owner, entry.address, entry.fence});
+  }
+  return owed;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/range_table.cc
@@ -0,0 +1,126 @@
+// Implements the table of key ranges and its form in the store.
+#include "figstall/range_table.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "figstall/schema_check.h"
+
+namespace figstall {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kSchema = R"json({
+  "type": "object", "required": ["last_fence", "ranges"],
+  "properties": {
+    "last_fence": {"type": "integer", "minimum": 0},
+    "ranges": {"type": "array", "items": {
+      "type": "array", "minItems": 9, "maxItems": 9}}}
+})json";
+
+// Columns of one row.
+enum Column {
+  kFirst,
+  kLast,
+  kOwner,
+  kBorn,
+  kAddress,
+  kZone,
+  kFence,
+  kPhase,
+  kHandover
+};
+
+Result<RangeEntry> DecodeRow(const json& row) {
+  RangeEntry entry;
+  entry.range.first = row.at(kFirst).get<ShardKey>();
+  entry.range.last = row.at(kLast).get<ShardKey>();
+  entry.owner.id = TargetId(row.at(kOwner).get<std::string>());
+  entry.owner.born_ms = row.at(kBorn).get<std::int64_t>();
+  BOOST_LEAF_ASSIGN(entry.address,
+                    ParseEndpoint(row.at(kAddress).get<std::string>()));
+  entry.zone = ZoneId(row.at(kZone).get<std::string>());
+  entry.fence = row.at(kFence).get<std::uint64_t>();
+  entry.phase = static_cast<RangePhase>(row.at(kPhase).get<int>());
+  entry.handover = row.at(kHandover).get<std::string>();
+  return entry;
+}
+
+}  // namespace
+
+const RangeEntry* RangeTable::Find(ShardKey key) const {
+  auto after = std::upper_bound(entries.begin(), entries.end(), key,
+                                [](ShardKey wanted, const RangeEntry& entry) {
+                                  return wanted < entry.range.first;
+                                });
+  if (after == entries.begin())
+    return nullptr;
+  --after;
+  return after->range.Contains(key) ? &*after : nullptr;
+}
+
+std::string EncodeRangeTable(const RangeTable& table) {
+  json rows = json::array();
+  for (const RangeEntry& entry : table.entries) {
+    rows.push_back({entry.range.first, entry.range.last,
+                    entry.owner.id.value(), entry.owner.born_ms,
+                    entry.address.ToString(), entry.zone.value(), entry.fence,
+                    static_cast<int>(entry.phase), entry.handover});
+  }
+  return json{{"last_fence", table.last_fence}, {"ranges", rows}}.dump();
+}
+
+Result<RangeTable> DecodeRangeTable(const std::string& text,
+                                    const std::string& source) {
+  BOOST_LEAF_AUTO(value, ParseJson(text, source));
+  Findings findings;
+  static const json schema = json::parse(kSchema);
+  if (!CheckSchema(schema, value, source, "", findings))
+    return Fail(ErrorCode::kInvalidInput, "invalid table of key ranges",
+                std::move(findings));
+  RangeTable table;
+  table.last_fence = value.at("last_fence").get<std::uint64_t>();
+  std::uint32_t next = 0;
+  for (const json& row : value.at("ranges")) {
+    BOOST_LEAF_AUTO(entry, DecodeRow(row));
+    if (entry.range.first != next || entry.range.last < entry.range.first)
+      return Fail(ErrorCode::kInvalidInput, "ranges leave gaps or overlap",
+                  {{source, "/ranges", std::to_string(next)}});
+    next = std::uint32_t{entry.range.last} + 1;
+    table.entries.push_back(std::move(entry));
+  }
+  return table;
+}
+
+void SplitAt(RangeTable& table, std::uint32_t cut) {
+  for (auto entry = table.entries.begin(); entry != table.entries.end();
+       ++entry) {
+    if (entry->range.first >= cut || cut > entry->range.last)
+      continue;
+    RangeEntry upper = *entry;
+    upper.range.first = static_cast<ShardKey>(cut);
+    entry->range.last = static_cast<ShardKey>(cut - 1);
+    table.entries.insert(entry + 1, std::move(upper));
+    return;
+  }
+}
+
+void JoinNeighbours(RangeTable& table) {
+  std::vector<RangeEntry> joined;
+  for (RangeEntry& entry : table.entries) {
+    if (!joined.empty()) {
+      RangeEntry& left = joined.back();
+      if (left.phase == RangePhase::kSettled &&
+          entry.phase == RangePhase::kSettled && left.owner == entry.owner &&
+          left.fence == entry.fence && left.handover == entry.handover) {
+        left.range.last = entry.range.last;
+        continue;
+      }
+    }
+    joined.push_back(std::move(entry));
+  }
+  table.entries = std::move(joined);
+}
+
+}  // namespace figstall
--- a/src/router_http.cc
+++ b/src/router_http.cc
@@ -47,13 +47,13 @@
   if (refusing_)
     return RefusalReply(Outcome::kNotRun, Reason::kStopping, {});
   const std::lock_guard lock(once_mutex_);
-  const RequestId id = once_.Issue(SteadyNow());
+  const RequestId id = once_.Issue(BootNow());
   return {
       200, "application/json", {}, json{{"id", id.ToString()}}.dump() + "\n"};
 }
 
 HttpReply RouterNode::OnCallerRequest(const HttpCall& call) {
-  const Instant arrived = SteadyNow();
+  const Instant arrived = BootNow();
   const auto configuration = configuration_.Current();
   if (!configuration)
     return RefusalReply(Outcome::kNotRun, Reason::kNoConfiguration, {});
@@ -105,7 +105,7 @@
     body["why"] = "shared service: any live target may answer";
     return {200, "application/json", {}, body.dump() + "\n"};
   }
-  const RouteDecision decision = routes_.Decide(SteadyNow(), id, partition);
+  const RouteDecision decision = routes_.Decide(BootNow(), id, partition);
   body["home"] = configuration->HomeOf(*service, partition).value();
   switch (decision.kind) {
     case RouteKind::kOwner:
@@ -140,7 +140,7 @@
       continue;
     std::map<std::string, int> owners;
     for (std::uint32_t p = 0; p < service.partitions; ++p) {
-      const RouteDecision decision = routes_.Decide(SteadyNow(), service.id, p);
+      const RouteDecision decision = routes_.Decide(BootNow(), service.id, p);
       if (decision.kind == RouteKind::kOtherZone)
         continue;
       ++owners[routes_.TargetName(decision.target).value()];
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -120,7 +120,7 @@
 RouterHandlers RouterNode::PeerHandlers() {
   RouterHandlers handlers;
   handlers.on_order = [this](const HolderOrder& order) {
-    return routes_.Apply(SteadyNow(), order);
+    return routes_.Apply(BootNow(), order);
   };
   handlers.on_configuration = [this](std::uint64_t revision,
                                      const std::string& text) {
@@ -189,14 +189,14 @@
 // -----------------------------------------------------
 
 Answer RouterNode::Serve(const Request& request, Arrival arrival) {
-  const Instant begin = SteadyNow();
+  const Instant begin = BootNow();
   ++in_flight_;
   // A stopping router still decides about the ids that it has issued.
   const bool refused = refusing_ && arrival != Arrival::kForIssuer;
   Answer answer = refused ? Refuse(request, arrival, Reason::kStopping)
                           : ServeOnce(request, arrival);
   --in_flight_;
-  const Duration took = SteadyNow() - begin;
+  const Duration took = BootNow() - begin;
   LogAnswer(request, arrival, answer, took);
   return answer;
 }
@@ -235,7 +235,7 @@
   OnceDecision decision;
   {
     const std::lock_guard lock(once_mutex_);
-    decision = once_.Begin(SteadyNow(), *request.id, DigestOf(request));
+    decision = once_.Begin(BootNow(), *request.id, DigestOf(request));
   }
   switch (decision.verdict) {
     case OnceVerdict::kRun:
@@ -256,7 +256,7 @@
   }
   Answer answer = RunFlow(request, Arrival::kForIssuer);
   const std::lock_guard lock(once_mutex_);
-  once_.Finish(SteadyNow(), *request.id, answer);
+  once_.Finish(BootNow(), *request.id, answer);
   return answer;
 }
 
@@ -267,7 +267,7 @@
   if (!issuer || issuer->role != VmRole::kEntry)
     return Unknown(Reason::kIssuerLost);
   Answer answer =
-      peers_->Forward(issuer->router, request, /*as_issuer=*/true, SteadyNow());
+      peers_->Forward(issuer->router, request, /*as_issuer=*/true, BootNow());
   if (MayTryOtherRouter(answer))
     return Unknown(Reason::kIssuerLost);
   return answer;
@@ -284,7 +284,7 @@
   });
   for (;;) {
     const Answer attempt = Attempt(request, arrival);
-    const FlowDecision decision = flow.OnAttempt(SteadyNow(), attempt);
+    const FlowDecision decision = flow.OnAttempt(BootNow(), attempt);
     if (decision.verdict == FlowVerdict::kFinish)
       return decision.answer;
     std::this_thread::sleep_until(decision.not_before);
@@ -292,7 +292,7 @@
 }
 
 Answer RouterNode::Attempt(const Request& request, Arrival arrival) {
-  if (SteadyNow() >= request.deadline)
+  if (BootNow() >= request.deadline)
     return NotRun(Reason::kDeadline);
   const auto configuration = configuration_.Current();
   if (!configuration)
@@ -310,7 +310,7 @@
                                 const Configuration& configuration,
                                 Arrival arrival) {
   const std::uint32_t partition = PartitionOf(request.key, service.partitions);
-  RoutedWork work = routes_.BeginWork(SteadyNow(), service.id, partition);
+  RoutedWork work = routes_.BeginWork(BootNow(), service.id, partition);
   if (work.decision.kind == RouteKind::kOtherZone) {
     if (arrival == Arrival::kForTarget)
       return NotRun(Reason::kNoOwner);
@@ -323,7 +323,7 @@
       targets_.Find(routes_.TargetName(work.decision.target));
   if (!link)
     return NotRun(Reason::kNoTarget);
-  if (link->Suspect(SteadyNow()))
+  if (link->Suspect(BootNow()))
     return NotRun(Reason::kNoOwner);
   return SendToTarget(request, link, partition, work.decision.term,
                       std::move(work.guard));
@@ -334,7 +334,7 @@
                                  const Configuration& configuration,
                                  Arrival arrival) {
   const TargetPool::Link link =
-      targets_.PickShared(SteadyNow(), service.id, DrawRandom());
+      targets_.PickShared(BootNow(), service.id, DrawRandom());
   if (link) {
     return SendToTarget(request, link,
                         PartitionOf(request.key, service.partitions), Term{},
@@ -370,7 +370,7 @@
   const bool crosses = configuration.RegionOf(zone) != settings_.region;
   if (crosses) {
     const std::lock_guard lock(budget_mutex_);
-    if (!link_.MayCross(SteadyNow(), request.lane))
+    if (!link_.MayCross(BootNow(), request.lane))
       return NotRun(Reason::kLinkBudget);
   }
   std::vector<const VmRecord*> routers = configuration.EntryVms(zone);
@@ -384,23 +384,23 @@
     const std::lock_guard lock(suspect_mutex_);
     std::erase_if(routers, [&](const VmRecord* vm) {
       const auto suspect = suspect_peers_.find(vm->id);
-      return suspect != suspect_peers_.end() && suspect->second > SteadyNow();
+      return suspect != suspect_peers_.end() && suspect->second > BootNow();
     });
   }
   for (const VmRecord* router : routers) {
-    if (SteadyNow() >= request.deadline)
+    if (BootNow() >= request.deadline)
       return NotRun(Reason::kDeadline);
     Answer answer = peers_->Forward(router->router, request,
-                                    /*as_issuer=*/false, SteadyNow());
+                                    /*as_issuer=*/false, BootNow());
     if (crosses) {
       const std::lock_guard lock(budget_mutex_);
-      link_.Charge(SteadyNow(), kRequestOverheadBytes + request.body.size() +
+      link_.Charge(BootNow(), kRequestOverheadBytes + request.body.size() +
                                     answer.body.size());
     }
     if (!MayTryOtherRouter(answer))
       return answer;
     const std::lock_guard lock(suspect_mutex_);
-    suspect_peers_[router->id] = SteadyNow() + kPeerSuspectFor;
+    suspect_peers_[router->id] = BootNow() + kPeerSuspectFor;
   }
   return NotRun(Reason::kZoneUnreachable);
 }
@@ -413,7 +413,7 @@
   const AdmissionSlot slot(link->gate(), request.lane, request.deadline);
   if (!slot.entered())
     return NotRun(Reason::kOverloaded);
-  const Instant begin = SteadyNow();
+  const Instant begin = BootNow();
   const Duration left = request.deadline - begin;
   if (left <= Duration{0})
     return NotRun(Reason::kDeadline);
@@ -446,12 +446,12 @@
   answer.target = link->id();
   answer.term = term;
   if (answer.reason == Reason::kTargetUnreachable)
-    link->OnUnreachable(SteadyNow());
+    link->OnUnreachable(BootNow());
   if (answer.outcome == Outcome::kAnswered)
-    link->OnAnswer(SteadyNow() - begin);
+    link->OnAnswer(BootNow() - begin);
   if (answer.outcome == Outcome::kUnknown) {
     CancelJob job{link, attempt, std::make_shared<WorkGuard>(std::move(guard)),
-                  SteadyNow()};
+                  BootNow()};
     if (!cancels_.TryPush(job))
       job.guard->Abandon();
   }
@@ -489,7 +489,7 @@
         configuration->FindVm(job->link->id())->state == VmState::kLost;
     if (declared_gone)
       continue;
-    job->next = SteadyNow() + kCancelInterval;
+    job->next = BootNow() + kCancelInterval;
     if (!cancels_.TryPush(*job))
       job->guard->Abandon();
   }
--- a/src/rpc_node.cc
+++ b/src/rpc_node.cc
@@ -73,7 +73,7 @@
 
   kj::Promise<void> forward(ForwardContext context) override {
     const auto params = context.getParams();
-    const Request request = Read(params.getRequest(), SteadyNow());
+    const Request request = Read(params.getRequest(), BootNow());
     auto pair = kj::newPromiseAndCrossThreadFulfiller<Answer>();
     // std::function must be copyable, hence the shared owner.
     auto fulfiller =
--- /dev/null
+++ b/src/shared_retry_budget.cc
@@ -0,0 +1,32 @@
+// Implements the shared retry budget.
+#include "figstall/shared_retry_budget.h"
+
+#include <algorithm>
+
+namespace figstall {
+
+void SharedRetryBudget::Forget(Instant now) {
+  for (std::deque<Instant>* each : {&requests_, &retries_}) {
+    while (!each->empty() && now - each->front() >= allowance_.window)
+      each->pop_front();
+  }
+}
+
+void SharedRetryBudget::OnRequest(Instant now) {
+  Forget(now);
+  requests_.push_back(now);
+}
+
+bool SharedRetryBudget::TryRetry(Instant now, std::uint32_t routers) {
+  Forget(now);
+  const double allowed =
+      allowance_.margin *
+      (allowance_.ratio * static_cast<double>(requests_.size()) +
+       allowance_.slack / std::max<std::uint32_t>(1, routers));
+  if (static_cast<double>(retries_.size()) + 1 > allowed)
+    return false;
+  retries_.push_back(now);
+  return true;
+}
+
+}  // namespace figstall
--- a/src/steward_node.cc
+++ b/src/steward_node.cc
@@ -106,7 +106,7 @@
   Instant last_tick{};
   while (!stopping_) {
     const auto event = events_.Pop(kStepInterval);
-    const Instant now = SteadyNow();
+    const Instant now = BootNow();
     if (event)
       Carry(steward_.Step(now, *event));
     if (now - last_tick < kStepInterval)
@@ -265,7 +265,7 @@
     if (!checks) {
       HolderStatus alive;
       alive.holder = holder;
-      alive.stamp.micros = SteadyNow().time_since_epoch().count();
+      alive.stamp.micros = BootNow().time_since_epoch().count();
       Push(HolderReplied{std::move(alive)});
       return;
     }
--- a/test/fakes/target_standin.cc
+++ b/test/fakes/target_standin.cc
@@ -117,7 +117,7 @@
         [&]() -> Result<HttpReply> {
           BOOST_LEAF_AUTO(order, ParseOrder(call.body));
           const std::lock_guard lock(mutex_);
-          const HolderStatus status = book_.Apply(SteadyNow(), order);
+          const HolderStatus status = book_.Apply(BootNow(), order);
           return HttpReply{
               200, "application/json", {}, SerializeStatus(status)};
         },
@@ -140,7 +140,7 @@
   bool MayServe(const PartitionKey& key, Term term) {
     if (!checks_ || !term.valid())
       return true;
-    const auto row = book_.MayServe(SteadyNow(), key);
+    const auto row = book_.MayServe(BootNow(), key);
     return row && row->term == term;
   }
 
@@ -190,7 +190,7 @@
     // The fence is checked once more where the effect takes place.
     if (!MayServe(run.key, run.term))
       return NotRun("not-owner");
-    run.at_us = SteadyNow().time_since_epoch().count();
+    run.at_us = BootNow().time_since_epoch().count();
     WriteJournal(run);
     if (mode_ == "garbage")
       return {200, "text/plain", {{"Figstall-Attempt", "another"}}, "garbage"};
