--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -4,7 +4,9 @@
 #ifndef FIGSTALL_ENTRY_CONTROL_H_
 #define FIGSTALL_ENTRY_CONTROL_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
@@ -16,10 +18,13 @@
 #include "figstall/entry_settings.h"
 #include "figstall/entry_traffic.h"
 #include "figstall/entry_view.h"
+#include "figstall/load_report.h"
 #include "figstall/log.h"
 #include "figstall/metrics.h"
 #include "figstall/range_granter.h"
 #include "figstall/range_mover.h"
+#include "figstall/store_mirror.h"
+#include "figstall/store_relay.h"
 #include "platform/store_client.h"
 
 namespace figstall {
@@ -38,7 +43,13 @@
   Duration watch_wait = std::chrono::seconds(20);
   // Between two watches, so that changes in quick succession cost one call.
   Duration watch_pause = std::chrono::milliseconds(60);
+  // A region's reader says this often that it is well; one that has not for the
+  // longer time is listened to no more.
+  Duration reader_word = std::chrono::milliseconds(350);
+  Duration reader_silence = std::chrono::milliseconds(900);
   Duration retry = std::chrono::milliseconds(250);
+  // Between two reports of load to the mover.
+  Duration report = std::chrono::milliseconds(300);
   // A target that left the directory is used this long, ...
   Duration absence = std::chrono::milliseconds(200);
   // ... or this long around trouble of the store, which returns entries within
@@ -56,6 +67,7 @@
                Log& log,
                Metrics& metrics);
 
+  // Throws boost::system::system_error if its address cannot be bound.
   void Start();
   void Tick(Instant now);
   // Gives up the membership and the moves; `done` is called when told.
@@ -66,15 +78,15 @@
   using StoreAnswer = platform::StoreAnswer;
   struct MoverState {
     std::unique_ptr<RangeMover> mover;
-    platform::Revision revision = 0;
+    Revision revision = 0;
     // A write of unknown fate is resolved by reading before the next.
     bool writing = false;
     bool reading = false;
     std::set<ReleaseOrder> releasing;
   };
   struct ReadAll {
-    std::map<std::string, platform::StoreItem> items;
-    platform::Revision first_revision = 0;
+    std::vector<StoreItem> items;
+    Revision first_revision = 0;
   };
 
   void Join();
@@ -83,13 +95,19 @@
   void StartReadAll();
   void ReadPage(std::shared_ptr<ReadAll> read, const std::string& after);
   void ApplyAll(const ReadAll& read);
+  // Listens to the region's reader, or watches the store itself.
+  void Follow(Instant now);
+  std::optional<VmId> Reader() const;
   void Watch();
   void OnWatch(const StoreAnswer& answer);
-  void Apply(const platform::StoreItem& item);
-  void ApplyDesiredState(const platform::StoreItem& item);
-  void ApplyTarget(const std::string& id, const platform::StoreItem& item);
-  void ApplyMember(const VmId& vm, const platform::StoreItem& item);
-  void ApplyTable(const ServiceId& service, const platform::StoreItem& item);
+  void OnRelayed(const RelayUpdate& update);
+  // Takes in what is newer than what was known, and tells it on.
+  void Learn(const std::vector<StoreItem>& items, Revision cursor);
+  void Apply(const StoreItem& item);
+  void ApplyDesiredState(const StoreItem& item);
+  void ApplyTarget(const std::string& id, const StoreItem& item);
+  void ApplyMember(const VmId& vm, const StoreItem& item);
+  void ApplyTable(const ServiceId& service, const StoreItem& item);
   void RemoveAbsent(Instant now);
   void NoteStore(const StoreAnswer& answer, const char* call);
 
@@ -104,6 +122,8 @@
   void SendGrants(Instant now);
   bool GrantsHere(const ServiceId& service, const RangeEntry& entry) const;
   void ReportToMover(Instant now);
+  void SendLoad(Instant now);
+  void ReceiveLoad();
   std::shared_ptr<HttpChannel> ChannelTo(const TargetId& owner,
                                          const Endpoint& address);
   void After(Duration delay, std::function<void()> work);
@@ -135,7 +155,13 @@
   bool reporting_ = false;
 
   // What was read of the store, up to `cursor_`.
-  platform::Revision cursor_ = 0;
+  StoreMirror mirror_;
+  Revision cursor_ = 0;
+  bool watching_ = false;
+  Instant watch_at_{};
+  Instant told_at_{};
+  std::unique_ptr<RelaySender> sender_;
+  RelayListener listener_;
   bool reading_ = false;
   bool read_once_ = false;
   std::optional<Instant> trouble_at_;
@@ -146,15 +172,22 @@
 
   // Election of the mover.
   bool mover_key_exists_ = false;
+  VmId mover_vm_;
   bool campaigning_ = false;
   bool keeping_mover_ = false;
   std::optional<Instant> campaign_at_;
   platform::LeaseId mover_lease_ = 0;
-  platform::Revision mover_revision_ = 0;
+  Revision mover_revision_ = 0;
   Instant mover_until_{};
   Instant keep_mover_at_{};
   std::map<ServiceId, MoverState> movers_;
 
+  boost::asio::ip::udp::socket peers_;
+  boost::asio::ip::udp::endpoint peer_from_;
+  std::array<char, 65'536> peer_buffer_;
+  LoadPicture load_;
+  Instant load_at_{};
+
   RangeGranter granter_;
   std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
       channels_;
--- a/include/figstall/entry_settings.h
+++ b/include/figstall/entry_settings.h
@@ -22,6 +22,8 @@
   Endpoint ready;
   // Metrics for operators.
   Endpoint metrics;
+  // Messages of other members, by UDP.
+  Endpoint peers;
   Endpoint store;
   std::map<ZoneId, RegionId> regions;
   LogSettings log;
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -16,6 +16,7 @@
 #include "figstall/caller_connection.h"
 #include "figstall/entry_settings.h"
 #include "figstall/entry_view.h"
+#include "figstall/load_report.h"
 #include "figstall/log.h"
 #include "figstall/metrics.h"
 #include "figstall/shared_retry_budget.h"
@@ -52,22 +53,6 @@
   const std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-// Busy time per second by equal parts of the key space, as a moving average.
-class KeyHeat {
- public:
-  static constexpr std::size_t kParts = 1024;
-
-  void Add(ShardKey key, Duration busy);
-  // To be called once a second or so; older observations fade.
-  void Fade(Instant now);
-  const std::vector<double>& parts() const { return parts_; }
-
- private:
-  std::vector<double> parts_ = std::vector<double>(kParts);
-  std::vector<double> recent_ = std::vector<double>(kParts);
-  std::optional<Instant> faded_at_;
-};
-
 class EntryTraffic {
  public:
   EntryTraffic(boost::asio::io_context& io,
@@ -89,9 +74,8 @@
   // Advances time limits; called every kTickInterval.
   void Tick(Instant now);
 
-  const KeyHeat* heat(const ServiceId& service) const;
-  // Relative capacity of targets, from their slots and measured times.
-  std::map<TargetId, double> Capacities(const ServiceId& service) const;
+  // What this router saw, for the mover.
+  LoadReport MakeLoadReport(const std::string& incarnation) const;
 
  private:
   friend class Exchange;
--- a/include/figstall/entry_view.h
+++ b/include/figstall/entry_view.h
@@ -20,6 +20,8 @@
 struct EntryMember {
   VmId vm;
   ZoneId zone;
+  // Where it takes messages of other members.
+  Endpoint peers;
   // Distinguishes runs of the process on one VM.
   std::string incarnation;
 
--- /dev/null
+++ b/include/figstall/load_report.h
@@ -0,0 +1,90 @@
+// What members tell the elected mover about load: where in the key space it
+// falls, and how fast targets answer. Hints for the balance; nothing that must
+// hold rests on them.
+#ifndef FIGSTALL_LOAD_REPORT_H_
+#define FIGSTALL_LOAD_REPORT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "figstall/error.h"
+#include "figstall/range_table.h"
+#include "figstall/target_entry.h"
+#include "figstall/types.h"
+
+namespace figstall {
+
+inline constexpr std::size_t kHeatParts = 1024;
+
+// Busy time per second by equal parts of the key space, as a moving average.
+class KeyHeat {
+ public:
+  void Add(ShardKey key, Duration busy);
+  // To be called several times a second; older observations fade.
+  void Fade(Instant now);
+
+  // Busy seconds per second, kHeatParts values.
+  const std::vector<double>& parts() const { return parts_; }
+  std::uint32_t samples() const { return samples_; }
+
+ private:
+  std::vector<double> parts_ = std::vector<double>(kHeatParts);
+  std::vector<double> recent_ = std::vector<double>(kHeatParts);
+  std::uint32_t samples_ = 0;
+  // Share of a full average that the observations so far make up.
+  double weight_ = 0;
+  std::optional<Instant> faded_at_;
+};
+
+struct HeatReport {
+  std::uint32_t samples = 0;
+  // Busy seconds per second by part; parts without load are left out.
+  std::map<std::uint16_t, double> parts;
+
+  friend bool operator==(const HeatReport&, const HeatReport&) = default;
+};
+
+struct LoadReport {
+  VmId vm;
+  std::string incarnation;
+  std::map<ServiceId, HeatReport> services;
+  // Time of an answer without queueing.
+  std::map<TargetId, Duration> targets;
+
+  friend bool operator==(const LoadReport&, const LoadReport&) = default;
+};
+
+HeatReport MakeHeatReport(const KeyHeat& heat);
+std::string EncodeLoadReport(const LoadReport& report);
+Result<LoadReport> DecodeLoadReport(std::string_view bytes);
+
+// What the reports of all members together say.
+class LoadPicture {
+ public:
+  void OnReport(Instant now, LoadReport report);
+
+  // Busy time by parts for all of `members`; empty until enough was seen.
+  std::vector<double> Heat(Instant now,
+                           const ServiceId& service,
+                           std::size_t members) const;
+  // Slots of each target, weighed by how fast it answers.
+  std::map<TargetId, double> Capacities(Instant now,
+                                        const TargetDirectory& directory,
+                                        const ServiceId& service) const;
+
+ private:
+  struct Received {
+    Instant at;
+    LoadReport report;
+  };
+
+  std::map<VmId, Received> reports_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_LOAD_REPORT_H_
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -87,11 +87,21 @@
 
 struct MoverLimits {
   // No balance move while one is under way, nor sooner after the last one.
-  Duration balance_interval = std::chrono::milliseconds(1500);
+  Duration balance_interval = std::chrono::milliseconds(1000);
   // A target is overloaded above this multiple of its fair share ...
-  double overload = 1.35;
+  double overload = 1.25;
   // ... and if it is this busy, as a share of its capacity.
-  double busy = 0.45;
+  double busy = 0.35;
+  // A target is idle below this part of its fair share, and is given work.
+  double idle = 0.05;
+  // Before the first assignment the targets known must have stayed the same for
+  // so long, so that all that start together get a part.
+  Duration settling = std::chrono::milliseconds(1000);
+  // Released ranges wait for others of the same change this long, so that one
+  // write settles them.
+  Duration batch = std::chrono::milliseconds(60);
+  // Pieces that one change of the table moves at most.
+  std::uint32_t pieces = 12;
   // An owner that left the directory keeps its ranges this long, since entries
   // come back within two seconds of the store's return. Source: the platform's
   // protocol.
@@ -118,6 +128,7 @@
   struct Progress {
     Instant since;
     bool released = false;
+    std::optional<Instant> free_since;
     std::string handover;
   };
 
@@ -126,7 +137,8 @@
                              const MoverView& view) const;
   bool StartMoves(RangeTable& next, const MoverView& view);
   bool AskMembers(RangeTable& next, const MoverView& view) const;
-  bool Settle(RangeTable& next, const MoverView& view) const;
+  bool Settle(RangeTable& next, const MoverView& view);
+  bool IsStable(const std::vector<const TargetEntry*>& usable, Instant now);
   bool Balance(RangeTable& next, const MoverView& view);
   bool MayLeave(const RangeEntry& entry, const MoverView& view);
   bool IsFree(const RangeEntry& entry, const MoverView& view) const;
@@ -142,6 +154,9 @@
   // Where a range that moves for balance shall go, by first key.
   std::map<ShardKey, TargetId> wanted_owner_;
   std::optional<Instant> balanced_at_;
+  // Targets that were usable, and since when just these.
+  std::set<TargetId> seen_;
+  Instant seen_since_{};
 };
 
 }  // namespace figstall
--- /dev/null
+++ b/include/figstall/store_mirror.h
@@ -0,0 +1,55 @@
+// A copy of what was read of the store, by key, with deletions remembered, so
+// that news from several sources can arrive in any order and be told on.
+#ifndef FIGSTALL_STORE_MIRROR_H_
+#define FIGSTALL_STORE_MIRROR_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace figstall {
+
+using Revision = std::uint64_t;
+
+struct StoreItem {
+  std::string key;
+  std::string value;
+  // Of the last change, or of the deletion.
+  Revision revision = 0;
+  bool deleted = false;
+
+  friend bool operator==(const StoreItem&, const StoreItem&) = default;
+};
+
+// What changed after a revision.
+struct MirrorChanges {
+  std::vector<StoreItem> items;
+  // Deletions that long ago were forgotten: keys that are not among the items
+  // do not exist.
+  bool complete = false;
+};
+
+class StoreMirror {
+ public:
+  // False if something as new was known of the key.
+  bool Put(const StoreItem& item);
+  // Deletes what is older than `revision` and not among `items`, and returns it.
+  std::vector<StoreItem> Forget(const std::vector<StoreItem>& items,
+                                Revision revision);
+  MirrorChanges Since(Revision revision) const;
+  std::size_t size() const { return items_.size(); }
+
+ private:
+  void DropOldDeletions();
+
+  // Deleted items stay as such until they are dropped.
+  std::map<std::string, StoreItem> items_;
+  std::size_t deleted_ = 0;
+  // Deletions up to here may have been dropped.
+  Revision dropped_ = 0;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_STORE_MIRROR_H_
--- /dev/null
+++ b/include/figstall/store_relay.h
@@ -0,0 +1,124 @@
+// Tells what was read of the store from one member to others, by Cap'n Proto
+// messages over TCP, so that one reader serves a region. Who is worth listening
+// to is the listener's decision.
+#ifndef FIGSTALL_STORE_RELAY_H_
+#define FIGSTALL_STORE_RELAY_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "figstall/clock.h"
+#include "figstall/records.h"
+#include "figstall/store_mirror.h"
+
+namespace figstall {
+
+struct RelayUpdate {
+  std::vector<StoreItem> items;
+  // All changes up to here have been told; zero says nothing.
+  Revision cursor = 0;
+  // Whether the sender reads the store itself now and reaches it.
+  bool healthy = false;
+  // Keys that are not among the items do not exist.
+  bool complete = false;
+
+  friend bool operator==(const RelayUpdate&, const RelayUpdate&) = default;
+};
+
+// Messages behind their length, over one connection.
+class MessageStream : public std::enable_shared_from_this<MessageStream> {
+ public:
+  struct Handlers {
+    std::function<void(std::string message)> on_message;
+    std::function<void()> on_closed;
+  };
+
+  MessageStream(boost::asio::ip::tcp::socket socket, Handlers handlers);
+
+  void Start();
+  // A peer that takes nothing is closed once too much waits for it.
+  void Send(std::string message);
+  // Closes without a word to the handlers.
+  void Close();
+
+ private:
+  void ReadLength();
+  void ReadBody();
+  void Write();
+  void Fail();
+
+  boost::asio::ip::tcp::socket socket_;
+  Handlers handlers_;
+  bool closed_ = false;
+  std::array<unsigned char, 4> length_{};
+  std::string body_;
+  std::deque<std::string> outgoing_;
+  std::size_t outgoing_bytes_ = 0;
+};
+
+// Serves listeners.
+class RelaySender {
+ public:
+  using ChangesSince = std::function<RelayUpdate(Revision)>;
+
+  // Throws boost::system::system_error if the address cannot be listened on.
+  RelaySender(boost::asio::io_context& io,
+              const Endpoint& listen,
+              ChangesSince changes_since);
+
+  void Publish(const RelayUpdate& update);
+  std::size_t listeners() const { return listeners_.size(); }
+
+ private:
+  void Accept();
+  void OnMessage(const std::weak_ptr<MessageStream>& from,
+                 const std::string& message);
+
+  boost::asio::io_context& io_;
+  const ChangesSince changes_since_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::set<std::shared_ptr<MessageStream>> streams_;
+  // Those that have said from which revision on.
+  std::set<std::shared_ptr<MessageStream>> listeners_;
+};
+
+// Listens to one sender at a time.
+class RelayListener {
+ public:
+  using Handler = std::function<void(const RelayUpdate&)>;
+
+  RelayListener(boost::asio::io_context& io, VmId self, Handler on_update);
+
+  // Listens to `sender` from now on; another call with the same one changes
+  // nothing while its connection stands.
+  void ListenTo(const Endpoint& sender, Revision cursor);
+  void Stop();
+  // When the sender last said that it is healthy.
+  std::optional<Instant> healthy_at() const { return healthy_at_; }
+
+ private:
+  void OnMessage(const std::string& message);
+
+  boost::asio::io_context& io_;
+  const VmId self_;
+  const Handler on_update_;
+  std::optional<Endpoint> sender_;
+  std::uint64_t generation_ = 0;
+  std::shared_ptr<boost::asio::ip::tcp::socket> connecting_;
+  std::shared_ptr<MessageStream> stream_;
+  std::optional<Instant> healthy_at_;
+  Instant tried_at_{};
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_STORE_RELAY_H_
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -18,6 +18,10 @@
   double total_per_slot = 3.0;
   // Weight of the newest observation in moving averages.
   double smoothing = 0.1;
+  // Quantile of answers' times that stands for an answer without queueing, and
+  // the relative step by which its estimate moves.
+  double service_quantile = 0.3;
+  double service_step = 0.1;
   // Failures in a row after which a target is left alone ...
   std::uint32_t failures_to_eject = 3;
   // ... for this long, doubled each time up to the longest.
@@ -49,6 +53,8 @@
   std::uint32_t in_flight() const { return in_flight_; }
   // Mean time of an answer; none until the first.
   std::optional<Duration> latency() const;
+  // Time of an answer without queueing: a low quantile of answers' times.
+  std::optional<Duration> service_time() const;
   // Share of recent attempts that failed, 0 to 1.
   double failure_rate() const { return failure_rate_; }
   bool Ejected(Instant now) const { return now < ejected_until_; }
@@ -64,6 +70,7 @@
   std::uint32_t ejections_ = 0;
   double failure_rate_ = 0;
   double latency_us_ = 0;
+  double service_us_ = 0;
   Instant ejected_until_{};
 };
 
@@ -85,7 +92,7 @@
 };
 
 // The candidate with the shortest expected time to an answer, or null if none
-// has room. Ejected ones are taken only where all of a region are.
+// has room. Ejected ones are taken only where no other has room.
 const Candidate* PickTarget(const std::vector<Candidate>& candidates,
                             const PickRule& rule,
                             Instant now);
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -56,6 +56,10 @@
       metrics_(metrics),
       store_(io, settings.store, timing_.store_patience),
       random_(std::hash<std::string>()(incarnation_ + settings.vm.value())),
+      listener_(io,
+                settings.vm,
+                [this](const RelayUpdate& update) { OnRelayed(update); }),
+      peers_(io),
       granter_(settings.grants) {
   view_.regions = settings.regions;
 }
@@ -70,6 +74,18 @@
 }
 
 void EntryControl::Start() {
+  const boost::asio::ip::udp::endpoint endpoint(
+      boost::asio::ip::make_address(settings_.peers.address),
+      settings_.peers.port);
+  peers_.open(endpoint.protocol());
+  peers_.bind(endpoint);
+  ReceiveLoad();
+  sender_ = std::make_unique<RelaySender>(
+      io_, settings_.peers, [this](Revision revision) {
+        MirrorChanges changes = mirror_.Since(revision);
+        return RelayUpdate{std::move(changes.items), cursor_,
+                           watching_ && !store_lost_, changes.complete};
+      });
   Join();
 }
 
@@ -127,6 +143,7 @@
     seen[service] = table.last_fence;
   }
   const json value = {{"zone", settings_.zone.value()},
+                      {"peers", settings_.peers.ToString()},
                       {"incarnation", incarnation_},
                       {"seen_fence", seen_by_service},
                       {"sent_ms_ago", sent}};
@@ -211,8 +228,8 @@
     }
     if (read->first_revision == 0)
       read->first_revision = answer.revision;
-    for (const platform::StoreItem& item : answer.items)
-      read->items[item.key] = item;
+    read->items.insert(read->items.end(), answer.items.begin(),
+                       answer.items.end());
     if (answer.more && !answer.items.empty())
       return ReadPage(read, answer.items.back().key);
     reading_ = false;
@@ -221,57 +238,103 @@
 }
 
 void EntryControl::ApplyAll(const ReadAll& read) {
-  const bool first = !read_once_;
-  if (first)
+  if (!read_once_)
     last_departure_ = BootNow();
-  // What is known and was not read is gone.
-  const auto forget = [&](const std::string& key) {
-    if (!read.items.contains(key))
-      Apply({key, "", read.first_revision, true});
-  };
-  for (const auto& [id, target] : TargetDirectory(view_.targets))
-    forget(platform::kTargetsPrefix + id.value());
-  for (const auto& [vm, member] : std::map(view_.members))
-    forget(kMembersPrefix + vm.value());
-  if (mover_key_exists_)
-    forget(kMoverKey);
-  for (const auto& [key, item] : read.items)
-    Apply(item);
-  const bool watching = cursor_ != 0;
-  cursor_ = std::max(cursor_, read.first_revision);
+  for (const StoreItem& gone : mirror_.Forget(read.items, read.first_revision))
+    Apply(gone);
+  Learn(read.items, read.first_revision);
   tables_current_ = member_lease_ != 0 && !joining_;
   read_once_ = true;
   log_.Write(LogLevel::kInfo, "store-read",
              {{"items", std::to_string(read.items.size())},
               {"revision", std::to_string(read.first_revision)}});
-  if (!watching)
+}
+
+void EntryControl::Learn(const std::vector<StoreItem>& items, Revision cursor) {
+  RelayUpdate update;
+  for (const StoreItem& item : items) {
+    if (!mirror_.Put(item))
+      continue;
+    Apply(item);
+    update.items.push_back(item);
+  }
+  const bool advanced = cursor > cursor_;
+  cursor_ = std::max(cursor_, cursor);
+  if (update.items.empty() && !advanced)
+    return;
+  update.cursor = cursor_;
+  update.healthy = watching_ && !store_lost_;
+  told_at_ = BootNow();
+  sender_->Publish(update);
+}
+
+std::optional<VmId> EntryControl::Reader() const {
+  const auto in_region = [this](const EntryMember& member) {
+    const auto region = view_.regions.find(member.zone);
+    return region != view_.regions.end() && region->second == settings_.region;
+  };
+  const auto mover = view_.members.find(mover_vm_);
+  if (mover_key_exists_ && mover != view_.members.end() &&
+      in_region(mover->second))
+    return mover_vm_;
+  for (const auto& [vm, member] : view_.members) {
+    if (in_region(member))
+      return vm;
+  }
+  return std::nullopt;
+}
+
+void EntryControl::Follow(Instant now) {
+  if (!read_once_ || resigned_)
+    return;
+  const auto reader = Reader();
+  bool served = false;
+  if (reader && *reader != settings_.vm) {
+    listener_.ListenTo(view_.members.at(*reader).peers, cursor_);
+    const auto healthy = listener_.healthy_at();
+    served = healthy && now - *healthy < timing_.reader_silence;
+  } else {
+    listener_.Stop();
+  }
+  if (!served && !watching_ && !reading_ && now >= watch_at_)
     Watch();
+  if (now - told_at_ >= timing_.reader_word && sender_->listeners() > 0) {
+    told_at_ = now;
+    sender_->Publish({{}, cursor_, watching_ && !store_lost_, false});
+  }
 }
 
 void EntryControl::Watch() {
-  if (resigned_)
-    return;
+  watching_ = true;
   store_.Watch(kEverything, cursor_, timing_.watch_wait,
                [this](const StoreAnswer& answer) { OnWatch(answer); });
 }
 
 void EntryControl::OnWatch(const StoreAnswer& answer) {
   NoteStore(answer, "watch");
+  watch_at_ = BootNow() + timing_.watch_pause;
   if (answer.status == StoreStatus::kOk) {
-    for (const platform::StoreItem& item : answer.items)
-      Apply(item);
-    cursor_ = std::max(cursor_, answer.revision);
-    return After(timing_.watch_pause, [this] { Watch(); });
+    Learn(answer.items, answer.revision);
+    watching_ = false;
+    return;
   }
+  watching_ = false;
   if (answer.status == StoreStatus::kCompacted) {
-    cursor_ = 0;
     log_.Write(LogLevel::kWarning, "watch-history-gone", {});
     return StartReadAll();
   }
-  After(timing_.retry, [this] { Watch(); });
+  watch_at_ = BootNow() + timing_.retry;
+}
+
+void EntryControl::OnRelayed(const RelayUpdate& update) {
+  if (update.complete) {
+    for (const StoreItem& gone : mirror_.Forget(update.items, update.cursor))
+      Apply(gone);
+  }
+  Learn(update.items, update.cursor);
 }
 
-void EntryControl::Apply(const platform::StoreItem& item) {
+void EntryControl::Apply(const StoreItem& item) {
   if (item.key == platform::kDesiredStateKey)
     return ApplyDesiredState(item);
   if (StartsWith(item.key, platform::kTargetsPrefix))
@@ -287,12 +350,13 @@
         item);
   if (item.key == kMoverKey) {
     mover_key_exists_ = !item.deleted;
+    mover_vm_ = VmId(item.value.substr(0, item.value.find('#')));
     if (item.deleted && IsMover(BootNow()))
       LoseMover("key-removed");
   }
 }
 
-void EntryControl::ApplyDesiredState(const platform::StoreItem& item) {
+void EntryControl::ApplyDesiredState(const StoreItem& item) {
   if (item.deleted)
     return;
   HandleError(
@@ -319,7 +383,7 @@
 }
 
 void EntryControl::ApplyTarget(const std::string& id,
-                               const platform::StoreItem& item) {
+                               const StoreItem& item) {
   const TargetId target(id);
   if (item.deleted) {
     const auto known = view_.targets.find(target);
@@ -383,7 +447,7 @@
 }
 
 void EntryControl::ApplyMember(const VmId& vm,
-                               const platform::StoreItem& item) {
+                               const StoreItem& item) {
   const auto known = view_.members.find(vm);
   if (item.deleted) {
     if (known == view_.members.end())
@@ -396,7 +460,16 @@
   }
   try {
     const json value = json::parse(item.value);
-    EntryMember member{vm, ZoneId(value.at("zone")), value.at("incarnation")};
+    EntryMember member{vm, ZoneId(value.at("zone")), {},
+                       value.at("incarnation")};
+    const std::string peers = value.at("peers");
+    member.peers = HandleError(
+        [&]() -> Result<Endpoint> { return ParseEndpoint(peers); },
+        [&](const Error& error) {
+          log_.Write(LogLevel::kError, "member-without-address",
+                     {{"vm", vm.value()}, {"findings", Describe(error)}});
+          return Endpoint{};
+        });
     MemberReport report;
     const Instant now = BootNow();
     for (const auto& [service, fence] : value.at("seen_fence").items())
@@ -422,7 +495,7 @@
 }
 
 void EntryControl::ApplyTable(const ServiceId& service,
-                              const platform::StoreItem& item) {
+                              const StoreItem& item) {
   if (item.deleted)
     return;
   MoverState& state = movers_[service];
@@ -531,6 +604,7 @@
 
 void EntryControl::Tick(Instant now) {
   KeepMembership(now);
+  Follow(now);
   RemoveAbsent(now);
   KeepMover(now);
   Campaign(now);
@@ -541,6 +615,7 @@
   MoveRanges(now);
   SendGrants(now);
   ReportToMover(now);
+  SendLoad(now);
 }
 
 }  // namespace figstall
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -104,6 +104,52 @@
     WriteMember(/*then_read=*/false);
 }
 
+void EntryControl::SendLoad(Instant now) {
+  if (now - load_at_ < timing_.report || resigned_)
+    return;
+  load_at_ = now;
+  LoadReport report = traffic_.MakeLoadReport(incarnation_);
+  if (report.services.empty())
+    return;
+  if (IsMover(now))
+    return load_.OnReport(now, std::move(report));
+  const auto mover = view_.members.find(mover_vm_);
+  if (mover == view_.members.end() || mover->second.peers.port == 0)
+    return;
+  const auto bytes = std::make_shared<std::string>(EncodeLoadReport(report));
+  peers_.async_send_to(
+      boost::asio::buffer(*bytes),
+      {boost::asio::ip::make_address(mover->second.peers.address),
+       mover->second.peers.port},
+      [this, bytes](boost::system::error_code error, std::size_t) {
+        if (error)
+          ++metrics_.Counter("figstall_reports_lost_total", "");
+      });
+}
+
+void EntryControl::ReceiveLoad() {
+  peers_.async_receive_from(
+      boost::asio::buffer(peer_buffer_), peer_from_,
+      [this](boost::system::error_code error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted)
+          return;
+        if (!error) {
+          HandleError(
+              [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(report,
+                                DecodeLoadReport({peer_buffer_.data(), size}));
+                load_.OnReport(BootNow(), std::move(report));
+                return {};
+              },
+              [&](const Error& refused) {
+                log_.Write(LogLevel::kWarning, "report-refused",
+                           {{"findings", refused.message}});
+              });
+        }
+        ReceiveLoad();
+      });
+}
+
 void EntryControl::MoveRanges(Instant now) {
   if (!IsMover(now) || !view_.routes)
     return;
@@ -116,15 +162,8 @@
     SendReleases(service, state);
     if (state.writing || state.reading)
       continue;
-    RangeLoad load;
-    if (const KeyHeat* heat = traffic_.heat(service)) {
-      load.parts = heat->parts();
-      // This member's requests stand for those of all.
-      for (double& part : load.parts)
-        part *= static_cast<double>(std::max<std::size_t>(
-            1, view_.members.size()));
-    }
-    const auto capacity = traffic_.Capacities(service);
+    const RangeLoad load{load_.Heat(now, service, view_.members.size())};
+    const auto capacity = load_.Capacities(now, view_.targets, service);
     MoverView view;
     view.now = now;
     view.directory = &view_.targets;
@@ -155,11 +194,12 @@
                              {"entries", std::to_string(next.entries.size())},
                              {"outcome", ToString(answer.status)}});
                  if (answer.status == StoreStatus::kOk)
-                   return ApplyTable(service, {key, EncodeRangeTable(next),
-                                               answer.revision, false});
+                   return Learn({{key, EncodeRangeTable(next), answer.revision,
+                                  false}},
+                                0);
                  if (answer.status == StoreStatus::kConflict &&
                      std::none_of(answer.items.begin(), answer.items.end(),
-                                  [this](const platform::StoreItem& item) {
+                                  [this](const StoreItem& item) {
                                     return item.key == kMoverKey &&
                                            item.revision == mover_revision_;
                                   }))
@@ -178,8 +218,7 @@
     if (!known)
       return After(timing_.retry, [this, service] { ReadTable(service); });
     movers_[service].reading = false;
-    for (const platform::StoreItem& item : answer.items)
-      ApplyTable(service, item);
+    Learn(answer.items, 0);
   });
 }
 
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -18,11 +18,12 @@
     "vm": {"type": "string", "minLength": 1},
     "zone": {"type": "string", "minLength": 1},
     "region": {"type": "string", "minLength": 1},
-    "listen": {"type": "object", "required": ["callers", "ready", "metrics"],
+    "listen": {"type": "object", "required": ["callers", "ready", "metrics", "peers"],
       "additionalProperties": false,
       "properties": {"callers": {"type": "string"},
                      "ready": {"type": "string"},
-                     "metrics": {"type": "string"}}},
+                     "metrics": {"type": "string"},
+                     "peers": {"type": "string"}}},
     "store": {"type": "string"},
     "regions": {"type": "object", "additionalProperties": {"type": "string"}},
     "log": {"type": "object", "additionalProperties": false,
@@ -81,6 +82,7 @@
   settings.callers = endpoints.At("/listen/callers", listen.at("callers"));
   settings.ready = endpoints.At("/listen/ready", listen.at("ready"));
   settings.metrics = endpoints.At("/listen/metrics", listen.at("metrics"));
+  settings.peers = endpoints.At("/listen/peers", listen.at("peers"));
   settings.store = endpoints.At("/store", value.at("store"));
   for (const auto& [zone, region] : value.at("regions").items())
     settings.regions[ZoneId(zone)] = RegionId(region);
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -15,14 +15,8 @@
 
 // Until a service has answered, an answer is taken to need this long.
 constexpr Duration kFirstTypicalTime = std::chrono::milliseconds(100);
-// A target's measured speed counts within these factors of the usual one, since
-// a short queue looks like slowness.
-constexpr double kLeastSpeed = 0.5;
-constexpr double kMostSpeed = 1.8;
 constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(500);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
-// Weight of the newest second in the heat of keys.
-constexpr double kHeatWeight = 0.4;
 
 }  // namespace
 
@@ -63,26 +57,6 @@
   return made;
 }
 
-void KeyHeat::Add(ShardKey key, Duration busy) {
-  recent_[key * kParts / kShardKeys] +=
-      std::chrono::duration<double>(busy).count();
-}
-
-void KeyHeat::Fade(Instant now) {
-  if (!faded_at_) {
-    faded_at_ = now;
-    return;
-  }
-  const double span = std::chrono::duration<double>(now - *faded_at_).count();
-  if (span < 0.5)
-    return;
-  faded_at_ = now;
-  for (std::size_t part = 0; part < kParts; ++part) {
-    parts_[part] += kHeatWeight * (recent_[part] / span - parts_[part]);
-    recent_[part] = 0;
-  }
-}
-
 EntryTraffic::EntryTraffic(asio::io_context& io,
                            const EntrySettings& settings,
                            const EntryView& view,
@@ -280,25 +254,18 @@
   return Duration(static_cast<Duration::rep>(found->second));
 }
 
-const KeyHeat* EntryTraffic::heat(const ServiceId& service) const {
-  const auto found = heat_.find(service);
-  return found == heat_.end() ? nullptr : &found->second;
-}
-
-std::map<TargetId, double> EntryTraffic::Capacities(
-    const ServiceId& service) const {
-  std::map<TargetId, double> capacities;
-  const auto typical = static_cast<double>(TypicalTime(service).count());
+LoadReport EntryTraffic::MakeLoadReport(const std::string& incarnation) const {
+  LoadReport report;
+  report.vm = settings_.vm;
+  report.incarnation = incarnation;
+  for (const auto& [service, heat] : heat_)
+    report.services[service] = MakeHeatReport(heat);
   for (const auto& [id, link] : links_) {
-    if (link->entry().service != service)
-      continue;
-    const auto latency = link->load().latency();
-    const double speed =
-        latency ? typical / static_cast<double>(latency->count()) : 1.0;
-    capacities[id] =
-        link->entry().slots * std::clamp(speed, kLeastSpeed, kMostSpeed);
+    const auto time = link->load().service_time();
+    if (time && heat_.contains(link->entry().service))
+      report.targets[id] = *time;
   }
-  return capacities;
+  return report;
 }
 
 }  // namespace figstall
--- /dev/null
+++ b/src/load_report.cc
@@ -0,0 +1,201 @@
+// Implements reports of load.
+#include "figstall/load_report.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "peer.capnp.h"
+
+namespace figstall {
+namespace {
+
+// Time in which an observation loses most of its weight; short, since hot keys
+// change within seconds.
+constexpr double kFadeSeconds = 1.5;
+constexpr double kLeastSpan = 0.2;
+constexpr std::uint32_t kMostSamples = 1000;
+// Load that is told at all, in busy seconds per second.
+constexpr double kLeastTold = 0.0005;
+// Reports older than this count no more.
+constexpr Duration kReportAge = std::chrono::milliseconds(2500);
+// Requests that all members together must have seen before load is believed.
+constexpr std::uint32_t kEnoughSamples = 120;
+// A target's measured speed counts within these factors of the usual one.
+constexpr double kLeastSpeed = 0.4;
+constexpr double kMostSpeed = 2.2;
+
+}  // namespace
+
+void KeyHeat::Add(ShardKey key, Duration busy) {
+  recent_[key * kHeatParts / kShardKeys] +=
+      std::chrono::duration<double>(busy).count();
+  samples_ = std::min(samples_ + 1, kMostSamples);
+}
+
+void KeyHeat::Fade(Instant now) {
+  if (!faded_at_) {
+    faded_at_ = now;
+    return;
+  }
+  const double span = std::chrono::duration<double>(now - *faded_at_).count();
+  if (span < kLeastSpan)
+    return;
+  faded_at_ = now;
+  const double fresh = 1 - std::exp(-span / kFadeSeconds);
+  // Until the average is full, each observation counts by its share of it.
+  weight_ = weight_ + fresh * (1 - weight_);
+  const double step = fresh / weight_;
+  for (std::size_t part = 0; part < kHeatParts; ++part) {
+    parts_[part] += step * (recent_[part] / span - parts_[part]);
+    recent_[part] = 0;
+  }
+}
+
+HeatReport MakeHeatReport(const KeyHeat& heat) {
+  HeatReport report;
+  report.samples = heat.samples();
+  for (std::size_t part = 0; part < kHeatParts; ++part) {
+    if (heat.parts()[part] >= kLeastTold)
+      report.parts[static_cast<std::uint16_t>(part)] = heat.parts()[part];
+  }
+  return report;
+}
+
+std::string EncodeLoadReport(const LoadReport& report) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::PeerReport>();
+  root.setVm(report.vm.value());
+  root.setIncarnation(report.incarnation);
+  auto services =
+      root.initServices(static_cast<unsigned>(report.services.size()));
+  unsigned index = 0;
+  for (const auto& [service, heat] : report.services) {
+    auto out = services[index++];
+    out.setService(service.value());
+    out.setSamples(heat.samples);
+    auto parts = out.initParts(static_cast<unsigned>(heat.parts.size()));
+    auto busy = out.initBusy(static_cast<unsigned>(heat.parts.size()));
+    unsigned place = 0;
+    for (const auto& [part, seconds] : heat.parts) {
+      parts.set(place, part);
+      busy.set(place++, static_cast<std::uint32_t>(seconds * 1e6));
+    }
+  }
+  auto targets = root.initTargets(static_cast<unsigned>(report.targets.size()));
+  index = 0;
+  for (const auto& [target, time] : report.targets) {
+    auto out = targets[index++];
+    out.setTarget(target.value());
+    out.setServiceMicros(static_cast<std::uint32_t>(time.count()));
+  }
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, message);
+  const auto bytes = stream.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+Result<LoadReport> DecodeLoadReport(std::string_view bytes) {
+  LoadReport report;
+  try {
+    kj::ArrayInputStream stream(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
+                     bytes.size()));
+    capnp::PackedMessageReader message(stream);
+    const auto root = message.getRoot<wire::PeerReport>();
+    report.vm = VmId(root.getVm());
+    report.incarnation = root.getIncarnation();
+    for (const auto service : root.getServices()) {
+      HeatReport& heat =
+          report.services[ServiceId(std::string(service.getService()))];
+      heat.samples = service.getSamples();
+      const auto parts = service.getParts();
+      const auto busy = service.getBusy();
+      for (unsigned i = 0; i < std::min(parts.size(), busy.size()); ++i) {
+        if (parts[i] < kHeatParts)
+          heat.parts[parts[i]] = busy[i] / 1e6;
+      }
+    }
+    for (const auto target : root.getTargets())
+      report.targets[TargetId(std::string(target.getTarget()))] =
+          Duration(target.getServiceMicros());
+  } catch (const kj::Exception& error) {
+    return Fail(ErrorCode::kProtocol, std::string("invalid load report: ") +
+                                          error.getDescription().cStr());
+  }
+  return report;
+}
+
+void LoadPicture::OnReport(Instant now, LoadReport report) {
+  const VmId vm = report.vm;
+  reports_[vm] = {now, std::move(report)};
+}
+
+std::vector<double> LoadPicture::Heat(Instant now,
+                                      const ServiceId& service,
+                                      std::size_t members) const {
+  std::vector<double> sum(kHeatParts);
+  std::size_t heard = 0;
+  std::uint32_t samples = 0;
+  for (const auto& [vm, received] : reports_) {
+    if (now - received.at > kReportAge)
+      continue;
+    ++heard;
+    const auto heat = received.report.services.find(service);
+    if (heat == received.report.services.end())
+      continue;
+    samples += heat->second.samples;
+    for (const auto& [part, busy] : heat->second.parts)
+      sum[part] += busy;
+  }
+  if (samples < kEnoughSamples)
+    return {};
+  const double scale =
+      static_cast<double>(std::max(members, heard)) / static_cast<double>(heard);
+  for (double& part : sum)
+    part *= scale;
+  return sum;
+}
+
+std::map<TargetId, double> LoadPicture::Capacities(
+    Instant now,
+    const TargetDirectory& directory,
+    const ServiceId& service) const {
+  struct Mean {
+    double sum = 0;
+    int count = 0;
+  };
+  std::map<TargetId, Mean> times;
+  for (const auto& [vm, received] : reports_) {
+    if (now - received.at > kReportAge)
+      continue;
+    for (const auto& [target, time] : received.report.targets) {
+      const auto known = directory.find(target);
+      if (known == directory.end() || known->second.service != service)
+        continue;
+      Mean& mean = times[target];
+      mean.sum += static_cast<double>(time.count());
+      ++mean.count;
+    }
+  }
+  std::vector<double> all;
+  for (const auto& [target, mean] : times)
+    all.push_back(mean.sum / mean.count);
+  std::map<TargetId, double> capacities;
+  if (all.empty())
+    return capacities;
+  const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
+  std::nth_element(all.begin(), middle, all.end());
+  for (const auto& [target, mean] : times) {
+    const double speed =
+        std::clamp(*middle / std::max(1.0, mean.sum / mean.count), kLeastSpeed,
+                   kMostSpeed);
+    capacities[target] = directory.at(target).slots * speed;
+  }
+  return capacities;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/peer.capnp
@@ -0,0 +1,53 @@
+# Messages between members. Load reports go to the elected mover by datagram,
+# several times a second: hints for the balance, a lost one is made good by the
+# next. What was read of the store is relayed by stream, each message behind its
+# length in four bytes, least significant first.
+@0xb1c6a0f3d5e27914;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("figstall::wire");
+
+struct PeerReport {
+  vm @0 :Text;
+  incarnation @1 :Text;
+  services @2 :List(ServiceHeat);
+  targets @3 :List(TargetSpeed);
+}
+
+struct ServiceHeat {
+  service @0 :Text;
+  # Requests seen since the process started, at most a thousand.
+  samples @1 :UInt32;
+  # Parts of the key space with any load, and busy microseconds per second there.
+  parts @2 :List(UInt16);
+  busy @3 :List(UInt32);
+}
+
+struct TargetSpeed {
+  target @0 :Text;
+  # Time of an answer without queueing, in microseconds.
+  serviceMicros @1 :UInt32;
+}
+
+# A member asks a region's reader for all that changed after a revision.
+struct RelaySubscribe {
+  vm @0 :Text;
+  cursor @1 :UInt64;
+}
+
+struct RelayItem {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  deleted @3 :Bool;
+}
+
+struct RelayUpdate {
+  items @0 :List(RelayItem);
+  # All changes up to here have been told.
+  cursor @1 :UInt64;
+  # Whether the sender reads the store itself now and reaches it.
+  healthy @2 :Bool;
+  # Keys that are not among the items do not exist.
+  complete @3 :Bool;
+}
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -9,6 +9,11 @@
 namespace figstall {
 namespace {
 
+// A piece may have this much more load than was wanted, and at least so much of
+// it; less is not worth a move.
+constexpr double kPieceExcess = 1.15;
+constexpr double kLeastPiece = 0.2;
+
 // Load of a range by the mover's sample, with a floor that stands for traffic
 // that the sample missed.
 double LoadOf(const KeyRange& range, const RangeLoad* load) {
@@ -99,7 +104,7 @@
       continue;
     const std::pair key(entry.range.first, entry.fence);
     const auto known = progress_.find(key);
-    kept[key] = known == progress_.end() ? Progress{now, false, {}}
+    kept[key] = known == progress_.end() ? Progress{now, false, {}, {}}
                                          : known->second;
   }
   progress_ = std::move(kept);
@@ -217,10 +222,37 @@
   return true;
 }
 
-bool RangeMover::Settle(RangeTable& next, const MoverView& view) const {
+bool RangeMover::IsStable(const std::vector<const TargetEntry*>& usable,
+                          Instant now) {
+  std::set<TargetId> ids;
+  for (const TargetEntry* target : usable)
+    ids.insert(target->life.id);
+  if (ids != seen_) {
+    seen_ = std::move(ids);
+    seen_since_ = now;
+  }
+  return now - seen_since_ >= limits_.settling;
+}
+
+bool RangeMover::Settle(RangeTable& next, const MoverView& view) {
   const auto usable = Usable(view);
   if (usable.empty())
     return false;
+  bool all_free = true;
+  bool waited = false;
+  for (const RangeEntry& entry : next.entries) {
+    if (entry.phase == RangePhase::kSettled)
+      continue;
+    if (!IsFree(entry, view)) {
+      all_free = false;
+      continue;
+    }
+    auto& since = progress_.at({entry.range.first, entry.fence}).free_since;
+    since = since.value_or(view.now);
+    waited = waited || view.now - *since >= limits_.batch;
+  }
+  if (!all_free && !waited)
+    return false;
   auto shares = SharesOf(next, usable, view);
   bool changed = false;
   for (RangeEntry& entry : next.entries) {
@@ -241,6 +273,42 @@
   return changed;
 }
 
+// The piece of `owner`'s ranges, at an end of one of them, whose load comes
+// closest to `wanted` without exceeding it by much.
+std::optional<KeyRange> PieceOf(const RangeTable& table,
+                                const TargetId& owner,
+                                double wanted,
+                                const RangeLoad& load) {
+  const auto step = std::max<std::uint32_t>(
+      1, kShardKeys / static_cast<std::uint32_t>(load.parts.size()));
+  std::optional<KeyRange> best;
+  double best_load = 0;
+  const auto consider = [&](std::uint32_t first, std::uint32_t last) {
+    const KeyRange piece{static_cast<ShardKey>(first),
+                         static_cast<ShardKey>(last)};
+    const double each = LoadOf(piece, &load);
+    if (each <= wanted * kPieceExcess && each > best_load) {
+      best = piece;
+      best_load = each;
+    }
+  };
+  for (const RangeEntry& entry : table.entries) {
+    if (entry.owner.id != owner || entry.phase != RangePhase::kSettled)
+      continue;
+    const std::uint32_t first = entry.range.first;
+    const std::uint32_t last = entry.range.last;
+    consider(first, last);
+    for (std::uint32_t cut = first - first % step + step; cut <= last;
+         cut += step) {
+      consider(cut, last);
+      consider(first, cut - 1);
+    }
+  }
+  if (best_load < wanted * kLeastPiece)
+    return std::nullopt;
+  return best;
+}
+
 bool RangeMover::Balance(RangeTable& next, const MoverView& view) {
   if (!view.load || view.load->parts.empty())
     return false;
@@ -258,76 +326,61 @@
     capacity += share.capacity;
   }
   const double fair = load / capacity;
-  Share* donor = nullptr;
-  for (auto& [id, share] : shares) {
-    if (!donor || share.pressure() > donor->pressure())
-      donor = &share;
-  }
-  Share* receiver = LeastPressed(shares, 0);
-  const bool idle_receiver = receiver->load < 0.05 * fair * receiver->capacity;
-  if (!idle_receiver && (donor->pressure() < fair * limits_.overload ||
-                         donor->pressure() < limits_.busy))
-    return false;
-  // What brings both to the same pressure.
-  const double wanted =
-      (donor->load * receiver->capacity - receiver->load * donor->capacity) /
-      (donor->capacity + receiver->capacity);
-  // The donor's range with the most load gives its cooler end, up to `wanted`.
-  const RangeEntry* from = nullptr;
-  double from_load = 0;
-  for (const RangeEntry& entry : next.entries) {
-    if (entry.owner.id != donor->target->life.id ||
-        entry.phase != RangePhase::kSettled)
+  const std::uint64_t fence = next.last_fence + 1;
+  bool changed = false;
+  std::set<TargetId> exhausted;
+  for (std::uint32_t piece = 0; piece < limits_.pieces; ++piece) {
+    Share* donor = nullptr;
+    for (auto& [id, share] : shares) {
+      if (!exhausted.contains(id) &&
+          (!donor || share.pressure() > donor->pressure()))
+        donor = &share;
+    }
+    Share* receiver = LeastPressed(shares, 0);
+    if (!donor || donor == receiver)
+      break;
+    const bool idle_receiver =
+        receiver->load < limits_.idle * fair * receiver->capacity;
+    const bool overloaded = donor->pressure() > fair * limits_.overload &&
+                            donor->pressure() > limits_.busy;
+    if (!overloaded && !idle_receiver)
+      break;
+    // What the donor has above the fair share and the receiver below it.
+    const double wanted =
+        std::min(donor->load - fair * donor->capacity,
+                 fair * receiver->capacity - receiver->load);
+    const auto moved =
+        PieceOf(next, donor->target->life.id, wanted, *view.load);
+    if (!moved) {
+      exhausted.insert(donor->target->life.id);
       continue;
-    const double each = LoadOf(entry.range, view.load);
-    if (!from || each > from_load) {
-      from = &entry;
-      from_load = each;
     }
-  }
-  if (!from || from->range.size() < 2)
-    return false;
-  const std::uint32_t step =
-      std::max<std::uint32_t>(1, kShardKeys / static_cast<std::uint32_t>(
-                                                  view.load->parts.size()));
-  const KeyRange whole = from->range;
-  // The longest run of parts from either end that fits.
-  KeyRange best{};
-  double best_load = 0;
-  const auto try_cut = [&](std::uint32_t first, std::uint32_t last) {
-    const KeyRange piece{static_cast<ShardKey>(first),
-                         static_cast<ShardKey>(last)};
-    const double each = LoadOf(piece, view.load);
-    if (each <= wanted * 1.1 && each > best_load) {
-      best = piece;
-      best_load = each;
+    SplitAt(next, moved->first);
+    SplitAt(next, std::uint32_t{moved->last} + 1);
+    for (RangeEntry& entry : next.entries) {
+      if (entry.range.first < moved->first || entry.range.last > moved->last)
+        continue;
+      entry.phase = RangePhase::kMoving;
+      entry.fence = fence;
+      entry.handover.clear();
+      wanted_owner_[entry.range.first] = receiver->target->life.id;
     }
-  };
-  for (std::uint32_t cut = whole.first + step; cut <= whole.last; cut += step) {
-    try_cut(cut, whole.last);
-    try_cut(whole.first, cut - 1);
+    const double moved_load = LoadOf(*moved, view.load);
+    donor->load -= moved_load;
+    receiver->load += moved_load;
+    changed = true;
   }
-  if (best_load <= 0.15 * wanted || best_load <= 0)
-    return false;
-  SplitAt(next, best.first);
-  SplitAt(next, std::uint32_t{best.last} + 1);
-  ++next.last_fence;
-  for (RangeEntry& entry : next.entries) {
-    if (entry.range.first < best.first || entry.range.last > best.last)
-      continue;
-    entry.phase = RangePhase::kMoving;
-    entry.fence = next.last_fence;
-    entry.handover.clear();
-    wanted_owner_[entry.range.first] = receiver->target->life.id;
+  if (changed) {
+    next.last_fence = fence;
+    balanced_at_ = view.now;
   }
-  balanced_at_ = view.now;
-  return true;
+  return changed;
 }
 
 std::optional<RangeTable> RangeMover::Plan(const MoverView& view) {
   const auto usable = Usable(view);
   if (table_.entries.empty()) {
-    if (usable.empty())
+    if (usable.empty() || !IsStable(usable, view.now))
       return std::nullopt;
     return FirstAssignment(usable, view);
   }
--- /dev/null
+++ b/src/store_mirror.cc
@@ -0,0 +1,72 @@
+// Implements the copy of the store.
+#include "figstall/store_mirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace figstall {
+namespace {
+
+// Deletions that are remembered, so that a late word of an older value does not
+// bring it back.
+constexpr std::size_t kMostDeletions = 4096;
+
+}  // namespace
+
+bool StoreMirror::Put(const StoreItem& item) {
+  StoreItem& known = items_[item.key];
+  if (item.revision <= known.revision)
+    return false;
+  if (item.deleted && !known.deleted)
+    ++deleted_;
+  if (!item.deleted && known.deleted)
+    --deleted_;
+  known = item;
+  if (deleted_ > kMostDeletions)
+    DropOldDeletions();
+  return true;
+}
+
+void StoreMirror::DropOldDeletions() {
+  std::vector<Revision> revisions;
+  for (const auto& [key, item] : items_) {
+    if (item.deleted)
+      revisions.push_back(item.revision);
+  }
+  const auto middle =
+      revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  dropped_ = std::max(dropped_, *middle);
+  deleted_ -= std::erase_if(items_, [this](const auto& each) {
+    return each.second.deleted && each.second.revision <= dropped_;
+  });
+}
+
+std::vector<StoreItem> StoreMirror::Forget(const std::vector<StoreItem>& items,
+                                           Revision revision) {
+  std::set<std::string> present;
+  for (const StoreItem& item : items)
+    present.insert(item.key);
+  std::vector<StoreItem> gone;
+  for (const auto& [key, item] : items_) {
+    if (!item.deleted && item.revision < revision && !present.contains(key))
+      gone.push_back({key, "", revision, true});
+  }
+  for (const StoreItem& each : gone)
+    Put(each);
+  return gone;
+}
+
+MirrorChanges StoreMirror::Since(Revision revision) const {
+  MirrorChanges changes;
+  changes.complete = revision < dropped_ || revision == 0;
+  for (const auto& [key, item] : items_) {
+    const bool wanted = changes.complete ? !item.deleted
+                                         : item.revision > revision;
+    if (wanted)
+      changes.items.push_back(item);
+  }
+  return changes;
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/src/store_relay.cc
@@ -0,0 +1,304 @@
+// Implements the relay of what was read of the store.
+#include "figstall/store_relay.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "figstall/http_channel.h"
+#include "peer.capnp.h"
+
+namespace figstall {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// Longer than any state of the store that is told at once.
+constexpr std::size_t kMaxMessageBytes = 32'000'000;
+constexpr std::size_t kMaxOutgoingBytes = 16'000'000;
+// Between two tries to reach the same sender.
+constexpr Duration kTryAgain = std::chrono::milliseconds(500);
+
+std::string ToBytes(capnp::MessageBuilder& message) {
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, message);
+  const auto bytes = stream.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+kj::ArrayPtr<const kj::byte> Bytes(const std::string& text) {
+  return kj::arrayPtr(reinterpret_cast<const kj::byte*>(text.data()),
+                      text.size());
+}
+
+// A message may hold as many words as its largest list needs.
+capnp::ReaderOptions LargeMessages() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kMaxMessageBytes;
+  return options;
+}
+
+std::string Encode(const RelayUpdate& update) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::RelayUpdate>();
+  root.setCursor(update.cursor);
+  root.setHealthy(update.healthy);
+  root.setComplete(update.complete);
+  auto items = root.initItems(static_cast<unsigned>(update.items.size()));
+  unsigned index = 0;
+  for (const StoreItem& item : update.items) {
+    auto out = items[index++];
+    out.setKey(item.key);
+    out.setValue(Bytes(item.value));
+    out.setRevision(item.revision);
+    out.setDeleted(item.deleted);
+  }
+  return ToBytes(message);
+}
+
+RelayUpdate DecodeUpdate(const std::string& bytes) {
+  kj::ArrayInputStream stream(Bytes(bytes));
+  capnp::PackedMessageReader message(stream, LargeMessages());
+  const auto root = message.getRoot<wire::RelayUpdate>();
+  RelayUpdate update;
+  update.cursor = root.getCursor();
+  update.healthy = root.getHealthy();
+  update.complete = root.getComplete();
+  for (const auto item : root.getItems()) {
+    const auto value = item.getValue();
+    update.items.push_back(
+        {item.getKey(),
+         std::string(reinterpret_cast<const char*>(value.begin()),
+                     value.size()),
+         item.getRevision(), item.getDeleted()});
+  }
+  return update;
+}
+
+}  // namespace
+
+MessageStream::MessageStream(asio::ip::tcp::socket socket, Handlers handlers)
+    : socket_(std::move(socket)), handlers_(std::move(handlers)) {}
+
+void MessageStream::Start() {
+  TuneSocket(socket_);
+  ReadLength();
+}
+
+void MessageStream::ReadLength() {
+  asio::async_read(socket_, asio::buffer(length_),
+                   [self = shared_from_this()](error_code error, std::size_t) {
+                     if (self->closed_)
+                       return;
+                     if (error)
+                       return self->Fail();
+                     std::size_t size = 0;
+                     for (std::size_t i = self->length_.size(); i > 0; --i)
+                       size = size << 8U | self->length_[i - 1];
+                     if (size > kMaxMessageBytes)
+                       return self->Fail();
+                     self->body_.resize(size);
+                     self->ReadBody();
+                   });
+}
+
+void MessageStream::ReadBody() {
+  asio::async_read(socket_, asio::buffer(body_),
+                   [self = shared_from_this()](error_code error, std::size_t) {
+                     if (self->closed_)
+                       return;
+                     if (error)
+                       return self->Fail();
+                     self->handlers_.on_message(std::move(self->body_));
+                     if (!self->closed_)
+                       self->ReadLength();
+                   });
+}
+
+void MessageStream::Send(std::string message) {
+  if (closed_)
+    return;
+  std::string framed;
+  for (unsigned shift = 0; shift < 32; shift += 8)
+    framed += static_cast<char>(message.size() >> shift & 0xFFU);
+  framed += message;
+  outgoing_bytes_ += framed.size();
+  outgoing_.push_back(std::move(framed));
+  if (outgoing_bytes_ > kMaxOutgoingBytes)
+    return Fail();
+  if (outgoing_.size() == 1)
+    Write();
+}
+
+void MessageStream::Write() {
+  asio::async_write(socket_, asio::buffer(outgoing_.front()),
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      if (self->closed_)
+                        return;
+                      if (error)
+                        return self->Fail();
+                      self->outgoing_bytes_ -= self->outgoing_.front().size();
+                      self->outgoing_.pop_front();
+                      if (!self->outgoing_.empty())
+                        self->Write();
+                    });
+}
+
+void MessageStream::Fail() {
+  if (closed_)
+    return;
+  const auto self = shared_from_this();
+  const auto on_closed = handlers_.on_closed;
+  Close();
+  on_closed();
+}
+
+void MessageStream::Close() {
+  closed_ = true;
+  ResetOnClose(socket_);
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+RelaySender::RelaySender(asio::io_context& io,
+                         const Endpoint& listen,
+                         ChangesSince changes_since)
+    : io_(io), changes_since_(std::move(changes_since)), acceptor_(io) {
+  const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(listen.address), listen.port);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen();
+  Accept();
+}
+
+void RelaySender::Accept() {
+  acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted)
+      return;
+    if (!error) {
+      const auto slot = std::make_shared<std::weak_ptr<MessageStream>>();
+      MessageStream::Handlers handlers;
+      handlers.on_message = [this, slot](const std::string& message) {
+        OnMessage(*slot, message);
+      };
+      handlers.on_closed = [this, slot] {
+        const auto stream = slot->lock();
+        streams_.erase(stream);
+        listeners_.erase(stream);
+      };
+      const auto stream = std::make_shared<MessageStream>(std::move(socket),
+                                                          std::move(handlers));
+      *slot = stream;
+      streams_.insert(stream);
+      stream->Start();
+    }
+    Accept();
+  });
+}
+
+void RelaySender::OnMessage(const std::weak_ptr<MessageStream>& from,
+                            const std::string& message) {
+  const auto stream = from.lock();
+  if (!stream)
+    return;
+  try {
+    kj::ArrayInputStream bytes(Bytes(message));
+    capnp::PackedMessageReader reader(bytes);
+    const auto root = reader.getRoot<wire::RelaySubscribe>();
+    stream->Send(Encode(changes_since_(root.getCursor())));
+    listeners_.insert(stream);
+  } catch (const kj::Exception&) {
+    // A peer of another version; it reads the store for itself.
+    stream->Close();
+    streams_.erase(stream);
+    listeners_.erase(stream);
+  }
+}
+
+void RelaySender::Publish(const RelayUpdate& update) {
+  if (listeners_.empty())
+    return;
+  const std::string message = Encode(update);
+  const auto listeners = listeners_;
+  for (const auto& listener : listeners)
+    listener->Send(message);
+}
+
+RelayListener::RelayListener(asio::io_context& io,
+                             VmId self,
+                             Handler on_update)
+    : io_(io), self_(std::move(self)), on_update_(std::move(on_update)) {}
+
+void RelayListener::ListenTo(const Endpoint& sender, Revision cursor) {
+  const Instant now = BootNow();
+  if (sender_ == sender && (stream_ || connecting_ ||
+                            now - tried_at_ < kTryAgain))
+    return;
+  Stop();
+  sender_ = sender;
+  tried_at_ = now;
+  const std::uint64_t generation = ++generation_;
+  connecting_ = std::make_shared<asio::ip::tcp::socket>(io_);
+  const auto socket = connecting_;
+  socket->async_connect(
+      {asio::ip::make_address(sender.address), sender.port},
+      [this, generation, socket, cursor](error_code error) {
+        if (generation != generation_)
+          return;
+        connecting_.reset();
+        if (error)
+          return;
+        MessageStream::Handlers handlers;
+        handlers.on_message = [this](const std::string& message) {
+          OnMessage(message);
+        };
+        handlers.on_closed = [this] {
+          stream_.reset();
+          healthy_at_.reset();
+        };
+        stream_ = std::make_shared<MessageStream>(std::move(*socket),
+                                                  std::move(handlers));
+        stream_->Start();
+        capnp::MallocMessageBuilder message;
+        auto root = message.initRoot<wire::RelaySubscribe>();
+        root.setVm(self_.value());
+        root.setCursor(cursor);
+        stream_->Send(ToBytes(message));
+      });
+}
+
+void RelayListener::Stop() {
+  ++generation_;
+  sender_.reset();
+  healthy_at_.reset();
+  if (connecting_) {
+    error_code ignored;
+    connecting_->close(ignored);
+    connecting_.reset();
+  }
+  if (stream_)
+    stream_->Close();
+  stream_.reset();
+}
+
+void RelayListener::OnMessage(const std::string& message) {
+  try {
+    const RelayUpdate update = DecodeUpdate(message);
+    if (update.healthy)
+      healthy_at_ = BootNow();
+    else
+      healthy_at_.reset();
+    on_update_(update);
+  } catch (const kj::Exception&) {
+    // A sender of another version; this member reads the store for itself.
+    Stop();
+  }
+}
+
+}  // namespace figstall
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -11,7 +11,7 @@
 // Added to the expected time of targets farther away, since bytes between zones
 // and regions are charged; in microseconds.
 constexpr double kOtherZoneCost = 15'000;
-constexpr double kOtherZoneBulkCost = 150'000;
+constexpr double kOtherZoneBulkCost = 100'000;
 constexpr double kOtherRegionCost = 120'000;
 // Expected time of a target that fails is multiplied by up to this much more.
 constexpr double kFailureCost = 6;
@@ -57,6 +57,13 @@
                                                        (sample - latency_us_);
   }
   if (kind == AttemptKind::kAnswered) {
+    const auto sample = static_cast<double>(took.count());
+    if (service_us_ == 0)
+      service_us_ = sample;
+    else if (sample < service_us_)
+      service_us_ *= 1 - limits_.service_step * (1 - limits_.service_quantile);
+    else
+      service_us_ *= 1 + limits_.service_step * limits_.service_quantile;
     failures_ = 0;
     ejections_ = 0;
     ejected_until_ = {};
@@ -79,6 +86,12 @@
   return Duration(static_cast<Duration::rep>(latency_us_));
 }
 
+std::optional<Duration> TargetLoad::service_time() const {
+  if (service_us_ == 0)
+    return std::nullopt;
+  return Duration(static_cast<Duration::rep>(service_us_));
+}
+
 std::uint32_t TargetLoad::Limit(std::uint32_t slots,
                                 std::uint32_t sharers) const {
   if (Probing())
@@ -92,13 +105,17 @@
                             Instant now) {
   const Candidate* best = nullptr;
   double best_time = std::numeric_limits<double>::infinity();
-  bool near_exists = false;
+  const bool near_exists = std::any_of(
+      candidates.begin(), candidates.end(), [](const Candidate& each) {
+        return each.distance != Distance::kOtherRegion;
+      });
   for (const bool ejected_too : {false, true}) {
     for (const Candidate& candidate : candidates) {
       if (candidate.load->Ejected(now) != ejected_too)
         continue;
-      const bool near = candidate.distance != Distance::kOtherRegion;
-      near_exists = near_exists || near;
+      if (rule.bulk && near_exists &&
+          candidate.distance == Distance::kOtherRegion)
+        continue;
       if (candidate.load->in_flight() >=
           candidate.load->Limit(candidate.entry->slots, candidate.sharers))
         continue;
@@ -108,12 +125,9 @@
         best_time = time;
       }
     }
-    if (best || near_exists)
+    if (best)
       break;
   }
-  if (best && rule.bulk && near_exists &&
-      best->distance == Distance::kOtherRegion)
-    return nullptr;
   return best;
 }
 
