Refuse what a stopping entry might not end; wait for answers being written

New requests whose time limit lies beyond it are now refused as not run, and the process waits for answers not yet written.

--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -66,10 +66,12 @@
   void Listen();
   // Control changed the view.
   void OnViewChanged();
-  // From now on connections end after their current answer.
-  void StartStopping() { stopping_ = true; }
+  // From now on connections end after their current answer, and a request that
+  // might not end by `last_end` is refused.
+  void StartStopping(Instant last_end) { stop_by_ = last_end; }
   void CloseIdleCallers();
-  bool Quiet() const { return exchanges_.empty(); }
+  // Whether no request is served and every answer is written to its end.
+  bool Quiet() const;
   std::size_t in_flight() const { return exchanges_.size(); }
   // Advances time limits; called every kTickInterval.
   void Tick(Instant now);
@@ -102,7 +104,7 @@
   Log& log_;
   Metrics& metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  bool stopping_ = false;
+  std::optional<Instant> stop_by_;
   std::unordered_map<const CallerConnection*,
                      std::shared_ptr<CallerConnection>>
       callers_;
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -152,7 +152,7 @@
     ready_ = false;
     log_.Write(LogLevel::kInfo, "stopping",
                {{"in_flight", std::to_string(traffic_.in_flight())}});
-    traffic_.StartStopping();
+    traffic_.StartStopping(*stop_begun_ + settings_.stop_grace - kStopMargin);
     control_.Resign();
   }
 
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -103,7 +103,7 @@
     handlers.on_closed = [this](const CallerConnection* caller) {
       callers_.erase(caller);
     };
-    handlers.stopping = [this] { return stopping_; };
+    handlers.stopping = [this] { return stop_by_.has_value(); };
     const auto caller = std::make_shared<CallerConnection>(
         std::move(socket),
         view_.routes ? view_.routes->state().limits : CallerLimits{},
@@ -172,6 +172,13 @@
   ServeWaiting();
 }
 
+bool EntryTraffic::Quiet() const {
+  return exchanges_.empty() &&
+         std::all_of(callers_.begin(), callers_.end(), [](const auto& each) {
+           return each.second->unsent() == 0;
+         });
+}
+
 void EntryTraffic::CloseIdleCallers() {
   std::vector<std::shared_ptr<CallerConnection>> all;
   for (const auto& [key, caller] : callers_)
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -140,6 +140,8 @@
   if (left)
     limit = std::min<Duration>(limit, std::chrono::milliseconds(*left));
   due_ = arrived_ + limit;
+  if (traffic_.stop_by_ && due_ > *traffic_.stop_by_)
+    return FinishOwn(kUnavailable, "stopping", Duration{0});
   service_ = traffic_.spreads_[route_->name].Next(route_->services);
   const TargetService* service = routes_->FindService(service_);
   keyed_ = service && service->keyed;
