Let members report grants by datagram, and hold grants for 2.5 s

Members now tell the mover what they know and until when their grants last; the store is the fallback.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -48,8 +48,10 @@
   Duration reader_word = std::chrono::milliseconds(350);
   Duration reader_silence = std::chrono::milliseconds(900);
   Duration retry = std::chrono::milliseconds(250);
-  // Between two reports of load to the mover.
+  // Between two reports to the mover.
   Duration report = std::chrono::milliseconds(300);
+  // A member that could not tell the mover of a move tells the store after this.
+  Duration report_in_store = std::chrono::milliseconds(700);
   // A target that left the directory is used this long, ...
   Duration absence = std::chrono::milliseconds(200);
   // ... or this long around trouble of the store, which returns entries within
@@ -121,9 +123,12 @@
   void SendReleases(const ServiceId& service, MoverState& state);
   void SendGrants(Instant now);
   bool GrantsHere(const ServiceId& service, const RangeEntry& entry) const;
-  void ReportToMover(Instant now);
-  void SendLoad(Instant now);
-  void ReceiveLoad();
+  void ReportInStore(Instant now);
+  GrantReport MakeGrantReport(Instant now) const;
+  void NoteReport(Instant now, const VmId& vm, const std::string& incarnation,
+                  const GrantReport& report);
+  void SendReport(Instant now);
+  void ReceiveReports();
   std::shared_ptr<HttpChannel> ChannelTo(const TargetId& owner,
                                          const Endpoint& address);
   void After(Duration delay, std::function<void()> work);
@@ -153,6 +158,7 @@
   // Newest change of each table that this member's record in the store names.
   std::map<ServiceId, std::uint64_t> reported_;
   bool reporting_ = false;
+  std::optional<Instant> report_owed_since_;
 
   // What was read of the store, up to `cursor_`.
   StoreMirror mirror_;
@@ -167,8 +173,8 @@
   std::optional<Instant> trouble_at_;
   bool store_lost_ = false;
   std::map<TargetId, Instant> absent_;
-  std::map<VmId, MemberReport> reports_;
-  Instant last_departure_{};
+  MemberReports reports_;
+  Instant members_since_{};
 
   // Election of the mover.
   bool mover_key_exists_ = false;
@@ -186,7 +192,9 @@
   boost::asio::ip::udp::endpoint peer_from_;
   std::array<char, 65'536> peer_buffer_;
   LoadPicture load_;
-  Instant load_at_{};
+  Instant reported_at_{};
+  std::uint64_t reported_changes_ = 0;
+  std::uint64_t table_changes_ = 0;
 
   RangeGranter granter_;
   std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -1,6 +1,6 @@
-// What members tell the elected mover about load: where in the key space it
-// falls, and how fast targets answer. Hints for the balance; nothing that must
-// hold rests on them.
+// What members tell the elected mover several times a second: where in the key
+// space load falls and how fast targets answer, as hints for the balance; and what
+// they know of moves, on which the end of a move may rest.
 #ifndef FIGSTALL_LOAD_REPORT_H_
 #define FIGSTALL_LOAD_REPORT_H_
 
@@ -48,9 +48,18 @@
   friend bool operator==(const HeatReport&, const HeatReport&) = default;
 };
 
+// What a member knows of moves, and how long its grants may last from now on.
+struct GrantReport {
+  std::map<ServiceId, std::uint64_t> seen_fence;
+  std::map<TargetId, Duration> holds_for;
+
+  friend bool operator==(const GrantReport&, const GrantReport&) = default;
+};
+
 struct LoadReport {
   VmId vm;
   std::string incarnation;
+  GrantReport grants;
   std::map<ServiceId, HeatReport> services;
   // Time of an answer without queueing.
   std::map<TargetId, Duration> targets;
@@ -71,6 +80,8 @@
   std::vector<double> Heat(Instant now,
                            const ServiceId& service,
                            std::size_t members) const;
+  // Whether this VM reported lately.
+  bool Heard(Instant now, const VmId& vm) const;
   // Slots of each target, weighed by how fast it answers.
   std::map<TargetId, double> Capacities(Instant now,
                                         const TargetDirectory& directory,
--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -30,7 +30,7 @@
 struct GranterTiming {
   // Between two grants of one range by one member; leaves room for two that are
   // lost before a hold runs out.
-  Duration renew_interval = std::chrono::milliseconds(1100);
+  Duration renew_interval = std::chrono::milliseconds(800);
   // A connection to an owner broke: it may have started again, so nothing is
   // granted until it has had time to say so. Longer than a target's heartbeat.
   Duration doubt = std::chrono::milliseconds(1200);
@@ -85,15 +85,17 @@
   bool IsNew(const ServiceId& service, const RangeEntry& entry) const {
     return !next_.contains({service, entry.range.first, entry.fence});
   }
-  // When a grant was last sent to each owner that may still hold by it.
-  std::map<TargetId, Instant> LastSent(Instant now) const;
+  // Until when each owner may still hold by a grant of this member; owners that
+  // hold no more by any are left out.
+  std::map<TargetId, Instant> HoldsUntil(Instant now) const;
   std::uint64_t SeenFence(const ServiceId& service) const;
 
  private:
   struct OwnerState {
-    // Grants that may be on their way.
+    // Grants that may be on their way, and the latest moment at which one that
+    // ended may have arrived.
     std::uint32_t in_flight = 0;
-    std::optional<Instant> last_sent;
+    std::optional<Instant> last_arrival;
     std::optional<Instant> doubted_until;
   };
 
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -5,8 +5,8 @@
 // one grants a moving one. The mover writes `moving` under a new fencing token,
 // asks the old owner to release at that token (after which the owner refuses
 // every older grant), and settles the new owner under it. Where the owner does not
-// answer, it waits until every member has said when it last sent a grant, or has
-// lost its membership, and until that grant has run out.
+// answer, it waits until every member has said that it knows of the move and until
+// when its grants last, or has departed, and until those grants have run out.
 #ifndef FIGSTALL_RANGE_MOVER_H_
 #define FIGSTALL_RANGE_MOVER_H_
 
@@ -24,36 +24,40 @@
 namespace figstall {
 
 struct GrantTiming {
-  // How long a grant is valid from its arrival. At most the platform's
-  // `maxHoldS`.
-  Duration hold = std::chrono::milliseconds(4000);
+  // How long a grant is valid from its arrival. Short, since the keys of an owner
+  // that went silent are served by no one for so long; three renewals long.
+  Duration hold = std::chrono::milliseconds(2500);
   // A target's clock may run this much slow. Source: the platform's protocol.
   double clock_slack = 0.02;
   // A grant call that is not answered by then is given up and its connection
   // reset, so that it arrives no later.
   Duration call_limit = std::chrono::milliseconds(800);
-  // How long an owner is asked to release before members are asked instead.
-  // Longer than the work that a release may wait for is not needed: the owner
-  // is then asked again.
-  Duration release_patience = std::chrono::milliseconds(900);
-
-  // From the sending of a grant until it has surely run out.
-  Duration LongestHold() const {
-    return call_limit + Duration(static_cast<Duration::rep>(
-                            static_cast<double>(hold.count()) *
-                            (1 + clock_slack)));
+  // How long an owner is asked to release, and members are heard, before all
+  // members are asked through the store.
+  Duration release_patience = std::chrono::milliseconds(1500);
+
+  // From the arrival of a grant until it has surely run out.
+  Duration SurelyOver() const {
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(hold.count()) * (1 + clock_slack)));
   }
+  // From the sending of a grant until it has surely run out.
+  Duration LongestHold() const { return call_limit + SurelyOver(); }
 };
 
-// What a member has said about grants to owners that are being moved away from.
+// What a member has said of its grants, and whether it still is one. Members are
+// told apart by run: a restarted process is another member.
 struct MemberReport {
   // Fencing token of the newest change of each service's table that it has seen.
   std::map<ServiceId, std::uint64_t> seen_fence;
-  // When it last sent each owner a grant, by the mover's clock; no entry: never,
-  // or longer ago than any grant is valid.
-  std::map<TargetId, Instant> last_sent;
+  // Until when each owner may hold by its grants, by the mover's clock.
+  std::map<TargetId, Instant> holds_until;
+  // When its membership was seen to have ended; it granted nothing after.
+  std::optional<Instant> departed;
 };
 
+using MemberReports = std::map<std::string, MemberReport>;
+
 // Load that the mover's own requests showed, used for the balance only.
 struct RangeLoad {
   // Busy time per second, by equal parts of the key space.
@@ -63,14 +67,14 @@
 struct MoverView {
   Instant now;
   const TargetDirectory* directory = nullptr;
-  // Members by VM; a member whose membership ended is not here any more.
-  const std::map<VmId, MemberReport>* members = nullptr;
+  // By VM and run.
+  const MemberReports* members = nullptr;
   // Whether `members` is at least as new as the table in the store. Else a member
   // that joined meanwhile might be missing.
   bool members_current = false;
-  // When a membership was last seen to end or to be replaced by a later run of
-  // the same VM; at the latest when this mover first saw the members.
-  Instant last_departure{};
+  // When this mover first knew the members. One that departed earlier is not
+  // among them.
+  Instant members_since{};
   // Relative capacity of targets; a missing one counts by its slots.
   const std::map<TargetId, double>* capacity = nullptr;
   const RangeLoad* load = nullptr;
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -26,9 +26,9 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-std::int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
+// Tells runs of the process on one VM apart.
+std::string RunOf(const VmId& vm, const std::string& incarnation) {
+  return vm.value() + "#" + incarnation;
 }
 
 std::string Describe(const Error& error) {
@@ -79,7 +79,7 @@
       settings_.peers.port);
   peers_.open(endpoint.protocol());
   peers_.bind(endpoint);
-  ReceiveLoad();
+  ReceiveReports();
   sender_ = std::make_unique<RelaySender>(
       io_, settings_.peers, [this](Revision revision) {
         MirrorChanges changes = mirror_.Since(revision);
@@ -133,29 +133,28 @@
 
 void EntryControl::WriteMember(bool then_read) {
   const Instant now = BootNow();
-  json sent = json::object();
-  for (const auto& [owner, at] : granter_.LastSent(now))
-    sent[owner.value()] = Millis(now - at);
-  std::map<ServiceId, std::uint64_t> seen;
-  json seen_by_service = json::object();
-  for (const auto& [service, table] : granter_.tables()) {
-    seen_by_service[service.value()] = table.last_fence;
-    seen[service] = table.last_fence;
-  }
+  const GrantReport report = MakeGrantReport(now);
+  json holds = json::object();
+  for (const auto& [owner, time] : report.holds_for)
+    holds[owner.value()] = time.count();
+  json seen = json::object();
+  for (const auto& [service, fence] : report.seen_fence)
+    seen[service.value()] = fence;
   const json value = {{"zone", settings_.zone.value()},
                       {"peers", settings_.peers.ToString()},
                       {"incarnation", incarnation_},
-                      {"seen_fence", seen_by_service},
-                      {"sent_ms_ago", sent}};
+                      {"seen_fence", seen},
+                      {"holds_for_us", holds}};
   reporting_ = true;
   store_.Write({},
                {{kMembersPrefix + settings_.vm.value(), value.dump(),
                  member_lease_}},
-               {}, [this, then_read, seen](const StoreAnswer& answer) {
+               {}, [this, then_read, told = report.seen_fence](
+                       const StoreAnswer& answer) {
                  NoteStore(answer, "write-member");
                  reporting_ = false;
                  if (answer.status == StoreStatus::kOk) {
-                   reported_ = seen;
+                   reported_ = told;
                    if (then_read) {
                      log_.Write(LogLevel::kInfo, "joined",
                                 {{"lease", std::to_string(member_lease_)},
@@ -239,7 +238,7 @@
 
 void EntryControl::ApplyAll(const ReadAll& read) {
   if (!read_once_)
-    last_departure_ = BootNow();
+    members_since_ = BootNow();
   for (const StoreItem& gone : mirror_.Forget(read.items, read.first_revision))
     Apply(gone);
   Learn(read.items, read.first_revision);
@@ -449,12 +448,15 @@
 void EntryControl::ApplyMember(const VmId& vm,
                                const StoreItem& item) {
   const auto known = view_.members.find(vm);
+  const Instant now = BootNow();
+  const auto depart = [&] {
+    reports_[RunOf(vm, known->second.incarnation)].departed = now;
+  };
   if (item.deleted) {
     if (known == view_.members.end())
       return;
+    depart();
     view_.members.erase(known);
-    reports_.erase(vm);
-    last_departure_ = BootNow();
     log_.Write(LogLevel::kInfo, "member-left", {{"vm", vm.value()}});
     return ViewChanged();
   }
@@ -470,18 +472,18 @@
                      {{"vm", vm.value()}, {"findings", Describe(error)}});
           return Endpoint{};
         });
-    MemberReport report;
-    const Instant now = BootNow();
+    GrantReport report;
     for (const auto& [service, fence] : value.at("seen_fence").items())
       report.seen_fence[ServiceId(service)] = fence;
-    for (const auto& [owner, age] : value.at("sent_ms_ago").items())
-      report.last_sent[TargetId(owner)] =
-          now - std::chrono::milliseconds(age.get<std::int64_t>());
-    reports_[vm] = std::move(report);
+    for (const auto& [owner, time] : value.at("holds_for_us").items())
+      report.holds_for[TargetId(owner)] = Duration(time.get<Duration::rep>());
+    if (known != view_.members.end() &&
+        known->second.incarnation != member.incarnation)
+      depart();
+    reports_[RunOf(vm, member.incarnation)].departed.reset();
+    NoteReport(now, vm, member.incarnation, report);
     if (known != view_.members.end() && known->second == member)
       return;
-    if (known != view_.members.end())
-      last_departure_ = now;
     log_.Write(LogLevel::kInfo, "member-joined",
                {{"vm", vm.value()},
                 {"zone", member.zone.value()},
@@ -509,6 +511,7 @@
           state.mover = std::make_unique<RangeMover>(service, settings_.grants);
         state.mover->OnTable(table, BootNow());
         granter_.OnTable(service, table);
+        ++table_changes_;
         log_.Write(LogLevel::kInfo, "ranges-changed",
                    {{"service", service.value()},
                     {"revision", std::to_string(item.revision)},
@@ -553,7 +556,7 @@
     const Instant until = now + opened.time_to_live - timing_.lease_margin;
     store_.Write(
         {{kMoverKey, 0}},
-        {{kMoverKey, settings_.vm.value() + "#" + incarnation_, lease}}, {},
+        {{kMoverKey, RunOf(settings_.vm, incarnation_), lease}}, {},
         [this, lease, until](const StoreAnswer& answer) {
           NoteStore(answer, "write-mover");
           campaigning_ = false;
@@ -614,8 +617,8 @@
   }
   MoveRanges(now);
   SendGrants(now);
-  ReportToMover(now);
-  SendLoad(now);
+  SendReport(now);
+  ReportInStore(now);
 }
 
 }  // namespace figstall
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -15,9 +15,11 @@
 constexpr char kMoverKey[] = "figstall/mover";
 constexpr std::size_t kMaxQueuedOrders = 256;
 // Members of a zone that grant the same range, by rank.
-constexpr std::size_t kGrantersPerRange = 3;
+constexpr std::size_t kGrantersPerRange = 2;
 // A release is answered once the work on its keys has ended.
 constexpr Duration kReleaseLimit = std::chrono::milliseconds(2500);
+// Longer than any grant lasts.
+constexpr Duration kForgetAfter = std::chrono::seconds(60);
 constexpr Duration kReleaseAgain = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -34,8 +36,13 @@
 
 bool EntryControl::GrantsHere(const ServiceId& service,
                               const RangeEntry& entry) const {
-  if (IsMover(BootNow()) &&
-      (granter_.IsNew(service, entry) || view_.MembersIn(entry.zone) == 0))
+  const Instant now = BootNow();
+  if (IsMover(now) && (granter_.IsNew(service, entry) ||
+                       std::none_of(view_.members.begin(), view_.members.end(),
+                                    [&](const auto& each) {
+                                      return each.second.zone == entry.zone &&
+                                             load_.Heard(now, each.first);
+                                    })))
     return true;
   if (entry.zone != settings_.zone)
     return false;
@@ -90,7 +97,7 @@
   }
 }
 
-void EntryControl::ReportToMover(Instant now) {
+void EntryControl::ReportInStore(Instant now) {
   if (reporting_ || resigned_ || !tables_current_ || now >= member_until_)
     return;
   bool owed = false;
@@ -100,19 +107,56 @@
                       entry.fence > reported_[service]);
     }
   }
-  if (owed)
+  if (!owed)
+    return report_owed_since_.reset();
+  report_owed_since_ = report_owed_since_.value_or(now);
+  if (now - *report_owed_since_ >= timing_.report_in_store)
     WriteMember(/*then_read=*/false);
 }
 
-void EntryControl::SendLoad(Instant now) {
-  if (now - load_at_ < timing_.report || resigned_)
+GrantReport EntryControl::MakeGrantReport(Instant now) const {
+  GrantReport report;
+  for (const auto& [service, table] : granter_.tables())
+    report.seen_fence[service] = table.last_fence;
+  for (const auto& [owner, until] : granter_.HoldsUntil(now))
+    report.holds_for[owner] = until - now;
+  return report;
+}
+
+void EntryControl::NoteReport(Instant now,
+                              const VmId& vm,
+                              const std::string& incarnation,
+                              const GrantReport& report) {
+  const auto found = reports_.find(vm.value() + "#" + incarnation);
+  if (found == reports_.end())
     return;
-  load_at_ = now;
-  LoadReport report = traffic_.MakeLoadReport(incarnation_);
-  if (report.services.empty())
+  MemberReport& known = found->second;
+  for (const auto& [service, fence] : report.seen_fence) {
+    std::uint64_t& seen = known.seen_fence[service];
+    seen = std::max(seen, fence);
+  }
+  // Datagrams may arrive late and in any order, so the latest time counts.
+  std::erase_if(known.holds_until,
+                [now](const auto& each) { return each.second <= now; });
+  for (const auto& [owner, time] : report.holds_for) {
+    Instant& until = known.holds_until[owner];
+    until = std::max(until, now + time);
+  }
+}
+
+void EntryControl::SendReport(Instant now) {
+  const bool due = now - reported_at_ >= timing_.report ||
+                   reported_changes_ != table_changes_;
+  if (!due || resigned_ || !read_once_)
     return;
-  if (IsMover(now))
+  reported_at_ = now;
+  reported_changes_ = table_changes_;
+  LoadReport report = traffic_.MakeLoadReport(incarnation_);
+  report.grants = MakeGrantReport(now);
+  if (IsMover(now)) {
+    NoteReport(now, settings_.vm, incarnation_, report.grants);
     return load_.OnReport(now, std::move(report));
+  }
   const auto mover = view_.members.find(mover_vm_);
   if (mover == view_.members.end() || mover->second.peers.port == 0)
     return;
@@ -127,7 +171,7 @@
       });
 }
 
-void EntryControl::ReceiveLoad() {
+void EntryControl::ReceiveReports() {
   peers_.async_receive_from(
       boost::asio::buffer(peer_buffer_), peer_from_,
       [this](boost::system::error_code error, std::size_t size) {
@@ -138,7 +182,9 @@
               [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(report,
                                 DecodeLoadReport({peer_buffer_.data(), size}));
-                load_.OnReport(BootNow(), std::move(report));
+                const Instant now = BootNow();
+                NoteReport(now, report.vm, report.incarnation, report.grants);
+                load_.OnReport(now, std::move(report));
                 return {};
               },
               [&](const Error& refused) {
@@ -146,13 +192,16 @@
                            {{"findings", refused.message}});
               });
         }
-        ReceiveLoad();
+        ReceiveReports();
       });
 }
 
 void EntryControl::MoveRanges(Instant now) {
   if (!IsMover(now) || !view_.routes)
     return;
+  std::erase_if(reports_, [now](const auto& each) {
+    return each.second.departed && now - *each.second.departed > kForgetAfter;
+  });
   for (const auto& [service, each] : view_.routes->state().services) {
     if (!each.keyed)
       continue;
@@ -169,7 +218,7 @@
     view.directory = &view_.targets;
     view.members = &reports_;
     view.members_current = cursor_ >= state.revision;
-    view.last_departure = last_departure_;
+    view.members_since = members_since_;
     view.capacity = &capacity;
     view.load = &load;
     if (const auto next = state.mover->Plan(view))
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -27,6 +27,41 @@
 // A target's measured speed counts within these factors of the usual one.
 constexpr double kLeastSpeed = 0.4;
 constexpr double kMostSpeed = 2.2;
+// A member that reported within this time is heard.
+constexpr Duration kHeard = std::chrono::milliseconds(1200);
+
+void Write(const GrantReport& report, wire::GrantReport::Builder out) {
+  const auto services = static_cast<unsigned>(report.seen_fence.size());
+  auto names = out.initServices(services);
+  auto fences = out.initSeenFences(services);
+  unsigned index = 0;
+  for (const auto& [service, fence] : report.seen_fence) {
+    names.set(index, service.value());
+    fences.set(index++, fence);
+  }
+  const auto owners = static_cast<unsigned>(report.holds_for.size());
+  auto ids = out.initOwners(owners);
+  auto times = out.initHoldsFor(owners);
+  index = 0;
+  for (const auto& [owner, time] : report.holds_for) {
+    ids.set(index, owner.value());
+    times.set(index++, static_cast<std::uint64_t>(time.count()));
+  }
+}
+
+GrantReport Read(wire::GrantReport::Reader in) {
+  GrantReport report;
+  const auto names = in.getServices();
+  const auto fences = in.getSeenFences();
+  for (unsigned i = 0; i < std::min(names.size(), fences.size()); ++i)
+    report.seen_fence[ServiceId(std::string(names[i]))] = fences[i];
+  const auto ids = in.getOwners();
+  const auto times = in.getHoldsFor();
+  for (unsigned i = 0; i < std::min(ids.size(), times.size()); ++i)
+    report.holds_for[TargetId(std::string(ids[i]))] =
+        Duration(static_cast<Duration::rep>(times[i]));
+  return report;
+}
 
 }  // namespace
 
@@ -92,6 +127,7 @@
     out.setTarget(target.value());
     out.setServiceMicros(static_cast<std::uint32_t>(time.count()));
   }
+  Write(report.grants, root.initGrants());
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
   const auto bytes = stream.getArray();
@@ -108,6 +144,7 @@
     const auto root = message.getRoot<wire::PeerReport>();
     report.vm = VmId(root.getVm());
     report.incarnation = root.getIncarnation();
+    report.grants = Read(root.getGrants());
     for (const auto service : root.getServices()) {
       HeatReport& heat =
           report.services[ServiceId(std::string(service.getService()))];
@@ -134,6 +171,11 @@
   reports_[vm] = {now, std::move(report)};
 }
 
+bool LoadPicture::Heard(Instant now, const VmId& vm) const {
+  const auto found = reports_.find(vm);
+  return found != reports_.end() && now - found->second.at < kHeard;
+}
+
 std::vector<double> LoadPicture::Heat(Instant now,
                                       const ServiceId& service,
                                       std::size_t members) const {
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -12,6 +12,16 @@
   incarnation @1 :Text;
   services @2 :List(ServiceHeat);
   targets @3 :List(TargetSpeed);
+  grants @4 :GrantReport;
+}
+
+# What the member knows of moves, and how long its grants may last.
+struct GrantReport {
+  services @0 :List(Text);
+  seenFences @1 :List(UInt64);
+  owners @2 :List(Text);
+  # Microseconds from the sending of the report.
+  holdsFor @3 :List(UInt64);
 }
 
 struct ServiceHeat {
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -20,6 +20,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(b549c40b1495ce37);
+CAPNP_DECLARE_SCHEMA(c740a834351a2a83);
 CAPNP_DECLARE_SCHEMA(f227c2a806ba8ecf);
 CAPNP_DECLARE_SCHEMA(db6bc0c1d3b12469);
 CAPNP_DECLARE_SCHEMA(8687b1ada684f70c);
@@ -40,7 +41,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b549c40b1495ce37, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b549c40b1495ce37, 0, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct GrantReport {
+  GrantReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c740a834351a2a83, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -153,6 +169,9 @@
   inline bool hasTargets() const;
   inline  ::capnp::List< ::figstall::wire::TargetSpeed,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
 
+  inline bool hasGrants() const;
+  inline  ::figstall::wire::GrantReport::Reader getGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -209,6 +228,13 @@
   inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::figstall::wire::TargetSpeed,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::TargetSpeed,  ::capnp::Kind::STRUCT>> disownTargets();
 
+  inline bool hasGrants();
+  inline  ::figstall::wire::GrantReport::Builder getGrants();
+  inline void setGrants( ::figstall::wire::GrantReport::Reader value);
+  inline  ::figstall::wire::GrantReport::Builder initGrants();
+  inline void adoptGrants(::capnp::Orphan< ::figstall::wire::GrantReport>&& value);
+  inline ::capnp::Orphan< ::figstall::wire::GrantReport> disownGrants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -227,6 +253,122 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::figstall::wire::GrantReport::Pipeline getGrants();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class GrantReport::Reader {
+public:
+  typedef GrantReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getServices() const;
+
+  inline bool hasSeenFences() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSeenFences() const;
+
+  inline bool hasOwners() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOwners() const;
+
+  inline bool hasHoldsFor() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getHoldsFor() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class GrantReport::Builder {
+public:
+  typedef GrantReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getServices();
+  inline void setServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownServices();
+
+  inline bool hasSeenFences();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSeenFences();
+  inline void setSeenFences( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSeenFences(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSeenFences(unsigned int size);
+  inline void adoptSeenFences(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSeenFences();
+
+  inline bool hasOwners();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getOwners();
+  inline void setOwners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setOwners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initOwners(unsigned int size);
+  inline void adoptOwners(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOwners();
+
+  inline bool hasHoldsFor();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getHoldsFor();
+  inline void setHoldsFor( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHoldsFor(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initHoldsFor(unsigned int size);
+  inline void adoptHoldsFor(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownHoldsFor();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class GrantReport::Pipeline {
+public:
+  typedef GrantReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -850,6 +992,197 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::figstall::wire::GrantReport::Reader PeerReport::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::GrantReport>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::figstall::wire::GrantReport::Builder PeerReport::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::GrantReport>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::figstall::wire::GrantReport::Pipeline PeerReport::Pipeline::getGrants() {
+  return  ::figstall::wire::GrantReport::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void PeerReport::Builder::setGrants( ::figstall::wire::GrantReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::figstall::wire::GrantReport>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::figstall::wire::GrantReport::Builder PeerReport::Builder::initGrants() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::GrantReport>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::adoptGrants(
+    ::capnp::Orphan< ::figstall::wire::GrantReport>&& value) {
+  ::capnp::_::PointerHelpers< ::figstall::wire::GrantReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::figstall::wire::GrantReport> PeerReport::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::GrantReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool GrantReport::Reader::hasServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantReport::Builder::hasServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GrantReport::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantReport::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GrantReport::Builder::setServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void GrantReport::Builder::setServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantReport::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GrantReport::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GrantReport::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GrantReport::Reader::hasSeenFences() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantReport::Builder::hasSeenFences() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantReport::Reader::getSeenFences() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantReport::Builder::getSeenFences() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GrantReport::Builder::setSeenFences( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void GrantReport::Builder::setSeenFences(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantReport::Builder::initSeenFences(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GrantReport::Builder::adoptSeenFences(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantReport::Builder::disownSeenFences() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GrantReport::Reader::hasOwners() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantReport::Builder::hasOwners() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader GrantReport::Reader::getOwners() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantReport::Builder::getOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GrantReport::Builder::setOwners( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void GrantReport::Builder::setOwners(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder GrantReport::Builder::initOwners(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GrantReport::Builder::adoptOwners(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> GrantReport::Builder::disownOwners() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool GrantReport::Reader::hasHoldsFor() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantReport::Builder::hasHoldsFor() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GrantReport::Reader::getHoldsFor() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantReport::Builder::getHoldsFor() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GrantReport::Builder::setHoldsFor( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void GrantReport::Builder::setHoldsFor(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GrantReport::Builder::initHoldsFor(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void GrantReport::Builder::adoptHoldsFor(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GrantReport::Builder::disownHoldsFor() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceHeat::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/range_granter.cc
+++ b/src/range_granter.cc
@@ -1,6 +1,8 @@
 // Implements the choice of grants to send.
 #include "figstall/range_granter.h"
 
+#include <algorithm>
+
 namespace figstall {
 
 RangeGranter::RangeGranter(GrantTiming timing, GranterTiming granter)
@@ -66,7 +68,7 @@
     return false;
   OwnerState& owner = owners_[order.owner.id];
   ++owner.in_flight;
-  owner.last_sent = now;
+  owner.last_arrival = now + timing_.call_limit;
   return true;
 }
 
@@ -75,7 +77,9 @@
                              GrantOutcome outcome) {
   OwnerState& owner = owners_[order.owner.id];
   if (outcome != GrantOutcome::kNotSent) {
-    owner.last_sent = now;
+    // It arrived before its answer or, without one, before its connection was
+    // reset.
+    owner.last_arrival = now;
     if (owner.in_flight > 0)
       --owner.in_flight;
   }
@@ -98,15 +102,18 @@
   owners_[owner].doubted_until = now + granter_.doubt;
 }
 
-std::map<TargetId, Instant> RangeGranter::LastSent(Instant now) const {
-  std::map<TargetId, Instant> sent;
+std::map<TargetId, Instant> RangeGranter::HoldsUntil(Instant now) const {
+  std::map<TargetId, Instant> until;
   for (const auto& [id, owner] : owners_) {
-    if (owner.in_flight > 0)
-      sent[id] = now;
-    else if (owner.last_sent && now < *owner.last_sent + timing_.LongestHold())
-      sent[id] = *owner.last_sent;
+    if (!owner.last_arrival)
+      continue;
+    const Instant arrival = owner.in_flight > 0
+                                ? std::max(now, *owner.last_arrival)
+                                : *owner.last_arrival;
+    if (now < arrival + timing_.SurelyOver())
+      until[id] = arrival + timing_.SurelyOver();
   }
-  return sent;
+  return until;
 }
 
 std::uint64_t RangeGranter::SeenFence(const ServiceId& service) const {
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -205,19 +205,19 @@
     return false;
   if (progress->second.released)
     return true;
-  if (entry.phase != RangePhase::kAwaitingMembers || !view.members_current)
+  if (!view.members_current ||
+      view.now < view.members_since + timing_.LongestHold())
     return false;
-  // Members that are not listed any more sent nothing after they departed.
-  if (view.now < view.last_departure + timing_.LongestHold())
-    return false;
-  for (const auto& [vm, member] : *view.members) {
+  for (const auto& [run, member] : *view.members) {
     const auto seen = member.seen_fence.find(service_);
-    if (seen == member.seen_fence.end() || seen->second < entry.fence)
-      return false;
-    const auto sent = member.last_sent.find(entry.owner.id);
-    if (sent != member.last_sent.end() &&
-        view.now < sent->second + timing_.LongestHold())
+    if (seen != member.seen_fence.end() && seen->second >= entry.fence) {
+      const auto until = member.holds_until.find(entry.owner.id);
+      if (until != member.holds_until.end() && view.now < until->second)
+        return false;
+    } else if (!member.departed ||
+               view.now < *member.departed + timing_.LongestHold()) {
       return false;
+    }
   }
   return true;
 }
