--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -57,7 +57,12 @@
     bool streaming = false;
   };
 
+  // The link that may take the request now, or null.
+  TargetLink* Choose() const;
   void Send(TargetLink* link);
+  void TryElsewhere(Instant now);
+  // The attempt's answer as the caller gets it.
+  HttpResponse WholeAnswer();
   std::shared_ptr<const HttpRequest> Outgoing(const TargetLink& link) const;
   void OnHead(const AnswerHead& head);
   void OnBody(std::string_view bytes);
@@ -102,6 +107,8 @@
   std::set<TargetId> tried_;
   std::optional<Instant> not_before_;
   std::optional<Attempt> attempt_;
+  // A target's failure that is delivered if no other attempt does better.
+  std::optional<HttpResponse> spare_;
 };
 
 }  // namespace figstall
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -38,6 +38,9 @@
 // time, between these bounds.
 constexpr double kPatienceFactor = 3.0;
 constexpr Duration kLeastPatience = std::chrono::milliseconds(150);
+// A key has one owner, so another attempt only replaces a lost answer there.
+constexpr double kKeyedPatienceFactor = 4.0;
+constexpr Duration kLeastKeyedPatience = std::chrono::milliseconds(350);
 // Callers come back after at most a third of the time that they have left.
 // Source: the platform's protocol.
 constexpr double kRetryAfterShare = 0.3;
@@ -161,29 +164,29 @@
     GoWaiting();
 }
 
+TargetLink* Exchange::Choose() const {
+  if (!keyed_)
+    return traffic_.PickShared(service_, route_->bulk, tried_);
+  const auto table = traffic_.view_.tables.find(service_);
+  const RangeEntry* entry = table == traffic_.view_.tables.end()
+                                ? nullptr
+                                : table->second.Find(key_);
+  if (!entry || entry->phase != RangePhase::kSettled)
+    return nullptr;
+  TargetLink* link = traffic_.LinkTo(entry->owner.id);
+  if (!link)
+    return nullptr;
+  const std::uint32_t limit = link->load().Limit(
+      link->entry().slots, traffic_.SharersOf(link->entry(), true));
+  return link->load().in_flight() < limit ? link : nullptr;
+}
+
 bool Exchange::TrySend() {
   if (ended_)
     return true;
-  const Instant now = BootNow();
-  if (not_before_ && now < *not_before_)
+  if (not_before_ && BootNow() < *not_before_)
     return false;
-  TargetLink* link = nullptr;
-  if (keyed_) {
-    const auto table = traffic_.view_.tables.find(service_);
-    const RangeEntry* entry =
-        table == traffic_.view_.tables.end() ? nullptr
-                                             : table->second.Find(key_);
-    if (!entry || entry->phase != RangePhase::kSettled)
-      return false;
-    link = traffic_.LinkTo(entry->owner.id);
-    if (link &&
-        link->load().in_flight() >=
-            link->load().Limit(link->entry().slots,
-                               traffic_.SharersOf(link->entry(), true)))
-      return false;
-  } else {
-    link = traffic_.PickShared(service_, route_->bulk, tried_);
-  }
+  TargetLink* link = Choose();
   if (!link)
     return false;
   waiting_ = false;
@@ -230,7 +233,10 @@
       std::max(link->load().latency().value_or(Duration{0}),
                traffic_.TypicalTime(service_));
   attempt.patience_ends =
-      now + std::max(kLeastPatience, Scaled(usual, kPatienceFactor));
+      now + (keyed_ ? std::max(kLeastKeyedPatience,
+                               Scaled(usual, kKeyedPatienceFactor))
+                    : std::max(kLeastPatience,
+                               Scaled(usual, kPatienceFactor)));
   link->load().OnSent();
   const auto self = shared_from_this();
   AnswerObserver observer;
@@ -297,29 +303,36 @@
   if (attempt_->head.count(platform::kNotRunHeader) > 0)
     return OnRejected(status);
   const bool failed = status >= kFirstFailure;
-  if (failed && !attempt_->streaming && MayRetry() &&
-      traffic_.BudgetOf(service_).TryRetry(BootNow(), traffic_.Routers())) {
+  if (failed && !attempt_->streaming && MayRetry()) {
     tried_.insert(attempt_->target);
-    EndAttempt(AttemptKind::kFailed);
-    if (!TrySend())
-      GoWaiting();
-    return;
+    TargetLink* other = Choose();
+    if (other && TimeLeft(BootNow()) > traffic_.TypicalTime(service_) &&
+        traffic_.BudgetOf(service_).TryRetry(BootNow(), traffic_.Routers())) {
+      spare_ = WholeAnswer();
+      run_ = RunState::kUnknown;
+      EndAttempt(AttemptKind::kFailed);
+      return Send(other);
+    }
   }
   Forward();
 }
 
+HttpResponse Exchange::WholeAnswer() {
+  HttpResponse answer;
+  answer.base() = CallerHead();
+  answer.version(11);
+  answer.body() = std::move(attempt_->body);
+  if (request_.method() != http::verb::head)
+    answer.erase(http::field::content_length);
+  return answer;
+}
+
 void Exchange::Forward() {
   const int status = static_cast<int>(attempt_->head.result_int());
   if (attempt_->streaming) {
     caller_->SendBody({}, true);
   } else {
-    HttpResponse answer;
-    answer.base() = CallerHead();
-    answer.version(11);
-    answer.body() = std::move(attempt_->body);
-    if (request_.method() != http::verb::head)
-      answer.erase(http::field::content_length);
-    caller_->Reply(std::move(answer));
+    caller_->Reply(WholeAnswer());
   }
   EndAttempt(status >= kFirstFailure ? AttemptKind::kFailed
                                      : AttemptKind::kAnswered);
@@ -442,18 +455,26 @@
       Refuse("no-target-free");
     return;
   }
-  if (attempt_ && !attempt_->streaming && now >= attempt_->patience_ends &&
-      MayRetry() && TimeLeft(now) > traffic_.TypicalTime(service_) &&
-      traffic_.BudgetOf(service_).TryRetry(now, traffic_.Routers())) {
-    if (!keyed_)
-      tried_.insert(attempt_->target);
-    run_ = RunState::kUnknown;
-    const auto connection = attempt_->connection;
-    EndAttempt(AttemptKind::kTimedOut);
-    connection->Abandon();
-    if (!TrySend())
-      GoWaiting();
-  }
+  if (attempt_ && !attempt_->streaming && now >= attempt_->patience_ends)
+    TryElsewhere(now);
+}
+
+// A target at work is given up only for another attempt that can be sent now,
+// and not by a stopping process, which ends what it has begun.
+void Exchange::TryElsewhere(Instant now) {
+  if (!MayRetry() || traffic_.stop_by_ ||
+      TimeLeft(now) <= traffic_.TypicalTime(service_))
+    return;
+  tried_.insert(attempt_->target);
+  TargetLink* other = Choose();
+  if (!other ||
+      !traffic_.BudgetOf(service_).TryRetry(now, traffic_.Routers()))
+    return;
+  run_ = RunState::kUnknown;
+  const auto connection = attempt_->connection;
+  EndAttempt(AttemptKind::kTimedOut);
+  connection->Abandon();
+  Send(other);
 }
 
 void Exchange::Refuse(const std::string& reason) {
@@ -468,6 +489,12 @@
                          std::optional<Duration> retry_after) {
   if (ended_)
     return;
+  if (spare_) {
+    const auto caller = caller_;
+    HttpResponse answer = std::move(*spare_);
+    Finish("answered", static_cast<int>(answer.result_int()), reason);
+    return caller->Reply(std::move(answer));
+  }
   HttpResponse answer;
   answer.result(static_cast<unsigned>(status));
   answer.version(11);
