--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -54,9 +54,13 @@
   Duration report_in_store = std::chrono::milliseconds(700);
   // A target that left the directory is used this long, ...
   Duration absence = std::chrono::milliseconds(200);
-  // ... or this long around trouble of the store, which returns entries within
-  // two seconds. Source: the platform's protocol.
-  Duration absence_in_trouble = std::chrono::milliseconds(2300);
+  // ... or until this long after an outage of the store, if it was seen to have
+  // left in the first moments after: entries that expired meanwhile are back
+  // within two seconds. Source: the platform's protocol.
+  Duration absence_after_outage = std::chrono::milliseconds(2300);
+  Duration outage_news = std::chrono::milliseconds(900);
+  // Shorter trouble with the store expires no entries: targets report more often.
+  Duration least_outage = std::chrono::milliseconds(1000);
 };
 
 class EntryControl {
@@ -170,7 +174,9 @@
   RelayListener listener_;
   bool reading_ = false;
   bool read_once_ = false;
-  std::optional<Instant> trouble_at_;
+  // Since when the store cannot be reached, and when an outage last ended.
+  Instant lost_at_{};
+  std::optional<Instant> outage_ended_at_;
   bool store_lost_ = false;
   std::map<TargetId, Instant> absent_;
   MemberReports reports_;
--- a/include/figstall/types.h
+++ b/include/figstall/types.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <ctime>
 #include <string>
 #include <utility>
 
@@ -21,6 +22,15 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock, duration>;
   static constexpr bool is_steady = true;
+
+  // For adapters; decisions are told the time.
+  static time_point now() noexcept {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::seconds(time.tv_sec) +
+        std::chrono::nanoseconds(time.tv_nsec)));
+  }
 };
 using Instant = BootClock::time_point;
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -95,11 +95,14 @@
   ++metrics_.Counter("figstall_store_calls_total",
                      fmt::format("call=\"{}\",outcome=\"{}\"", call,
                                  ToString(answer.status)));
-  if (lost)
-    trouble_at_ = BootNow();
   if (lost == store_lost_)
     return;
   store_lost_ = lost;
+  const Instant now = BootNow();
+  if (lost)
+    lost_at_ = now;
+  else if (now - lost_at_ >= timing_.least_outage)
+    outage_ended_at_ = now;
   log_.Write(lost ? LogLevel::kWarning : LogLevel::kInfo,
              lost ? "store-lost" : "store-regained",
              {{"call", call},
@@ -389,11 +392,14 @@
     if (known == view_.targets.end() || absent_.contains(target))
       return;
     const Instant now = BootNow();
-    const bool trouble =
-        trouble_at_ && now - *trouble_at_ < timing_.absence_in_trouble;
-    const Duration keep = known->second.leaving ? Duration{0}
-                          : trouble             ? timing_.absence_in_trouble
-                                                : timing_.absence;
+    const bool expired_in_outage =
+        outage_ended_at_ && now - *outage_ended_at_ < timing_.outage_news;
+    if (expired_in_outage && !known->second.leaving) {
+      absent_[target] = *outage_ended_at_ + timing_.absence_after_outage;
+      return;
+    }
+    const Duration keep =
+        known->second.leaving ? Duration{0} : timing_.absence;
     absent_[target] = now + keep;
     return;
   }
