--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -37,6 +37,9 @@
 
   // An idle connection that the target surely still keeps open, or a new one.
   std::shared_ptr<TargetConnection> Acquire(Instant now);
+  // Closes idle connections that will not be used again, since a target takes
+  // only so many from all routers.
+  void CloseStale(Instant now);
   void SetEntry(TargetEntry entry) { entry_ = std::move(entry); }
 
   const TargetEntry& entry() const { return entry_; }
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -57,6 +57,16 @@
   return made;
 }
 
+void TargetLink::CloseStale(Instant now) {
+  std::vector<std::shared_ptr<TargetConnection>> stale;
+  for (const auto& connection : connections_) {
+    if (connection->idle() && !connection->FreshUntil(now))
+      stale.push_back(connection);
+  }
+  for (const auto& connection : stale)
+    connection->Abandon();
+}
+
 EntryTraffic::EntryTraffic(asio::io_context& io,
                            const EntrySettings& settings,
                            const EntryView& view,
@@ -201,6 +211,8 @@
   if (now - checked_callers_ < kCallerCheckInterval)
     return;
   checked_callers_ = now;
+  for (auto& [id, link] : links_)
+    link->CloseStale(now);
   std::vector<std::shared_ptr<CallerConnection>> callers;
   for (const auto& [key, caller] : callers_)
     callers.push_back(caller);
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -10,7 +10,7 @@
 
 // Added to the expected time of targets farther away, since bytes between zones
 // and regions are charged; in microseconds.
-constexpr double kOtherZoneCost = 15'000;
+constexpr double kOtherZoneCost = 40'000;
 constexpr double kOtherZoneBulkCost = 100'000;
 constexpr double kOtherRegionCost = 120'000;
 // Expected time of a target that fails is multiplied by up to this much more.
