--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -108,6 +108,7 @@
   void OnWatch(const StoreAnswer& answer);
   void OnRelayed(const RelayUpdate& update);
   // Takes in what is newer than what was known, and tells it on.
+  void LearnAll(const std::vector<StoreItem>& items, Revision revision);
   void Learn(const std::vector<StoreItem>& items, Revision cursor);
   void Apply(const StoreItem& item);
   void ApplyDesiredState(const StoreItem& item);
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -34,9 +34,10 @@
  public:
   // False if something as new was known of the key.
   bool Put(const StoreItem& item);
-  // Deletes what is older than `revision` and not among `items`, and returns it.
-  std::vector<StoreItem> Forget(const std::vector<StoreItem>& items,
-                                Revision revision);
+  // Deletions of what is known, older than `revision` and not among `items`,
+  // which are all that there was at `revision`.
+  std::vector<StoreItem> MissingFrom(const std::vector<StoreItem>& items,
+                                     Revision revision) const;
   MirrorChanges Since(Revision revision) const;
   std::size_t size() const { return items_.size(); }
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -242,9 +242,7 @@
 void EntryControl::ApplyAll(const ReadAll& read) {
   if (!read_once_)
     members_since_ = BootNow();
-  for (const StoreItem& gone : mirror_.Forget(read.items, read.first_revision))
-    Apply(gone);
-  Learn(read.items, read.first_revision);
+  LearnAll(read.items, read.first_revision);
   tables_current_ = member_lease_ != 0 && !joining_;
   read_once_ = true;
   log_.Write(LogLevel::kInfo, "store-read",
@@ -252,6 +250,13 @@
               {"revision", std::to_string(read.first_revision)}});
 }
 
+void EntryControl::LearnAll(const std::vector<StoreItem>& items,
+                            Revision revision) {
+  std::vector<StoreItem> changes = mirror_.MissingFrom(items, revision);
+  changes.insert(changes.end(), items.begin(), items.end());
+  Learn(changes, revision);
+}
+
 void EntryControl::Learn(const std::vector<StoreItem>& items, Revision cursor) {
   RelayUpdate update;
   for (const StoreItem& item : items) {
@@ -329,11 +334,10 @@
 }
 
 void EntryControl::OnRelayed(const RelayUpdate& update) {
-  if (update.complete) {
-    for (const StoreItem& gone : mirror_.Forget(update.items, update.cursor))
-      Apply(gone);
-  }
-  Learn(update.items, update.cursor);
+  if (update.complete)
+    LearnAll(update.items, update.cursor);
+  else
+    Learn(update.items, update.cursor);
 }
 
 void EntryControl::Apply(const StoreItem& item) {
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -42,8 +42,9 @@
   });
 }
 
-std::vector<StoreItem> StoreMirror::Forget(const std::vector<StoreItem>& items,
-                                           Revision revision) {
+std::vector<StoreItem> StoreMirror::MissingFrom(
+    const std::vector<StoreItem>& items,
+    Revision revision) const {
   std::set<std::string> present;
   for (const StoreItem& item : items)
     present.insert(item.key);
@@ -52,8 +53,6 @@
     if (!item.deleted && item.revision < revision && !present.contains(key))
       gone.push_back({key, "", revision, true});
   }
-  for (const StoreItem& each : gone)
-    Put(each);
   return gone;
 }
 
--- /dev/null
+++ b/test/load_report_test.cc
@@ -0,0 +1,105 @@
+// Reports of load between members, and the picture made of them.
+#include <catch2/catch.hpp>
+#include <numeric>
+
+#include "figstall/load_report.h"
+
+namespace figstall {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceId kService("accounts");
+
+Instant At(int millis) {
+  return Instant(std::chrono::seconds(1000) + milliseconds(millis));
+}
+
+LoadReport Report(const std::string& vm, std::uint16_t part, double busy) {
+  LoadReport report;
+  report.vm = VmId(vm);
+  report.incarnation = "a";
+  report.services[kService] = {100, {{part, busy}}};
+  return report;
+}
+
+}  // namespace
+
+TEST_CASE("a report survives its form on the wire") {
+  LoadReport report = Report("m1", 17, 0.25);
+  report.targets[TargetId("t1")] = milliseconds(80);
+  report.grants.seen_fence[kService] = 12;
+  report.grants.holds_for[TargetId("t2")] = milliseconds(1500);
+  const LoadReport read = HandleError(
+      [&]() -> Result<LoadReport> {
+        return DecodeLoadReport(EncodeLoadReport(report));
+      },
+      [](const Error& error) -> LoadReport {
+        FAIL(error.message);
+        return {};
+      });
+  CHECK(read == report);
+}
+
+TEST_CASE("bytes that are no report are refused or name no member") {
+  for (const std::string& bytes :
+       {std::string(), std::string("GET / HTTP/1.1"), std::string(64, '\xff'),
+        std::string(64, '\0')}) {
+    const std::string member = HandleError(
+        [&]() -> Result<std::string> {
+          BOOST_LEAF_AUTO(report, DecodeLoadReport(bytes));
+          return report.vm.value();
+        },
+        [](const Error&) { return std::string(); });
+    CHECK(member.empty());
+  }
+}
+
+TEST_CASE("heat is right from the first observations on and fades") {
+  KeyHeat heat;
+  heat.Fade(At(0));
+  for (int i = 0; i < 30; ++i)
+    heat.Add(100, milliseconds(10));
+  heat.Fade(At(300));
+  CHECK(heat.parts()[1] == Approx(1.0));
+  for (int at = 600; at <= 9000; at += 300)
+    heat.Fade(At(at));
+  CHECK(heat.parts()[1] < 0.02);
+}
+
+TEST_CASE("members that were not heard are made up for") {
+  LoadPicture picture;
+  picture.OnReport(At(0), Report("m1", 3, 0.5));
+  picture.OnReport(At(0), Report("m2", 3, 0.5));
+  CHECK(picture.Heat(At(10), kService, 4)[3] == Approx(2.0));
+  // Too old to count: nothing is known.
+  CHECK(picture.Heat(At(5000), kService, 4).empty());
+}
+
+TEST_CASE("too few requests say nothing of load") {
+  LoadPicture picture;
+  LoadReport report = Report("m1", 3, 0.5);
+  report.services[kService].samples = 5;
+  picture.OnReport(At(0), report);
+  CHECK(picture.Heat(At(10), kService, 1).empty());
+}
+
+TEST_CASE("slots count by how fast a target answers") {
+  LoadPicture picture;
+  TargetDirectory directory;
+  LoadReport report = Report("m1", 0, 0.1);
+  for (const auto& [id, millis] :
+       {std::pair("t1", 60), std::pair("t2", 120), std::pair("t3", 240)}) {
+    directory[TargetId(id)] = {{TargetId(id), 1}, {},    kService,
+                               ZoneId("z"),       4,     false,
+                               Duration{0}};
+    report.targets[TargetId(id)] = milliseconds(millis);
+  }
+  picture.OnReport(At(0), report);
+  const auto capacities = picture.Capacities(At(10), directory, kService);
+  CHECK(capacities.at(TargetId("t1")) == Approx(8.0));
+  CHECK(capacities.at(TargetId("t2")) == Approx(4.0));
+  CHECK(capacities.at(TargetId("t3")) == Approx(2.0));
+}
+
+}  // namespace figstall
--- /dev/null
+++ b/test/target_load_test.cc
@@ -0,0 +1,143 @@
+// What is learned of targets, and the choice among them.
+#include <catch2/catch.hpp>
+
+#include "figstall/target_load.h"
+
+namespace figstall {
+namespace {
+
+using std::chrono::milliseconds;
+
+Instant At(int millis) {
+  return Instant(std::chrono::seconds(1000) + milliseconds(millis));
+}
+
+TargetEntry Entry(const std::string& id, std::uint32_t slots = 4) {
+  TargetEntry entry;
+  entry.life.id = TargetId(id);
+  entry.slots = slots;
+  return entry;
+}
+
+void Answer(TargetLoad& load, int times, int millis) {
+  for (int i = 0; i < times; ++i) {
+    load.OnSent();
+    load.OnDone(At(0), AttemptKind::kAnswered, milliseconds(millis));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("the faster of two idle targets is chosen") {
+  const TargetEntry slow = Entry("slow");
+  const TargetEntry fast = Entry("fast");
+  TargetLoad slow_load;
+  TargetLoad fast_load;
+  Answer(slow_load, 20, 200);
+  Answer(fast_load, 20, 80);
+  const std::vector<Candidate> candidates = {
+      {&slow, &slow_load, Distance::kSameZone, 2},
+      {&fast, &fast_load, Distance::kSameZone, 2}};
+  CHECK(PickTarget(candidates, {}, At(0))->entry == &fast);
+}
+
+TEST_CASE("work goes elsewhere before a target's queue grows long") {
+  const TargetEntry near = Entry("near");
+  const TargetEntry far = Entry("far");
+  TargetLoad near_load;
+  TargetLoad far_load;
+  Answer(near_load, 20, 100);
+  Answer(far_load, 20, 100);
+  const std::vector<Candidate> candidates = {
+      {&near, &near_load, Distance::kSameZone, 3},
+      {&far, &far_load, Distance::kSameRegion, 3}};
+  int near_sent = 0;
+  while (PickTarget(candidates, {}, At(0))->entry == &near) {
+    near_load.OnSent();
+    ++near_sent;
+  }
+  CHECK(near_sent >= 1);
+  CHECK(near_sent <= 3);
+}
+
+// Load: caroni quiet-1. A zone with one archive target refused a fifth of its
+// drawings, since another region counted as nearer than another zone.
+TEST_CASE("large answers stay in their region while it has any target") {
+  const TargetEntry home = Entry("home");
+  const TargetEntry zone = Entry("zone");
+  const TargetEntry region = Entry("region");
+  TargetLoad home_load;
+  TargetLoad zone_load;
+  TargetLoad region_load;
+  const std::vector<Candidate> candidates = {
+      {&home, &home_load, Distance::kSameZone, 2},
+      {&region, &region_load, Distance::kOtherRegion, 2},
+      {&zone, &zone_load, Distance::kSameRegion, 2}};
+  const PickRule bulk{true, milliseconds(100)};
+  CHECK(PickTarget(candidates, bulk, At(0))->entry == &home);
+  while (home_load.in_flight() < home_load.Limit(4, 2))
+    home_load.OnSent();
+  CHECK(PickTarget(candidates, bulk, At(0))->entry == &zone);
+  while (zone_load.in_flight() < zone_load.Limit(4, 2))
+    zone_load.OnSent();
+  CHECK(PickTarget(candidates, bulk, At(0)) == nullptr);
+  const std::vector<Candidate> only_far = {candidates[1]};
+  CHECK(PickTarget(only_far, bulk, At(0))->entry == &region);
+}
+
+// Load: on_full hang. A target that is full never answers again.
+TEST_CASE("all routers together stay below slots and a short queue") {
+  const TargetLoad load;
+  for (const std::uint32_t routers : {1U, 2U, 3U, 6U, 10U}) {
+    const std::uint32_t total = load.Limit(4, routers) * routers;
+    CHECK(total <= 4 + 16);
+    CHECK(total >= 4);
+  }
+}
+
+TEST_CASE("a target that keeps failing is left alone and then tried again") {
+  TargetLoad load;
+  for (int i = 0; i < 3; ++i) {
+    load.OnSent();
+    load.OnDone(At(0), AttemptKind::kBroken, milliseconds(5));
+  }
+  CHECK(load.Ejected(At(100)));
+  CHECK_FALSE(load.Ejected(At(700)));
+  CHECK(load.Limit(4, 1) == 1);
+  Answer(load, 1, 100);
+  CHECK(load.Limit(4, 1) > 1);
+}
+
+TEST_CASE("only ejected targets left: they are used rather than none") {
+  const TargetEntry only = Entry("only");
+  TargetLoad load;
+  for (int i = 0; i < 3; ++i) {
+    load.OnSent();
+    load.OnDone(At(0), AttemptKind::kTimedOut, milliseconds(500));
+  }
+  const std::vector<Candidate> candidates = {
+      {&only, &load, Distance::kSameZone, 1}};
+  REQUIRE(load.Ejected(At(1)));
+  CHECK(PickTarget(candidates, {}, At(1)) != nullptr);
+}
+
+TEST_CASE("callers that leave say nothing about a target") {
+  TargetLoad load;
+  for (int i = 0; i < 10; ++i) {
+    load.OnSent();
+    load.OnDone(At(0), AttemptKind::kAbandoned, milliseconds(5));
+  }
+  CHECK_FALSE(load.Ejected(At(1)));
+  CHECK(load.failure_rate() == 0);
+  CHECK(load.in_flight() == 0);
+}
+
+TEST_CASE("time without queueing is a low quantile of answers") {
+  TargetLoad load;
+  for (int i = 0; i < 300; ++i)
+    Answer(load, 1, i % 2 == 0 ? 100 : 400);
+  CHECK(*load.service_time() < milliseconds(160));
+  CHECK(*load.latency() > milliseconds(180));
+}
+
+}  // namespace figstall
