--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -25,6 +25,7 @@
 #include "figstall/range_mover.h"
 #include "figstall/store_mirror.h"
 #include "figstall/store_relay.h"
+#include "figstall/target_absence.h"
 #include "platform/store_client.h"
 
 namespace figstall {
@@ -52,15 +53,6 @@
   Duration report = std::chrono::milliseconds(300);
   // A member that could not tell the mover of a move tells the store after this.
   Duration report_in_store = std::chrono::milliseconds(700);
-  // A target that left the directory is used this long, ...
-  Duration absence = std::chrono::milliseconds(200);
-  // ... or until this long after an outage of the store, if it was seen to have
-  // left in the first moments after: entries that expired meanwhile are back
-  // within two seconds. Source: the platform's protocol.
-  Duration absence_after_outage = std::chrono::milliseconds(2300);
-  Duration outage_news = std::chrono::milliseconds(900);
-  // Shorter trouble with the store expires no entries: targets report more often.
-  Duration least_outage = std::chrono::milliseconds(1000);
 };
 
 class EntryControl {
@@ -175,11 +167,8 @@
   RelayListener listener_;
   bool reading_ = false;
   bool read_once_ = false;
-  // Since when the store cannot be reached, and when an outage last ended.
-  Instant lost_at_{};
-  std::optional<Instant> outage_ended_at_;
   bool store_lost_ = false;
-  std::map<TargetId, Instant> absent_;
+  TargetAbsence absence_;
   MemberReports reports_;
   Instant members_since_{};
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -95,14 +95,10 @@
   ++metrics_.Counter("figstall_store_calls_total",
                      fmt::format("call=\"{}\",outcome=\"{}\"", call,
                                  ToString(answer.status)));
+  absence_.OnStore(BootNow(), !lost);
   if (lost == store_lost_)
     return;
   store_lost_ = lost;
-  const Instant now = BootNow();
-  if (lost)
-    lost_at_ = now;
-  else if (now - lost_at_ >= timing_.least_outage)
-    outage_ended_at_ = now;
   log_.Write(lost ? LogLevel::kWarning : LogLevel::kInfo,
              lost ? "store-lost" : "store-regained",
              {{"call", call},
@@ -393,24 +389,14 @@
   const TargetId target(id);
   if (item.deleted) {
     const auto known = view_.targets.find(target);
-    if (known == view_.targets.end() || absent_.contains(target))
-      return;
-    const Instant now = BootNow();
-    const bool expired_in_outage =
-        outage_ended_at_ && now - *outage_ended_at_ < timing_.outage_news;
-    if (expired_in_outage && !known->second.leaving) {
-      absent_[target] = *outage_ended_at_ + timing_.absence_after_outage;
-      return;
-    }
-    const Duration keep =
-        known->second.leaving ? Duration{0} : timing_.absence;
-    absent_[target] = now + keep;
+    if (known != view_.targets.end())
+      absence_.OnRemoved(BootNow(), target, known->second.leaving);
     return;
   }
   HandleError(
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(entry, platform::DecodeTargetEntry(id, item.value));
-        absent_.erase(target);
+        absence_.OnPresent(target);
         const auto known = view_.targets.find(target);
         if (known != view_.targets.end() && known->second == entry)
           return {};
@@ -427,7 +413,7 @@
         // Another target at its address: the earlier one is gone.
         for (const auto& [other, each] : view_.targets) {
           if (other != target && each.address == entry.address)
-            absent_[other] = {};
+            absence_.OnReplaced(BootNow(), other);
         }
         view_.targets[target] = std::move(entry);
         ViewChanged();
@@ -442,15 +428,9 @@
 }
 
 void EntryControl::RemoveAbsent(Instant now) {
-  for (auto each = absent_.begin(); each != absent_.end();) {
-    if (now < each->second) {
-      ++each;
-      continue;
-    }
-    log_.Write(LogLevel::kInfo, "target-gone",
-               {{"target", each->first.value()}});
-    view_.targets.erase(each->first);
-    each = absent_.erase(each);
+  for (const TargetId& target : absence_.TakeGone(now)) {
+    log_.Write(LogLevel::kInfo, "target-gone", {{"target", target.value()}});
+    view_.targets.erase(target);
     ViewChanged();
   }
 }
