--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -113,6 +113,7 @@
   request_.method_string(call.method);
   request_.target(call.target);
   request_.set(http::field::host, peer_.ToString());
+  // A Host among the call's headers replaces the peer's address.
   for (const auto& [name, value] : call.headers)
     request_.set(name, value);
   if (!call.body.empty()) {
--- /dev/null
+++ b/support/entry_fleet.py
@@ -0,0 +1,186 @@
+"""Starts figstall-entry processes against figstall-emulator on loopback.
+
+Example:
+
+    fleet = EntryFleet(zones={"arima": "north", "sando": "south"}, entries=2)
+    report = fleet.run(scenario)
+"""
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = ROOT / "build" / "bin"
+# From SIGTERM to the platform's SIGKILL, in seconds.
+STOP_GRACE_S = 6
+
+
+# Below the range from which the system takes ports of outgoing connections, so
+# that a port stays free while its process is down.
+FIRST_PORT, LAST_PORT, PORTS_PER_RUN = 10_000, 32_000, 64
+_next_port = FIRST_PORT + os.getpid() * PORTS_PER_RUN % (LAST_PORT - FIRST_PORT)
+
+
+def free_ports(count):
+    """Ports that nothing listens on, each given out once by this process."""
+    global _next_port
+    ports = []
+    while len(ports) < count:
+        port, _next_port = _next_port, _next_port + 1
+        if _next_port >= LAST_PORT:
+            _next_port = FIRST_PORT
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+def address(port):
+    return f"127.0.0.1:{port}"
+
+
+class Entry:
+    """One figstall-entry process, which can be signalled and started again."""
+
+    def __init__(self, folder, name, zone, regions, store):
+        callers, ready, metrics, peers = free_ports(4)
+        self.name = name
+        self.callers = address(callers)
+        self.ready_port = ready
+        self.log_path = folder / f"{name}.log"
+        self.settings_path = folder / f"{name}.json"
+        self.settings_path.write_text(json.dumps({
+            "vm": name, "zone": zone, "region": regions[zone],
+            "listen": {"callers": self.callers, "ready": address(ready),
+                       "metrics": address(metrics), "peers": address(peers)},
+            "store": store, "regions": regions,
+            "log": {"level": "info", "format": "json"},
+            "stop_grace_s": STOP_GRACE_S}))
+        self.process = None
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [str(BIN / "figstall-entry"), "--settings",
+             str(self.settings_path)],
+            stdout=open(self.log_path, "a", encoding="utf-8"),
+            stderr=subprocess.STDOUT)
+
+    def send(self, number):
+        self.process.send_signal(number)
+
+    def stop(self):
+        """Ends the process for good."""
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+        if self.process:
+            self.process.wait()
+
+    def log(self):
+        """The structured lines written so far."""
+        lines = self.log_path.read_text(encoding="utf-8").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+class EntryFleet:
+    """Entries of some zones and the emulator that surrounds them."""
+
+    def __init__(self, zones, entries):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="figstall-"))
+        self.zones = zones
+        self.store = address(free_ports(1)[0])
+        self.entries = [
+            Entry(self.folder, f"{zone}-e{i + 1}", zone, zones, self.store)
+            for zone in zones for i in range(entries)]
+        self.plot = self.folder / "plot.svg"
+        self.emulator = None
+
+    def targets(self, count):
+        """Targets spread over the zones, at free ports."""
+        zones = list(self.zones)
+        return [{"address": address(port), "zone": zones[i % len(zones)]}
+                for i, port in enumerate(free_ports(count))]
+
+    def start(self, scenario, seed=1):
+        scenario = dict(scenario, store=self.store,
+                        entries=[each.callers for each in self.entries])
+        path = self.folder / "scenario.json"
+        path.write_text(json.dumps(scenario))
+        self.emulator = subprocess.Popen(
+            [str(BIN / "figstall-emulator"), "--scenario", str(path),
+             "--report", str(self.folder / "report.json"),
+             "--plot", str(self.plot), "--seed", str(seed)])
+        for each in self.entries:
+            each.start()
+
+    def report(self):
+        """Waits for the end of the scenario; the report and the exit status."""
+        status = self.emulator.wait()
+        report = self.folder / "report.json"
+        return (json.loads(report.read_text()) if report.exists() else None,
+                status)
+
+    def stop(self):
+        for each in self.entries:
+            each.stop()
+        if self.emulator and self.emulator.poll() is None:
+            self.emulator.kill()
+            self.emulator.wait()
+
+    def run(self, scenario, actions=(), seed=1):
+        """Runs a scenario. `actions` are (seconds, function) pairs, from start."""
+        begin = time.monotonic()
+        try:
+            self.start(scenario, seed)
+            for at, action in sorted(actions, key=lambda pair: pair[0]):
+                time.sleep(max(0.0, begin + at - time.monotonic()))
+                action(self)
+            return self.report()
+        finally:
+            self.stop()
+
+
+def small_scenario(fleet, length_s=8, faults=(), rate=1.0):
+    """The shape of both deployments, small: keyed, unsafe and bulk requests."""
+    return {
+        "lead_s": 3, "length_s": length_s,
+        "services": {
+            "accounts": {"targets": fleet.targets(6), "keyed": True,
+                         "slots": 4, "work_ms": 20},
+            "orders": {"targets": fleet.targets(4), "slots": 4, "work_ms": 25},
+            "archive": {"targets": fleet.targets(4), "slots": 4, "work_ms": 15,
+                        "answer_bytes": 90000}},
+        "routes": {
+            "balance": {"host": "a.example", "prefix": "/balance/",
+                        "kind": "safe", "service": "accounts",
+                        "per_second": 60 * rate},
+            "order": {"host": "a.example", "prefix": "/order/",
+                      "kind": "unsafe", "service": "orders",
+                      "per_second": 30 * rate},
+            "drawing": {"host": "a.example", "prefix": "/drawing/",
+                        "kind": "download", "service": "archive",
+                        "per_second": 10 * rate}},
+        "faults": list(faults)}
+
+
+def signal_entry(index, number):
+    """An action that signals one entry."""
+    return lambda fleet: fleet.entries[index].send(number)
+
+
+def restart_entry(index):
+    """An action that kills one entry and starts it again."""
+    def restart(fleet):
+        fleet.entries[index].stop()
+        fleet.entries[index].start()
+    return restart
+
+
+STOP, CONTINUE, TERMINATE = signal.SIGSTOP, signal.SIGCONT, signal.SIGTERM
--- /dev/null
+++ b/test/entry_process_test.py
@@ -0,0 +1,162 @@
+"""Real entries against the emulator, under failure. Checks promises, not times.
+
+    python3 test/entry_process_test.py --list
+    python3 test/entry_process_test.py NAME
+"""
+import json
+import pathlib
+import subprocess
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
+                       "support"))
+from entry_fleet import (BIN, CONTINUE, STOP, TERMINATE, EntryFleet,  # noqa: E402
+                         restart_entry, signal_entry, small_scenario)
+
+ZONES = {"north-a": "north", "south-a": "south"}
+LEAD_S = 3
+
+
+def run(faults=(), actions=(), length_s=8, entries=1):
+    fleet = EntryFleet(ZONES, entries)
+    report, status = fleet.run(
+        small_scenario(fleet, length_s=length_s, faults=faults), actions)
+    assert report, "the emulator wrote no report"
+    assert report["violations"] == [], report["violations"]
+    assert status == 0, status
+    return fleet, report
+
+
+def count(report, route, status):
+    return report["routes"][route]["statuses"].get(str(status), 0)
+
+
+def served(report):
+    asked = sum(each["asked"] for each in report["routes"].values())
+    return sum(count(report, route, 200) for route in report["routes"]) / asked
+
+
+def a_quiet_run_serves_everything():
+    fleet, report = run()
+    for route, each in report["routes"].items():
+        assert count(report, route, 200) >= 0.9 * each["asked"], (route, each)
+    events = {line["event"] for line in fleet.entries[0].log()}
+    assert {"started", "joined", "store-read", "member-joined",
+            "desired-state-in-force", "ranges-changed"} <= events, events
+
+
+def crashed_targets_lose_no_promise():
+    _, report = run(faults=[
+        {"at_s": 1, "kind": "target-crash", "service": "accounts", "count": 2,
+         "for_s": 3},
+        {"at_s": 2, "kind": "target-crash", "service": "orders", "count": 1,
+         "for_s": 3}])
+    assert served(report) > 0.5, report["routes"]
+    assert report["owner_changes"] > 0
+
+
+def a_silent_store_stops_nothing():
+    fleet, report = run(faults=[{"at_s": 1, "kind": "store-silent",
+                                 "for_s": 4}])
+    assert served(report) > 0.8, report["routes"]
+    events = [line["event"] for line in fleet.entries[0].log()]
+    assert "store-lost" in events and "store-regained" in events, events
+
+
+def lost_answers_of_the_store_break_no_promise():
+    _, report = run(faults=[
+        {"at_s": 0, "kind": "store-lost-answers", "for_s": 5},
+        {"at_s": 1, "kind": "target-leave", "service": "accounts",
+         "count": 1, "for_s": 5}])
+    assert served(report) > 0.5, report["routes"]
+
+
+def a_dropped_history_is_read_anew():
+    fleet, report = run(faults=[{"at_s": 1, "kind": "store-compact"},
+                                {"at_s": 3, "kind": "store-compact"}])
+    assert served(report) > 0.8, report["routes"]
+    reads = [line for line in fleet.entries[0].log() +
+             fleet.entries[1].log() if line["event"] == "watch-history-gone"]
+    assert reads, "no entry noticed"
+
+
+def garbled_answers_reach_nobody():
+    _, report = run(faults=[
+        {"at_s": 0, "kind": "target-garble", "service": "orders", "count": 4,
+         "for_s": 6, "strength": 0.3},
+        {"at_s": 0, "kind": "target-garble", "service": "archive", "count": 4,
+         "for_s": 6, "strength": 0.3}])
+    assert count(report, "order", 502) > 0
+    assert count(report, "drawing", 200) > 0
+
+
+def a_killed_entry_comes_back():
+    _, report = run(actions=[(LEAD_S + 2, restart_entry(0)),
+                             (LEAD_S + 4, restart_entry(1))])
+    assert served(report) > 0.3, report["routes"]
+
+
+def a_frozen_entry_holds_nothing_on_its_return():
+    _, report = run(
+        length_s=10, entries=2,
+        faults=[{"at_s": 2, "kind": "target-crash", "service": "accounts",
+                 "count": 3, "for_s": 2}],
+        actions=[(LEAD_S + 1, signal_entry(0, STOP)),
+                 (LEAD_S + 8, signal_entry(0, CONTINUE))])
+    assert served(report) > 0.2, report["routes"]
+
+
+def a_planned_stop_breaks_off_nothing():
+    fleet, report = run(actions=[(LEAD_S + 2, signal_entry(0, TERMINATE))],
+                        entries=2)
+    # Callers of this test go on to the stopped entry: no connection, never a
+    # broken one.
+    assert fleet.entries[0].process.returncode == 0
+    for route in report["routes"]:
+        assert count(report, route, 502) == 0, report["routes"][route]
+    stopped = [line for line in fleet.entries[0].log()
+               if line["event"] == "stopped"]
+    assert stopped and stopped[0]["in_flight"] == "0", stopped
+
+
+def invalid_input_is_refused_with_its_places():
+    fleet = EntryFleet(ZONES, 1)
+    settings = json.loads(fleet.entries[0].settings_path.read_text())
+    settings["zone"] = "elsewhere"
+    settings["listen"]["callers"] = "nowhere"
+    path = fleet.folder / "wrong.json"
+    path.write_text(json.dumps(settings))
+    done = subprocess.run([str(BIN / "figstall-entry"), "--settings",
+                           str(path)], capture_output=True, text=True,
+                          check=False)
+    assert done.returncode == 2, done
+    assert "/listen/callers" in done.stderr, done.stderr
+    assert "/regions" in done.stderr, done.stderr
+    scenario = small_scenario(fleet)
+    scenario.update(store=fleet.store, entries=["nowhere"], extra=1)
+    path.write_text(json.dumps(scenario))
+    done = subprocess.run([str(BIN / "figstall-emulator"), "--check",
+                           "--scenario", str(path)], capture_output=True,
+                          text=True, check=False)
+    assert done.returncode == 2, done
+    assert "extra" in done.stderr, done.stderr
+
+
+TESTS = [a_quiet_run_serves_everything, crashed_targets_lose_no_promise,
+         a_silent_store_stops_nothing,
+         lost_answers_of_the_store_break_no_promise,
+         a_dropped_history_is_read_anew, garbled_answers_reach_nobody,
+         a_killed_entry_comes_back, a_frozen_entry_holds_nothing_on_its_return,
+         a_planned_stop_breaks_off_nothing,
+         invalid_input_is_refused_with_its_places]
+
+
+def main():
+    if sys.argv[1:] == ["--list"]:
+        print("\n".join(test.__name__ for test in TESTS))
+        return
+    {test.__name__: test for test in TESTS}[sys.argv[1]]()
+
+
+if __name__ == "__main__":
+    main()
