--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -29,7 +29,7 @@
 constexpr double kMostSpeed = 2.2;
 // Share of a target's capacity that hot keys may take; the rest is room for the
 // uneven arrival of requests.
-constexpr double kUtilization = 1.6;
+constexpr double kUtilization = 2.5;
 // A member that reported within this time is heard.
 constexpr Duration kHeard = std::chrono::milliseconds(1200);
 
