--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -16,6 +16,8 @@
   // Work that all routers together give a target, as a multiple of its slots;
   // what is more waits at the routers, where it can still go elsewhere.
   double total_per_slot = 3.0;
+  // Time in which a moment's requests in flight lose most of their weight.
+  Duration in_flight_memory = std::chrono::milliseconds(1000);
   // Weight of the newest observation in moving averages.
   double smoothing = 0.1;
   // Quantile of answers' times that stands for an answer without queueing, and
@@ -47,10 +49,13 @@
  public:
   explicit TargetLoad(LoadLimits limits = {}) : limits_(limits) {}
 
-  void OnSent() { ++in_flight_; }
+  void OnSent(Instant now);
   void OnDone(Instant now, AttemptKind kind, Duration took);
 
   std::uint32_t in_flight() const { return in_flight_; }
+  // Mean requests in flight over the last moments; what the other routers that
+  // share the target have is taken to be like it.
+  double mean_in_flight(Instant now) const;
   // Mean time of an answer; none until the first.
   std::optional<Duration> latency() const;
   // Time of an answer without queueing: a low quantile of answers' times.
@@ -66,6 +71,8 @@
  private:
   const LoadLimits limits_;
   std::uint32_t in_flight_ = 0;
+  double mean_in_flight_ = 0;
+  Instant counted_at_{};
   std::uint32_t failures_ = 0;
   std::uint32_t ejections_ = 0;
   double failure_rate_ = 0;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -267,7 +267,7 @@
                                Scaled(usual, kKeyedPatienceFactor))
                     : std::max(kLeastPatience,
                                Scaled(usual, kPatienceFactor)));
-  link->load().OnSent();
+  link->load().OnSent(now);
   const auto self = shared_from_this();
   AnswerObserver observer;
   observer.on_head = [self](const AnswerHead& head) {
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -28,14 +28,15 @@
   return 0;
 }
 
-double ExpectedTime(const Candidate& candidate, const PickRule& rule) {
+double ExpectedTime(const Candidate& candidate,
+                    const PickRule& rule,
+                    Instant now) {
   const double latency = static_cast<double>(
       candidate.load->latency().value_or(rule.typical).count());
   const double slots = std::max<std::uint32_t>(1, candidate.entry->slots);
-  const double queue =
-      (candidate.load->in_flight() * static_cast<double>(candidate.sharers) +
-       1) /
-      slots;
+  const double others = (static_cast<double>(candidate.sharers) - 1) *
+                        candidate.load->mean_in_flight(now);
+  const double queue = (candidate.load->in_flight() + others + 1) / slots;
   return latency * std::max(1.0, queue) * (1 + 0.2 * queue) *
              (1 + kFailureCost * candidate.load->failure_rate()) +
          DistanceCost(candidate.distance, rule.bulk);
@@ -43,7 +44,21 @@
 
 }  // namespace
 
+double TargetLoad::mean_in_flight(Instant now) const {
+  const double span = static_cast<double>((now - counted_at_).count()) /
+                      static_cast<double>(limits_.in_flight_memory.count());
+  return in_flight_ + (mean_in_flight_ - in_flight_) * std::exp(-span);
+}
+
+void TargetLoad::OnSent(Instant now) {
+  mean_in_flight_ = mean_in_flight(now);
+  counted_at_ = now;
+  ++in_flight_;
+}
+
 void TargetLoad::OnDone(Instant now, AttemptKind kind, Duration took) {
+  mean_in_flight_ = mean_in_flight(now);
+  counted_at_ = now;
   if (in_flight_ > 0)
     --in_flight_;
   if (kind == AttemptKind::kAbandoned)
@@ -119,7 +134,7 @@
       if (candidate.load->in_flight() >=
           candidate.load->Limit(candidate.entry->slots, candidate.sharers))
         continue;
-      const double time = ExpectedTime(candidate, rule);
+      const double time = ExpectedTime(candidate, rule, now);
       if (time < best_time) {
         best = &candidate;
         best_time = time;
--- a/test/target_load_test.cc
+++ b/test/target_load_test.cc
@@ -21,7 +21,7 @@
 
 void Answer(TargetLoad& load, int times, int millis) {
   for (int i = 0; i < times; ++i) {
-    load.OnSent();
+    load.OnSent(At(0));
     load.OnDone(At(0), AttemptKind::kAnswered, milliseconds(millis));
   }
 }
@@ -53,7 +53,7 @@
       {&far, &far_load, Distance::kSameRegion, 3}};
   int near_sent = 0;
   while (PickTarget(candidates, {}, At(0))->entry == &near) {
-    near_load.OnSent();
+    near_load.OnSent(At(0));
     ++near_sent;
   }
   CHECK(near_sent >= 1);
@@ -76,10 +76,10 @@
   const PickRule bulk{true, milliseconds(100)};
   CHECK(PickTarget(candidates, bulk, At(0))->entry == &home);
   while (home_load.in_flight() < home_load.Limit(4, 2))
-    home_load.OnSent();
+    home_load.OnSent(At(0));
   CHECK(PickTarget(candidates, bulk, At(0))->entry == &zone);
   while (zone_load.in_flight() < zone_load.Limit(4, 2))
-    zone_load.OnSent();
+    zone_load.OnSent(At(0));
   CHECK(PickTarget(candidates, bulk, At(0)) == nullptr);
   const std::vector<Candidate> only_far = {candidates[1]};
   CHECK(PickTarget(only_far, bulk, At(0))->entry == &region);
@@ -98,7 +98,7 @@
 TEST_CASE("a target that keeps failing is left alone and then tried again") {
   TargetLoad load;
   for (int i = 0; i < 3; ++i) {
-    load.OnSent();
+    load.OnSent(At(0));
     load.OnDone(At(0), AttemptKind::kBroken, milliseconds(5));
   }
   CHECK(load.Ejected(At(100)));
@@ -112,7 +112,7 @@
   const TargetEntry only = Entry("only");
   TargetLoad load;
   for (int i = 0; i < 3; ++i) {
-    load.OnSent();
+    load.OnSent(At(0));
     load.OnDone(At(0), AttemptKind::kTimedOut, milliseconds(500));
   }
   const std::vector<Candidate> candidates = {
@@ -121,10 +121,43 @@
   CHECK(PickTarget(candidates, {}, At(1)) != nullptr);
 }
 
+// Load: grown umurage quiet-1. Fifteen routers share a zone's targets; one request
+// of one router was taken for fifteen, and a third of all downloads crossed zones.
+TEST_CASE("one request in flight does not push work out of a large zone") {
+  const TargetEntry home = Entry("home", 2);
+  const TargetEntry zone = Entry("zone", 2);
+  TargetLoad home_load;
+  TargetLoad zone_load;
+  Answer(home_load, 20, 180);
+  Answer(zone_load, 20, 180);
+  home_load.OnSent(At(10'000));
+  const std::vector<Candidate> candidates = {
+      {&home, &home_load, Distance::kSameZone, 15},
+      {&zone, &zone_load, Distance::kSameRegion, 15}};
+  const TargetEntry idle_home = Entry("idle", 2);
+  TargetLoad idle_load;
+  Answer(idle_load, 20, 220);
+  std::vector<Candidate> with_idle = candidates;
+  with_idle.push_back({&idle_home, &idle_load, Distance::kSameZone, 15});
+  const PickRule bulk{true, milliseconds(180)};
+  CHECK(PickTarget(with_idle, bulk, At(10'010))->entry->zone == home.zone);
+  CHECK(PickTarget(with_idle, bulk, At(10'010))->entry != &zone);
+}
+
+TEST_CASE("requests in flight are remembered for a moment") {
+  TargetLoad load;
+  load.OnSent(At(0));
+  CHECK(load.mean_in_flight(At(0)) < 0.01);
+  CHECK(load.mean_in_flight(At(3000)) > 0.9);
+  load.OnDone(At(3000), AttemptKind::kAnswered, milliseconds(3000));
+  CHECK(load.mean_in_flight(At(3100)) > 0.8);
+  CHECK(load.mean_in_flight(At(8000)) < 0.05);
+}
+
 TEST_CASE("callers that leave say nothing about a target") {
   TargetLoad load;
   for (int i = 0; i < 10; ++i) {
-    load.OnSent();
+    load.OnSent(At(0));
     load.OnDone(At(0), AttemptKind::kAbandoned, milliseconds(5));
   }
   CHECK_FALSE(load.Ejected(At(1)));
