--- a/include/figstall/desired_state.h
+++ b/include/figstall/desired_state.h
@@ -93,7 +93,8 @@
 };
 
 // Spreads a route's requests over its services in the proportions of the
-// weights, by smooth weighted round robin: each run of requests is split evenly.
+// weights, by smooth weighted round robin: each run of requests is split
+// evenly.
 class WeightedSpread {
  public:
   // Takes the next service. `services` must not be empty.
--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -1,6 +1,6 @@
 // The control of an entry VM: membership, the desired state, the directory of
-// targets, grants of key ranges and, on the elected member, their moves. Runs on
-// the same Asio loop as the traffic; every decision is a class of its own.
+// targets, grants of key ranges and, on the elected member, their moves. Runs
+// on the same Asio loop as the traffic; every decision is a class of its own.
 #ifndef FIGSTALL_ENTRY_CONTROL_H_
 #define FIGSTALL_ENTRY_CONTROL_H_
 
@@ -32,7 +32,8 @@
 
 struct ControlTiming {
   // Membership: a member that is cut off stops granting after this. Together
-  // with the hold of a grant it is how long an outage of the store lapses no key.
+  // with the hold of a grant it is how long an outage of the store lapses no
+  // key.
   Duration membership = std::chrono::seconds(6);
   Duration membership_renewal = std::chrono::milliseconds(1500);
   // The mover's lease; its loss delays moves only.
@@ -44,16 +45,19 @@
   Duration watch_wait = std::chrono::seconds(20);
   // Between two watches, so that changes in quick succession cost one call.
   Duration watch_pause = std::chrono::milliseconds(60);
-  // A region's reader says this often that it is well; one that has not for the
-  // longer time is listened to no more.
-  Duration reader_word = std::chrono::milliseconds(350);
-  Duration reader_silence = std::chrono::milliseconds(900);
+  // Members say this often when the store's state was last confirmed; one that
+  // knows of no confirmation for the longer time watches for itself.
+  Duration reader_word = std::chrono::milliseconds(300);
+  Duration reader_silence = std::chrono::milliseconds(1100);
+  // Between two reports that name the speed of targets.
+  Duration report_speeds = std::chrono::seconds(3);
   Duration retry = std::chrono::milliseconds(250);
   // Between two reports to the mover.
   Duration report = std::chrono::milliseconds(300);
   // A limit of hot keys holds this long unless it is told again.
   Duration admission = std::chrono::milliseconds(1000);
-  // A member that could not tell the mover of a move tells the store after this.
+  // A member that could not tell the mover of a move tells the store after
+  // this.
   Duration report_in_store = std::chrono::milliseconds(700);
 };
 
@@ -97,7 +101,11 @@
   void ApplyAll(const ReadAll& read);
   // Listens to the region's reader, or watches the store itself.
   void Follow(Instant now);
-  std::optional<VmId> Reader() const;
+  // Whom this member listens to: within a zone the zone's first member, which
+  // listens to the region's reader. None: it reads the store itself.
+  std::optional<VmId> Source() const;
+  // How long ago the store's state was confirmed.
+  std::optional<Duration> Age(Instant now) const;
   void Watch();
   void OnWatch(const StoreAnswer& answer);
   void OnRelayed(const RelayUpdate& update);
@@ -124,7 +132,9 @@
   bool GrantsHere(const ServiceId& service, const RangeEntry& entry) const;
   void ReportInStore(Instant now);
   GrantReport MakeGrantReport(Instant now) const;
-  void NoteReport(Instant now, const VmId& vm, const std::string& incarnation,
+  void NoteReport(Instant now,
+                  const VmId& vm,
+                  const std::string& incarnation,
                   const GrantReport& report);
   void SendReport(Instant now);
   void SendTo(const Endpoint& peer, const std::shared_ptr<std::string>& bytes);
@@ -198,6 +208,7 @@
   Instant limited_at_{};
   bool limiting_ = false;
   Instant served_at_{};
+  Instant speeds_told_at_{};
   std::uint64_t table_changes_ = 0;
 
   RangeGranter granter_;
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -93,7 +93,8 @@
   void Wait(Exchange* exchange);
   void ServeWaiting();
   // The link to send to now; null if none may take the request.
-  TargetLink* PickShared(const ServiceId& service, bool bulk,
+  TargetLink* PickShared(const ServiceId& service,
+                         bool bulk,
                          const std::set<TargetId>& tried);
   TargetLink* LinkTo(const TargetId& id);
   Distance DistanceTo(const ZoneId& zone) const;
@@ -114,8 +115,7 @@
   Metrics& metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::optional<Instant> stop_by_;
-  std::unordered_map<const CallerConnection*,
-                     std::shared_ptr<CallerConnection>>
+  std::unordered_map<const CallerConnection*, std::shared_ptr<CallerConnection>>
       callers_;
   std::map<TargetId, std::unique_ptr<TargetLink>> links_;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -80,9 +80,11 @@
   void Forward();
   AnswerHead CallerHead() const;
   void Refuse(const std::string& reason);
-  void FinishOwn(int status, const std::string& reason,
+  void FinishOwn(int status,
+                 const std::string& reason,
                  std::optional<Duration> retry_after);
-  void Finish(const std::string& outcome, int status,
+  void Finish(const std::string& outcome,
+              int status,
               const std::string& reason);
   Duration TimeLeft(Instant now) const { return due_ - now; }
 
--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -1,6 +1,6 @@
-// Calls over one kept HTTP connection, one at a time, on an Asio loop. Every call
-// has a limit; one that is given up resets its connection, so that nothing of it
-// arrives later.
+// Calls over one kept HTTP connection, one at a time, on an Asio loop. Every
+// call has a limit; one that is given up resets its connection, so that nothing
+// of it arrives later.
 #ifndef FIGSTALL_HTTP_CHANNEL_H_
 #define FIGSTALL_HTTP_CHANNEL_H_
 
@@ -55,9 +55,7 @@
   // Drops the connection and all calls; their handlers are called.
   void Close();
   // Calls when a connection that was open breaks, for any reason but Close.
-  void OnBroken(std::function<void()> handler) {
-    broken_ = std::move(handler);
-  }
+  void OnBroken(std::function<void()> handler) { broken_ = std::move(handler); }
   std::size_t queued() const { return calls_.size(); }
 
  private:
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -1,6 +1,6 @@
 // What members tell the elected mover several times a second: where in the key
-// space load falls and how fast targets answer, as hints for the balance; and what
-// they know of moves, on which the end of a move may rest.
+// space load falls and how fast targets answer, as hints for the balance; and
+// what they know of moves, on which the end of a move may rest.
 #ifndef FIGSTALL_LOAD_REPORT_H_
 #define FIGSTALL_LOAD_REPORT_H_
 
@@ -62,26 +62,28 @@
   std::string incarnation;
   GrantReport grants;
   std::map<ServiceId, HeatReport> services;
-  // Time of an answer without queueing.
+  // Time of an answer without queueing. Empty: as it was told before.
   std::map<TargetId, Duration> targets;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
 
-// Share of the requests that are let through for parts of the key space, 0 to 1;
-// parts that are not named are not limited.
+// Share of the requests that are let through for parts of the key space, 0 to
+// 1; parts that are not named are not limited.
 using PartShares = std::map<std::uint16_t, double>;
 
-// What the mover tells all members while keys are hotter than their owners bear.
+// What the mover tells all members while keys are hotter than their owners
+// bear.
 struct AdmissionOrder {
   VmId mover;
   std::map<ServiceId, PartShares> services;
 
-  friend bool operator==(const AdmissionOrder&, const AdmissionOrder&) = default;
+  friend bool operator==(const AdmissionOrder&,
+                         const AdmissionOrder&) = default;
 };
 
-// Limits the hottest parts of each overloaded owner to one level, such that what
-// is let through fits its capacity; its cooler keys are served in full.
+// Limits the hottest parts of each overloaded owner to one level, such that
+// what is let through fits its capacity; its cooler keys are served in full.
 PartShares LimitHotParts(const RangeTable& table,
                          const std::vector<double>& heat,
                          const std::map<TargetId, double>& capacities,
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -1,12 +1,13 @@
 // Decides how key ranges of one service move between targets. Only the elected
 // mover runs it; it has no clock, socket or thread of its own.
 //
-// The rule: an entry is settled or moving. Any member grants settled entries; no
-// one grants a moving one. The mover writes `moving` under a new fencing token,
-// asks the old owner to release at that token (after which the owner refuses
-// every older grant), and settles the new owner under it. Where the owner does not
-// answer, it waits until every member has said that it knows of the move and until
-// when its grants last, or has departed, and until those grants have run out.
+// The rule: an entry is settled or moving. Any member grants settled entries;
+// no one grants a moving one. The mover writes `moving` under a new fencing
+// token, asks the old owner to release at that token (after which the owner
+// refuses every older grant), and settles the new owner under it. Where the
+// owner does not answer, it waits until every member has said that it knows of
+// the move and until when its grants last, or has departed, and until those
+// grants have run out.
 #ifndef FIGSTALL_RANGE_MOVER_H_
 #define FIGSTALL_RANGE_MOVER_H_
 
@@ -24,8 +25,9 @@
 namespace figstall {
 
 struct GrantTiming {
-  // How long a grant is valid from its arrival. Short, since the keys of an owner
-  // that went silent are served by no one for so long; three renewals long.
+  // How long a grant is valid from its arrival. Short, since the keys of an
+  // owner that went silent are served by no one for so long; three renewals
+  // long.
   Duration hold = std::chrono::milliseconds(2500);
   // A target's clock may run this much slow. Source: the platform's protocol.
   double clock_slack = 0.02;
@@ -45,10 +47,11 @@
   Duration LongestHold() const { return call_limit + SurelyOver(); }
 };
 
-// What a member has said of its grants, and whether it still is one. Members are
-// told apart by run: a restarted process is another member.
+// What a member has said of its grants, and whether it still is one. Members
+// are told apart by run: a restarted process is another member.
 struct MemberReport {
-  // Fencing token of the newest change of each service's table that it has seen.
+  // Fencing token of the newest change of each service's table that it has
+  // seen.
   std::map<ServiceId, std::uint64_t> seen_fence;
   // Until when each owner may hold by its grants, by the mover's clock.
   std::map<TargetId, Instant> holds_until;
@@ -69,8 +72,8 @@
   const TargetDirectory* directory = nullptr;
   // By VM and run.
   const MemberReports* members = nullptr;
-  // Whether `members` is at least as new as the table in the store. Else a member
-  // that joined meanwhile might be missing.
+  // Whether `members` is at least as new as the table in the store. Else a
+  // member that joined meanwhile might be missing.
   bool members_current = false;
   // When this mover first knew the members. One that departed earlier is not
   // among them.
@@ -116,7 +119,8 @@
  public:
   RangeMover(ServiceId service, GrantTiming timing, MoverLimits limits = {});
 
-  // The table as it stands in the store; forgets plans that it does not bear out.
+  // The table as it stands in the store; forgets plans that it does not bear
+  // out.
   void OnTable(const RangeTable& table, Instant now);
   // The owner answered a release of this token: it holds the range no longer.
   // `handover` is empty where it gave none.
--- a/include/figstall/store_relay.h
+++ b/include/figstall/store_relay.h
@@ -26,8 +26,9 @@
   std::vector<StoreItem> items;
   // All changes up to here have been told; zero says nothing.
   Revision cursor = 0;
-  // Whether the sender reads the store itself now and reaches it.
-  bool healthy = false;
+  // How long ago the store's state was confirmed, by the member that reads it;
+  // grows with each member that tells it on. None: never.
+  std::optional<Duration> age;
   // Keys that are not among the items do not exist.
   bool complete = false;
 
@@ -102,8 +103,8 @@
   // nothing while its connection stands.
   void ListenTo(const Endpoint& sender, Revision cursor);
   void Stop();
-  // When the sender last said that it is healthy.
-  std::optional<Instant> healthy_at() const { return healthy_at_; }
+  // When the store's state was last confirmed, as far as the sender knows.
+  std::optional<Instant> confirmed_at() const { return confirmed_at_; }
 
  private:
   void OnMessage(const std::string& message);
@@ -115,7 +116,7 @@
   std::uint64_t generation_ = 0;
   std::shared_ptr<boost::asio::ip::tcp::socket> connecting_;
   std::shared_ptr<MessageStream> stream_;
-  std::optional<Instant> healthy_at_;
+  std::optional<Instant> confirmed_at_;
   Instant tried_at_{};
 };
 
--- a/include/figstall/target_absence.h
+++ b/include/figstall/target_absence.h
@@ -16,11 +16,11 @@
 struct AbsenceTiming {
   // A removal is believed after this.
   Duration usual = std::chrono::milliseconds(200);
-  // A removal that is seen in the first moments after an outage is believed this
-  // long after its end. Entries are back within about two seconds of the store's
-  // return (source: the platform's protocol), and a process notices that return
-  // late; yet no target may be used two seconds after it has left, from three
-  // seconds after a cut of this process alone.
+  // A removal that is seen in the first moments after an outage is believed
+  // this long after its end. Entries are back within about two seconds of the
+  // store's return (source: the platform's protocol), and a process notices
+  // that return late; yet no target may be used two seconds after it has left,
+  // from three seconds after a cut of this process alone.
   Duration after_outage = std::chrono::milliseconds(1600);
   Duration outage_news = std::chrono::milliseconds(900);
   // Shorter trouble expires no entries: targets report more often.
--- a/include/figstall/target_connection.h
+++ b/include/figstall/target_connection.h
@@ -68,8 +68,8 @@
 
  private:
   using Tcp = boost::asio::ip::tcp;
-  using Parser = boost::beast::http::response_parser<
-      boost::beast::http::buffer_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   void Write();
   void Read();
@@ -102,8 +102,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<const HttpRequest> request_;
-  std::optional<boost::beast::http::request_serializer<
-      boost::beast::http::string_body>>
+  std::optional<
+      boost::beast::http::request_serializer<boost::beast::http::string_body>>
       serializer_;
   AnswerObserver observer_;
 };
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -89,8 +89,8 @@
       static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
       parser_->get().erase(http::field::expect);
       error_code ignored;
-      socket_.write_some(
-          boost::asio::buffer(kContinue, sizeof kContinue - 1), ignored);
+      socket_.write_some(boost::asio::buffer(kContinue, sizeof kContinue - 1),
+                         ignored);
     }
   }
   if (!parser_->is_done())
@@ -206,26 +206,25 @@
   }
   stream_->writing = true;
   since_ = BootNow();
-  http::async_write(
-      socket_, *stream_->serializer,
-      [self = shared_from_this()](error_code error, std::size_t) {
-        if (self->closed_)
-          return;
-        if (error == http::error::need_buffer)
-          error = {};
-        if (error)
-          return self->Close();
-        Stream& stream = *self->stream_;
-        stream.writing = false;
-        if (stream.chunks.empty()) {
-          self->unsent_ = 0;
-          self->gone_ = nullptr;
-          return self->OnWritten(stream.message.keep_alive());
-        }
-        self->unsent_ -= stream.chunks.front().size();
-        stream.chunks.pop_front();
-        self->WriteNext();
-      });
+  http::async_write(socket_, *stream_->serializer,
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      if (self->closed_)
+                        return;
+                      if (error == http::error::need_buffer)
+                        error = {};
+                      if (error)
+                        return self->Close();
+                      Stream& stream = *self->stream_;
+                      stream.writing = false;
+                      if (stream.chunks.empty()) {
+                        self->unsent_ = 0;
+                        self->gone_ = nullptr;
+                        return self->OnWritten(stream.message.keep_alive());
+                      }
+                      self->unsent_ -= stream.chunks.front().size();
+                      stream.chunks.pop_front();
+                      self->WriteNext();
+                    });
 }
 
 void CallerConnection::Abort() {
--- a/src/emulated_store.cc
+++ b/src/emulated_store.cc
@@ -63,9 +63,10 @@
 void EmulatedStore::Delete(const std::string& key) {
   if (items_.erase(key) == 0)
     return;
-  history_.push_back({revision_,
-                      {{"key", key}, {"revision", revision_}, {"deleted", true}},
-                      key});
+  history_.push_back(
+      {revision_,
+       {{"key", key}, {"revision", revision_}, {"deleted", true}},
+       key});
 }
 
 void EmulatedStore::Put(const std::string& key, const std::string& value) {
@@ -205,9 +206,9 @@
       return reply({kNotFound, {}});
     lease->second.ends = now + lease->second.time_to_live;
     reply({200,
-           {{"ttlS_time", std::chrono::duration<double>(
-                              lease->second.time_to_live)
-                              .count()}}});
+           {{"ttlS_time",
+             std::chrono::duration<double>(lease->second.time_to_live)
+                 .count()}}});
   } else if (method == "DELETE" && StartsWith(path, "/kv-lease-end/")) {
     EndLease(number);
     reply({200, {}});
--- a/src/emulated_target.cc
+++ b/src/emulated_target.cc
@@ -63,16 +63,16 @@
       continue;
     for (const Hold& hold : holds) {
       if (Overlap(hold.range, range) && from + kClockSlack < hold.until)
-        violations_.push_back(fmt::format(
-            "two holders of keys {} to {}: {} and {}",
-            std::max(hold.range.first, range.first),
-            std::min(hold.range.last, range.last), other, target));
+        violations_.push_back(
+            fmt::format("two holders of keys {} to {}: {} and {}",
+                        std::max(hold.range.first, range.first),
+                        std::min(hold.range.last, range.last), other, target));
     }
   }
   std::vector<Hold>& own = holds_[target];
   std::erase_if(own, [&](const Hold& hold) {
-    return hold.until <= from || (range.first <= hold.range.first &&
-                                  hold.range.last <= range.last);
+    return hold.until <= from ||
+           (range.first <= hold.range.first && hold.range.last <= range.last);
   });
   own.push_back({range, until});
   std::string& last = last_holder_[range.first];
@@ -90,12 +90,11 @@
       continue;
     }
     if (hold.range.first < range.first)
-      left.push_back({{hold.range.first,
-                       static_cast<ShardKey>(range.first - 1)},
-                      hold.until});
+      left.push_back(
+          {{hold.range.first, static_cast<ShardKey>(range.first - 1)},
+           hold.until});
     if (hold.range.last > range.last)
-      left.push_back({{static_cast<ShardKey>(range.last + 1),
-                       hold.range.last},
+      left.push_back({{static_cast<ShardKey>(range.last + 1), hold.range.last},
                       hold.until});
   }
   holds_[target] = std::move(left);
@@ -250,9 +249,8 @@
       return Reply(caller, kConflict, false, "");
   }
   const Instant now = BootNow();
-  const Instant until =
-      now + Duration(static_cast<Duration::rep>(
-                body.at("holdS").get<double>() * 1e6));
+  const Instant until = now + Duration(static_cast<Duration::rep>(
+                                  body.at("holdS").get<double>() * 1e6));
   for (std::uint32_t key = range.first; key <= range.last; ++key) {
     seen_[key] = fence;
     held_until_[key] = until;
@@ -312,8 +310,7 @@
   ++runs_;
   ledger_.OnRun(work->id, work->request.method() == http::verb::get);
   working_.insert(work);
-  const double factor =
-      std::uniform_real_distribution<>(0.7, 1.4)(random_);
+  const double factor = std::uniform_real_distribution<>(0.7, 1.4)(random_);
   work->timer->expires_after(Duration(static_cast<Duration::rep>(
       static_cast<double>(options_.work.count()) * factor)));
   work->timer->async_wait([this, work, life = life_](error_code error) {
@@ -325,8 +322,7 @@
 void EmulatedTarget::FinishWork(const std::shared_ptr<Work>& work) {
   working_.erase(work);
   if (!work->cancelled) {
-    const bool broken =
-        std::uniform_real_distribution<>()(random_) < garble_;
+    const bool broken = std::uniform_real_distribution<>()(random_) < garble_;
     if (broken) {
       work->caller->Abort();
     } else {
--- a/src/emulated_target.h
+++ b/src/emulated_target.h
@@ -30,7 +30,9 @@
   void OnRun(const std::string& request, bool idempotent);
   // A caller was told that the request has not run and never will.
   void OnRefused(const std::string& request, bool idempotent);
-  void OnHold(const std::string& target, const KeyRange& range, Instant from,
+  void OnHold(const std::string& target,
+              const KeyRange& range,
+              Instant from,
               Instant until);
   void OnRelease(const std::string& target, const KeyRange& range);
   void OnGone(const std::string& target) { holds_.erase(target); }
@@ -101,7 +103,9 @@
   void Enqueue(const Caller& caller, const HttpRequest& request);
   void StartWork(const std::shared_ptr<Work>& work);
   void FinishWork(const std::shared_ptr<Work>& work);
-  void Reply(const Caller& caller, int status, bool not_run,
+  void Reply(const Caller& caller,
+             int status,
+             bool not_run,
              const std::string& request_id);
   bool Holds(ShardKey key) const;
 
--- a/src/emulator_main.cc
+++ b/src/emulator_main.cc
@@ -1,6 +1,7 @@
-// The figstall-emulator program: the platform's store, targets and callers in one
-// process on loopback, driven by a scenario, so that entries can be run, watched
-// and broken on one machine. It checks what figstall promises while it runs.
+// The figstall-emulator program: the platform's store, targets and callers in
+// one process on loopback, driven by a scenario, so that entries can be run,
+// watched and broken on one machine. It checks what figstall promises while it
+// runs.
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
@@ -75,8 +76,8 @@
         timer_(io_),
         acceptor_(io_) {
     for (const auto& options : scenario_.targets) {
-      targets_.push_back(std::make_unique<EmulatedTarget>(
-          io_, options, ledger_, random_()));
+      targets_.push_back(
+          std::make_unique<EmulatedTarget>(io_, options, ledger_, random_()));
       beat_at_.push_back({});
     }
   }
@@ -151,10 +152,9 @@
     const bool lost = store_fault_ == "store-lost-answers" &&
                       method == "POST" && Draw() < 0.5;
     store_.Call(BootNow(), method, target.substr(0, question),
-                figstall::detail::ParseQuery(
-                    question == std::string::npos
-                        ? ""
-                        : target.substr(question + 1)),
+                figstall::detail::ParseQuery(question == std::string::npos
+                                                 ? ""
+                                                 : target.substr(question + 1)),
                 body, [this, caller, lost](const EmulatedReply& reply) {
                   if (!lost)
                     Answer(caller, reply);
@@ -267,8 +267,8 @@
       SendRequest(route);
       const double gap =
           -std::log(1 - Draw()) / scenario_.traffic[route].per_second;
-      ScheduleRequest(route, at + Duration(static_cast<Duration::rep>(
-                                      gap * 1e6)));
+      ScheduleRequest(route,
+                      at + Duration(static_cast<Duration::rep>(gap * 1e6)));
     });
   }
 
--- a/src/emulator_report.cc
+++ b/src/emulator_report.cc
@@ -89,8 +89,8 @@
     slowest = std::max(slowest, Percentile(second.times, 0.99));
   }
   const double step =
-      (kWidth - kLeft) / static_cast<double>(std::max<std::size_t>(
-                             1, seconds.size()));
+      (kWidth - kLeft) /
+      static_cast<double>(std::max<std::size_t>(1, seconds.size()));
   std::string svg = fmt::format(
       "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{}\" height=\"{}\" "
       "font-family=\"sans-serif\" font-size=\"11\">\n",
@@ -110,8 +110,9 @@
           "fill=\"{}\"/>\n",
           x, y, step * 0.9, height, color);
     }
-    line += fmt::format("{:.1f},{:.1f} ", x + step / 2,
-                        kHeight * (1 - Percentile(second.times, 0.99) / slowest));
+    line +=
+        fmt::format("{:.1f},{:.1f} ", x + step / 2,
+                    kHeight * (1 - Percentile(second.times, 0.99) / slowest));
   }
   svg += fmt::format(
       "<polyline points=\"{}\" fill=\"none\" stroke=\"#226\"/>\n", line);
--- a/src/emulator_scenario.cc
+++ b/src/emulator_scenario.cc
@@ -77,8 +77,9 @@
     scenario.store = EndpointAt("/store", value_.at("store"));
     for (const json& entry : value_.at("entries"))
       scenario.entries.push_back(EndpointAt("/entries", entry));
-    scenario.desired_state = {
-        {"version", 1}, {"routes", json::object()}, {"services", json::object()}};
+    scenario.desired_state = {{"version", 1},
+                              {"routes", json::object()},
+                              {"services", json::object()}};
     for (const auto& [name, service] : value_.at("services").items())
       ReadService(name, service, scenario);
     for (const auto& [name, route] : value_.at("routes").items())
@@ -109,16 +110,14 @@
                    const json& service,
                    Scenario& scenario) {
     const bool keyed = service.value("keyed", false);
-    scenario.desired_state["services"][name] = {{"healthPath", "/healthz"},
-                                                {"maxConns", 120},
-                                                {"sharded", keyed}};
+    scenario.desired_state["services"][name] = {
+        {"healthPath", "/healthz"}, {"maxConns", 120}, {"sharded", keyed}};
     for (const json& target : service.at("targets")) {
       EmulatedTargetOptions options;
       options.service = name;
       options.keyed = keyed;
       options.zone = target.at("zone");
-      options.address =
-          EndpointAt("/services/" + name, target.at("address"));
+      options.address = EndpointAt("/services/" + name, target.at("address"));
       options.slots = service.value("slots", options.slots);
       options.queue = service.value("queue", options.queue);
       options.work = Seconds(service.value("work_ms", 20.0) / 1e3);
@@ -149,10 +148,14 @@
     traffic.deadline = Seconds(deadline);
     scenario.traffic.push_back(traffic);
     scenario.desired_state["routes"][name] = {
-        {"host", traffic.host}, {"prefix", traffic.prefix},
-        {"kind", route.at("kind")}, {"service", service},
-        {"timeoutS", deadline}, {"sloS", deadline / 2},
-        {"attempts", 2}, {"priority", traffic.idempotent ? 2 : 1}};
+        {"host", traffic.host},
+        {"prefix", traffic.prefix},
+        {"kind", route.at("kind")},
+        {"service", service},
+        {"timeoutS", deadline},
+        {"sloS", deadline / 2},
+        {"attempts", 2},
+        {"priority", traffic.idempotent ? 2 : 1}};
   }
 
   void ReadFault(const json& value, Scenario& scenario) {
@@ -170,9 +173,9 @@
           fault.targets.push_back(i);
       }
       if (fault.targets.size() < count)
-        findings_.push_back({path_, "/faults",
-                             fmt::format("service \"{}\" lacks {} targets",
-                                         service, count)});
+        findings_.push_back(
+            {path_, "/faults",
+             fmt::format("service \"{}\" lacks {} targets", service, count)});
     }
     scenario.faults.push_back(std::move(fault));
   }
@@ -202,8 +205,7 @@
     const std::string part = query.substr(begin, end - begin);
     const std::size_t equals = std::min(part.find('='), part.size());
     int length = 0;
-    const std::string raw =
-        equals < part.size() ? part.substr(equals + 1) : "";
+    const std::string raw = equals < part.size() ? part.substr(equals + 1) : "";
     char* decoded = curl_easy_unescape(nullptr, raw.data(),
                                        static_cast<int>(raw.size()), &length);
     parts[part.substr(0, equals)] =
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -1,5 +1,5 @@
-// Implements membership and what is read from the store. Grants and moves are in
-// entry_control_ranges.cc.
+// Implements membership and what is read from the store. Grants and moves are
+// in entry_control_ranges.cc.
 #include "figstall/entry_control.h"
 
 #include <fmt/format.h>
@@ -66,11 +66,11 @@
 
 void EntryControl::After(Duration delay, std::function<void()> work) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
-  timer->async_wait([timer, work = std::move(work)](
-                        const boost::system::error_code& error) {
-    if (!error)
-      work();
-  });
+  timer->async_wait(
+      [timer, work = std::move(work)](const boost::system::error_code& error) {
+        if (!error)
+          work();
+      });
 }
 
 void EntryControl::Start() {
@@ -83,8 +83,8 @@
   sender_ = std::make_unique<RelaySender>(
       io_, settings_.peers, [this](Revision revision) {
         MirrorChanges changes = mirror_.Since(revision);
-        return RelayUpdate{std::move(changes.items), cursor_,
-                           watching_ && !store_lost_, changes.complete};
+        return RelayUpdate{std::move(changes.items), cursor_, Age(BootNow()),
+                           changes.complete};
       });
   Join();
 }
@@ -92,9 +92,9 @@
 void EntryControl::NoteStore(const StoreAnswer& answer, const char* call) {
   const bool lost = answer.status == StoreStatus::kUnknown ||
                     answer.status == StoreStatus::kRefused;
-  ++metrics_.Counter("figstall_store_calls_total",
-                     fmt::format("call=\"{}\",outcome=\"{}\"", call,
-                                 ToString(answer.status)));
+  ++metrics_.Counter(
+      "figstall_store_calls_total",
+      fmt::format("call=\"{}\",outcome=\"{}\"", call, ToString(answer.status)));
   absence_.OnStore(BootNow(), !lost);
   if (lost == store_lost_)
     return;
@@ -115,19 +115,20 @@
   tables_current_ = false;
   member_until_ = {};
   const Instant asked = BootNow();
-  store_.OpenLease(timing_.membership, [this, asked](const StoreAnswer& answer) {
-    NoteStore(answer, "open-lease");
-    joining_ = false;
-    if (answer.status != StoreStatus::kOk) {
-      if (!read_once_)
-        StartReadAll();
-      return After(timing_.retry, [this] { Join(); });
-    }
-    member_lease_ = answer.lease;
-    member_until_ = asked + answer.time_to_live - timing_.lease_margin;
-    keep_at_ = asked + timing_.membership_renewal;
-    WriteMember(/*then_read=*/true);
-  });
+  store_.OpenLease(
+      timing_.membership, [this, asked](const StoreAnswer& answer) {
+        NoteStore(answer, "open-lease");
+        joining_ = false;
+        if (answer.status != StoreStatus::kOk) {
+          if (!read_once_)
+            StartReadAll();
+          return After(timing_.retry, [this] { Join(); });
+        }
+        member_lease_ = answer.lease;
+        member_until_ = asked + answer.time_to_live - timing_.lease_margin;
+        keep_at_ = asked + timing_.membership_renewal;
+        WriteMember(/*then_read=*/true);
+      });
 }
 
 void EntryControl::WriteMember(bool then_read) {
@@ -145,28 +146,28 @@
                       {"seen_fence", seen},
                       {"holds_for_us", holds}};
   reporting_ = true;
-  store_.Write({},
-               {{kMembersPrefix + settings_.vm.value(), value.dump(),
-                 member_lease_}},
-               {}, [this, then_read, told = report.seen_fence](
-                       const StoreAnswer& answer) {
-                 NoteStore(answer, "write-member");
-                 reporting_ = false;
-                 if (answer.status == StoreStatus::kOk) {
-                   reported_ = told;
-                   if (then_read) {
-                     log_.Write(LogLevel::kInfo, "joined",
-                                {{"lease", std::to_string(member_lease_)},
-                                 {"incarnation", incarnation_}});
-                     StartReadAll();
-                   }
-                   return;
-                 }
-                 if (answer.status == StoreStatus::kNotFound)
-                   return Join();
-                 if (then_read)
-                   After(timing_.retry, [this] { WriteMember(true); });
-               });
+  store_.Write(
+      {},
+      {{kMembersPrefix + settings_.vm.value(), value.dump(), member_lease_}},
+      {},
+      [this, then_read, told = report.seen_fence](const StoreAnswer& answer) {
+        NoteStore(answer, "write-member");
+        reporting_ = false;
+        if (answer.status == StoreStatus::kOk) {
+          reported_ = told;
+          if (then_read) {
+            log_.Write(LogLevel::kInfo, "joined",
+                       {{"lease", std::to_string(member_lease_)},
+                        {"incarnation", incarnation_}});
+            StartReadAll();
+          }
+          return;
+        }
+        if (answer.status == StoreStatus::kNotFound)
+          return Join();
+        if (then_read)
+          After(timing_.retry, [this] { WriteMember(true); });
+      });
 }
 
 void EntryControl::KeepMembership(Instant now) {
@@ -180,8 +181,8 @@
     if (lease != member_lease_)
       return;
     if (answer.status == StoreStatus::kOk) {
-      member_until_ =
-          std::max(member_until_, now + timing_.membership - timing_.lease_margin);
+      member_until_ = std::max(member_until_,
+                               now + timing_.membership - timing_.lease_margin);
       keep_at_ = now + timing_.membership_renewal;
       return;
     }
@@ -268,49 +269,63 @@
   if (update.items.empty() && !advanced)
     return;
   update.cursor = cursor_;
-  update.healthy = watching_ && !store_lost_;
   told_at_ = BootNow();
+  update.age = Age(told_at_);
   sender_->Publish(update);
 }
 
-std::optional<VmId> EntryControl::Reader() const {
-  const auto in_region = [this](const EntryMember& member) {
+std::optional<VmId> EntryControl::Source() const {
+  std::optional<VmId> zone_head;
+  std::optional<VmId> region_head;
+  const auto consider = [&](const EntryMember& member) {
     const auto region = view_.regions.find(member.zone);
-    return region != view_.regions.end() && region->second == settings_.region;
+    if (region == view_.regions.end() || region->second != settings_.region)
+      return;
+    if (!region_head)
+      region_head = member.vm;
+    if (member.zone == settings_.zone && !zone_head)
+      zone_head = member.vm;
   };
+  // The mover comes first, since it writes most changes.
   const auto mover = view_.members.find(mover_vm_);
-  if (mover_key_exists_ && mover != view_.members.end() &&
-      in_region(mover->second))
-    return mover_vm_;
-  for (const auto& [vm, member] : view_.members) {
-    if (in_region(member))
-      return vm;
-  }
+  if (mover_key_exists_ && mover != view_.members.end())
+    consider(mover->second);
+  for (const auto& [vm, member] : view_.members)
+    consider(member);
+  if (!region_head || *region_head == settings_.vm)
+    return std::nullopt;
+  if (zone_head && *zone_head != settings_.vm)
+    return zone_head;
+  return region_head;
+}
+
+std::optional<Duration> EntryControl::Age(Instant now) const {
+  if (watching_ && !store_lost_)
+    return Duration{0};
+  if (const auto confirmed = listener_.confirmed_at())
+    return now - *confirmed;
   return std::nullopt;
 }
 
 void EntryControl::Follow(Instant now) {
   if (!read_once_ || resigned_)
     return;
-  const auto reader = Reader();
-  bool served = false;
-  if (reader && *reader != settings_.vm) {
-    listener_.ListenTo(view_.members.at(*reader).peers, cursor_);
-    const auto healthy = listener_.healthy_at();
-    served = healthy && now - *healthy < timing_.reader_silence;
+  const auto source = Source();
+  if (source) {
+    listener_.ListenTo(view_.members.at(*source).peers, cursor_);
+    const auto confirmed = listener_.confirmed_at();
+    if (confirmed && now - *confirmed < timing_.reader_silence)
+      served_at_ = std::max(served_at_, *confirmed);
   } else {
     listener_.Stop();
   }
-  // A reader that was just chosen, or lost, is given a moment.
-  const bool reads_itself = !reader || *reader == settings_.vm;
-  if (served)
-    served_at_ = now;
+  // A source that was just chosen, or lost, is given a moment.
   if (!watching_ && !reading_ && now >= watch_at_ &&
-      (reads_itself || now - served_at_ >= timing_.reader_silence))
+      (!source || now - served_at_ >= timing_.reader_silence))
     Watch();
   if (now - told_at_ >= timing_.reader_word && sender_->listeners() > 0) {
     told_at_ = now;
-    sender_->Publish({{}, cursor_, watching_ && !store_lost_, false});
+    sender_->Publish({{}, cursor_, Age(now), false});
   }
 }
 
@@ -391,8 +406,7 @@
       });
 }
 
-void EntryControl::ApplyTarget(const std::string& id,
-                               const StoreItem& item) {
+void EntryControl::ApplyTarget(const std::string& id, const StoreItem& item) {
   const TargetId target(id);
   if (item.deleted) {
     const auto known = view_.targets.find(target);
@@ -407,16 +421,16 @@
         const auto known = view_.targets.find(target);
         if (known != view_.targets.end() && known->second == entry)
           return {};
-        log_.Write(LogLevel::kInfo,
-                   known == view_.targets.end() ? "target-joined"
-                                                : "target-changed",
-                   {{"target", id},
-                    {"service", entry.service.value()},
-                    {"zone", entry.zone.value()},
-                    {"address", entry.address.ToString()},
-                    {"state", entry.leaving ? "leaving" : "ready"},
-                    {"born", std::to_string(entry.life.born_ms)},
-                    {"revision", std::to_string(item.revision)}});
+        log_.Write(
+            LogLevel::kInfo,
+            known == view_.targets.end() ? "target-joined" : "target-changed",
+            {{"target", id},
+             {"service", entry.service.value()},
+             {"zone", entry.zone.value()},
+             {"address", entry.address.ToString()},
+             {"state", entry.leaving ? "leaving" : "ready"},
+             {"born", std::to_string(entry.life.born_ms)},
+             {"revision", std::to_string(item.revision)}});
         // Another target at its address: the earlier one is gone.
         for (const auto& [other, each] : view_.targets) {
           if (other != target && each.address == entry.address)
@@ -442,8 +456,7 @@
   }
 }
 
-void EntryControl::ApplyMember(const VmId& vm,
-                               const StoreItem& item) {
+void EntryControl::ApplyMember(const VmId& vm, const StoreItem& item) {
   const auto known = view_.members.find(vm);
   const Instant now = BootNow();
   const auto depart = [&] {
@@ -459,8 +472,8 @@
   }
   try {
     const json value = json::parse(item.value);
-    EntryMember member{vm, ZoneId(value.at("zone")), {},
-                       value.at("incarnation")};
+    EntryMember member{
+        vm, ZoneId(value.at("zone")), {}, value.at("incarnation")};
     const std::string peers = value.at("peers");
     member.peers = HandleError(
         [&]() -> Result<Endpoint> { return ParseEndpoint(peers); },
@@ -493,8 +506,7 @@
   }
 }
 
-void EntryControl::ApplyTable(const ServiceId& service,
-                              const StoreItem& item) {
+void EntryControl::ApplyTable(const ServiceId& service, const StoreItem& item) {
   if (item.deleted)
     return;
   MoverState& state = movers_[service];
@@ -519,9 +531,9 @@
         return {};
       },
       [&](const Error& error) {
-        log_.Write(LogLevel::kError, "ranges-refused",
-                   {{"service", service.value()},
-                    {"findings", Describe(error)}});
+        log_.Write(
+            LogLevel::kError, "ranges-refused",
+            {{"service", service.value()}, {"findings", Describe(error)}});
       });
 }
 
@@ -535,9 +547,9 @@
   }
   if (!campaign_at_) {
     campaign_at_ =
-        now + Duration(static_cast<Duration::rep>(
-                  random_() % static_cast<std::uint64_t>(
-                                  kCampaignSpread.count())));
+        now +
+        Duration(static_cast<Duration::rep>(
+            random_() % static_cast<std::uint64_t>(kCampaignSpread.count())));
   }
   if (now < *campaign_at_)
     return;
@@ -551,26 +563,26 @@
     }
     const platform::LeaseId lease = opened.lease;
     const Instant until = now + opened.time_to_live - timing_.lease_margin;
-    store_.Write(
-        {{kMoverKey, 0}},
-        {{kMoverKey, RunOf(settings_.vm, incarnation_), lease}}, {},
-        [this, lease, until](const StoreAnswer& answer) {
-          NoteStore(answer, "write-mover");
-          campaigning_ = false;
-          if (answer.status == StoreStatus::kOk) {
-            mover_lease_ = lease;
-            mover_revision_ = answer.revision;
-            mover_until_ = until;
-            mover_key_exists_ = true;
-            keep_mover_at_ = BootNow() + timing_.mover_renewal;
-            log_.Write(LogLevel::kInfo, "mover-elected",
-                       {{"revision", std::to_string(answer.revision)}});
-            return;
-          }
-          if (answer.status == StoreStatus::kConflict)
-            mover_key_exists_ = true;
-          store_.EndLease(lease, [](const StoreAnswer&) {});
-        });
+    store_.Write({{kMoverKey, 0}},
+                 {{kMoverKey, RunOf(settings_.vm, incarnation_), lease}}, {},
+                 [this, lease, until](const StoreAnswer& answer) {
+                   NoteStore(answer, "write-mover");
+                   campaigning_ = false;
+                   if (answer.status == StoreStatus::kOk) {
+                     mover_lease_ = lease;
+                     mover_revision_ = answer.revision;
+                     mover_until_ = until;
+                     mover_key_exists_ = true;
+                     keep_mover_at_ = BootNow() + timing_.mover_renewal;
+                     log_.Write(
+                         LogLevel::kInfo, "mover-elected",
+                         {{"revision", std::to_string(answer.revision)}});
+                     return;
+                   }
+                   if (answer.status == StoreStatus::kConflict)
+                     mover_key_exists_ = true;
+                   store_.EndLease(lease, [](const StoreAnswer&) {});
+                 });
   });
 }
 
@@ -585,8 +597,8 @@
     if (lease != mover_lease_)
       return;
     if (answer.status == StoreStatus::kOk) {
-      mover_until_ = std::max(
-          mover_until_, now + timing_.mover - timing_.lease_margin);
+      mover_until_ =
+          std::max(mover_until_, now + timing_.mover - timing_.lease_margin);
       keep_mover_at_ = now + timing_.mover_renewal;
       return;
     }
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -63,11 +63,11 @@
 void EntryControl::SendGrants(Instant now) {
   if (resigned_ || !tables_current_ || now >= member_until_)
     return;
-  const auto due = granter_.Due(
-      now, view_.targets,
-      [this](const ServiceId& service, const RangeEntry& entry) {
-        return GrantsHere(service, entry);
-      });
+  const auto due =
+      granter_.Due(now, view_.targets,
+                   [this](const ServiceId& service, const RangeEntry& entry) {
+                     return GrantsHere(service, entry);
+                   });
   for (const GrantOrder& order : due) {
     const auto may_send = [this, order] {
       const Instant at = BootNow();
@@ -76,11 +76,11 @@
     };
     platform::SendGrant(
         *ChannelTo(order.owner.id, order.address), order,
-        settings_.grants.call_limit, may_send, [this, order](GrantOutcome outcome) {
+        settings_.grants.call_limit, may_send,
+        [this, order](GrantOutcome outcome) {
           granter_.OnOutcome(BootNow(), order, outcome);
-          static const char* const kNames[] = {"granted", "refused",
-                                               "not-there", "not-sent",
-                                               "unknown"};
+          static const char* const kNames[] = {
+              "granted", "refused", "not-there", "not-sent", "unknown"};
           const char* name = kNames[static_cast<int>(outcome)];
           ++metrics_.Counter("figstall_grants_total",
                              fmt::format("outcome=\"{}\"", name));
@@ -153,6 +153,11 @@
   reported_changes_ = table_changes_;
   LoadReport report = traffic_.MakeLoadReport(incarnation_);
   report.grants = MakeGrantReport(now);
+  // Speeds change slowly and make up most of a report.
+  if (now - speeds_told_at_ >= timing_.report_speeds)
+    speeds_told_at_ = now;
+  else
+    report.targets.clear();
   if (IsMover(now)) {
     NoteReport(now, settings_.vm, incarnation_, report.grants);
     return load_.OnReport(now, std::move(report));
@@ -215,8 +220,8 @@
         if (!error) {
           HandleError(
               [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(datagram,
-                                DecodePeerDatagram({peer_buffer_.data(), size}));
+                BOOST_LEAF_AUTO(
+                    datagram, DecodePeerDatagram({peer_buffer_.data(), size}));
                 const Instant now = BootNow();
                 if (auto* report = std::get_if<LoadReport>(&datagram)) {
                   NoteReport(now, report->vm, report->incarnation,
@@ -287,9 +292,9 @@
                              {"entries", std::to_string(next.entries.size())},
                              {"outcome", ToString(answer.status)}});
                  if (answer.status == StoreStatus::kOk)
-                   return Learn({{key, EncodeRangeTable(next), answer.revision,
-                                  false}},
-                                0);
+                   return Learn(
+                       {{key, EncodeRangeTable(next), answer.revision, false}},
+                       0);
                  if (answer.status == StoreStatus::kConflict &&
                      std::none_of(answer.items.begin(), answer.items.end(),
                                   [this](const StoreItem& item) {
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -131,7 +131,8 @@
     });
   }
 
-  // Addresses and places stay; what the file says of them counts after a restart.
+  // Addresses and places stay; what the file says of them counts after a
+  // restart.
   void Reload() {
     figstall::HandleError(
         [&]() -> figstall::Result<void> {
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -46,8 +46,8 @@
 Duration Seconds(const json& object, const char* field, Duration fallback) {
   if (!object.contains(field))
     return fallback;
-  return Duration(static_cast<Duration::rep>(
-      object.at(field).get<double>() * 1e6));
+  return Duration(
+      static_cast<Duration::rep>(object.at(field).get<double>() * 1e6));
 }
 
 struct EndpointReader {
@@ -100,8 +100,7 @@
   settings.retries.window =
       Seconds(retries, "window_s", settings.retries.window);
   settings.retries.slack = retries.value("slack", settings.retries.slack);
-  settings.stop_grace =
-      Seconds(value, "stop_grace_s", settings.stop_grace);
+  settings.stop_grace = Seconds(value, "stop_grace_s", settings.stop_grace);
   settings.max_descriptors =
       value.value("max_descriptors", settings.max_descriptors);
   if (!settings.regions.contains(settings.zone))
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -15,8 +15,8 @@
 
 // Until a service has answered, an answer is taken to need this long.
 constexpr Duration kFirstTypicalTime = std::chrono::milliseconds(100);
-// Mean work over the low quantile that stands for it. Source: work that varies as
-// the logarithm of a normal value does, by three tenths.
+// Mean work over the low quantile that stands for it. Source: work that varies
+// as the logarithm of a normal value does, by three tenths.
 constexpr double kMeanOverQuantile = 1.2;
 constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(500);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
@@ -97,35 +97,37 @@
 }
 
 void EntryTraffic::Accept() {
-  acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted)
-      return;
-    if (error) {
-      log_.Write(LogLevel::kWarning, "accept-failed",
-                 {{"error", error.message()}});
-      const auto pause = std::make_shared<asio::steady_timer>(io_, kAcceptPause);
-      pause->async_wait([this, pause](error_code stopped) {
-        if (!stopped)
-          Accept();
+  acceptor_.async_accept(
+      [this](error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+          return;
+        if (error) {
+          log_.Write(LogLevel::kWarning, "accept-failed",
+                     {{"error", error.message()}});
+          const auto pause =
+              std::make_shared<asio::steady_timer>(io_, kAcceptPause);
+          pause->async_wait([this, pause](error_code stopped) {
+            if (!stopped)
+              Accept();
+          });
+          return;
+        }
+        CallerConnection::Handlers handlers;
+        handlers.on_request = [this](const auto& caller, HttpRequest request) {
+          OnRequest(caller, std::move(request));
+        };
+        handlers.on_closed = [this](const CallerConnection* caller) {
+          callers_.erase(caller);
+        };
+        handlers.stopping = [this] { return stop_by_.has_value(); };
+        const auto caller = std::make_shared<CallerConnection>(
+            std::move(socket),
+            view_.routes ? view_.routes->state().limits : CallerLimits{},
+            std::move(handlers));
+        callers_.emplace(caller.get(), caller);
+        caller->Start();
+        Accept();
       });
-      return;
-    }
-    CallerConnection::Handlers handlers;
-    handlers.on_request = [this](const auto& caller, HttpRequest request) {
-      OnRequest(caller, std::move(request));
-    };
-    handlers.on_closed = [this](const CallerConnection* caller) {
-      callers_.erase(caller);
-    };
-    handlers.stopping = [this] { return stop_by_.has_value(); };
-    const auto caller = std::make_shared<CallerConnection>(
-        std::move(socket),
-        view_.routes ? view_.routes->state().limits : CallerLimits{},
-        std::move(handlers));
-    callers_.emplace(caller.get(), caller);
-    caller->Start();
-    Accept();
-  });
 }
 
 void EntryTraffic::OnRequest(const std::shared_ptr<CallerConnection>& caller,
@@ -262,8 +264,8 @@
     candidates.push_back({&entry, &link->load(), DistanceTo(entry.zone),
                           SharersOf(entry, false)});
   }
-  const Candidate* best = PickTarget(
-      candidates, PickRule{bulk, TypicalTime(service)}, BootNow());
+  const Candidate* best =
+      PickTarget(candidates, PickRule{bulk, TypicalTime(service)}, BootNow());
   return best ? LinkTo(best->entry->life.id) : nullptr;
 }
 
@@ -298,8 +300,7 @@
   }
   for (const auto& [service, sum] : sums) {
     work_time_[service] = Duration(static_cast<Duration::rep>(
-        kMeanOverQuantile * static_cast<double>(sum.time.count()) /
-        sum.count));
+        kMeanOverQuantile * static_cast<double>(sum.time.count()) / sum.count));
   }
 }
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -71,8 +71,7 @@
 template <typename Message>
 void EraseHopFields(Message& message) {
   std::vector<std::string> named;
-  for (const auto& token :
-       http::token_list(message[http::field::connection]))
+  for (const auto& token : http::token_list(message[http::field::connection]))
     named.emplace_back(token);
   for (const std::string& name : named)
     message.erase(name);
@@ -133,8 +132,8 @@
   due_ = arrived_ + std::chrono::seconds(1);
   if (!routes_)
     return FinishOwn(kUnavailable, "no-desired-state", kRetryAfterMoving);
-  route_ = routes_->Find(View(request_[http::field::host]),
-                         View(request_.target()));
+  route_ =
+      routes_->Find(View(request_[http::field::host]), View(request_.target()));
   if (!route_)
     return FinishOwn(kNotFound, "no-route", std::nullopt);
   Duration limit = route_->time_limit;
@@ -159,9 +158,9 @@
   traffic_.BudgetOf(service_).OnRequest(arrived_);
   if (keyed_ && !traffic_.Admits(service_, key_))
     return FinishOwn(kUnavailable, "hot-key", kRetryAfterMoving);
-  wait_ends_ = arrived_ + std::min(kLongestWait,
-                                   Scaled(route_->latency_objective,
-                                          kWaitShare));
+  wait_ends_ =
+      arrived_ +
+      std::min(kLongestWait, Scaled(route_->latency_objective, kWaitShare));
   if (!TrySend())
     GoWaiting();
 }
@@ -170,9 +169,8 @@
   if (!keyed_)
     return traffic_.PickShared(service_, route_->bulk, tried_);
   const auto table = traffic_.view_.tables.find(service_);
-  const RangeEntry* entry = table == traffic_.view_.tables.end()
-                                ? nullptr
-                                : table->second.Find(key_);
+  const RangeEntry* entry =
+      table == traffic_.view_.tables.end() ? nullptr : table->second.Find(key_);
   if (!entry || entry->phase != RangePhase::kSettled)
     return nullptr;
   TargetLink* link = traffic_.LinkTo(entry->owner.id);
@@ -189,9 +187,8 @@
                        service_.value(), tried_.size());
   }
   const auto table = traffic_.view_.tables.find(service_);
-  const RangeEntry* entry = table == traffic_.view_.tables.end()
-                                ? nullptr
-                                : table->second.Find(key_);
+  const RangeEntry* entry =
+      table == traffic_.view_.tables.end() ? nullptr : table->second.Find(key_);
   if (!entry)
     return "key has no owner yet";
   if (entry->phase != RangePhase::kSettled)
@@ -231,8 +228,8 @@
   auto out = std::make_shared<HttpRequest>(request_);
   EraseHopFields(*out);
   out->version(11);
-  out->set(platform::kTimeLeftHeader,
-           std::to_string(std::max<std::int64_t>(1, Millis(TimeLeft(BootNow())))));
+  out->set(platform::kTimeLeftHeader, std::to_string(std::max<std::int64_t>(
+                                          1, Millis(TimeLeft(BootNow())))));
   out->set(platform::kExpectedTargetHeader, link.entry().life.id.value());
   if (!out->body().empty() || request_.has_content_length() ||
       request_.chunked())
@@ -259,14 +256,12 @@
   attempt.sent = now;
   attempt.connection = link->Acquire(now);
   attempt.reused = attempt.connection->used();
-  const Duration usual =
-      std::max(link->load().latency().value_or(Duration{0}),
-               traffic_.TypicalTime(service_));
+  const Duration usual = std::max(link->load().latency().value_or(Duration{0}),
+                                  traffic_.TypicalTime(service_));
   attempt.patience_ends =
       now + (keyed_ ? std::max(kLeastKeyedPatience,
                                Scaled(usual, kKeyedPatienceFactor))
-                    : std::max(kLeastPatience,
-                               Scaled(usual, kPatienceFactor)));
+                    : std::max(kLeastPatience, Scaled(usual, kPatienceFactor)));
   link->load().OnSent(now);
   const auto self = shared_from_this();
   AnswerObserver observer;
@@ -452,9 +447,8 @@
         {{"id", id_},
          {"target", attempt_->target.value()},
          {"how", kNames[static_cast<int>(kind)]},
-         {"status", std::to_string(attempt_->head_seen
-                                       ? attempt_->head.result_int()
-                                       : 0)},
+         {"status", std::to_string(
+                        attempt_->head_seen ? attempt_->head.result_int() : 0)},
          {"took_us", std::to_string(took.count())},
          {"reused", attempt_->reused ? "yes" : "no"}});
   }
@@ -497,8 +491,7 @@
     return;
   tried_.insert(attempt_->target);
   TargetLink* other = Choose();
-  if (!other ||
-      !traffic_.BudgetOf(service_).TryRetry(now, traffic_.Routers()))
+  if (!other || !traffic_.BudgetOf(service_).TryRetry(now, traffic_.Routers()))
     return;
   run_ = RunState::kUnknown;
   const auto connection = attempt_->connection;
@@ -508,9 +501,8 @@
 }
 
 void Exchange::Refuse(const std::string& reason) {
-  const Duration wait =
-      reason == "no-target-free" && keyed_ ? kRetryAfterMoving
-                                           : kRetryAfterFull;
+  const Duration wait = reason == "no-target-free" && keyed_ ? kRetryAfterMoving
+                                                             : kRetryAfterFull;
   if (reason == "no-target-free")
     return FinishOwn(OwnStatus(run_, false), reason + ": " + Explain(), wait);
   FinishOwn(OwnStatus(run_, false), reason, wait);
@@ -554,11 +546,13 @@
   waiting_ = false;
   caller_->OnGone(nullptr);
   const Duration took = BootNow() - arrived_;
-  const std::string labels = fmt::format(
-      "route=\"{}\",outcome=\"{}\",reason=\"{}\"",
-      route_ ? (route_->bulk ? "bulk" : route_->idempotent ? "safe" : "once")
-             : "none",
-      outcome, reason.substr(0, reason.find(':')));
+  const std::string labels =
+      fmt::format("route=\"{}\",outcome=\"{}\",reason=\"{}\"",
+                  route_ ? (route_->bulk         ? "bulk"
+                            : route_->idempotent ? "safe"
+                                                 : "once")
+                         : "none",
+                  outcome, reason.substr(0, reason.find(':')));
   ++traffic_.metrics_.Counter("figstall_requests_total", labels);
   traffic_.metrics_.Latency("figstall_request_seconds", "").Record(took);
   const bool late = route_ && took > route_->latency_objective;
@@ -568,8 +562,7 @@
         LogLevel::kInfo, "request",
         {{"id", id_},
          {"route", route_ ? std::string_view(route_->name) : ""},
-         {"version",
-          std::to_string(routes_ ? routes_->state().version : 0)},
+         {"version", std::to_string(routes_ ? routes_->state().version : 0)},
          {"service", service_.value()},
          {"key", keyed_ ? std::to_string(key_) : ""},
          {"outcome", outcome},
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -54,9 +54,8 @@
   if (calls_.size() >= max_queue_) {
     ChannelAnswer answer;
     answer.failure = "queue full";
-    boost::asio::post(io_, [handler = std::move(handler), answer] {
-      handler(answer);
-    });
+    boost::asio::post(
+        io_, [handler = std::move(handler), answer] { handler(answer); });
     return;
   }
   calls_.push_back({std::move(call), std::move(handler), BootNow()});
@@ -70,11 +69,11 @@
   busy_ = true;
   sent_ = false;
   timer_.expires_after(calls_.front().call.limit);
-  timer_.async_wait([self = shared_from_this(),
-                     generation = generation_](error_code error) {
-    if (!error && generation == self->generation_ && self->busy_)
-      self->Fail("no answer in time");
-  });
+  timer_.async_wait(
+      [self = shared_from_this(), generation = generation_](error_code error) {
+        if (!error && generation == self->generation_ && self->busy_)
+          self->Fail("no answer in time");
+      });
   if (connected_)
     Write();
   else
@@ -122,41 +121,40 @@
   }
   request_.prepare_payload();
   sent_ = true;
-  http::async_write(
-      *socket_, request_,
-      [self = shared_from_this(), generation = generation_](error_code failed,
-                                                            std::size_t) {
-        if (generation != self->generation_)
-          return;
-        if (failed)
-          return self->Fail(failed.message());
-        self->Read();
-      });
+  http::async_write(*socket_, request_,
+                    [self = shared_from_this(), generation = generation_](
+                        error_code failed, std::size_t) {
+                      if (generation != self->generation_)
+                        return;
+                      if (failed)
+                        return self->Fail(failed.message());
+                      self->Read();
+                    });
 }
 
 void HttpChannel::Read() {
   parser_.emplace();
   parser_->body_limit(kMaxAnswerBytes);
-  http::async_read(
-      *socket_, buffer_, *parser_,
-      [self = shared_from_this(), generation = generation_](error_code failed,
-                                                            std::size_t) {
-        if (generation != self->generation_)
-          return;
-        if (failed)
-          return self->Fail(failed.message());
-        auto message = std::make_shared<Response>(self->parser_->release());
-        ChannelAnswer answer;
-        answer.sent = true;
-        answer.status = static_cast<int>(message->result_int());
-        answer.header = [message](const char* name) {
-          return std::string((*message)[name]);
-        };
-        answer.body = std::move(message->body());
-        if (!message->keep_alive())
-          self->Drop();
-        self->Finish(std::move(answer));
-      });
+  http::async_read(*socket_, buffer_, *parser_,
+                   [self = shared_from_this(), generation = generation_](
+                       error_code failed, std::size_t) {
+                     if (generation != self->generation_)
+                       return;
+                     if (failed)
+                       return self->Fail(failed.message());
+                     auto message =
+                         std::make_shared<Response>(self->parser_->release());
+                     ChannelAnswer answer;
+                     answer.sent = true;
+                     answer.status = static_cast<int>(message->result_int());
+                     answer.header = [message](const char* name) {
+                       return std::string((*message)[name]);
+                     };
+                     answer.body = std::move(message->body());
+                     if (!message->keep_alive())
+                       self->Drop();
+                     self->Finish(std::move(answer));
+                   });
 }
 
 void HttpChannel::Finish(ChannelAnswer answer) {
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -193,8 +193,8 @@
                          const TargetDirectory& directory) {
   std::map<TargetId, std::vector<std::uint16_t>> parts_of;
   for (std::size_t part = 0; part < heat.size(); ++part) {
-    const auto middle = static_cast<ShardKey>(
-        part * (kShardKeys / kHeatParts) + kShardKeys / kHeatParts / 2);
+    const auto middle = static_cast<ShardKey>(part * (kShardKeys / kHeatParts) +
+                                              kShardKeys / kHeatParts / 2);
     if (const RangeEntry* entry = table.Find(middle))
       parts_of[entry->owner.id].push_back(static_cast<std::uint16_t>(part));
   }
@@ -204,17 +204,18 @@
     if (entry == directory.end())
       continue;
     const auto known = capacities.find(owner);
-    double room = kUtilization * (known != capacities.end()
-                                      ? known->second
-                                      : entry->second.slots);
+    double room =
+        kUtilization *
+        (known != capacities.end() ? known->second : entry->second.slots);
     double load = 0;
     for (const std::uint16_t part : parts)
       load += heat[part];
     if (load <= room)
       continue;
     // Parts in order of heat: each cooler than the level fits in full.
-    std::sort(parts.begin(), parts.end(),
-              [&](std::uint16_t a, std::uint16_t b) { return heat[a] < heat[b]; });
+    std::sort(
+        parts.begin(), parts.end(),
+        [&](std::uint16_t a, std::uint16_t b) { return heat[a] < heat[b]; });
     std::size_t left = parts.size();
     for (const std::uint16_t part : parts) {
       const double level = room / static_cast<double>(left);
@@ -242,9 +243,8 @@
 
 Result<PeerDatagram> DecodePeerDatagram(std::string_view bytes) {
   try {
-    kj::ArrayInputStream stream(
-        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
-                     bytes.size()));
+    kj::ArrayInputStream stream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
     capnp::PackedMessageReader message(stream);
     const auto root = message.getRoot<wire::PeerDatagram>();
     if (root.isReport())
@@ -259,8 +259,10 @@
 }
 
 void LoadPicture::OnReport(Instant now, LoadReport report) {
-  const VmId vm = report.vm;
-  reports_[vm] = {now, std::move(report)};
+  Received& known = reports_[report.vm];
+  if (report.targets.empty())
+    report.targets = std::move(known.report.targets);
+  known = {now, std::move(report)};
 }
 
 bool LoadPicture::Heard(Instant now, const VmId& vm) const {
@@ -287,8 +289,8 @@
   }
   if (samples < kEnoughSamples)
     return {};
-  const double scale =
-      static_cast<double>(std::max(members, heard)) / static_cast<double>(heard);
+  const double scale = static_cast<double>(std::max(members, heard)) /
+                       static_cast<double>(heard);
   for (double& part : sum)
     part *= scale;
   return sum;
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -77,8 +77,9 @@
   items @0 :List(RelayItem);
   # All changes up to here have been told.
   cursor @1 :UInt64;
-  # Whether the sender reads the store itself now and reaches it.
-  healthy @2 :Bool;
+  # How long ago the store's state was last confirmed, in milliseconds; the
+  # largest number means never.
+  ageMillis @2 :UInt32;
   # Keys that are not among the items do not exist.
   complete @3 :Bool;
 }
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -1123,7 +1123,7 @@
 
   inline  ::uint64_t getCursor() const;
 
-  inline bool getHealthy() const;
+  inline  ::uint32_t getAgeMillis() const;
 
   inline bool getComplete() const;
 
@@ -1165,8 +1165,8 @@
   inline  ::uint64_t getCursor();
   inline void setCursor( ::uint64_t value);
 
-  inline bool getHealthy();
-  inline void setHealthy(bool value);
+  inline  ::uint32_t getAgeMillis();
+  inline void setAgeMillis( ::uint32_t value);
 
   inline bool getComplete();
   inline void setComplete(bool value);
@@ -2185,32 +2185,32 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RelayUpdate::Reader::getHealthy() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RelayUpdate::Reader::getAgeMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool RelayUpdate::Builder::getHealthy() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RelayUpdate::Builder::getAgeMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RelayUpdate::Builder::setHealthy(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void RelayUpdate::Builder::setAgeMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RelayUpdate::Reader::getComplete() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 
 inline bool RelayUpdate::Builder::getComplete() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
 }
 inline void RelayUpdate::Builder::setComplete(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
 }  // namespace
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -104,8 +104,8 @@
       continue;
     const std::pair key(entry.range.first, entry.fence);
     const auto known = progress_.find(key);
-    kept[key] = known == progress_.end() ? Progress{now, false, {}, {}}
-                                         : known->second;
+    kept[key] =
+        known == progress_.end() ? Progress{now, false, {}, {}} : known->second;
   }
   progress_ = std::move(kept);
 }
@@ -141,10 +141,10 @@
   std::uint32_t begin = 0;
   for (const TargetEntry* target : usable) {
     sum += CapacityOf(*target, view);
-    const auto end = target == usable.back()
-                         ? kShardKeys
-                         : static_cast<std::uint32_t>(
-                               std::lround(kShardKeys * sum / total));
+    const auto end =
+        target == usable.back()
+            ? kShardKeys
+            : static_cast<std::uint32_t>(std::lround(kShardKeys * sum / total));
     if (end <= begin)
       continue;
     RangeEntry entry;
@@ -266,8 +266,7 @@
     SetOwner(entry, *share->target);
     share->load += load;
     entry.phase = RangePhase::kSettled;
-    entry.handover =
-        progress_.at({entry.range.first, entry.fence}).handover;
+    entry.handover = progress_.at({entry.range.first, entry.fence}).handover;
     changed = true;
   }
   return changed;
@@ -346,9 +345,8 @@
     if (!overloaded && !idle_receiver)
       break;
     // What the donor has above the fair share and the receiver below it.
-    const double wanted =
-        std::min(donor->load - fair * donor->capacity,
-                 fair * receiver->capacity - receiver->load);
+    const double wanted = std::min(donor->load - fair * donor->capacity,
+                                   fair * receiver->capacity - receiver->load);
     const auto moved =
         PieceOf(next, donor->target->life.id, wanted, *view.load);
     if (!moved) {
--- a/src/range_table.cc
+++ b/src/range_table.cc
@@ -63,9 +63,9 @@
 std::string EncodeRangeTable(const RangeTable& table) {
   json rows = json::array();
   for (const RangeEntry& entry : table.entries) {
-    rows.push_back({entry.range.first, entry.range.last,
-                    entry.owner.id.value(), entry.owner.born_ms,
-                    entry.address.ToString(), entry.zone.value(), entry.fence,
+    rows.push_back({entry.range.first, entry.range.last, entry.owner.id.value(),
+                    entry.owner.born_ms, entry.address.ToString(),
+                    entry.zone.value(), entry.fence,
                     static_cast<int>(entry.phase), entry.handover});
   }
   return json{{"last_fence", table.last_fence}, {"ranges", rows}}.dump();
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -395,7 +395,7 @@
     if (crosses) {
       const std::lock_guard lock(budget_mutex_);
       link_.Charge(BootNow(), kRequestOverheadBytes + request.body.size() +
-                                    answer.body.size());
+                                  answer.body.size());
     }
     if (!MayTryOtherRouter(answer))
       return answer;
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -60,8 +60,8 @@
   MirrorChanges changes;
   changes.complete = revision < dropped_ || revision == 0;
   for (const auto& [key, item] : items_) {
-    const bool wanted = changes.complete ? !item.deleted
-                                         : item.revision > revision;
+    const bool wanted =
+        changes.complete ? !item.deleted : item.revision > revision;
     if (wanted)
       changes.items.push_back(item);
   }
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -5,6 +5,8 @@
 #include <capnp/serialize-packed.h>
 #include <kj/io.h>
 
+#include <algorithm>
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -23,6 +25,8 @@
 // Between two tries to reach the same sender.
 constexpr Duration kTryAgain = std::chrono::milliseconds(500);
 
+constexpr std::uint32_t kNeverMillis = 0xFFFFFFFFU;
+
 std::string ToBytes(capnp::MessageBuilder& message) {
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
@@ -46,7 +50,10 @@
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::RelayUpdate>();
   root.setCursor(update.cursor);
-  root.setHealthy(update.healthy);
+  root.setAgeMillis(update.age
+                        ? static_cast<std::uint32_t>(std::min<std::int64_t>(
+                              update.age->count() / 1000, kNeverMillis - 1))
+                        : kNeverMillis);
   root.setComplete(update.complete);
   auto items = root.initItems(static_cast<unsigned>(update.items.size()));
   unsigned index = 0;
@@ -66,7 +73,8 @@
   const auto root = message.getRoot<wire::RelayUpdate>();
   RelayUpdate update;
   update.cursor = root.getCursor();
-  update.healthy = root.getHealthy();
+  if (root.getAgeMillis() != kNeverMillis)
+    update.age = std::chrono::milliseconds(root.getAgeMillis());
   update.complete = root.getComplete();
   for (const auto item : root.getItems()) {
     const auto value = item.getValue();
@@ -168,8 +176,8 @@
                          const Endpoint& listen,
                          ChangesSince changes_since)
     : io_(io), changes_since_(std::move(changes_since)), acceptor_(io) {
-  const asio::ip::tcp::endpoint endpoint(
-      asio::ip::make_address(listen.address), listen.port);
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(listen.address),
+                                         listen.port);
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(endpoint);
@@ -178,28 +186,29 @@
 }
 
 void RelaySender::Accept() {
-  acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted)
-      return;
-    if (!error) {
-      const auto slot = std::make_shared<std::weak_ptr<MessageStream>>();
-      MessageStream::Handlers handlers;
-      handlers.on_message = [this, slot](const std::string& message) {
-        OnMessage(*slot, message);
-      };
-      handlers.on_closed = [this, slot] {
-        const auto stream = slot->lock();
-        streams_.erase(stream);
-        listeners_.erase(stream);
-      };
-      const auto stream = std::make_shared<MessageStream>(std::move(socket),
-                                                          std::move(handlers));
-      *slot = stream;
-      streams_.insert(stream);
-      stream->Start();
-    }
-    Accept();
-  });
+  acceptor_.async_accept(
+      [this](error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+          return;
+        if (!error) {
+          const auto slot = std::make_shared<std::weak_ptr<MessageStream>>();
+          MessageStream::Handlers handlers;
+          handlers.on_message = [this, slot](const std::string& message) {
+            OnMessage(*slot, message);
+          };
+          handlers.on_closed = [this, slot] {
+            const auto stream = slot->lock();
+            streams_.erase(stream);
+            listeners_.erase(stream);
+          };
+          const auto stream = std::make_shared<MessageStream>(
+              std::move(socket), std::move(handlers));
+          *slot = stream;
+          streams_.insert(stream);
+          stream->Start();
+        }
+        Accept();
+      });
 }
 
 void RelaySender::OnMessage(const std::weak_ptr<MessageStream>& from,
@@ -230,15 +239,13 @@
     listener->Send(message);
 }
 
-RelayListener::RelayListener(asio::io_context& io,
-                             VmId self,
-                             Handler on_update)
+RelayListener::RelayListener(asio::io_context& io, VmId self, Handler on_update)
     : io_(io), self_(std::move(self)), on_update_(std::move(on_update)) {}
 
 void RelayListener::ListenTo(const Endpoint& sender, Revision cursor) {
   const Instant now = BootNow();
-  if (sender_ == sender && (stream_ || connecting_ ||
-                            now - tried_at_ < kTryAgain))
+  if (sender_ == sender &&
+      (stream_ || connecting_ || now - tried_at_ < kTryAgain))
     return;
   Stop();
   sender_ = sender;
@@ -260,7 +267,7 @@
         };
         handlers.on_closed = [this] {
           stream_.reset();
-          healthy_at_.reset();
+          confirmed_at_.reset();
         };
         stream_ = std::make_shared<MessageStream>(std::move(*socket),
                                                   std::move(handlers));
@@ -276,7 +283,7 @@
 void RelayListener::Stop() {
   ++generation_;
   sender_.reset();
-  healthy_at_.reset();
+  confirmed_at_.reset();
   if (connecting_) {
     error_code ignored;
     connecting_->close(ignored);
@@ -290,10 +297,10 @@
 void RelayListener::OnMessage(const std::string& message) {
   try {
     const RelayUpdate update = DecodeUpdate(message);
-    if (update.healthy)
-      healthy_at_ = BootNow();
-    else
-      healthy_at_.reset();
+    if (update.age) {
+      const Instant confirmed = BootNow() - *update.age;
+      confirmed_at_ = std::max(confirmed, confirmed_at_.value_or(confirmed));
+    }
     on_update_(update);
   } catch (const kj::Exception&) {
     // A sender of another version; this member reads the store for itself.
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -55,30 +55,29 @@
     return Write();
   error_code error;
   const auto address = boost::asio::ip::make_address(target_.address, error);
-  socket_.async_connect(
-      Tcp::endpoint(address, target_.port),
-      [self = shared_from_this()](error_code failed) {
-        if (self->closed_)
-          return;
-        if (failed)
-          return self->Break(failed.message());
-        TuneSocket(self->socket_);
-        self->open_ = true;
-        self->Write();
-      });
+  socket_.async_connect(Tcp::endpoint(address, target_.port),
+                        [self = shared_from_this()](error_code failed) {
+                          if (self->closed_)
+                            return;
+                          if (failed)
+                            return self->Break(failed.message());
+                          TuneSocket(self->socket_);
+                          self->open_ = true;
+                          self->Write();
+                        });
 }
 
 void TargetConnection::Write() {
   sending_ = true;
   serializer_.emplace(*request_);
-  http::async_write(socket_, *serializer_,
-                    [self = shared_from_this()](error_code failed,
-                                                std::size_t) {
-                      // The reading side tells how a failed write ended: the
-                      // target may have answered before it read everything.
-                      if (!failed)
-                        self->written_ = true;
-                    });
+  http::async_write(
+      socket_, *serializer_,
+      [self = shared_from_this()](error_code failed, std::size_t) {
+        // The reading side tells how a failed write ended: the
+        // target may have answered before it read everything.
+        if (!failed)
+          self->written_ = true;
+      });
   Read();
 }
 
@@ -182,20 +181,19 @@
   const auto& answer = parser_->get();
   // Bytes beyond an answer, or an answer to a request that was not read to its
   // end, leave the connection in doubt.
-  const bool reusable =
-      written_ && !saw_foreign_ && answer.keep_alive() && buffer_.size() == 0 &&
-      !parser_->need_eof();
-  const Duration keep = KeepAliveTime(
-      std::string_view(answer[http::field::keep_alive].data(),
-                       answer[http::field::keep_alive].size()));
+  const bool reusable = written_ && !saw_foreign_ && answer.keep_alive() &&
+                        buffer_.size() == 0 && !parser_->need_eof();
+  const Duration keep =
+      KeepAliveTime(std::string_view(answer[http::field::keep_alive].data(),
+                                     answer[http::field::keep_alive].size()));
   ++answers_;
   const AnswerObserver observer = std::move(observer_);
   observer_ = {};
   busy_ = false;
   if (reusable) {
-    usable_until_ = BootNow() + Duration(static_cast<Duration::rep>(
-                                    static_cast<double>(keep.count()) *
-                                    kUsableShare));
+    usable_until_ =
+        BootNow() + Duration(static_cast<Duration::rep>(
+                        static_cast<double>(keep.count()) * kUsableShare));
     paused_ = false;
     Read();
   } else {
--- a/test/desired_state_test.cc
+++ b/test/desired_state_test.cc
@@ -85,8 +85,7 @@
 }
 
 TEST_CASE("a desired state is decoded into what its fields say") {
-  const DesiredState state =
-      MustDecode(&platform::DecodeDesiredState, kState);
+  const DesiredState state = MustDecode(&platform::DecodeDesiredState, kState);
   CHECK(state.version == 7);
   REQUIRE(state.routes.size() == 2);
   const IngressRoute& first = state.routes[0];
@@ -103,13 +102,14 @@
 }
 
 TEST_CASE("a wrong desired state is refused with every place") {
-  CHECK_THAT(FindingsOf(R"({"version":1,"routes":{"r":{"host":"a","prefix":"/x",
+  CHECK_THAT(
+      FindingsOf(R"({"version":1,"routes":{"r":{"host":"a","prefix":"/x",
                           "kind":"odd","service":"s"}},"services":{}})"),
-             Catch::Contains("/routes/r/prefix") &&
-                 Catch::Contains("/routes/r/kind"));
-  CHECK_THAT(FindingsOf(R"({"version":1,"routes":{"r":{"host":"a","prefix":"/x/",
+      Catch::Contains("/routes/r/prefix") && Catch::Contains("/routes/r/kind"));
+  CHECK_THAT(
+      FindingsOf(R"({"version":1,"routes":{"r":{"host":"a","prefix":"/x/",
                           "kind":"safe","service":"s"}},"services":{}})"),
-             Catch::Contains("unknown service s"));
+      Catch::Contains("unknown service s"));
   CHECK(FindingsOf("{\"version\":").find("accepted") == std::string::npos);
 }
 
--- a/test/load_report_test.cc
+++ b/test/load_report_test.cc
@@ -138,9 +138,8 @@
   LoadReport report = Report("m1", 0, 0.1);
   for (const auto& [id, millis] :
        {std::pair("t1", 60), std::pair("t2", 120), std::pair("t3", 240)}) {
-    directory[TargetId(id)] = {{TargetId(id), 1}, {},    kService,
-                               ZoneId("z"),       4,     false,
-                               Duration{0}};
+    directory[TargetId(id)] = {
+        {TargetId(id), 1}, {}, kService, ZoneId("z"), 4, false, Duration{0}};
     report.targets[TargetId(id)] = milliseconds(millis);
   }
   picture.OnReport(At(0), report);
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -71,12 +71,11 @@
 
 std::map<std::string, double> LoadByOwner(const Scene& scene) {
   std::map<std::string, double> loads;
-  const double part_size =
-      static_cast<double>(kShardKeys) /
-      static_cast<double>(scene.load.parts.size());
+  const double part_size = static_cast<double>(kShardKeys) /
+                           static_cast<double>(scene.load.parts.size());
   for (std::size_t part = 0; part < scene.load.parts.size(); ++part) {
-    const auto key = static_cast<ShardKey>(
-        (static_cast<double>(part) + 0.5) * part_size);
+    const auto key =
+        static_cast<ShardKey>((static_cast<double>(part) + 0.5) * part_size);
     loads[scene.OwnerOf(key)] += scene.load.parts[part];
   }
   return loads;
@@ -85,7 +84,8 @@
 }  // namespace
 
 // Load: caroni quiet-1, second 0. The first target to be seen got every key.
-TEST_CASE("the first assignment waits until all that start together are known") {
+TEST_CASE(
+    "the first assignment waits until all that start together are known") {
   RangeMover mover(kService, {});
   TargetDirectory directory{{TargetId("t1"), Target("t1")}};
   const MemberReports members;
--- a/test/range_walk_test.cc
+++ b/test/range_walk_test.cc
@@ -155,11 +155,10 @@
     if (Chance(0.006)) {
       const int i = static_cast<int>(Draw(kMembers));
       members_[i].frozen = true;
-      Later(milliseconds(Draw(9000)),
-            [this, run = members_[i].run, i] {
-              if (members_[i].run == run)
-                members_[i].frozen = false;
-            });
+      Later(milliseconds(Draw(9000)), [this, run = members_[i].run, i] {
+        if (members_[i].run == run)
+          members_[i].frozen = false;
+      });
     }
     if (Chance(0.003))
       StartMember(static_cast<int>(Draw(kMembers)));
@@ -182,22 +181,19 @@
       Target& target = targets_[i];
       if (target.up && target.heard_by_store && Chance(0.1)) {
         target.last_beat = now_;
-        listed_[target.life.id] = {target.life,
-                                   {"10.0.0." + std::to_string(i), 80},
-                                   kService,
-                                   ZoneId("z"),
-                                   4,
-                                   false,
-                                   Duration{0}};
+        listed_[target.life.id] = {
+            target.life, {"10.0.0." + std::to_string(i), 80},
+            kService,    ZoneId("z"),
+            4,           false,
+            Duration{0}};
         beat_at_[target.life.id] = now_;
       }
     }
     std::erase_if(listed_, [this](const auto& each) {
       return now_ - beat_at_[each.first] > kSilence;
     });
-    std::erase_if(leases_, [this](const auto& each) {
-      return each.second <= now_;
-    });
+    std::erase_if(leases_,
+                  [this](const auto& each) { return each.second <= now_; });
     if (mover_lease_until_ <= now_)
       mover_run_.clear();
   }
@@ -316,8 +312,7 @@
       });
       return;
     }
-    const Duration travel =
-        Chance(0.1) ? timing_.call_limit - kStep : Delay();
+    const Duration travel = Chance(0.1) ? timing_.call_limit - kStep : Delay();
     const bool answered = Chance(0.9) && travel < milliseconds(400);
     Later(travel, [this, target, order] { Grant(target, order); });
     Later(answered ? travel + Delay() : timing_.call_limit,
@@ -369,25 +364,24 @@
       if (flaw_ == Flaw::kReleaseAtOldToken)
         order.fence -= 1;
       const int target = Find(order.owner.id);
-      const bool reached =
-          target >= 0 && !member.cut_targets.contains(target);
-      Later(Delay(), [this, i, target, reached, order, asked,
-                      run = member.run] {
-        if (reached && targets_[target].up &&
-            targets_[target].life.id == order.owner.id) {
-          for (const ShardKey key : kKeys) {
-            if (!order.range.Contains(key))
-              continue;
-            Target& owner = targets_[target];
-            owner.seen[key] = std::max(owner.seen[key], order.fence);
-            owner.held_until.erase(key);
-          }
-          if (members_[i].run == run && Chance(0.9))
-            members_[i].mover->OnReleased(asked, "");
-        }
-        if (members_[i].run == run)
-          members_[i].releasing.erase(asked);
-      });
+      const bool reached = target >= 0 && !member.cut_targets.contains(target);
+      Later(Delay(),
+            [this, i, target, reached, order, asked, run = member.run] {
+              if (reached && targets_[target].up &&
+                  targets_[target].life.id == order.owner.id) {
+                for (const ShardKey key : kKeys) {
+                  if (!order.range.Contains(key))
+                    continue;
+                  Target& owner = targets_[target];
+                  owner.seen[key] = std::max(owner.seen[key], order.fence);
+                  owner.held_until.erase(key);
+                }
+                if (members_[i].run == run && Chance(0.9))
+                  members_[i].mover->OnReleased(asked, "");
+              }
+              if (members_[i].run == run)
+                members_[i].releasing.erase(asked);
+            });
     }
     if (member.writing)
       return;
@@ -412,8 +406,8 @@
     if (!next)
       return;
     member.writing = true;
-    Later(Delay(), [this, i, next = *next, run = member.run,
-                    term = mover_term_, base = member.revision] {
+    Later(Delay(), [this, i, next = *next, run = member.run, term = mover_term_,
+                    base = member.revision] {
       // Carried out while the store can be reached; its answer may be lost.
       if (mover_run_ != run || mover_term_ != term || revision_ != base ||
           !members_[i].reaches_store)
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -7,7 +7,8 @@
 namespace {
 
 Instant At(int millis) {
-  return Instant(std::chrono::seconds(1000) + std::chrono::milliseconds(millis));
+  return Instant(std::chrono::seconds(1000) +
+                 std::chrono::milliseconds(millis));
 }
 
 }  // namespace
@@ -41,14 +42,13 @@
       });
     };
     // The platform counts the window before as well where that has more.
-    const auto before = std::count_if(
-        requests.begin(), requests.end(), [&](Instant at) {
+    const auto before =
+        std::count_if(requests.begin(), requests.end(), [&](Instant at) {
           return begin - allowance.window <= at && at < begin;
         });
-    const double allowed =
-        allowance.ratio *
-            static_cast<double>(std::max<long>(in_window(requests), before)) +
-        allowance.slack;
+    const double allowed = allowance.ratio * static_cast<double>(std::max<long>(
+                                                 in_window(requests), before)) +
+                           allowance.slack;
     CHECK(static_cast<double>(in_window(retries)) <= allowed);
   }
 }
--- a/test/store_mirror_test.cc
+++ b/test/store_mirror_test.cc
@@ -34,8 +34,8 @@
   CHECK(changes.items == std::vector<StoreItem>{{"b", "1", 6, false}});
 }
 
-// Load: umurage scale-2, compaction of the store while a target leaves. A reader
-// that read everything anew did not tell its listeners what was missing.
+// Load: umurage scale-2, compaction of the store while a target leaves. A
+// reader that read everything anew did not tell its listeners what was missing.
 TEST_CASE("what a full reading lacks becomes deletions that can be told on") {
   StoreMirror mirror;
   mirror.Put({"servers/a", "1", 5, false});
--- a/test/target_load_test.cc
+++ b/test/target_load_test.cc
@@ -121,8 +121,9 @@
   CHECK(PickTarget(candidates, {}, At(1)) != nullptr);
 }
 
-// Load: grown umurage quiet-1. Fifteen routers share a zone's targets; one request
-// of one router was taken for fifteen, and a third of all downloads crossed zones.
+// Load: grown umurage quiet-1. Fifteen routers share a zone's targets; one
+// request of one router was taken for fifteen, and a third of all downloads
+// crossed zones.
 TEST_CASE("one request in flight does not push work out of a large zone") {
   const TargetEntry home = Entry("home", 2);
   const TargetEntry zone = Entry("zone", 2);
