--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -27,9 +27,6 @@
 // A target's measured speed counts within these factors of the usual one.
 constexpr double kLeastSpeed = 0.4;
 constexpr double kMostSpeed = 2.2;
-// Share of a target's capacity that hot keys may take; the rest is room for the
-// uneven arrival of requests.
-constexpr double kUtilization = 2.5;
 // A member that reported within this time is heard.
 constexpr Duration kHeard = std::chrono::milliseconds(1200);
 
@@ -205,7 +202,7 @@
       continue;
     const auto known = capacities.find(owner);
     double room =
-        kUtilization *
+        kHotKeyUtilization *
         (known != capacities.end() ? known->second : entry->second.slots);
     double load = 0;
     for (const std::uint16_t part : parts)
--- a/test/load_report_test.cc
+++ b/test/load_report_test.cc
@@ -82,11 +82,11 @@
     directory[entry.owner.id].slots = 4;
   }
   std::vector<double> heat(kHeatParts, 2.0 / 512);
-  heat[100] = 12;
+  heat[100] = 24;
   const PartShares shares = LimitHotParts(table, heat, {}, directory);
   REQUIRE(shares.size() == 1);
-  const double admitted = 2.0 * 511 / 512 + 12 * shares.at(100);
-  CHECK(admitted == Approx(0.9 * 4).epsilon(0.01));
+  const double admitted = 2.0 * 511 / 512 + 24 * shares.at(100);
+  CHECK(admitted == Approx(kHotKeyUtilization * 4).epsilon(0.01));
 }
 
 TEST_CASE("owners with room limit nothing") {
@@ -99,7 +99,7 @@
   directory[entry.owner.id].slots = 4;
   const std::vector<double> heat(kHeatParts, 3.5 / kHeatParts);
   CHECK(LimitHotParts(table, heat, {}, directory).empty());
-  CHECK(LimitHotParts(table, heat, {{entry.owner.id, 2.0}}, directory).size() ==
+  CHECK(LimitHotParts(table, heat, {{entry.owner.id, 1.0}}, directory).size() ==
         kHeatParts);
 }
 
--- a/test/target_load_test.cc
+++ b/test/target_load_test.cc
@@ -51,10 +51,13 @@
   const std::vector<Candidate> candidates = {
       {&near, &near_load, Distance::kSameZone, 3},
       {&far, &far_load, Distance::kSameRegion, 3}};
+  // One request each 200 ms that is not answered, from each of three routers.
   int near_sent = 0;
-  while (PickTarget(candidates, {}, At(0))->entry == &near) {
-    near_load.OnSent(At(0));
+  int millis = 0;
+  while (PickTarget(candidates, {}, At(millis))->entry == &near) {
+    near_load.OnSent(At(millis));
     ++near_sent;
+    millis += 200;
   }
   CHECK(near_sent >= 1);
   CHECK(near_sent <= 3);
