--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -97,7 +97,7 @@
   void WriteMember(bool then_read);
   void KeepMembership(Instant now);
   void StartReadAll();
-  void ReadPage(std::shared_ptr<ReadAll> read, const std::string& after);
+  void ReadPage(const std::shared_ptr<ReadAll>& read, const std::string& after);
   void ApplyAll(const ReadAll& read);
   // Listens to the region's reader, or watches the store itself.
   void Follow(Instant now);
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -25,6 +25,21 @@
 // 503 promises that it has not run and never will.
 int OwnStatus(RunState state, bool out_of_time);
 
+// One sending of a request to a target.
+struct Attempt {
+  TargetLink* link = nullptr;
+  TargetId target;
+  std::shared_ptr<TargetConnection> connection;
+  Instant sent;
+  bool reused = false;
+  // The attempt is given up for another one after this.
+  Instant patience_ends;
+  AnswerHead head;
+  std::string body;
+  bool head_seen = false;
+  bool streaming = false;
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(EntryTraffic& traffic,
@@ -42,21 +57,6 @@
   bool waiting() const { return waiting_; }
 
  private:
-  using Clock = Instant;
-  struct Attempt {
-    TargetLink* link = nullptr;
-    TargetId target;
-    std::shared_ptr<TargetConnection> connection;
-    Instant sent;
-    bool reused = false;
-    // The attempt is given up for another one after this.
-    Instant patience_ends;
-    AnswerHead head;
-    std::string body;
-    bool head_seen = false;
-    bool streaming = false;
-  };
-
   // The link that may take the request now, or null.
   TargetLink* Choose() const;
   // Why no link may, for the log.
--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -75,7 +75,7 @@
   void Connect();
   void Write();
   void Read();
-  void Finish(ChannelAnswer answer);
+  void Finish(const ChannelAnswer& answer);
   void Fail(const std::string& why);
   void Drop();
   void WatchIdle();
--- a/include/figstall/store_relay.h
+++ b/include/figstall/store_relay.h
@@ -47,7 +47,7 @@
 
   void Start();
   // A peer that takes nothing is closed once too much waits for it.
-  void Send(std::string message);
+  void Send(const std::string& message);
   // Closes without a word to the handlers.
   void Close();
 
--- a/include/figstall/types.h
+++ b/include/figstall/types.h
@@ -21,6 +21,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock, duration>;
+  // The standard library asks for this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   // For adapters; decisions are told the time.
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -4,33 +4,24 @@
 
 #include <fmt/format.h>
 
-#include <nlohmann/json.hpp>
-
-#include "figstall/schema_check.h"
 #include "platform/decode.h"
+#include "store_keys.h"
 
 namespace figstall {
 namespace {
 
-using nlohmann::json;
+using detail::kMembersPrefix;
+using detail::kMoverKey;
+using detail::kTablesPrefix;
 using platform::StoreStatus;
 
-constexpr char kMembersPrefix[] = "figstall/members/";
-constexpr char kTablesPrefix[] = "figstall/ranges/";
-constexpr char kMoverKey[] = "figstall/mover";
 // Everything in the store is of interest: one watch serves all.
 constexpr char kEverything[] = "";
-constexpr Duration kCampaignSpread = std::chrono::milliseconds(350);
 
 bool StartsWith(const std::string& text, std::string_view prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-// Tells runs of the process on one VM apart.
-std::string RunOf(const VmId& vm, const std::string& incarnation) {
-  return vm.value() + "#" + incarnation;
-}
-
 std::string Describe(const Error& error) {
   std::string text = error.message;
   for (const Finding& finding : error.findings)
@@ -106,110 +97,6 @@
               {"failure", answer.failure}});
 }
 
-// --- Membership
-
-void EntryControl::Join() {
-  if (joining_ || resigned_)
-    return;
-  joining_ = true;
-  tables_current_ = false;
-  member_until_ = {};
-  const Instant asked = BootNow();
-  store_.OpenLease(
-      timing_.membership, [this, asked](const StoreAnswer& answer) {
-        NoteStore(answer, "open-lease");
-        joining_ = false;
-        if (answer.status != StoreStatus::kOk) {
-          if (!read_once_)
-            StartReadAll();
-          return After(timing_.retry, [this] { Join(); });
-        }
-        member_lease_ = answer.lease;
-        member_until_ = asked + answer.time_to_live - timing_.lease_margin;
-        keep_at_ = asked + timing_.membership_renewal;
-        WriteMember(/*then_read=*/true);
-      });
-}
-
-void EntryControl::WriteMember(bool then_read) {
-  const Instant now = BootNow();
-  const GrantReport report = MakeGrantReport(now);
-  json holds = json::object();
-  for (const auto& [owner, time] : report.holds_for)
-    holds[owner.value()] = time.count();
-  json seen = json::object();
-  for (const auto& [service, fence] : report.seen_fence)
-    seen[service.value()] = fence;
-  const json value = {{"zone", settings_.zone.value()},
-                      {"peers", settings_.peers.ToString()},
-                      {"incarnation", incarnation_},
-                      {"seen_fence", seen},
-                      {"holds_for_us", holds}};
-  reporting_ = true;
-  store_.Write(
-      {},
-      {{kMembersPrefix + settings_.vm.value(), value.dump(), member_lease_}},
-      {},
-      [this, then_read, told = report.seen_fence](const StoreAnswer& answer) {
-        NoteStore(answer, "write-member");
-        reporting_ = false;
-        if (answer.status == StoreStatus::kOk) {
-          reported_ = told;
-          if (then_read) {
-            log_.Write(LogLevel::kInfo, "joined",
-                       {{"lease", std::to_string(member_lease_)},
-                        {"incarnation", incarnation_}});
-            StartReadAll();
-          }
-          return;
-        }
-        if (answer.status == StoreStatus::kNotFound)
-          return Join();
-        if (then_read)
-          After(timing_.retry, [this] { WriteMember(true); });
-      });
-}
-
-void EntryControl::KeepMembership(Instant now) {
-  if (keeping_ || joining_ || member_lease_ == 0 || now < keep_at_ || resigned_)
-    return;
-  keeping_ = true;
-  const platform::LeaseId lease = member_lease_;
-  store_.KeepLease(lease, [this, now, lease](const StoreAnswer& answer) {
-    NoteStore(answer, "keep-member");
-    keeping_ = false;
-    if (lease != member_lease_)
-      return;
-    if (answer.status == StoreStatus::kOk) {
-      member_until_ = std::max(member_until_,
-                               now + timing_.membership - timing_.lease_margin);
-      keep_at_ = now + timing_.membership_renewal;
-      return;
-    }
-    keep_at_ = BootNow() + timing_.retry;
-    if (answer.status != StoreStatus::kNotFound)
-      return;
-    log_.Write(LogLevel::kWarning, "membership-lost",
-               {{"lease", std::to_string(lease)}});
-    member_lease_ = 0;
-    Join();
-  });
-}
-
-void EntryControl::Resign() {
-  resigned_ = true;
-  log_.Write(LogLevel::kInfo, "resigning",
-             {{"mover", IsMover(BootNow()) ? "yes" : "no"}});
-  const auto ignore = [](const StoreAnswer&) {};
-  if (mover_lease_ != 0)
-    store_.EndLease(mover_lease_, ignore);
-  if (member_lease_ != 0)
-    store_.EndLease(member_lease_, ignore);
-  mover_until_ = member_until_ = {};
-}
-
-// --- Reading and watching
-
 void EntryControl::StartReadAll() {
   if (reading_)
     return;
@@ -217,7 +104,7 @@
   ReadPage(std::make_shared<ReadAll>(), "");
 }
 
-void EntryControl::ReadPage(std::shared_ptr<ReadAll> read,
+void EntryControl::ReadPage(const std::shared_ptr<ReadAll>& read,
                             const std::string& after) {
   store_.List(kEverything, after, [this, read](const StoreAnswer& answer) {
     NoteStore(answer, "list");
@@ -456,56 +343,6 @@
   }
 }
 
-void EntryControl::ApplyMember(const VmId& vm, const StoreItem& item) {
-  const auto known = view_.members.find(vm);
-  const Instant now = BootNow();
-  const auto depart = [&] {
-    reports_[RunOf(vm, known->second.incarnation)].departed = now;
-  };
-  if (item.deleted) {
-    if (known == view_.members.end())
-      return;
-    depart();
-    view_.members.erase(known);
-    log_.Write(LogLevel::kInfo, "member-left", {{"vm", vm.value()}});
-    return ViewChanged();
-  }
-  try {
-    const json value = json::parse(item.value);
-    EntryMember member{
-        vm, ZoneId(value.at("zone")), {}, value.at("incarnation")};
-    const std::string peers = value.at("peers");
-    member.peers = HandleError(
-        [&]() -> Result<Endpoint> { return ParseEndpoint(peers); },
-        [&](const Error& error) {
-          log_.Write(LogLevel::kError, "member-without-address",
-                     {{"vm", vm.value()}, {"findings", Describe(error)}});
-          return Endpoint{};
-        });
-    GrantReport report;
-    for (const auto& [service, fence] : value.at("seen_fence").items())
-      report.seen_fence[ServiceId(service)] = fence;
-    for (const auto& [owner, time] : value.at("holds_for_us").items())
-      report.holds_for[TargetId(owner)] = Duration(time.get<Duration::rep>());
-    if (known != view_.members.end() &&
-        known->second.incarnation != member.incarnation)
-      depart();
-    reports_[RunOf(vm, member.incarnation)].departed.reset();
-    NoteReport(now, vm, member.incarnation, report);
-    if (known != view_.members.end() && known->second == member)
-      return;
-    log_.Write(LogLevel::kInfo, "member-joined",
-               {{"vm", vm.value()},
-                {"zone", member.zone.value()},
-                {"incarnation", member.incarnation}});
-    view_.members[vm] = std::move(member);
-    ViewChanged();
-  } catch (const json::exception& error) {
-    log_.Write(LogLevel::kError, "member-refused",
-               {{"vm", vm.value()}, {"findings", error.what()}});
-  }
-}
-
 void EntryControl::ApplyTable(const ServiceId& service, const StoreItem& item) {
   if (item.deleted)
     return;
@@ -537,83 +374,6 @@
       });
 }
 
-// --- Election of the mover
-
-void EntryControl::Campaign(Instant now) {
-  if (mover_key_exists_ || campaigning_ || resigned_ || !tables_current_ ||
-      now >= member_until_) {
-    campaign_at_.reset();
-    return;
-  }
-  if (!campaign_at_) {
-    campaign_at_ =
-        now +
-        Duration(static_cast<Duration::rep>(
-            random_() % static_cast<std::uint64_t>(kCampaignSpread.count())));
-  }
-  if (now < *campaign_at_)
-    return;
-  campaign_at_.reset();
-  campaigning_ = true;
-  store_.OpenLease(timing_.mover, [this, now](const StoreAnswer& opened) {
-    NoteStore(opened, "open-lease");
-    if (opened.status != StoreStatus::kOk) {
-      campaigning_ = false;
-      return;
-    }
-    const platform::LeaseId lease = opened.lease;
-    const Instant until = now + opened.time_to_live - timing_.lease_margin;
-    store_.Write({{kMoverKey, 0}},
-                 {{kMoverKey, RunOf(settings_.vm, incarnation_), lease}}, {},
-                 [this, lease, until](const StoreAnswer& answer) {
-                   NoteStore(answer, "write-mover");
-                   campaigning_ = false;
-                   if (answer.status == StoreStatus::kOk) {
-                     mover_lease_ = lease;
-                     mover_revision_ = answer.revision;
-                     mover_until_ = until;
-                     mover_key_exists_ = true;
-                     keep_mover_at_ = BootNow() + timing_.mover_renewal;
-                     log_.Write(
-                         LogLevel::kInfo, "mover-elected",
-                         {{"revision", std::to_string(answer.revision)}});
-                     return;
-                   }
-                   if (answer.status == StoreStatus::kConflict)
-                     mover_key_exists_ = true;
-                   store_.EndLease(lease, [](const StoreAnswer&) {});
-                 });
-  });
-}
-
-void EntryControl::KeepMover(Instant now) {
-  if (mover_lease_ == 0 || keeping_mover_ || now < keep_mover_at_)
-    return;
-  keeping_mover_ = true;
-  const platform::LeaseId lease = mover_lease_;
-  store_.KeepLease(lease, [this, now, lease](const StoreAnswer& answer) {
-    NoteStore(answer, "keep-mover");
-    keeping_mover_ = false;
-    if (lease != mover_lease_)
-      return;
-    if (answer.status == StoreStatus::kOk) {
-      mover_until_ =
-          std::max(mover_until_, now + timing_.mover - timing_.lease_margin);
-      keep_mover_at_ = now + timing_.mover_renewal;
-      return;
-    }
-    keep_mover_at_ = BootNow() + timing_.retry;
-    if (answer.status == StoreStatus::kNotFound)
-      LoseMover("lease-ended");
-  });
-}
-
-void EntryControl::LoseMover(const char* why) {
-  log_.Write(LogLevel::kWarning, "mover-lost", {{"why", why}});
-  mover_lease_ = 0;
-  mover_until_ = {};
-}
-
 void EntryControl::Tick(Instant now) {
   KeepMembership(now);
   Follow(now);
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -5,14 +5,15 @@
 
 #include "figstall/entry_control.h"
 #include "platform/target_orders.h"
+#include "store_keys.h"
 
 namespace figstall {
 namespace {
 
+using detail::kMoverKey;
+using detail::kTablesPrefix;
 using platform::StoreStatus;
 
-constexpr char kTablesPrefix[] = "figstall/ranges/";
-constexpr char kMoverKey[] = "figstall/mover";
 constexpr std::size_t kMaxQueuedOrders = 256;
 // Members of a zone that grant the same range, by rank.
 constexpr std::size_t kGrantersPerRange = 2;
@@ -79,7 +80,7 @@
         settings_.grants.call_limit, may_send,
         [this, order](GrantOutcome outcome) {
           granter_.OnOutcome(BootNow(), order, outcome);
-          static const char* const kNames[] = {
+          static constexpr const char* kNames[] = {
               "granted", "refused", "not-there", "not-sent", "unknown"};
           const char* name = kNames[static_cast<int>(outcome)];
           ++metrics_.Counter("figstall_grants_total",
@@ -127,7 +128,7 @@
                               const VmId& vm,
                               const std::string& incarnation,
                               const GrantReport& report) {
-  const auto found = reports_.find(vm.value() + "#" + incarnation);
+  const auto found = reports_.find(detail::RunOf(vm, incarnation));
   if (found == reports_.end())
     return;
   MemberReport& known = found->second;
@@ -329,8 +330,8 @@
         [this, service, order](platform::ReleaseOutcome outcome,
                                const std::string& handover) {
           MoverState& now = movers_[service];
-          static const char* const kNames[] = {"released", "owner-gone",
-                                               "unknown"};
+          static constexpr const char* kNames[] = {"released", "owner-gone",
+                                                   "unknown"};
           log_.Write(LogLevel::kInfo, "release",
                      {{"service", service.value()},
                       {"target", order.owner.id.value()},
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -97,37 +97,37 @@
 }
 
 void EntryTraffic::Accept() {
-  acceptor_.async_accept(
-      [this](error_code error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-          return;
-        if (error) {
-          log_.Write(LogLevel::kWarning, "accept-failed",
-                     {{"error", error.message()}});
-          const auto pause =
-              std::make_shared<asio::steady_timer>(io_, kAcceptPause);
-          pause->async_wait([this, pause](error_code stopped) {
-            if (!stopped)
-              Accept();
-          });
-          return;
-        }
-        CallerConnection::Handlers handlers;
-        handlers.on_request = [this](const auto& caller, HttpRequest request) {
-          OnRequest(caller, std::move(request));
-        };
-        handlers.on_closed = [this](const CallerConnection* caller) {
-          callers_.erase(caller);
-        };
-        handlers.stopping = [this] { return stop_by_.has_value(); };
-        const auto caller = std::make_shared<CallerConnection>(
-            std::move(socket),
-            view_.routes ? view_.routes->state().limits : CallerLimits{},
-            std::move(handlers));
-        callers_.emplace(caller.get(), caller);
-        caller->Start();
-        Accept();
+  acceptor_.async_accept([this](error_code error,
+                                asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted)
+      return;
+    if (error) {
+      log_.Write(LogLevel::kWarning, "accept-failed",
+                 {{"error", error.message()}});
+      const auto pause =
+          std::make_shared<asio::steady_timer>(io_, kAcceptPause);
+      pause->async_wait([this, pause](error_code stopped) {
+        if (!stopped)
+          Accept();
       });
+      return;
+    }
+    CallerConnection::Handlers handlers;
+    handlers.on_request =
+        [this](const std::shared_ptr<CallerConnection>& caller,
+               HttpRequest request) { OnRequest(caller, std::move(request)); };
+    handlers.on_closed = [this](const CallerConnection* caller) {
+      callers_.erase(caller);
+    };
+    handlers.stopping = [this] { return stop_by_.has_value(); };
+    const auto caller = std::make_shared<CallerConnection>(
+        std::move(socket),
+        view_.routes ? view_.routes->state().limits : CallerLimits{},
+        std::move(handlers));
+    callers_.emplace(caller.get(), caller);
+    caller->Start();
+    Accept();
+  });
 }
 
 void EntryTraffic::OnRequest(const std::shared_ptr<CallerConnection>& caller,
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -440,8 +440,8 @@
     typical = typical == 0 ? sample : typical + kWeight * (sample - typical);
   }
   if (kind != AttemptKind::kAnswered && kind != AttemptKind::kAbandoned) {
-    static const char* const kNames[] = {"answered", "failed",    "refused",
-                                         "broken",   "timed-out", "abandoned"};
+    static constexpr const char* kNames[] = {
+        "answered", "failed", "refused", "broken", "timed-out", "abandoned"};
     traffic_.log_.Write(
         LogLevel::kInfo, "attempt-failed",
         {{"id", id_},
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -105,7 +105,7 @@
   if (call.may_send && !call.may_send()) {
     ChannelAnswer answer;
     answer.failure = "no longer wanted";
-    return Finish(std::move(answer));
+    return Finish(answer);
   }
   request_ = {};
   request_.version(11);
@@ -153,11 +153,11 @@
                      answer.body = std::move(message->body());
                      if (!message->keep_alive())
                        self->Drop();
-                     self->Finish(std::move(answer));
+                     self->Finish(answer);
                    });
 }
 
-void HttpChannel::Finish(ChannelAnswer answer) {
+void HttpChannel::Finish(const ChannelAnswer& answer) {
   const auto self = shared_from_this();
   timer_.cancel();
   busy_ = false;
@@ -192,7 +192,7 @@
   answer.sent = sent_;
   answer.failure = why;
   Drop();
-  Finish(std::move(answer));
+  Finish(answer);
   if (was_open && broken_)
     broken_();
 }
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -315,6 +315,7 @@
     }
   }
   std::vector<double> all;
+  all.reserve(times.size());
   for (const auto& [target, mean] : times)
     all.push_back(mean.sum / mean.count);
   std::map<TargetId, double> capacities;
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -127,7 +127,7 @@
                    });
 }
 
-void MessageStream::Send(std::string message) {
+void MessageStream::Send(const std::string& message) {
   if (closed_)
     return;
   std::string framed;
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -24,7 +24,8 @@
 // A mover whose writes all succeed at once.
 class Scene {
  public:
-  explicit Scene(std::vector<std::string> targets) : mover_(kService, {}) {
+  explicit Scene(const std::vector<std::string>& targets)
+      : mover_(kService, {}) {
     for (const std::string& id : targets)
       directory[TargetId(id)] = Target(id);
     Pass(milliseconds(1));
--- a/test/range_walk_test.cc
+++ b/test/range_walk_test.cc
@@ -385,8 +385,8 @@
     }
     if (member.writing)
       return;
-    static const std::map<TargetId, double> kNoCapacity;
-    static const RangeLoad kNoLoad;
+    static const std::map<TargetId, double> no_capacity;
+    static const RangeLoad no_load;
     MoverView view;
     view.now = now_;
     view.directory = &member.directory;
@@ -400,8 +400,8 @@
     view.members = &reports;
     view.members_current = member.revision == revision_;
     view.members_since = member.members_since;
-    view.capacity = &kNoCapacity;
-    view.load = &kNoLoad;
+    view.capacity = &no_capacity;
+    view.load = &no_load;
     const auto next = member.mover->Plan(view);
     if (!next)
       return;
