--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -83,12 +83,14 @@
 };
 
 // Work let through to an owner, as a multiple of its estimated capacity. Well
-// above one, since the estimate holds the way to the target and its short queues.
-// Source: trials on the bench at 0.9, 1.6 and 2.5, in docs/MEASUREMENTS.md.
+// above one, since the estimate holds the way to the target and its short
+// queues. Source: trials on the bench at 0.9, 1.6 and 2.5, in
+// docs/MEASUREMENTS.md.
 inline constexpr double kHotKeyUtilization = 2.5;
 
 // Limits the hottest parts of each owner that is overloaded beyond that to one
-// level, such that what is let through fits; its cooler keys are served in full.
+// level, such that what is let through fits; its cooler keys are served in
+// full.
 PartShares LimitHotParts(const RangeTable& table,
                          const std::vector<double>& heat,
                          const std::map<TargetId, double>& capacities,
