--- a/src/emulated_store.h
+++ b/test/fakes/emulated_store.h
@@ -1,7 +1,7 @@
 // The platform's store as the emulator serves it: keys, leases, watches and
 // conditional writes, able to fail on command. State only; no sockets.
-#ifndef FIGSTALL_SRC_EMULATED_STORE_H_
-#define FIGSTALL_SRC_EMULATED_STORE_H_
+#ifndef FIGSTALL_TEST_FAKES_EMULATED_STORE_H_
+#define FIGSTALL_TEST_FAKES_EMULATED_STORE_H_
 
 #include <cstdint>
 #include <deque>
@@ -89,4 +89,4 @@
 
 }  // namespace figstall::detail
 
-#endif  // FIGSTALL_SRC_EMULATED_STORE_H_
+#endif  // FIGSTALL_TEST_FAKES_EMULATED_STORE_H_
--- a/src/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -1,7 +1,7 @@
 // A target as the emulator serves it: slots, a queue, key ranges held under
 // fencing tokens, and faults on command.
-#ifndef FIGSTALL_SRC_EMULATED_TARGET_H_
-#define FIGSTALL_SRC_EMULATED_TARGET_H_
+#ifndef FIGSTALL_TEST_FAKES_EMULATED_TARGET_H_
+#define FIGSTALL_TEST_FAKES_EMULATED_TARGET_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -131,4 +131,4 @@
 
 }  // namespace figstall::detail
 
-#endif  // FIGSTALL_SRC_EMULATED_TARGET_H_
+#endif  // FIGSTALL_TEST_FAKES_EMULATED_TARGET_H_
--- a/src/emulator_report.h
+++ b/test/fakes/emulator_report.h
@@ -1,7 +1,7 @@
 // What a run of the emulator showed: counts, times and broken promises, as JSON
 // and as a plot over time.
-#ifndef FIGSTALL_SRC_EMULATOR_REPORT_H_
-#define FIGSTALL_SRC_EMULATOR_REPORT_H_
+#ifndef FIGSTALL_TEST_FAKES_EMULATOR_REPORT_H_
+#define FIGSTALL_TEST_FAKES_EMULATOR_REPORT_H_
 
 #include <cstdint>
 #include <map>
@@ -35,4 +35,4 @@
 
 }  // namespace figstall::detail
 
-#endif  // FIGSTALL_SRC_EMULATOR_REPORT_H_
+#endif  // FIGSTALL_TEST_FAKES_EMULATOR_REPORT_H_
--- a/src/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -1,6 +1,6 @@
 // What the emulator runs: targets, routes, callers and faults at set times.
-#ifndef FIGSTALL_SRC_EMULATOR_SCENARIO_H_
-#define FIGSTALL_SRC_EMULATOR_SCENARIO_H_
+#ifndef FIGSTALL_TEST_FAKES_EMULATOR_SCENARIO_H_
+#define FIGSTALL_TEST_FAKES_EMULATOR_SCENARIO_H_
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -52,4 +52,4 @@
 
 }  // namespace figstall::detail
 
-#endif  // FIGSTALL_SRC_EMULATOR_SCENARIO_H_
+#endif  // FIGSTALL_TEST_FAKES_EMULATOR_SCENARIO_H_
