--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -74,7 +74,7 @@
   // Throws boost::system::system_error if its address cannot be bound.
   void Start();
   void Tick(Instant now);
-  // Gives up the membership and the moves; `done` is called when told.
+  // Gives up the membership and the moves.
   void Resign();
   bool ready() const { return view_.routes != nullptr && read_once_; }
 
--- a/include/figstall/entry_settings.h
+++ b/include/figstall/entry_settings.h
@@ -31,8 +31,6 @@
   RetryAllowance retries;
   // From SIGTERM until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
-  // Most file descriptors that the process may have open.
-  std::uint32_t max_descriptors = 4096;
 };
 
 Result<EntrySettings> ReadEntrySettings(const std::string& path);
--- a/include/figstall/range_table.h
+++ b/include/figstall/range_table.h
@@ -32,7 +32,7 @@
   kSettled,
   // Nobody grants it; the owner is asked to release it.
   kMoving,
-  // As kMoving, and every member must say when it last sent a grant of it.
+  // As kMoving; members that the mover has not heard report through the store.
   kAwaitingMembers,
 };
 
@@ -47,7 +47,7 @@
   // token of the release, which the next owner is granted as well.
   std::uint64_t fence = 0;
   RangePhase phase = RangePhase::kSettled;
-  // Who gets the range next; may change until it is settled.
+  // What the last owner handed over, for the grant to the next; may be empty.
   std::string handover;
 
   friend bool operator==(const RangeEntry&, const RangeEntry&) = default;
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -39,8 +39,7 @@
         "ratio": {"type": "number", "minimum": 0},
         "window_s": {"type": "number", "exclusiveMinimum": 0},
         "slack": {"type": "number", "minimum": 0}}},
-    "stop_grace_s": {"type": "number", "exclusiveMinimum": 0},
-    "max_descriptors": {"type": "integer", "minimum": 64}}
+    "stop_grace_s": {"type": "number", "exclusiveMinimum": 0}}
 })json";
 
 Duration Seconds(const json& object, const char* field, Duration fallback) {
@@ -101,8 +100,6 @@
       Seconds(retries, "window_s", settings.retries.window);
   settings.retries.slack = retries.value("slack", settings.retries.slack);
   settings.stop_grace = Seconds(value, "stop_grace_s", settings.stop_grace);
-  settings.max_descriptors =
-      value.value("max_descriptors", settings.max_descriptors);
   if (!settings.regions.contains(settings.zone))
     findings.push_back({path, "/regions", "the own zone is missing"});
   if (!findings.empty())
