--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -69,6 +69,7 @@
     std::function<void()> drained;
   };
 
+  void ResetParser();
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t size);
   void Parse();
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -46,7 +46,6 @@
   const TargetEntry& entry() const { return entry_; }
   TargetLoad& load() { return load_; }
   const TargetLoad& load() const { return load_; }
-  std::size_t connections() const { return connections_.size(); }
 
  private:
   boost::asio::io_context& io_;
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -39,7 +39,6 @@
   std::vector<StoreItem> MissingFrom(const std::vector<StoreItem>& items,
                                      Revision revision) const;
   MirrorChanges Since(Revision revision) const;
-  std::size_t size() const { return items_.size(); }
 
  private:
   void DropOldDeletions();
--- a/include/figstall/target_connection.h
+++ b/include/figstall/target_connection.h
@@ -45,11 +45,9 @@
 
 class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
  public:
-  // `on_idle` is called when an answer ended and the connection may be used
-  // again; `on_closed` once it is closed for good.
+  // `on_closed` is called once the connection is closed for good.
   TargetConnection(boost::asio::io_context& io,
                    Endpoint target,
-                   std::function<void()> on_idle,
                    std::function<void()> on_closed);
 
   // The connection must be new or idle.
@@ -83,7 +81,6 @@
 
   Tcp::socket socket_;
   const Endpoint target_;
-  const std::function<void()> on_idle_;
   const std::function<void()> on_closed_;
   bool open_ = false;
   bool busy_ = false;
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -41,11 +41,15 @@
 
 void CallerConnection::Start() {
   TuneSocket(socket_);
+  ResetParser();
+  Read();
+}
+
+void CallerConnection::ResetParser() {
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
   parser_->body_limit(limits_.body_bytes);
   parser_->eager(true);
-  Read();
 }
 
 void CallerConnection::Read() {
@@ -151,10 +155,7 @@
   }
   serving_ = false;
   since_ = BootNow();
-  parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
-  parser_->body_limit(limits_.body_bytes);
-  parser_->eager(true);
+  ResetParser();
   if (buffer_.size() > 0)
     Parse();
   else
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -1,5 +1,5 @@
-// Implements membership and what is read from the store. Grants and moves are
-// in entry_control_ranges.cc.
+// Implements what is read from the store. Membership and the election are in
+// entry_control_members.cc, grants and moves in entry_control_ranges.cc.
 #include "figstall/entry_control.h"
 
 #include <fmt/format.h>
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -48,8 +48,7 @@
     return found;
   const auto slot = std::make_shared<std::weak_ptr<TargetConnection>>();
   auto made = std::make_shared<TargetConnection>(
-      io_, entry_.address, [] {},
-      [this, slot, alive = std::weak_ptr<int>(alive_)] {
+      io_, entry_.address, [this, slot, alive = std::weak_ptr<int>(alive_)] {
         if (alive.expired())
           return;
         if (const auto self = slot->lock())
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -36,11 +36,9 @@
 
 TargetConnection::TargetConnection(boost::asio::io_context& io,
                                    Endpoint target,
-                                   std::function<void()> on_idle,
                                    std::function<void()> on_closed)
     : socket_(io),
       target_(std::move(target)),
-      on_idle_(std::move(on_idle)),
       on_closed_(std::move(on_closed)) {}
 
 void TargetConnection::Send(std::shared_ptr<const HttpRequest> request,
@@ -200,8 +198,6 @@
     Close();
   }
   observer.on_end();
-  if (!closed_ && !busy_)
-    on_idle_();
 }
 
 void TargetConnection::Break(const std::string& why) {
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -285,11 +285,7 @@
     if (life != life_ || working_.erase(work) == 0)
       return;
     work->timer->cancel();
-    if (!queued_.empty()) {
-      const auto next = queued_.front();
-      queued_.pop_front();
-      StartWork(next);
-    }
+    StartNext();
   });
   if (working_.size() < options_.slots)
     return StartWork(work);
@@ -300,11 +296,7 @@
 
 void EmulatedTarget::StartWork(const std::shared_ptr<Work>& work) {
   if (work->cancelled) {
-    if (!queued_.empty()) {
-      const auto next = queued_.front();
-      queued_.pop_front();
-      StartWork(next);
-    }
+    StartNext();
     return;
   }
   ++runs_;
@@ -337,6 +329,10 @@
       work->caller->Reply(std::move(answer));
     }
   }
+  StartNext();
+}
+
+void EmulatedTarget::StartNext() {
   if (queued_.empty())
     return;
   const auto next = queued_.front();
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -102,6 +102,7 @@
   void OnRelease(const Caller& caller, const HttpRequest& request);
   void Enqueue(const Caller& caller, const HttpRequest& request);
   void StartWork(const std::shared_ptr<Work>& work);
+  void StartNext();
   void FinishWork(const std::shared_ptr<Work>& work);
   void Reply(const Caller& caller,
              int status,
