Give up a watch of the store after a failure, and age the copy from its answers

Its watch waited on a connection that said nothing more, for 2.1 s after the cut had ended, and its keep-alive had just not given up; so a route added meanwhile was answered 404. Ruled out: the relay (a reader listens to nobody) and the store (other calls were answered at 23.3 s). Also seen in the trace: the reader told its listeners an age of zero until it had noticed the cut itself, 1 s late.

Now a failed call puts the waiting watch in doubt; it is dropped as soon as the store answers again. A watch waits 2 s, not 20. A member that watches renews its membership each 0.4 s, a tenth of a read, and the age that it tells is that of the last renewal that was answered.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -23,6 +23,7 @@
 #include "figstall/metrics.h"
 #include "figstall/range_granter.h"
 #include "figstall/range_mover.h"
+#include "figstall/store_contact.h"
 #include "figstall/store_mirror.h"
 #include "figstall/store_relay.h"
 #include "figstall/target_absence.h"
@@ -36,13 +37,18 @@
   // key.
   Duration membership = std::chrono::seconds(6);
   Duration membership_renewal = std::chrono::milliseconds(1500);
+  // A member that watches the store renews this often, since each renewal also
+  // shows that the store is reached; it costs a tenth of a read.
+  Duration reader_renewal = std::chrono::milliseconds(400);
   // The mover's lease; its loss delays moves only.
   Duration mover = std::chrono::milliseconds(2500);
   Duration mover_renewal = std::chrono::milliseconds(800);
   // A lease counts as over this much before it ends, for clocks that differ.
   Duration lease_margin = std::chrono::milliseconds(150);
   Duration store_patience = std::chrono::milliseconds(900);
-  Duration watch_wait = std::chrono::seconds(20);
+  // Short, since an open connection may go silent for good; a watch that is not
+  // answered soon after that is asked on another one.
+  Duration watch_wait = std::chrono::seconds(2);
   // Between two watches, so that changes in quick succession cost one call.
   Duration watch_pause = std::chrono::milliseconds(60);
   // Members say this often when the store's state was last confirmed; one that
@@ -108,6 +114,7 @@
   std::optional<Duration> Age(Instant now) const;
   void Watch();
   void OnWatch(const StoreAnswer& answer);
+  void GiveUpWatch();
   void OnRelayed(const RelayUpdate& update);
   // Takes in what is newer than what was known, and tells it on.
   void LearnAll(const std::vector<StoreItem>& items, Revision revision);
@@ -175,14 +182,15 @@
   // What was read of the store, up to `cursor_`.
   StoreMirror mirror_;
   Revision cursor_ = 0;
-  bool watching_ = false;
+  StoreContact contact_;
+  // Tells an answer of the last watch from one that was given up.
+  std::uint64_t watch_number_ = 0;
   Instant watch_at_{};
   Instant told_at_{};
   std::unique_ptr<RelaySender> sender_;
   RelayListener listener_;
   bool reading_ = false;
   bool read_once_ = false;
-  bool store_lost_ = false;
   TargetAbsence absence_;
   MemberReports reports_;
   Instant members_since_{};
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -87,9 +87,10 @@
       "figstall_store_calls_total",
       fmt::format("call=\"{}\",outcome=\"{}\"", call, ToString(answer.status)));
   absence_.OnStore(BootNow(), !lost);
-  if (lost == store_lost_)
+  const bool changed =
+      lost ? contact_.OnFailed(BootNow()) : contact_.OnAnswered();
+  if (!changed)
     return;
-  store_lost_ = lost;
   log_.Write(lost ? LogLevel::kWarning : LogLevel::kInfo,
              lost ? "store-lost" : "store-regained",
              {{"call", call},
@@ -187,11 +188,9 @@
 }
 
 std::optional<Duration> EntryControl::Age(Instant now) const {
-  if (watching_ && !store_lost_)
-    return Duration{0};
-  if (const auto confirmed = listener_.confirmed_at())
-    return now - *confirmed;
-  return std::nullopt;
+  const auto confirmed =
+      std::max(contact_.confirmed_at(), listener_.confirmed_at());
+  return confirmed ? std::optional(now - *confirmed) : std::nullopt;
 }
 
 void EntryControl::Follow(Instant now) {
@@ -206,8 +205,10 @@
   } else {
     listener_.Stop();
   }
+  if (contact_.WatchInDoubt())
+    GiveUpWatch();
   // A source that was just chosen, or lost, is given a moment.
-  if (!watching_ && !reading_ && now >= watch_at_ &&
+  if (!contact_.watching() && !reading_ && now >= watch_at_ &&
       (!source || now - served_at_ >= timing_.reader_silence))
     Watch();
   if (now - told_at_ >= timing_.reader_word && sender_->listeners() > 0) {
@@ -217,20 +218,30 @@
 }
 
 void EntryControl::Watch() {
-  watching_ = true;
+  contact_.OnWatchSent(BootNow());
+  keep_at_ = std::min(keep_at_, BootNow() + timing_.reader_renewal);
   store_.Watch(kEverything, cursor_, timing_.watch_wait,
-               [this](const StoreAnswer& answer) { OnWatch(answer); });
+               [this, number = ++watch_number_](const StoreAnswer& answer) {
+                 if (number == watch_number_)
+                   OnWatch(answer);
+               });
+}
+
+void EntryControl::GiveUpWatch() {
+  log_.Write(LogLevel::kInfo, "watch-given-up",
+             {{"cursor", std::to_string(cursor_)}});
+  ++watch_number_;
+  contact_.OnWatchEnded(/*answered=*/false);
+  store_.DropWatch();
+  watch_at_ = BootNow();
 }
 
 void EntryControl::OnWatch(const StoreAnswer& answer) {
   NoteStore(answer, "watch");
   watch_at_ = BootNow() + timing_.watch_pause;
-  if (answer.status == StoreStatus::kOk) {
-    Learn(answer.items, answer.revision);
-    watching_ = false;
-    return;
-  }
-  watching_ = false;
+  contact_.OnWatchEnded(answer.status == StoreStatus::kOk);
+  if (answer.status == StoreStatus::kOk)
+    return Learn(answer.items, answer.revision);
   if (answer.status == StoreStatus::kCompacted) {
     log_.Write(LogLevel::kWarning, "watch-history-gone", {});
     return StartReadAll();
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -96,7 +96,9 @@
     if (answer.status == StoreStatus::kOk) {
       member_until_ = std::max(member_until_,
                                now + timing_.membership - timing_.lease_margin);
-      keep_at_ = now + timing_.membership_renewal;
+      contact_.OnConfirmed(now);
+      keep_at_ = now + (contact_.watching() ? timing_.reader_renewal
+                                            : timing_.membership_renewal);
       return;
     }
     keep_at_ = BootNow() + timing_.retry;
