--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -60,6 +60,8 @@
   Duration retry = std::chrono::milliseconds(250);
   // Between two reports to the mover.
   Duration report = std::chrono::milliseconds(300);
+  // Between two looks of the mover at the load.
+  Duration observe = std::chrono::milliseconds(100);
   // A limit of hot keys holds this long unless it is told again.
   Duration admission = std::chrono::milliseconds(1000);
   // A member that could not tell the mover of a move tells the store after
@@ -131,7 +133,12 @@
   void KeepMover(Instant now);
   void LoseMover(const char* why);
   bool IsMover(Instant now) const { return now < mover_until_; }
+  // Does at once what a change of the view or of a move allows, rather than at
+  // the next tick: keys that move are served by nobody.
+  void ActOnChanges();
+  void ObserveHeat(Instant now);
   void MoveRanges(Instant now);
+  void LogMove(const ServiceId& service, const PlannedMove& move);
   void WriteTable(const ServiceId& service, const RangeTable& next);
   void ReadTable(const ServiceId& service);
   void SendReleases(const ServiceId& service, MoverState& state);
@@ -211,6 +218,9 @@
   boost::asio::ip::udp::endpoint peer_from_;
   std::array<char, 65'536> peer_buffer_;
   LoadPicture load_;
+  // On the mover only.
+  std::map<ServiceId, SteadyHeat> heat_;
+  Instant heat_observed_at_{};
   Instant reported_at_{};
   std::uint64_t reported_changes_ = 0;
   Instant limited_at_{};
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -80,7 +80,7 @@
   void Tick(Instant now);
 
   // What this router saw, for the mover.
-  LoadReport MakeLoadReport(const std::string& incarnation) const;
+  LoadReport MakeLoadReport(Instant now, const std::string& incarnation) const;
 
  private:
   friend class Exchange;
@@ -100,9 +100,9 @@
   std::uint32_t SharersOf(const TargetEntry& entry, bool keyed) const;
   SharedRetryBudget& BudgetOf(const ServiceId& service);
   Duration TypicalTime(const ServiceId& service) const;
-  // Mean time of a target's work on a request, without queueing.
-  Duration WorkTime(const ServiceId& service) const;
-  void MeasureWorkTimes();
+  // Time of work on a request at a target of mean speed, without queueing.
+  Duration MeanWorkTime(const ServiceId& service) const;
+  void MeasureWorkTimes(Instant now);
   // Whether the limits of hot keys let a request through.
   bool Admits(const ServiceId& service, ShardKey key);
   std::uint32_t Routers() const;
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -32,6 +32,8 @@
   std::shared_ptr<TargetConnection> connection;
   Instant sent;
   bool reused = false;
+  // As TargetLoad::Crowding, when it was sent.
+  double crowding = 1;
   // The attempt is given up for another one after this.
   Instant patience_ends;
   AnswerHead head;
@@ -57,6 +59,10 @@
   bool waiting() const { return waiting_; }
 
  private:
+  // The settled entry of the request's key, or null while it has no owner.
+  const RangeEntry* OwnerEntry() const;
+  // Whether a request that cannot be sent goes on waiting.
+  bool MayWait(Instant now) const;
   // The link that may take the request now, or null.
   TargetLink* Choose() const;
   // Why no link may, for the log.
@@ -102,6 +108,7 @@
   ShardKey key_ = 0;
   Instant due_;
   Instant wait_ends_;
+  Instant moving_wait_ends_;
   bool waiting_ = false;
   bool ended_ = false;
   RunState run_ = RunState::kNotRun;
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -15,6 +15,7 @@
 #include "figstall/error.h"
 #include "figstall/range_table.h"
 #include "figstall/target_entry.h"
+#include "figstall/target_load.h"
 #include "figstall/types.h"
 
 namespace figstall {
@@ -62,8 +63,8 @@
   std::string incarnation;
   GrantReport grants;
   std::map<ServiceId, HeatReport> services;
-  // Time of an answer without queueing. Empty: as it was told before.
-  std::map<TargetId, Duration> targets;
+  // Empty: as it was told before.
+  std::map<TargetId, WorkTime> targets;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
@@ -82,11 +83,13 @@
                          const AdmissionOrder&) = default;
 };
 
-// Work let through to an owner, as a multiple of its estimated capacity. Well
-// above one, since the estimate holds the way to the target and its short
-// queues. Source: trials on the bench at 0.9, 1.6 and 2.5, in
-// docs/MEASUREMENTS.md.
-inline constexpr double kHotKeyUtilization = 2.5;
+// Work let through to the owner of a part that alone is about all that its
+// owner can do, as a share of the owner's estimated capacity. Below one, so
+// that its queue stays short and answers are in time.
+inline constexpr double kHotKeyUtilization = 0.85;
+// The same for other owners: these are relieved by moves within a second, and
+// the estimate is not sure enough to refuse on before that.
+inline constexpr double kOverloadUtilization = 2.5;
 
 // Limits the hottest parts of each owner that is overloaded beyond that to one
 // level, such that what is let through fits; its cooler keys are served in
@@ -101,6 +104,23 @@
 std::string EncodePeerDatagram(const PeerDatagram& datagram);
 Result<PeerDatagram> DecodePeerDatagram(std::string_view bytes);
 
+// The load that the mover plans by: an average over seconds, so that chance
+// moves nothing, which follows at once where load rises or falls by a multiple,
+// as it does when a key grows hot.
+class SteadyHeat {
+ public:
+  // `parts` is the load of the last moments; empty: nothing is known.
+  void Update(Instant now, const std::vector<double>& parts);
+  // Empty until something was known.
+  const std::vector<double>& parts() const { return steady_; }
+
+ private:
+  std::vector<double> steady_;
+  Instant updated_at_{};
+  // Share of a full average that the observations so far make up.
+  double weight_ = 0;
+};
+
 // What the reports of all members together say.
 class LoadPicture {
  public:
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <vector>
 
+#include "figstall/range_balance.h"
 #include "figstall/range_table.h"
 #include "figstall/target_entry.h"
 #include "figstall/types.h"
@@ -61,12 +62,6 @@
 
 using MemberReports = std::map<std::string, MemberReport>;
 
-// Load that the mover's own requests showed, used for the balance only.
-struct RangeLoad {
-  // Busy time per second, by equal parts of the key space.
-  std::vector<double> parts;
-};
-
 struct MoverView {
   Instant now;
   const TargetDirectory* directory = nullptr;
@@ -95,20 +90,15 @@
 struct MoverLimits {
   // No balance move while one is under way, nor sooner after the last one.
   Duration balance_interval = std::chrono::milliseconds(1000);
-  // A target is overloaded above this multiple of its fair share ...
-  double overload = 1.25;
-  // ... and if it is this busy, as a share of its capacity.
-  double busy = 0.35;
-  // A target is idle below this part of its fair share, and is given work.
-  double idle = 0.05;
+  // The same where a part of the key space has just become hot.
+  Duration hot_interval = std::chrono::milliseconds(200);
   // Before the first assignment the targets known must have stayed the same for
   // so long, so that all that start together get a part.
   Duration settling = std::chrono::milliseconds(1000);
   // Released ranges wait for others of the same change this long, so that one
   // write settles them.
   Duration batch = std::chrono::milliseconds(60);
-  // Pieces that one change of the table moves at most.
-  std::uint32_t pieces = 12;
+  BalanceLimits balance;
   // An owner that left the directory keeps its ranges this long, since entries
   // come back within two seconds of the store's return. Source: the platform's
   // protocol.
@@ -131,6 +121,8 @@
   // Releases that are owed; repeat them until answered or settled.
   std::vector<ReleaseOrder> OwedReleases() const;
   const RangeTable& table() const { return table_; }
+  // What the last plan moved for balance, for the log.
+  const std::vector<PlannedMove>& balanced() const { return balanced_; }
 
  private:
   struct Progress {
@@ -162,6 +154,9 @@
   // Where a range that moves for balance shall go, by first key.
   std::map<ShardKey, TargetId> wanted_owner_;
   std::optional<Instant> balanced_at_;
+  std::vector<PlannedMove> balanced_;
+  // Owners of hot parts at the last balance.
+  std::set<TargetId> hot_;
   // Targets that were usable, and since when just these.
   std::set<TargetId> seen_;
   Instant seen_since_{};
--- a/include/figstall/shared_retry_budget.h
+++ b/include/figstall/shared_retry_budget.h
@@ -16,8 +16,8 @@
   Duration window = std::chrono::seconds(10);
   // Retries beyond that, for all routers together.
   double slack = 60;
-  // Share that is used, since routers do not see each other's counts.
-  double margin = 0.6;
+  // Share that is used, since the platform's windows begin at other moments.
+  double margin = 0.8;
 };
 
 // One for each service.
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -16,14 +16,19 @@
   // Work that all routers together give a target, as a multiple of its slots;
   // what is more waits at the routers, where it can still go elsewhere.
   double total_per_slot = 3.0;
+  // Where a router's part is less, it may have so many at a target that is
+  // nearly idle: at most so many for each slot from all routers together.
+  std::uint32_t burst = 2;
+  double burst_per_slot = 2;
   // Time in which a moment's requests in flight lose most of their weight.
   Duration in_flight_memory = std::chrono::milliseconds(1000);
   // Weight of the newest observation in moving averages.
   double smoothing = 0.1;
-  // Quantile of answers' times that stands for an answer without queueing, and
-  // the relative step by which its estimate moves.
-  double service_quantile = 0.3;
-  double service_step = 0.1;
+  // Time in which an observed work time loses most of its weight.
+  Duration work_memory = std::chrono::seconds(8);
+  // What was learned counts as at least so many requests, once there were so
+  // many: a target with little to do is not forgotten.
+  double least_samples = 5;
   // Failures in a row after which a target is left alone ...
   std::uint32_t failures_to_eject = 3;
   // ... for this long, doubled each time up to the longest.
@@ -45,39 +50,80 @@
   kAbandoned,
 };
 
+// Mean time of a target's work on a request, without queueing.
+struct WorkTime {
+  Duration mean{0};
+  // Recent requests that it was learned from.
+  double samples = 0;
+
+  friend bool operator==(const WorkTime&, const WorkTime&) = default;
+};
+
+// A number that changes by steps, averaged over the last moments.
+class RecentMean {
+ public:
+  explicit RecentMean(Duration memory) : memory_(memory) {}
+
+  // The number is `value` from now on.
+  void Set(Instant now, double value);
+  double At(Instant now) const;
+
+ private:
+  const Duration memory_;
+  double value_ = 0;
+  double mean_ = 0;
+  Instant set_at_{};
+};
+
 class TargetLoad {
  public:
   explicit TargetLoad(LoadLimits limits = {}) : limits_(limits) {}
 
   void OnSent(Instant now);
-  void OnDone(Instant now, AttemptKind kind, Duration took);
+  // `crowding`: requests at the target for each of its slots when this one was
+  // sent, at least 1; its time is taken to be so many times its work.
+  void OnDone(Instant now,
+              AttemptKind kind,
+              Duration took,
+              double crowding = 1);
 
   std::uint32_t in_flight() const { return in_flight_; }
   // Mean requests in flight over the last moments; what the other routers that
   // share the target have is taken to be like it.
-  double mean_in_flight(Instant now) const;
+  double mean_in_flight(Instant now) const { return mean_in_flight_.At(now); }
   // Mean time of an answer; none until the first.
   std::optional<Duration> latency() const;
-  // Time of an answer without queueing: a low quantile of answers' times.
-  std::optional<Duration> service_time() const;
+  // None until the first answer.
+  std::optional<WorkTime> work(Instant now) const;
+  // Requests at the target for each of its slots, if the other sharers have as
+  // many there as this router; at least 1.
+  double Crowding(Instant now,
+                  std::uint32_t slots,
+                  std::uint32_t sharers) const;
   // Share of recent attempts that failed, 0 to 1.
   double failure_rate() const { return failure_rate_; }
   bool Ejected(Instant now) const { return now < ejected_until_; }
   // A target that came back from ejection is tried with one request first.
   bool Probing() const { return failures_ >= limits_.failures_to_eject; }
-  // Requests that this one of `sharers` routers may have at the target.
-  std::uint32_t Limit(std::uint32_t slots, std::uint32_t sharers) const;
+  // Whether this one of `sharers` routers may send the target another request:
+  // within its part of what all may have there, or while little is there.
+  bool HasRoom(Instant now, std::uint32_t slots, std::uint32_t sharers) const;
 
  private:
+  double FadedSamples(Instant now) const;
+  void SetInFlight(Instant now, std::uint32_t count);
+
   const LoadLimits limits_;
   std::uint32_t in_flight_ = 0;
-  double mean_in_flight_ = 0;
-  Instant counted_at_{};
+  RecentMean mean_in_flight_{limits_.in_flight_memory};
   std::uint32_t failures_ = 0;
   std::uint32_t ejections_ = 0;
   double failure_rate_ = 0;
   double latency_us_ = 0;
-  double service_us_ = 0;
+  double work_us_ = 0;
+  double work_samples_ = 0;
+  double work_samples_ever_ = 0;
+  Instant worked_at_{};
   Instant ejected_until_{};
 };
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -240,8 +240,10 @@
   NoteStore(answer, "watch");
   watch_at_ = BootNow() + timing_.watch_pause;
   contact_.OnWatchEnded(answer.status == StoreStatus::kOk);
-  if (answer.status == StoreStatus::kOk)
-    return Learn(answer.items, answer.revision);
+  if (answer.status == StoreStatus::kOk) {
+    Learn(answer.items, answer.revision);
+    return ActOnChanges();
+  }
   if (answer.status == StoreStatus::kCompacted) {
     log_.Write(LogLevel::kWarning, "watch-history-gone", {});
     return StartReadAll();
@@ -254,6 +256,8 @@
     LearnAll(update.items, update.cursor);
   else
     Learn(update.items, update.cursor);
+  if (view_changed_)
+    ActOnChanges();
 }
 
 void EntryControl::Apply(const StoreItem& item) {
@@ -385,19 +389,23 @@
       });
 }
 
+void EntryControl::ActOnChanges() {
+  if (view_changed_) {
+    view_changed_ = false;
+    traffic_.OnViewChanged();
+  }
+  MoveRanges(BootNow());
+  SendGrants(BootNow());
+}
+
 void EntryControl::Tick(Instant now) {
   KeepMembership(now);
   Follow(now);
   RemoveAbsent(now);
   KeepMover(now);
   Campaign(now);
-  if (view_changed_) {
-    view_changed_ = false;
-    traffic_.OnViewChanged();
-  }
-  MoveRanges(now);
+  ActOnChanges();
   LimitHotKeys(now);
-  SendGrants(now);
   SendReport(now);
   ReportInStore(now);
 }
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -152,7 +152,7 @@
     return;
   reported_at_ = now;
   reported_changes_ = table_changes_;
-  LoadReport report = traffic_.MakeLoadReport(incarnation_);
+  LoadReport report = traffic_.MakeLoadReport(now, incarnation_);
   report.grants = MakeGrantReport(now);
   // Speeds change slowly and make up most of a report.
   if (now - speeds_told_at_ >= timing_.report_speeds)
@@ -188,7 +188,7 @@
   AdmissionOrder order;
   order.mover = settings_.vm;
   for (const auto& [service, table] : view_.tables) {
-    const auto heat = load_.Heat(now, service, view_.members.size());
+    const std::vector<double>& heat = heat_[service].parts();
     PartShares shares = LimitHotParts(
         table, heat, load_.Capacities(now, view_.targets, service),
         view_.targets);
@@ -246,9 +246,23 @@
       });
 }
 
+void EntryControl::ObserveHeat(Instant now) {
+  if (!IsMover(now)) {
+    heat_.clear();
+    return;
+  }
+  if (now - heat_observed_at_ < timing_.observe)
+    return;
+  heat_observed_at_ = now;
+  for (const auto& [service, table] : view_.tables) {
+    heat_[service].Update(now, load_.Heat(now, service, view_.members.size()));
+  }
+}
+
 void EntryControl::MoveRanges(Instant now) {
   if (!IsMover(now) || !view_.routes)
     return;
+  ObserveHeat(now);
   std::erase_if(reports_, [now](const auto& each) {
     return each.second.departed && now - *each.second.departed > kForgetAfter;
   });
@@ -261,7 +275,7 @@
     SendReleases(service, state);
     if (state.writing || state.reading)
       continue;
-    const RangeLoad load{load_.Heat(now, service, view_.members.size())};
+    const RangeLoad load{heat_[service].parts()};
     const auto capacity = load_.Capacities(now, view_.targets, service);
     MoverView view;
     view.now = now;
@@ -271,40 +285,61 @@
     view.members_since = members_since_;
     view.capacity = &capacity;
     view.load = &load;
-    if (const auto next = state.mover->Plan(view))
-      WriteTable(service, *next);
+    const auto next = state.mover->Plan(view);
+    if (!next)
+      continue;
+    for (const PlannedMove& move : state.mover->balanced())
+      LogMove(service, move);
+    WriteTable(service, *next);
   }
 }
 
+void EntryControl::LogMove(const ServiceId& service, const PlannedMove& move) {
+  const auto number = [](double value) { return fmt::format("{:.2f}", value); };
+  log_.Write(LogLevel::kInfo, "move-planned",
+             {{"service", service.value()},
+              {"first", std::to_string(move.range.first)},
+              {"last", std::to_string(move.range.last)},
+              {"from", move.from.value()},
+              {"to", move.to.value()},
+              {"load", number(move.load)},
+              {"from_load", number(move.from_load)},
+              {"from_fair", number(move.from_fair)},
+              {"to_load", number(move.to_load)},
+              {"to_fair", number(move.to_fair)},
+              {"why", move.hot ? "hot-part" : "balance"}});
+}
+
 void EntryControl::WriteTable(const ServiceId& service,
                               const RangeTable& next) {
   MoverState& state = movers_[service];
   state.writing = true;
   const std::string key = kTablesPrefix + service.value();
-  store_.Write({{kMoverKey, mover_revision_}, {key, state.revision}},
-               {{key, EncodeRangeTable(next), 0}}, {},
-               [this, service, next, key](const StoreAnswer& answer) {
-                 NoteStore(answer, "write-ranges");
-                 MoverState& written = movers_[service];
-                 written.writing = false;
-                 log_.Write(LogLevel::kInfo, "ranges-written",
-                            {{"service", service.value()},
-                             {"fence", std::to_string(next.last_fence)},
-                             {"entries", std::to_string(next.entries.size())},
-                             {"outcome", ToString(answer.status)}});
-                 if (answer.status == StoreStatus::kOk)
-                   return Learn(
-                       {{key, EncodeRangeTable(next), answer.revision, false}},
-                       0);
-                 if (answer.status == StoreStatus::kConflict &&
-                     std::none_of(answer.items.begin(), answer.items.end(),
-                                  [this](const StoreItem& item) {
-                                    return item.key == kMoverKey &&
-                                           item.revision == mover_revision_;
-                                  }))
-                   LoseMover("write-refused");
-                 ReadTable(service);
-               });
+  store_.Write(
+      {{kMoverKey, mover_revision_}, {key, state.revision}},
+      {{key, EncodeRangeTable(next), 0}}, {},
+      [this, service, next, key](const StoreAnswer& answer) {
+        NoteStore(answer, "write-ranges");
+        MoverState& written = movers_[service];
+        written.writing = false;
+        log_.Write(LogLevel::kInfo, "ranges-written",
+                   {{"service", service.value()},
+                    {"fence", std::to_string(next.last_fence)},
+                    {"entries", std::to_string(next.entries.size())},
+                    {"outcome", ToString(answer.status)}});
+        if (answer.status == StoreStatus::kOk) {
+          Learn({{key, EncodeRangeTable(next), answer.revision, false}}, 0);
+          return ActOnChanges();
+        }
+        if (answer.status == StoreStatus::kConflict &&
+            std::none_of(answer.items.begin(), answer.items.end(),
+                         [this](const StoreItem& item) {
+                           return item.key == kMoverKey &&
+                                  item.revision == mover_revision_;
+                         }))
+          LoseMover("write-refused");
+        ReadTable(service);
+      });
 }
 
 void EntryControl::ReadTable(const ServiceId& service) {
@@ -346,6 +381,7 @@
           }
           now.releasing.erase(order);
           now.mover->OnReleased(order, handover);
+          ActOnChanges();
         });
   }
 }
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -15,9 +15,6 @@
 
 // Until a service has answered, an answer is taken to need this long.
 constexpr Duration kFirstTypicalTime = std::chrono::milliseconds(100);
-// Mean work over the low quantile that stands for it. Source: work that varies
-// as the logarithm of a normal value does, by three tenths.
-constexpr double kMeanOverQuantile = 1.2;
 constexpr Duration kCallerCheckInterval = std::chrono::milliseconds(500);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -218,7 +215,7 @@
   checked_callers_ = now;
   for (auto& [id, link] : links_)
     link->CloseStale(now);
-  MeasureWorkTimes();
+  MeasureWorkTimes(now);
   std::vector<std::shared_ptr<CallerConnection>> callers;
   for (const auto& [key, caller] : callers_)
     callers.push_back(caller);
@@ -279,27 +276,25 @@
   return Duration(static_cast<Duration::rep>(found->second));
 }
 
-Duration EntryTraffic::WorkTime(const ServiceId& service) const {
+Duration EntryTraffic::MeanWorkTime(const ServiceId& service) const {
   const auto found = work_time_.find(service);
   return found == work_time_.end() ? kFirstTypicalTime : found->second;
 }
 
-void EntryTraffic::MeasureWorkTimes() {
-  struct Sum {
-    Duration time{0};
-    int count = 0;
-  };
-  std::map<ServiceId, Sum> sums;
+void EntryTraffic::MeasureWorkTimes(Instant now) {
+  // Each target counts alike, as it does in the mover's picture.
+  std::map<ServiceId, std::pair<double, int>> sums;
   for (const auto& [id, link] : links_) {
-    if (const auto time = link->load().service_time()) {
-      Sum& sum = sums[link->entry().service];
-      sum.time += *time;
-      ++sum.count;
+    if (const auto work = link->load().work(now)) {
+      auto& [sum, count] = sums[link->entry().service];
+      sum += std::log(std::max(1.0, static_cast<double>(work->mean.count())));
+      ++count;
     }
   }
-  for (const auto& [service, sum] : sums) {
-    work_time_[service] = Duration(static_cast<Duration::rep>(
-        kMeanOverQuantile * static_cast<double>(sum.time.count()) / sum.count));
+  for (const auto& [service, each] : sums) {
+    const auto& [sum, count] = each;
+    work_time_[service] =
+        Duration(static_cast<Duration::rep>(std::exp(sum / count)));
   }
 }
 
@@ -315,16 +310,19 @@
          std::uniform_real_distribution<>()(random_) < share->second;
 }
 
-LoadReport EntryTraffic::MakeLoadReport(const std::string& incarnation) const {
+LoadReport EntryTraffic::MakeLoadReport(Instant now,
+                                        const std::string& incarnation) const {
   LoadReport report;
   report.vm = settings_.vm;
   report.incarnation = incarnation;
   for (const auto& [service, heat] : heat_)
     report.services[service] = MakeHeatReport(heat);
   for (const auto& [id, link] : links_) {
-    const auto time = link->load().service_time();
-    if (time && heat_.contains(link->entry().service))
-      report.targets[id] = *time;
+    // The way to another region would count as work.
+    const auto work = link->load().work(now);
+    if (work && heat_.contains(link->entry().service) &&
+        DistanceTo(link->entry().zone) != Distance::kOtherRegion)
+      report.targets[id] = *work;
   }
   return report;
 }
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -29,9 +29,15 @@
 // A request waits for a target at most this part of its latency objective; then
 // it is refused, so that its caller can come back while there is time.
 constexpr double kWaitShare = 0.25;
+// A keyed request has nowhere else to go.
+constexpr double kKeyedWaitShare = 0.4;
 constexpr Duration kLongestWait = std::chrono::milliseconds(250);
 // Less than this part of the latency objective left is no honest offer.
 constexpr double kLeastOffer = 0.1;
+// A key that moves has an owner again soon, so a request waits longer for that:
+// this part of its objective.
+constexpr double kMovingWaitShare = 0.6;
+constexpr Duration kLongestMovingWait = std::chrono::milliseconds(600);
 // A target that said "not run" is asked again after this.
 constexpr Duration kAskAgain = std::chrono::milliseconds(60);
 // An idempotent request gets another attempt after this multiple of the usual
@@ -153,32 +159,42 @@
     if (!key)
       return FinishOwn(kBadRequest, "no-key", std::nullopt);
     key_ = *key;
-    traffic_.heat_[service_].Add(key_, traffic_.WorkTime(service_));
+    traffic_.heat_[service_].Add(key_, traffic_.MeanWorkTime(service_));
   }
   traffic_.BudgetOf(service_).OnRequest(arrived_);
   if (keyed_ && !traffic_.Admits(service_, key_))
     return FinishOwn(kUnavailable, "hot-key", kRetryAfterMoving);
   wait_ends_ =
       arrived_ +
-      std::min(kLongestWait, Scaled(route_->latency_objective, kWaitShare));
+      std::min(kLongestWait, Scaled(route_->latency_objective,
+                                    keyed_ ? kKeyedWaitShare : kWaitShare));
+  moving_wait_ends_ =
+      arrived_ + std::min(kLongestMovingWait,
+                          Scaled(route_->latency_objective, kMovingWaitShare));
   if (!TrySend())
     GoWaiting();
 }
 
-TargetLink* Exchange::Choose() const {
-  if (!keyed_)
-    return traffic_.PickShared(service_, route_->bulk, tried_);
+const RangeEntry* Exchange::OwnerEntry() const {
   const auto table = traffic_.view_.tables.find(service_);
   const RangeEntry* entry =
       table == traffic_.view_.tables.end() ? nullptr : table->second.Find(key_);
-  if (!entry || entry->phase != RangePhase::kSettled)
+  return entry && entry->phase == RangePhase::kSettled ? entry : nullptr;
+}
+
+TargetLink* Exchange::Choose() const {
+  if (!keyed_)
+    return traffic_.PickShared(service_, route_->bulk, tried_);
+  const RangeEntry* entry = OwnerEntry();
+  if (!entry)
     return nullptr;
   TargetLink* link = traffic_.LinkTo(entry->owner.id);
   if (!link)
     return nullptr;
-  const std::uint32_t limit = link->load().Limit(
-      link->entry().slots, traffic_.SharersOf(link->entry(), true));
-  return link->load().in_flight() < limit ? link : nullptr;
+  return link->load().HasRoom(BootNow(), link->entry().slots,
+                              traffic_.SharersOf(link->entry(), true))
+             ? link
+             : nullptr;
 }
 
 std::string Exchange::Explain() const {
@@ -202,6 +218,13 @@
                      entry->fence);
 }
 
+bool Exchange::MayWait(Instant now) const {
+  if (now >= due_)
+    return false;
+  return now < wait_ends_ ||
+         (keyed_ && now < moving_wait_ends_ && !OwnerEntry());
+}
+
 bool Exchange::TrySend() {
   if (ended_)
     return true;
@@ -217,7 +240,7 @@
 
 void Exchange::GoWaiting() {
   const Instant now = BootNow();
-  if (now >= wait_ends_ || now >= due_)
+  if (!MayWait(now))
     return Refuse("no-target-free");
   waiting_ = true;
   traffic_.Wait(this);
@@ -262,6 +285,8 @@
       now + (keyed_ ? std::max(kLeastKeyedPatience,
                                Scaled(usual, kKeyedPatienceFactor))
                     : std::max(kLeastPatience, Scaled(usual, kPatienceFactor)));
+  attempt.crowding = link->load().Crowding(
+      now, link->entry().slots, traffic_.SharersOf(link->entry(), keyed_));
   link->load().OnSent(now);
   const auto self = shared_from_this();
   AnswerObserver observer;
@@ -432,7 +457,7 @@
   // The link may have been dropped meanwhile.
   TargetLink* link = traffic_.LinkTo(attempt_->target);
   if (link && link == attempt_->link)
-    link->load().OnDone(now, kind, took);
+    link->load().OnDone(now, kind, took, attempt_->crowding);
   if (kind == AttemptKind::kAnswered) {
     double& typical = traffic_.typical_us_[service_];
     constexpr double kWeight = 0.03;
@@ -475,7 +500,7 @@
     return FinishOwn(OwnStatus(run_, true), "out-of-time", std::nullopt);
   }
   if (waiting_) {
-    if (now >= wait_ends_)
+    if (!MayWait(now))
       Refuse("no-target-free");
     return;
   }
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -13,9 +13,15 @@
 namespace figstall {
 namespace {
 
-// Time in which an observation loses most of its weight; short, since hot keys
-// change within seconds.
-constexpr double kFadeSeconds = 1.5;
+// Time in which an observation loses most of its weight in a member's report;
+// short, since hot keys change within seconds.
+constexpr double kFadeSeconds = 0.5;
+// The same for the mover's average.
+constexpr double kSteadySeconds = 5;
+// A part whose load differs from its average by this factor, and by this many
+// busy seconds a second, has changed.
+constexpr double kChangeFactor = 3;
+constexpr double kLeastChange = 0.6;
 constexpr double kLeastSpan = 0.2;
 constexpr std::uint32_t kMostSamples = 1000;
 // Load that is told at all, in busy seconds per second.
@@ -25,11 +31,18 @@
 // Requests that all members together must have seen before load is believed.
 constexpr std::uint32_t kEnoughSamples = 120;
 // A target's measured speed counts within these factors of the usual one.
-constexpr double kLeastSpeed = 0.4;
-constexpr double kMostSpeed = 2.2;
+constexpr double kLeastSpeed = 0.15;
+constexpr double kMostSpeed = 2.5;
+// Answers of usual speed that are assumed of each target beside its own.
+constexpr double kAssumedSamples = 4;
 // A member that reported within this time is heard.
 constexpr Duration kHeard = std::chrono::milliseconds(1200);
 
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 void Write(const GrantReport& report, wire::GrantReport::Builder out) {
   const auto services = static_cast<unsigned>(report.seen_fence.size());
   auto names = out.initServices(services);
@@ -83,10 +96,11 @@
   }
   auto targets = root.initTargets(static_cast<unsigned>(report.targets.size()));
   index = 0;
-  for (const auto& [target, time] : report.targets) {
+  for (const auto& [target, work] : report.targets) {
     auto out = targets[index++];
     out.setTarget(target.value());
-    out.setServiceMicros(static_cast<std::uint32_t>(time.count()));
+    out.setWorkMicros(static_cast<std::uint32_t>(work.mean.count()));
+    out.setSamples(static_cast<float>(work.samples));
   }
   Write(report.grants, root.initGrants());
 }
@@ -108,8 +122,8 @@
     }
   }
   for (const auto target : root.getTargets())
-    report.targets[TargetId(std::string(target.getTarget()))] =
-        Duration(target.getServiceMicros());
+    report.targets[TargetId(std::string(target.getTarget()))] = {
+        Duration(target.getWorkMicros()), std::max(0.0F, target.getSamples())};
   return report;
 }
 
@@ -174,6 +188,28 @@
   }
 }
 
+void SteadyHeat::Update(Instant now, const std::vector<double>& parts) {
+  if (parts.empty())
+    return;
+  const double span = std::chrono::duration<double>(now - updated_at_).count();
+  updated_at_ = now;
+  if (steady_.size() != parts.size()) {
+    steady_ = parts;
+    weight_ = 1 - std::exp(-kFadeSeconds / kSteadySeconds);
+    return;
+  }
+  const double fresh = 1 - std::exp(-span / kSteadySeconds);
+  weight_ += fresh * (1 - weight_);
+  const double step = fresh / weight_;
+  for (std::size_t part = 0; part < parts.size(); ++part) {
+    double& steady = steady_[part];
+    const auto [less, more] = std::minmax(steady, parts[part]);
+    const bool changed =
+        more > kChangeFactor * less && more - less > kLeastChange;
+    steady = changed ? parts[part] : steady + step * (parts[part] - steady);
+  }
+}
+
 HeatReport MakeHeatReport(const KeyHeat& heat) {
   HeatReport report;
   report.samples = heat.samples();
@@ -201,12 +237,17 @@
     if (entry == directory.end())
       continue;
     const auto known = capacities.find(owner);
-    double room =
-        kHotKeyUtilization *
-        (known != capacities.end() ? known->second : entry->second.slots);
+    const double capacity =
+        known != capacities.end() ? known->second : entry->second.slots;
     double load = 0;
-    for (const std::uint16_t part : parts)
+    double hottest = 0;
+    for (const std::uint16_t part : parts) {
       load += heat[part];
+      hottest = std::max(hottest, heat[part]);
+    }
+    double room = capacity * (hottest > kHotKeyUtilization * capacity
+                                  ? kHotKeyUtilization
+                                  : kOverloadUtilization);
     if (load <= room)
       continue;
     // Parts in order of heat: each cooler than the level fits in full.
@@ -297,36 +338,43 @@
     Instant now,
     const TargetDirectory& directory,
     const ServiceId& service) const {
-  struct Mean {
-    double sum = 0;
-    int count = 0;
-  };
-  std::map<TargetId, Mean> times;
+  std::map<TargetId, WorkTime> sums;
   for (const auto& [vm, received] : reports_) {
     if (now - received.at > kReportAge)
       continue;
-    for (const auto& [target, time] : received.report.targets) {
+    for (const auto& [target, work] : received.report.targets) {
       const auto known = directory.find(target);
       if (known == directory.end() || known->second.service != service)
         continue;
-      Mean& mean = times[target];
-      mean.sum += static_cast<double>(time.count());
-      ++mean.count;
+      WorkTime& sum = sums[target];
+      sum.mean += Scaled(work.mean, work.samples);
+      sum.samples += work.samples;
     }
   }
-  std::vector<double> all;
-  all.reserve(times.size());
-  for (const auto& [target, mean] : times)
-    all.push_back(mean.sum / mean.count);
   std::map<TargetId, double> capacities;
-  if (all.empty())
+  double all = 0;
+  double samples = 0;
+  for (const auto& [target, sum] : sums) {
+    all += static_cast<double>(sum.mean.count());
+    samples += sum.samples;
+  }
+  if (all <= 0 || samples <= 0)
     return capacities;
-  const auto middle = all.begin() + static_cast<std::ptrdiff_t>(all.size() / 2);
-  std::nth_element(all.begin(), middle, all.end());
-  for (const auto& [target, mean] : times) {
+  // Until a target has answered often enough, it counts as one of mean speed.
+  const double usual = all / samples;
+  std::map<TargetId, double> works;
+  double logs = 0;
+  for (const auto& [target, sum] : sums) {
+    const double work =
+        (static_cast<double>(sum.mean.count()) + kAssumedSamples * usual) /
+        (sum.samples + kAssumedSamples);
+    works[target] = work;
+    logs += std::log(std::max(1.0, work));
+  }
+  const double middle = std::exp(logs / static_cast<double>(works.size()));
+  for (const auto& [target, work] : works) {
     const double speed =
-        std::clamp(*middle / std::max(1.0, mean.sum / mean.count), kLeastSpeed,
-                   kMostSpeed);
+        std::clamp(middle / std::max(1.0, work), kLeastSpeed, kMostSpeed);
     capacities[target] = directory.at(target).slots * speed;
   }
   return capacities;
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -56,8 +56,10 @@
 
 struct TargetSpeed {
   target @0 :Text;
-  # Time of an answer without queueing, in microseconds.
-  serviceMicros @1 :UInt32;
+  # Mean time of work on a request without queueing, in microseconds.
+  workMicros @1 :UInt32;
+  # Recent requests that it was learned from.
+  samples @2 :Float32;
 }
 
 # A member asks a region's reader for all that changed after a revision.
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -848,7 +848,9 @@
   inline bool hasTarget() const;
   inline  ::capnp::Text::Reader getTarget() const;
 
-  inline  ::uint32_t getServiceMicros() const;
+  inline  ::uint32_t getWorkMicros() const;
+
+  inline float getSamples() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -885,8 +887,11 @@
   inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline  ::uint32_t getServiceMicros();
-  inline void setServiceMicros( ::uint32_t value);
+  inline  ::uint32_t getWorkMicros();
+  inline void setWorkMicros( ::uint32_t value);
+
+  inline float getSamples();
+  inline void setSamples(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1979,20 +1984,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TargetSpeed::Reader::getServiceMicros() const {
+inline  ::uint32_t TargetSpeed::Reader::getWorkMicros() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TargetSpeed::Builder::getServiceMicros() {
+inline  ::uint32_t TargetSpeed::Builder::getWorkMicros() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TargetSpeed::Builder::setServiceMicros( ::uint32_t value) {
+inline void TargetSpeed::Builder::setWorkMicros( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline float TargetSpeed::Reader::getSamples() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float TargetSpeed::Builder::getSamples() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TargetSpeed::Builder::setSamples(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RelaySubscribe::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -3,41 +3,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
-#include <numeric>
 
 namespace figstall {
 namespace {
 
-// A piece may have this much more load than was wanted, and at least so much of
-// it; less is not worth a move.
-constexpr double kPieceExcess = 1.15;
-constexpr double kLeastPiece = 0.2;
-
-// Load of a range by the mover's sample, with a floor that stands for traffic
-// that the sample missed.
-double LoadOf(const KeyRange& range, const RangeLoad* load) {
-  const double floor = static_cast<double>(range.size()) / kShardKeys;
-  if (!load || load->parts.empty())
-    return floor;
-  const double part_size =
-      static_cast<double>(kShardKeys) / static_cast<double>(load->parts.size());
-  double sum = 0;
-  for (std::size_t part = static_cast<std::size_t>(range.first / part_size);
-       part < load->parts.size() &&
-       static_cast<double>(part) * part_size <= range.last;
-       ++part) {
-    const double begin = static_cast<double>(part) * part_size;
-    const double overlap =
-        std::min<double>(range.last + 1.0, begin + part_size) -
-        std::max<double>(range.first, begin);
-    sum += load->parts[part] * std::max(0.0, overlap) / part_size;
-  }
-  const double total =
-      std::accumulate(load->parts.begin(), load->parts.end(), 0.0);
-  return sum + floor * 0.02 * total;
-}
-
 double CapacityOf(const TargetEntry& target, const MoverView& view) {
   if (view.capacity) {
     const auto known = view.capacity->find(target.life.id);
@@ -47,42 +16,6 @@
   return std::max<std::uint32_t>(1, target.slots);
 }
 
-struct Share {
-  const TargetEntry* target = nullptr;
-  double load = 0;
-  double capacity = 1;
-
-  double pressure() const { return load / capacity; }
-};
-
-std::map<TargetId, Share> SharesOf(
-    const RangeTable& table,
-    const std::vector<const TargetEntry*>& usable,
-    const MoverView& view) {
-  std::map<TargetId, Share> shares;
-  for (const TargetEntry* target : usable)
-    shares[target->life.id] = {target, 0, CapacityOf(*target, view)};
-  for (const RangeEntry& entry : table.entries) {
-    const auto share = shares.find(entry.owner.id);
-    if (share != shares.end() && entry.phase == RangePhase::kSettled)
-      share->second.load += LoadOf(entry.range, view.load);
-  }
-  return shares;
-}
-
-Share* LeastPressed(std::map<TargetId, Share>& shares, double extra) {
-  Share* best = nullptr;
-  double best_pressure = std::numeric_limits<double>::infinity();
-  for (auto& [id, share] : shares) {
-    const double pressure = (share.load + extra) / share.capacity;
-    if (pressure < best_pressure) {
-      best = &share;
-      best_pressure = pressure;
-    }
-  }
-  return best;
-}
-
 void SetOwner(RangeEntry& entry, const TargetEntry& owner) {
   entry.owner = owner.life;
   entry.address = owner.address;
@@ -253,13 +186,14 @@
   }
   if (!all_free && !waited)
     return false;
-  auto shares = SharesOf(next, usable, view);
+  auto shares =
+      SharesOf(next, usable, view.capacity, view.load, limits_.balance);
   bool changed = false;
   for (RangeEntry& entry : next.entries) {
     if (entry.phase == RangePhase::kSettled || !IsFree(entry, view))
       continue;
     const double load = LoadOf(entry.range, view.load);
-    Share* share = LeastPressed(shares, load);
+    TargetShare* share = LeastLoaded(shares, load);
     const auto wanted = wanted_owner_.find(entry.range.first);
     if (wanted != wanted_owner_.end() && shares.contains(wanted->second))
       share = &shares.at(wanted->second);
@@ -272,107 +206,46 @@
   return changed;
 }
 
-// The piece of `owner`'s ranges, at an end of one of them, whose load comes
-// closest to `wanted` without exceeding it by much.
-std::optional<KeyRange> PieceOf(const RangeTable& table,
-                                const TargetId& owner,
-                                double wanted,
-                                const RangeLoad& load) {
-  const auto step = std::max<std::uint32_t>(
-      1, kShardKeys / static_cast<std::uint32_t>(load.parts.size()));
-  std::optional<KeyRange> best;
-  double best_load = 0;
-  const auto consider = [&](std::uint32_t first, std::uint32_t last) {
-    const KeyRange piece{static_cast<ShardKey>(first),
-                         static_cast<ShardKey>(last)};
-    const double each = LoadOf(piece, &load);
-    if (each <= wanted * kPieceExcess && each > best_load) {
-      best = piece;
-      best_load = each;
-    }
-  };
-  for (const RangeEntry& entry : table.entries) {
-    if (entry.owner.id != owner || entry.phase != RangePhase::kSettled)
-      continue;
-    const std::uint32_t first = entry.range.first;
-    const std::uint32_t last = entry.range.last;
-    consider(first, last);
-    for (std::uint32_t cut = first - first % step + step; cut <= last;
-         cut += step) {
-      consider(cut, last);
-      consider(first, cut - 1);
-    }
-  }
-  if (best_load < wanted * kLeastPiece)
-    return std::nullopt;
-  return best;
-}
-
 bool RangeMover::Balance(RangeTable& next, const MoverView& view) {
   if (!view.load || view.load->parts.empty())
     return false;
-  if (!progress_.empty() ||
-      (balanced_at_ && view.now - *balanced_at_ < limits_.balance_interval))
+  if (!progress_.empty())
     return false;
   const auto usable = Usable(view);
   if (usable.size() < 2)
     return false;
-  auto shares = SharesOf(next, usable, view);
-  double load = 0;
-  double capacity = 0;
+  const Duration age =
+      balanced_at_ ? view.now - *balanced_at_ : limits_.balance_interval;
+  if (age < limits_.hot_interval)
+    return false;
+  const auto shares =
+      SharesOf(next, usable, view.capacity, view.load, limits_.balance);
+  std::set<TargetId> hot;
   for (const auto& [id, share] : shares) {
-    load += share.load;
-    capacity += share.capacity;
+    if (share.hot > 0)
+      hot.insert(id);
   }
-  const double fair = load / capacity;
-  const std::uint64_t fence = next.last_fence + 1;
-  bool changed = false;
-  std::set<TargetId> exhausted;
-  for (std::uint32_t piece = 0; piece < limits_.pieces; ++piece) {
-    Share* donor = nullptr;
-    for (auto& [id, share] : shares) {
-      if (!exhausted.contains(id) &&
-          (!donor || share.pressure() > donor->pressure()))
-        donor = &share;
-    }
-    Share* receiver = LeastPressed(shares, 0);
-    if (!donor || donor == receiver)
-      break;
-    const bool idle_receiver =
-        receiver->load < limits_.idle * fair * receiver->capacity;
-    const bool overloaded = donor->pressure() > fair * limits_.overload &&
-                            donor->pressure() > limits_.busy;
-    if (!overloaded && !idle_receiver)
-      break;
-    // What the donor has above the fair share and the receiver below it.
-    const double wanted = std::min(donor->load - fair * donor->capacity,
-                                   fair * receiver->capacity - receiver->load);
-    const auto moved =
-        PieceOf(next, donor->target->life.id, wanted, *view.load);
-    if (!moved) {
-      exhausted.insert(donor->target->life.id);
-      continue;
-    }
-    SplitAt(next, moved->first);
-    SplitAt(next, std::uint32_t{moved->last} + 1);
+  if (hot == hot_ && age < limits_.balance_interval)
+    return false;
+  hot_ = std::move(hot);
+  balanced_ = PlanBalance(next, shares, *view.load, limits_.balance);
+  if (balanced_.empty())
+    return false;
+  ++next.last_fence;
+  for (const PlannedMove& move : balanced_) {
+    SplitAt(next, move.range.first);
+    SplitAt(next, std::uint32_t{move.range.last} + 1);
     for (RangeEntry& entry : next.entries) {
-      if (entry.range.first < moved->first || entry.range.last > moved->last)
+      if (entry.range != move.range)
         continue;
       entry.phase = RangePhase::kMoving;
-      entry.fence = fence;
+      entry.fence = next.last_fence;
       entry.handover.clear();
-      wanted_owner_[entry.range.first] = receiver->target->life.id;
+      wanted_owner_[entry.range.first] = move.to;
     }
-    const double moved_load = LoadOf(*moved, view.load);
-    donor->load -= moved_load;
-    receiver->load += moved_load;
-    changed = true;
-  }
-  if (changed) {
-    next.last_fence = fence;
-    balanced_at_ = view.now;
   }
-  return changed;
+  balanced_at_ = view.now;
+  return true;
 }
 
 std::optional<RangeTable> RangeMover::Plan(const MoverView& view) {
@@ -382,6 +255,7 @@
       return std::nullopt;
     return FirstAssignment(usable, view);
   }
+  balanced_.clear();
   RangeTable next = table_;
   bool changed = Settle(next, view);
   if (!usable.empty())
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -44,23 +44,32 @@
 
 }  // namespace
 
-double TargetLoad::mean_in_flight(Instant now) const {
-  const double span = static_cast<double>((now - counted_at_).count()) /
-                      static_cast<double>(limits_.in_flight_memory.count());
-  return in_flight_ + (mean_in_flight_ - in_flight_) * std::exp(-span);
+void RecentMean::Set(Instant now, double value) {
+  mean_ = At(now);
+  value_ = value;
+  set_at_ = now;
+}
+
+double RecentMean::At(Instant now) const {
+  const double span = static_cast<double>((now - set_at_).count()) /
+                      static_cast<double>(memory_.count());
+  return value_ + (mean_ - value_) * std::exp(-span);
+}
+
+void TargetLoad::SetInFlight(Instant now, std::uint32_t count) {
+  in_flight_ = count;
+  mean_in_flight_.Set(now, count);
 }
 
 void TargetLoad::OnSent(Instant now) {
-  mean_in_flight_ = mean_in_flight(now);
-  counted_at_ = now;
-  ++in_flight_;
+  SetInFlight(now, in_flight_ + 1);
 }
 
-void TargetLoad::OnDone(Instant now, AttemptKind kind, Duration took) {
-  mean_in_flight_ = mean_in_flight(now);
-  counted_at_ = now;
-  if (in_flight_ > 0)
-    --in_flight_;
+void TargetLoad::OnDone(Instant now,
+                        AttemptKind kind,
+                        Duration took,
+                        double crowding) {
+  SetInFlight(now, in_flight_ > 0 ? in_flight_ - 1 : 0);
   if (kind == AttemptKind::kAbandoned)
     return;
   const bool failed = kind != AttemptKind::kAnswered;
@@ -72,13 +81,12 @@
                                                        (sample - latency_us_);
   }
   if (kind == AttemptKind::kAnswered) {
-    const auto sample = static_cast<double>(took.count());
-    if (service_us_ == 0)
-      service_us_ = sample;
-    else if (sample < service_us_)
-      service_us_ *= 1 - limits_.service_step * (1 - limits_.service_quantile);
-    else
-      service_us_ *= 1 + limits_.service_step * limits_.service_quantile;
+    const double faded = FadedSamples(now);
+    work_us_ +=
+        (static_cast<double>(took.count()) / crowding - work_us_) / (faded + 1);
+    work_samples_ = faded + 1;
+    ++work_samples_ever_;
+    worked_at_ = now;
     failures_ = 0;
     ejections_ = 0;
     ejected_until_ = {};
@@ -101,18 +109,41 @@
   return Duration(static_cast<Duration::rep>(latency_us_));
 }
 
-std::optional<Duration> TargetLoad::service_time() const {
-  if (service_us_ == 0)
+double TargetLoad::FadedSamples(Instant now) const {
+  const double span = static_cast<double>((now - worked_at_).count()) /
+                      static_cast<double>(limits_.work_memory.count());
+  return std::max(work_samples_ * std::exp(-span),
+                  std::min(work_samples_ever_, limits_.least_samples));
+}
+
+std::optional<WorkTime> TargetLoad::work(Instant now) const {
+  if (work_samples_ == 0)
     return std::nullopt;
-  return Duration(static_cast<Duration::rep>(service_us_));
+  return WorkTime{Duration(static_cast<Duration::rep>(work_us_)),
+                  FadedSamples(now)};
+}
+
+double TargetLoad::Crowding(Instant now,
+                            std::uint32_t slots,
+                            std::uint32_t sharers) const {
+  const double others =
+      (static_cast<double>(sharers) - 1) * mean_in_flight(now);
+  return std::max(1.0, (in_flight_ + others + 1) / std::max(1U, slots));
 }
 
-std::uint32_t TargetLoad::Limit(std::uint32_t slots,
-                                std::uint32_t sharers) const {
+bool TargetLoad::HasRoom(Instant now,
+                         std::uint32_t slots,
+                         std::uint32_t sharers) const {
   if (Probing())
-    return 1;
-  const double share = limits_.total_per_slot * slots / std::max(1U, sharers);
-  return std::max(1U, static_cast<std::uint32_t>(std::ceil(share)));
+    return in_flight_ == 0;
+  const double part =
+      std::ceil(limits_.total_per_slot * slots / std::max(1U, sharers));
+  if (in_flight_ < part)
+    return true;
+  const double others =
+      (static_cast<double>(sharers) - 1) * mean_in_flight(now);
+  return in_flight_ < limits_.burst &&
+         in_flight_ + 1 + others <= limits_.burst_per_slot * slots;
 }
 
 const Candidate* PickTarget(const std::vector<Candidate>& candidates,
@@ -131,8 +162,8 @@
       if (rule.bulk && near_exists &&
           candidate.distance == Distance::kOtherRegion)
         continue;
-      if (candidate.load->in_flight() >=
-          candidate.load->Limit(candidate.entry->slots, candidate.sharers))
+      if (!candidate.load->HasRoom(now, candidate.entry->slots,
+                                   candidate.sharers))
         continue;
       const double time = ExpectedTime(candidate, rule, now);
       if (time < best_time) {
--- /dev/null
+++ b/test/range_balance_test.cc
@@ -0,0 +1,167 @@
+// What load each target shall carry, and which pieces move for it.
+#include "figstall/range_balance.h"
+
+#include <catch2/catch.hpp>
+
+namespace figstall {
+namespace {
+
+const ServiceId kService("accounts");
+constexpr std::size_t kParts = 1024;
+
+// Targets that each own an equal range, in order.
+struct Fleet {
+  explicit Fleet(const std::vector<double>& speeds, std::uint32_t slots = 4) {
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < speeds.size(); ++i) {
+      const TargetId id("t" + std::to_string(i));
+      directory[id] = {{id, 1}, {},    kService,   ZoneId("z"),
+                       slots,   false, Duration{0}};
+      capacity[id] = slots * speeds[i];
+      const auto size = kShardKeys / static_cast<std::uint32_t>(speeds.size());
+      const auto first = static_cast<std::uint32_t>(i) * size;
+      const auto last =
+          i + 1 == speeds.size() ? kShardKeys - 1 : first + size - 1;
+      RangeEntry entry;
+      entry.range = {static_cast<ShardKey>(first), static_cast<ShardKey>(last)};
+      entry.owner = {id, 1};
+      entry.fence = 1;
+      table.entries.push_back(entry);
+    }
+    load.parts.assign(kParts, 0);
+  }
+
+  TargetShares Shares() const {
+    std::vector<const TargetEntry*> usable;
+    for (const auto& [id, target] : directory)
+      usable.push_back(&target);
+    return SharesOf(table, usable, &capacity, &load, {});
+  }
+  // Carries out what is planned, as if owners released at once.
+  int Balance(int rounds) {
+    int moved = 0;
+    for (int round = 0; round < rounds; ++round) {
+      for (const PlannedMove& move : PlanBalance(table, Shares(), load, {})) {
+        SplitAt(table, move.range.first);
+        SplitAt(table, std::uint32_t{move.range.last} + 1);
+        for (RangeEntry& entry : table.entries) {
+          if (entry.range == move.range)
+            entry.owner = {move.to, 1};
+        }
+        ++moved;
+      }
+    }
+    return moved;
+  }
+  std::string OwnerOf(std::size_t part) const {
+    return table.Find(static_cast<ShardKey>(part * (kShardKeys / kParts)))
+        ->owner.id.value();
+  }
+  double LoadOn(const std::string& id) const {
+    double sum = 0;
+    for (std::size_t part = 0; part < kParts; ++part)
+      sum += OwnerOf(part) == id ? load.parts[part] : 0;
+    return sum;
+  }
+
+  TargetDirectory directory;
+  std::map<TargetId, double> capacity;
+  RangeTable table;
+  RangeLoad load;
+};
+
+}  // namespace
+
+// Load: umurage quiet-1. A third of the targets are more than twice as fast; a
+// request at a slow one is late one time in ten even without a queue.
+TEST_CASE("with little to do the fast targets carry most") {
+  Fleet fleet({0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, 2);
+  // A third of what all can do.
+  fleet.load.parts.assign(kParts, 4.0 / kParts);
+  fleet.Balance(4);
+  const double fast = fleet.LoadOn("t2") + fleet.LoadOn("t5");
+  CHECK(fast > 0.75 * 4.0);
+  for (const char* id : {"t0", "t1", "t3", "t4"})
+    CHECK(fleet.LoadOn(id) > 0);
+}
+
+// Load: caroni scale-1. Near what all targets can do, each carries its part.
+TEST_CASE("with much to do all targets carry by their speed") {
+  Fleet fleet({0.7, 0.7, 1.6, 0.7, 0.7, 1.6}, 4);
+  const double all = 4 * 6.0;
+  fleet.load.parts.assign(kParts, 0.9 * all / kParts);
+  fleet.Balance(5);
+  for (const auto& [id, capacity] : fleet.capacity) {
+    const double busy = fleet.LoadOn(id.value()) / capacity;
+    CHECK(busy > 0.7);
+    CHECK(busy < 1.05);
+  }
+}
+
+TEST_CASE("targets of one speed share evenly") {
+  const Fleet fleet({1, 1, 1, 1});
+  Fleet loaded = fleet;
+  loaded.load.parts.assign(kParts, 0.005);
+  for (const auto& [id, share] : loaded.Shares())
+    CHECK(share.fair == Approx(1.02 * 0.005 * kParts / 4).epsilon(0.01));
+  CHECK(loaded.Balance(3) == 0);
+}
+
+// Load: caroni trouble-1, second 5. One key has a third of a service's traffic,
+// at an owner of half the speed of others; 53 requests a second were possible
+// and 23 were served.
+TEST_CASE("a hot key moves to the fastest target, which does nothing else") {
+  Fleet fleet({0.7, 0.7, 1.6, 0.7, 1.0, 0.7});
+  fleet.load.parts.assign(kParts, 8.0 / kParts);
+  constexpr std::size_t kHot = 40;
+  fleet.load.parts[kHot] = 12;
+  REQUIRE(fleet.OwnerOf(kHot) == "t0");
+  fleet.Balance(3);
+  CHECK(fleet.OwnerOf(kHot) == "t2");
+  CHECK(fleet.LoadOn("t2") - 12 < 0.5);
+  CHECK(fleet.LoadOn("t0") > 0.3);
+  // It stays there.
+  const int moved = fleet.Balance(3);
+  CHECK(fleet.OwnerOf(kHot) == "t2");
+  CHECK(moved <= 1);
+}
+
+TEST_CASE("a hot key stays where no target is much faster") {
+  Fleet fleet({1.0, 1.2, 1.0, 0.9});
+  fleet.load.parts.assign(kParts, 4.0 / kParts);
+  fleet.load.parts[40] = 12;
+  fleet.Balance(3);
+  CHECK(fleet.OwnerOf(40) == "t0");
+  CHECK(fleet.LoadOn("t0") - 12 < 0.5);
+}
+
+TEST_CASE("two hot keys get a target each") {
+  Fleet fleet({0.7, 0.7, 1.6, 0.7, 1.6, 0.7});
+  fleet.load.parts.assign(kParts, 6.0 / kParts);
+  fleet.load.parts[40] = 12;
+  fleet.load.parts[200] = 10;
+  fleet.Balance(4);
+  CHECK(fleet.OwnerOf(40) != fleet.OwnerOf(200));
+  CHECK(fleet.capacity.at(TargetId(fleet.OwnerOf(40))) > 6);
+  CHECK(fleet.capacity.at(TargetId(fleet.OwnerOf(200))) > 6);
+}
+
+// Load: scale_out. A target that joins gets work whatever its speed.
+TEST_CASE("an idle target is given work whatever its speed") {
+  Fleet fleet({1, 1, 1, 1});
+  fleet.load.parts.assign(kParts, 0.004);
+  const TargetId joined("t9");
+  fleet.directory[joined] = fleet.directory.at(TargetId("t0"));
+  fleet.directory[joined].life.id = joined;
+  fleet.Balance(2);
+  CHECK(fleet.LoadOn("t9") > 0.2);
+}
+
+TEST_CASE("without samples ranges count by their keys") {
+  const Fleet fleet({1, 1, 2});
+  CHECK(LoadOf({0, 32'767}, nullptr) == Approx(0.5));
+  const RangeLoad none;
+  CHECK(LoadOf({0, 32'767}, &none) == Approx(0.5));
+}
+
+}  // namespace figstall
