Relay only what changes, as differences, from the strongest members

Each change of a table of 300 ranges (27 KB, three a second) and each heartbeat of 331 targets was told whole to 18 members over a link of 10 Mbit/s; the stream fell behind by seven seconds. Ruled out: the store (the reader had the change at 13.2) and the cut (members that were never cut lagged alike).

- What changes nothing for others, a heartbeat, is not told on.
- A change of a long value is told as the rows that changed (text_delta).
- Members publish their capacity; the strongest are mover, reader and heads of zones.
Other regions listen to the one reader, not to the store.
- A member waits a little longer for its source the farther it is from the reader.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -50,11 +50,14 @@
   // answered soon after that is asked on another one.
   Duration watch_wait = std::chrono::seconds(2);
   // Between two watches, so that changes in quick succession cost one call.
-  Duration watch_pause = std::chrono::milliseconds(60);
+  Duration watch_pause = std::chrono::milliseconds(80);
   // Members say this often when the store's state was last confirmed; one that
   // knows of no confirmation for the longer time watches for itself.
   Duration reader_word = std::chrono::milliseconds(300);
   Duration reader_silence = std::chrono::milliseconds(1100);
+  // Those farther from the reader wait longer, since those nearer mend it for
+  // them.
+  Duration reader_silence_step = std::chrono::milliseconds(200);
   // Between two reports that name the speed of targets.
   Duration report_speeds = std::chrono::seconds(3);
   Duration retry = std::chrono::milliseconds(250);
@@ -109,9 +112,21 @@
   void ApplyAll(const ReadAll& read);
   // Listens to the region's reader, or watches the store itself.
   void Follow(Instant now);
-  // Whom this member listens to: within a zone the zone's first member, which
-  // listens to the region's reader. None: it reads the store itself.
-  std::optional<VmId> Source() const;
+  // Whom a member listens to. The root of all reads the store itself; the first
+  // member of each other region listens to it, the first of each zone to that
+  // of its region, and the rest to the first of their zone.
+  struct Source {
+    // Null: this member reads the store itself.
+    const EntryMember* member = nullptr;
+    // Without a confirmation for so long it reads for itself.
+    Duration patience{0};
+  };
+  Source ChooseSource() const;
+  // How to tell listeners of an item, if shorter than the item; null else.
+  std::optional<ItemDelta> DeltaTo(const StoreItem& item) const;
+  // The item that a difference leads to; none if it is known already, or if it
+  // has to be read from the store.
+  std::optional<StoreItem> Restore(const ItemDelta& delta);
   // How long ago the store's state was confirmed.
   std::optional<Duration> Age(Instant now) const;
   void Watch();
@@ -121,9 +136,11 @@
   // Takes in what is newer than what was known, and tells it on.
   void LearnAll(const std::vector<StoreItem>& items, Revision revision);
   void Learn(const std::vector<StoreItem>& items, Revision cursor);
-  void Apply(const StoreItem& item);
+  // False if it changes nothing that other members need.
+  bool Apply(const StoreItem& item);
+  void ApplyMover(const StoreItem& item);
   void ApplyDesiredState(const StoreItem& item);
-  void ApplyTarget(const std::string& id, const StoreItem& item);
+  bool ApplyTarget(const std::string& id, const StoreItem& item);
   void ApplyMember(const VmId& vm, const StoreItem& item);
   void ApplyTable(const ServiceId& service, const StoreItem& item);
   void RemoveAbsent(Instant now);
--- a/include/figstall/entry_settings.h
+++ b/include/figstall/entry_settings.h
@@ -29,6 +29,8 @@
   LogSettings log;
   GrantTiming grants;
   RetryAllowance retries;
+  // Cores that the process may use, or fewer if its link could not feed them.
+  double capacity = 1;
   // From SIGTERM until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
 };
--- a/include/figstall/entry_view.h
+++ b/include/figstall/entry_view.h
@@ -25,6 +25,8 @@
   Endpoint peers;
   // Distinguishes runs of the process on one VM.
   std::string incarnation;
+  // Cores that it may use, or fewer if its link could not feed them.
+  double capacity = 1;
 
   friend bool operator==(const EntryMember&, const EntryMember&) = default;
 };
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -34,6 +34,8 @@
  public:
   // False if something as new was known of the key.
   bool Put(const StoreItem& item);
+  // Null if nothing is known of the key; deleted items are known.
+  const StoreItem* Find(const std::string& key) const;
   // Deletions of what is known, older than `revision` and not among `items`,
   // which are all that there was at `revision`.
   std::vector<StoreItem> MissingFrom(const std::vector<StoreItem>& items,
--- a/include/figstall/store_relay.h
+++ b/include/figstall/store_relay.h
@@ -19,11 +19,23 @@
 #include "figstall/clock.h"
 #include "figstall/records.h"
 #include "figstall/store_mirror.h"
+#include "figstall/text_delta.h"
 
 namespace figstall {
 
+// A change of a long value, for listeners that have it as of `base`.
+struct ItemDelta {
+  std::string key;
+  Revision revision = 0;
+  Revision base = 0;
+  std::vector<DeltaPart> parts;
+
+  friend bool operator==(const ItemDelta&, const ItemDelta&) = default;
+};
+
 struct RelayUpdate {
   std::vector<StoreItem> items;
+  std::vector<ItemDelta> deltas;
   // All changes up to here have been told; zero says nothing.
   Revision cursor = 0;
   // How long ago the store's state was confirmed, by the member that reads it;
--- a/include/figstall/target_absence.h
+++ b/include/figstall/target_absence.h
@@ -33,7 +33,8 @@
 
   // Whether the store was reached by the last call.
   void OnStore(Instant now, bool reached);
-  void OnPresent(const TargetId& target) { gone_at_.erase(target); }
+  // True if its removal had been seen.
+  bool OnPresent(const TargetId& target) { return gone_at_.erase(target) > 0; }
   // The entry of a target was removed.
   void OnRemoved(Instant now, const TargetId& target, bool was_leaving);
   // Another target answers at its address: it is gone.
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -15,6 +15,8 @@
 using detail::kTablesPrefix;
 using platform::StoreStatus;
 
+// A change of a longer value is told as a difference.
+constexpr std::size_t kLeastDeltaBytes = 2048;
 // Everything in the store is of interest: one watch serves all.
 constexpr char kEverything[] = "";
 
@@ -74,7 +76,10 @@
   sender_ = std::make_unique<RelaySender>(
       io_, settings_.peers, [this](Revision revision) {
         MirrorChanges changes = mirror_.Since(revision);
-        return RelayUpdate{std::move(changes.items), cursor_, Age(BootNow()),
+        return RelayUpdate{std::move(changes.items),
+                           {},
+                           cursor_,
+                           Age(BootNow()),
                            changes.complete};
       });
   Join();
@@ -146,15 +151,18 @@
 void EntryControl::Learn(const std::vector<StoreItem>& items, Revision cursor) {
   RelayUpdate update;
   for (const StoreItem& item : items) {
-    if (!mirror_.Put(item))
+    std::optional<ItemDelta> delta = DeltaTo(item);
+    if (!mirror_.Put(item) || !Apply(item))
       continue;
-    Apply(item);
-    update.items.push_back(item);
+    if (delta)
+      update.deltas.push_back(std::move(*delta));
+    else
+      update.items.push_back(item);
   }
   view_.heard_at = BootNow();
-  const bool advanced = cursor > cursor_;
   cursor_ = std::max(cursor_, cursor);
-  if (update.items.empty() && !advanced)
+  // That the cursor has advanced is said with the next word.
+  if (update.items.empty() && update.deltas.empty())
     return;
   update.cursor = cursor_;
   told_at_ = BootNow();
@@ -162,29 +170,78 @@
   sender_->Publish(update);
 }
 
-std::optional<VmId> EntryControl::Source() const {
-  std::optional<VmId> zone_head;
-  std::optional<VmId> region_head;
-  const auto consider = [&](const EntryMember& member) {
+std::optional<ItemDelta> EntryControl::DeltaTo(const StoreItem& item) const {
+  if (item.deleted || item.value.size() < kLeastDeltaBytes ||
+      sender_->listeners() == 0)
+    return std::nullopt;
+  const StoreItem* known = mirror_.Find(item.key);
+  if (!known || known->deleted || known->revision >= item.revision)
+    return std::nullopt;
+  return ItemDelta{item.key, item.revision, known->revision,
+                   MakeDelta(known->value, item.value)};
+}
+
+std::optional<StoreItem> EntryControl::Restore(const ItemDelta& delta) {
+  const StoreItem* known = mirror_.Find(delta.key);
+  if (known && known->revision >= delta.revision)
+    return std::nullopt;
+  std::optional<std::string> value;
+  if (known && known->revision == delta.base)
+    value = ApplyDelta(known->value, delta.parts);
+  if (value)
+    return StoreItem{delta.key, std::move(*value), delta.revision, false};
+  log_.Write(LogLevel::kWarning, "relay-gap",
+             {{"key", delta.key},
+              {"revision", std::to_string(delta.revision)},
+              {"base", std::to_string(delta.base)},
+              {"known", std::to_string(known ? known->revision : 0)}});
+  store_.Get(delta.key, [this](const StoreAnswer& answer) {
+    NoteStore(answer, "read-gap");
+    Learn(answer.items, 0);
+  });
+  return std::nullopt;
+}
+
+EntryControl::Source EntryControl::ChooseSource() const {
+  // Who reads or tells on much should have the processor and the link for it;
+  // among these the mover, since it writes most changes.
+  const auto better = [this](const EntryMember* one, const EntryMember* other) {
+    if (!other)
+      return true;
+    const auto rank = [this](const EntryMember& member) {
+      const bool mover = mover_key_exists_ && member.vm == mover_vm_;
+      return std::pair(member.capacity, mover);
+    };
+    return rank(*one) > rank(*other);
+  };
+  const EntryMember* root = nullptr;
+  const EntryMember* region_head = nullptr;
+  const EntryMember* zone_head = nullptr;
+  for (const auto& [vm, member] : view_.members) {
+    if (better(&member, root))
+      root = &member;
     const auto region = view_.regions.find(member.zone);
-    if (region == view_.regions.end() || region->second != settings_.region)
-      return;
-    if (!region_head)
-      region_head = member.vm;
-    if (member.zone == settings_.zone && !zone_head)
-      zone_head = member.vm;
+    if (region != view_.regions.end() && region->second == settings_.region &&
+        better(&member, region_head))
+      region_head = &member;
+    if (member.zone == settings_.zone && better(&member, zone_head))
+      zone_head = &member;
+  }
+  Source source;
+  const auto listen_to = [&](const EntryMember* member, int level) {
+    source.member = member;
+    source.patience =
+        timing_.reader_silence + level * timing_.reader_silence_step;
   };
-  // The mover comes first, since it writes most changes.
-  const auto mover = view_.members.find(mover_vm_);
-  if (mover_key_exists_ && mover != view_.members.end())
-    consider(mover->second);
-  for (const auto& [vm, member] : view_.members)
-    consider(member);
-  if (!region_head || *region_head == settings_.vm)
-    return std::nullopt;
-  if (zone_head && *zone_head != settings_.vm)
-    return zone_head;
-  return region_head;
+  if (!root || root->vm == settings_.vm || !region_head)
+    return source;
+  if (region_head->vm == settings_.vm)
+    listen_to(root, 0);
+  else if (!zone_head || zone_head->vm == settings_.vm)
+    listen_to(region_head, 1);
+  else
+    listen_to(zone_head, 2);
+  return source;
 }
 
 std::optional<Duration> EntryControl::Age(Instant now) const {
@@ -196,9 +253,9 @@
 void EntryControl::Follow(Instant now) {
   if (!read_once_ || resigned_)
     return;
-  const auto source = Source();
-  if (source) {
-    listener_.ListenTo(view_.members.at(*source).peers, cursor_);
+  const Source source = ChooseSource();
+  if (source.member) {
+    listener_.ListenTo(source.member->peers, cursor_);
     const auto confirmed = listener_.confirmed_at();
     if (confirmed && now - *confirmed < timing_.reader_silence)
       served_at_ = std::max(served_at_, *confirmed);
@@ -209,11 +266,11 @@
     GiveUpWatch();
   // A source that was just chosen, or lost, is given a moment.
   if (!contact_.watching() && !reading_ && now >= watch_at_ &&
-      (!source || now - served_at_ >= timing_.reader_silence))
+      (!source.member || now - served_at_ >= source.patience))
     Watch();
   if (now - told_at_ >= timing_.reader_word && sender_->listeners() > 0) {
     told_at_ = now;
-    sender_->Publish({{}, cursor_, Age(now), false});
+    sender_->Publish({{}, {}, cursor_, Age(now), false});
   }
 }
 
@@ -252,34 +309,43 @@
 }
 
 void EntryControl::OnRelayed(const RelayUpdate& update) {
+  std::vector<StoreItem> items = update.items;
+  for (const ItemDelta& delta : update.deltas) {
+    if (auto item = Restore(delta))
+      items.push_back(std::move(*item));
+  }
   if (update.complete)
-    LearnAll(update.items, update.cursor);
+    LearnAll(items, update.cursor);
   else
-    Learn(update.items, update.cursor);
+    Learn(items, update.cursor);
   if (view_changed_)
     ActOnChanges();
 }
 
-void EntryControl::Apply(const StoreItem& item) {
-  if (item.key == platform::kDesiredStateKey)
-    return ApplyDesiredState(item);
+bool EntryControl::Apply(const StoreItem& item) {
   if (StartsWith(item.key, platform::kTargetsPrefix))
     return ApplyTarget(
         item.key.substr(std::string_view(platform::kTargetsPrefix).size()),
         item);
-  if (StartsWith(item.key, kMembersPrefix))
-    return ApplyMember(
-        VmId(item.key.substr(std::string_view(kMembersPrefix).size())), item);
-  if (StartsWith(item.key, kTablesPrefix))
-    return ApplyTable(
+  if (item.key == platform::kDesiredStateKey)
+    ApplyDesiredState(item);
+  else if (StartsWith(item.key, kMembersPrefix))
+    ApplyMember(VmId(item.key.substr(std::string_view(kMembersPrefix).size())),
+                item);
+  else if (StartsWith(item.key, kTablesPrefix))
+    ApplyTable(
         ServiceId(item.key.substr(std::string_view(kTablesPrefix).size())),
         item);
-  if (item.key == kMoverKey) {
-    mover_key_exists_ = !item.deleted;
-    mover_vm_ = VmId(item.value.substr(0, item.value.find('#')));
-    if (item.deleted && IsMover(BootNow()))
-      LoseMover("key-removed");
-  }
+  else if (item.key == kMoverKey)
+    ApplyMover(item);
+  return true;
+}
+
+void EntryControl::ApplyMover(const StoreItem& item) {
+  mover_key_exists_ = !item.deleted;
+  mover_vm_ = VmId(item.value.substr(0, item.value.find('#')));
+  if (item.deleted && IsMover(BootNow()))
+    LoseMover("key-removed");
 }
 
 void EntryControl::ApplyDesiredState(const StoreItem& item) {
@@ -308,21 +374,21 @@
       });
 }
 
-void EntryControl::ApplyTarget(const std::string& id, const StoreItem& item) {
+bool EntryControl::ApplyTarget(const std::string& id, const StoreItem& item) {
   const TargetId target(id);
   if (item.deleted) {
     const auto known = view_.targets.find(target);
     if (known != view_.targets.end())
       absence_.OnRemoved(BootNow(), target, known->second.leaving);
-    return;
+    return true;
   }
-  HandleError(
-      [&]() -> Result<void> {
+  return HandleError(
+      [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(entry, platform::DecodeTargetEntry(id, item.value));
-        absence_.OnPresent(target);
+        const bool was_absent = absence_.OnPresent(target);
         const auto known = view_.targets.find(target);
         if (known != view_.targets.end() && known->second == entry)
-          return {};
+          return was_absent;
         log_.Write(
             LogLevel::kInfo,
             known == view_.targets.end() ? "target-joined" : "target-changed",
@@ -340,13 +406,14 @@
         }
         view_.targets[target] = std::move(entry);
         ViewChanged();
-        return {};
+        return true;
       },
       [&](const Error& error) {
         log_.Write(LogLevel::kWarning, "target-entry-refused",
                    {{"target", id},
                     {"revision", std::to_string(item.revision)},
                     {"findings", Describe(error)}});
+        return true;
       });
 }
 
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -1,6 +1,7 @@
 // Implements membership and the election of the mover.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "figstall/entry_control.h"
@@ -18,6 +19,8 @@
 // Members try to become the mover at a moment drawn from this span, so that one
 // of them is first.
 constexpr Duration kCampaignSpread = std::chrono::milliseconds(350);
+// Members that know one with more capacity let it go first by this.
+constexpr Duration kOutrankedWait = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -56,6 +59,7 @@
   const json value = {{"zone", settings_.zone.value()},
                       {"peers", settings_.peers.ToString()},
                       {"incarnation", incarnation_},
+                      {"capacity", settings_.capacity},
                       {"seen_fence", seen},
                       {"holds_for_us", holds}};
   reporting_ = true;
@@ -139,8 +143,11 @@
   }
   try {
     const json value = json::parse(item.value);
-    EntryMember member{
-        vm, ZoneId(value.at("zone")), {}, value.at("incarnation")};
+    EntryMember member{vm,
+                       ZoneId(value.at("zone")),
+                       {},
+                       value.at("incarnation"),
+                       value.value("capacity", 1.0)};
     const std::string peers = value.at("peers");
     member.peers = HandleError(
         [&]() -> Result<Endpoint> { return ParseEndpoint(peers); },
@@ -180,8 +187,12 @@
     return;
   }
   if (!campaign_at_) {
+    const bool outranked = std::any_of(
+        view_.members.begin(), view_.members.end(), [this](const auto& each) {
+          return each.second.capacity > settings_.capacity;
+        });
     campaign_at_ =
-        now +
+        now + (outranked ? kOutrankedWait : Duration{0}) +
         Duration(static_cast<Duration::rep>(
             random_() % static_cast<std::uint64_t>(kCampaignSpread.count())));
   }
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -39,9 +39,17 @@
         "ratio": {"type": "number", "minimum": 0},
         "window_s": {"type": "number", "exclusiveMinimum": 0},
         "slack": {"type": "number", "minimum": 0}}},
+    "vm_size": {"type": "object", "additionalProperties": false,
+      "properties": {
+        "cores": {"type": "number", "exclusiveMinimum": 0},
+        "link_mbps": {"type": "number", "exclusiveMinimum": 0}}},
     "stop_grace_s": {"type": "number", "exclusiveMinimum": 0}}
 })json";
 
+// Traffic of one busy core, in Mbit/s. Source: 3,000 requests a second a core
+// by docs/CAPACITY.md, of 20 kB as on the users' sites.
+constexpr double kMbpsPerCore = 400;
+
 Duration Seconds(const json& object, const char* field, Duration fallback) {
   if (!object.contains(field))
     return fallback;
@@ -99,6 +107,10 @@
   settings.retries.window =
       Seconds(retries, "window_s", settings.retries.window);
   settings.retries.slack = retries.value("slack", settings.retries.slack);
+  const json size = value.value("vm_size", json::object());
+  settings.capacity =
+      std::min(size.value("cores", 1.0),
+               size.value("link_mbps", kMbpsPerCore) / kMbpsPerCore);
   settings.stop_grace = Seconds(value, "stop_grace_s", settings.stop_grace);
   if (!settings.regions.contains(settings.zone))
     findings.push_back({path, "/regions", "the own zone is missing"});
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -75,6 +75,21 @@
   deleted @3 :Bool;
 }
 
+# A change of a long value, for a listener that has it as of `baseRevision`.
+struct RelayDelta {
+  key @0 :Text;
+  revision @1 :UInt64;
+  baseRevision @2 :UInt64;
+  parts @3 :List(RelayDeltaPart);
+}
+
+# A stretch of the earlier value, followed by new text.
+struct RelayDeltaPart {
+  from @0 :UInt32;
+  length @1 :UInt32;
+  text @2 :Data;
+}
+
 struct RelayUpdate {
   items @0 :List(RelayItem);
   # All changes up to here have been told.
@@ -84,4 +99,5 @@
   ageMillis @2 :UInt32;
   # Keys that are not among the items do not exist.
   complete @3 :Bool;
+  deltas @4 :List(RelayDelta);
 }
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -28,6 +28,8 @@
 CAPNP_DECLARE_SCHEMA(db6bc0c1d3b12469);
 CAPNP_DECLARE_SCHEMA(8687b1ada684f70c);
 CAPNP_DECLARE_SCHEMA(e4b94502ed25ee8c);
+CAPNP_DECLARE_SCHEMA(e99d5afb04fdd10b);
+CAPNP_DECLARE_SCHEMA(e22c3e0f45ec83ee);
 CAPNP_DECLARE_SCHEMA(82b77de53f4c3e7f);
 
 }  // namespace schemas
@@ -175,6 +177,36 @@
   };
 };
 
+struct RelayDelta {
+  RelayDelta() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e99d5afb04fdd10b, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RelayDeltaPart {
+  RelayDeltaPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e22c3e0f45ec83ee, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RelayUpdate {
   RelayUpdate() = delete;
 
@@ -183,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82b77de53f4c3e7f, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(82b77de53f4c3e7f, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1106,6 +1138,198 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayDelta::Reader {
+public:
+  typedef RelayDelta Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getBaseRevision() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayDelta::Builder {
+public:
+  typedef RelayDelta Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getBaseRevision();
+  inline void setBaseRevision( ::uint64_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayDelta::Pipeline {
+public:
+  typedef RelayDelta Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RelayDeltaPart::Reader {
+public:
+  typedef RelayDeltaPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getFrom() const;
+
+  inline  ::uint32_t getLength() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Data::Reader getText() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayDeltaPart::Builder {
+public:
+  typedef RelayDeltaPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getFrom();
+  inline void setFrom( ::uint32_t value);
+
+  inline  ::uint32_t getLength();
+  inline void setLength( ::uint32_t value);
+
+  inline bool hasText();
+  inline  ::capnp::Data::Builder getText();
+  inline void setText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownText();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayDeltaPart::Pipeline {
+public:
+  typedef RelayDeltaPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RelayUpdate::Reader {
 public:
   typedef RelayUpdate Reads;
@@ -1132,6 +1356,9 @@
 
   inline bool getComplete() const;
 
+  inline bool hasDeltas() const;
+  inline  ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Reader getDeltas() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1176,6 +1403,13 @@
   inline bool getComplete();
   inline void setComplete(bool value);
 
+  inline bool hasDeltas();
+  inline  ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Builder getDeltas();
+  inline void setDeltas( ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Builder initDeltas(unsigned int size);
+  inline void adoptDeltas(::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>> disownDeltas();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2156,6 +2390,164 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayDelta::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayDelta::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RelayDelta::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RelayDelta::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayDelta::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RelayDelta::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayDelta::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RelayDelta::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RelayDelta::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayDelta::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayDelta::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RelayDelta::Reader::getBaseRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayDelta::Builder::getBaseRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayDelta::Builder::setBaseRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayDelta::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayDelta::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Reader RelayDelta::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Builder RelayDelta::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayDelta::Builder::setParts( ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>::Builder RelayDelta::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayDelta::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>> RelayDelta::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDeltaPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RelayDeltaPart::Reader::getFrom() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelayDeltaPart::Builder::getFrom() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayDeltaPart::Builder::setFrom( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RelayDeltaPart::Reader::getLength() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelayDeltaPart::Builder::getLength() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayDeltaPart::Builder::setLength( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RelayDeltaPart::Reader::hasText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayDeltaPart::Builder::hasText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader RelayDeltaPart::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder RelayDeltaPart::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayDeltaPart::Builder::setText( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder RelayDeltaPart::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayDeltaPart::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> RelayDeltaPart::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool RelayUpdate::Reader::hasItems() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2232,6 +2624,40 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayUpdate::Reader::hasDeltas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayUpdate::Builder::hasDeltas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Reader RelayUpdate::Reader::getDeltas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Builder RelayUpdate::Builder::getDeltas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RelayUpdate::Builder::setDeltas( ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Builder RelayUpdate::Builder::initDeltas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RelayUpdate::Builder::adoptDeltas(
+    ::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>> RelayUpdate::Builder::disownDeltas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -27,6 +27,11 @@
   return true;
 }
 
+const StoreItem* StoreMirror::Find(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() ? nullptr : &found->second;
+}
+
 void StoreMirror::DropOldDeletions() {
   std::vector<Revision> revisions;
   for (const auto& [key, item] : items_) {
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -46,6 +46,41 @@
   return options;
 }
 
+void Write(const std::vector<ItemDelta>& deltas,
+           capnp::List<wire::RelayDelta>::Builder list) {
+  unsigned index = 0;
+  for (const ItemDelta& delta : deltas) {
+    auto out = list[index++];
+    out.setKey(delta.key);
+    out.setRevision(delta.revision);
+    out.setBaseRevision(delta.base);
+    auto parts = out.initParts(static_cast<unsigned>(delta.parts.size()));
+    unsigned place = 0;
+    for (const DeltaPart& part : delta.parts) {
+      auto to = parts[place++];
+      to.setFrom(part.from);
+      to.setLength(part.length);
+      to.setText(Bytes(part.text));
+    }
+  }
+}
+
+std::string Text(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+std::vector<ItemDelta> ReadDeltas(capnp::List<wire::RelayDelta>::Reader list) {
+  std::vector<ItemDelta> deltas;
+  for (const auto in : list) {
+    ItemDelta delta{in.getKey(), in.getRevision(), in.getBaseRevision(), {}};
+    for (const auto part : in.getParts())
+      delta.parts.push_back(
+          {part.getFrom(), part.getLength(), Text(part.getText())});
+    deltas.push_back(std::move(delta));
+  }
+  return deltas;
+}
+
 std::string Encode(const RelayUpdate& update) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::RelayUpdate>();
@@ -64,6 +99,8 @@
     out.setRevision(item.revision);
     out.setDeleted(item.deleted);
   }
+  Write(update.deltas,
+        root.initDeltas(static_cast<unsigned>(update.deltas.size())));
   return ToBytes(message);
 }
 
@@ -77,13 +114,10 @@
     update.age = std::chrono::milliseconds(root.getAgeMillis());
   update.complete = root.getComplete();
   for (const auto item : root.getItems()) {
-    const auto value = item.getValue();
-    update.items.push_back(
-        {item.getKey(),
-         std::string(reinterpret_cast<const char*>(value.begin()),
-                     value.size()),
-         item.getRevision(), item.getDeleted()});
+    update.items.push_back({item.getKey(), Text(item.getValue()),
+                            item.getRevision(), item.getDeleted()});
   }
+  update.deltas = ReadDeltas(root.getDeltas());
   return update;
 }
 
