Weigh distance by the objective; send a leaving owner nothing after half its time

Distance now costs a part of the route's objective. A request for a key whose owner leaves now waits for the next owner after half of the drain time (new setting drain_s).

--- a/include/figstall/entry_settings.h
+++ b/include/figstall/entry_settings.h
@@ -31,6 +31,8 @@
   RetryAllowance retries;
   // Cores that the process may use, or fewer if its link could not feed them.
   double capacity = 1;
+  // A leaving target gets no request this long after its word was accepted.
+  Duration drain = std::chrono::seconds(2);
   // From SIGTERM until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
 };
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -31,7 +31,7 @@
 // One target as this router sees it: its connections and its load.
 class TargetLink {
  public:
-  TargetLink(boost::asio::io_context& io, TargetEntry entry);
+  TargetLink(boost::asio::io_context& io, Instant now, TargetEntry entry);
   ~TargetLink();
   TargetLink(const TargetLink&) = delete;
   TargetLink& operator=(const TargetLink&) = delete;
@@ -41,7 +41,9 @@
   // Closes idle connections that will not be used again, since a target takes
   // only so many from all routers.
   void CloseStale(Instant now);
-  void SetEntry(TargetEntry entry) { entry_ = std::move(entry); }
+  void SetEntry(Instant now, TargetEntry entry);
+  // Since when this process has known that the target leaves.
+  std::optional<Instant> leaving_since() const { return leaving_since_; }
 
   const TargetEntry& entry() const { return entry_; }
   TargetLoad& load() { return load_; }
@@ -50,6 +52,7 @@
  private:
   boost::asio::io_context& io_;
   TargetEntry entry_;
+  std::optional<Instant> leaving_since_;
   TargetLoad load_;
   std::set<std::shared_ptr<TargetConnection>> connections_;
   // Tells handlers of connections whether this link still exists.
@@ -93,7 +96,7 @@
   void ServeWaiting();
   // The link to send to now; null if none may take the request.
   TargetLink* PickShared(const ServiceId& service,
-                         bool bulk,
+                         const IngressRoute& route,
                          const std::set<TargetId>& tried);
   TargetLink* LinkTo(const TargetId& id);
   Distance DistanceTo(const ZoneId& zone) const;
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -142,6 +142,9 @@
   bool bulk = false;
   // Mean answer time of the service, for targets without an own one.
   Duration typical = std::chrono::milliseconds(100);
+  // Time within which an answer is in time; what a farther target costs counts
+  // as a part of it.
+  Duration objective = std::chrono::milliseconds(300);
 };
 
 // The candidate with the shortest expected time to an answer, or null if none
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -43,6 +43,7 @@
       "properties": {
         "cores": {"type": "number", "exclusiveMinimum": 0},
         "link_mbps": {"type": "number", "exclusiveMinimum": 0}}},
+    "drain_s": {"type": "number", "exclusiveMinimum": 0},
     "stop_grace_s": {"type": "number", "exclusiveMinimum": 0}}
 })json";
 
@@ -111,6 +112,7 @@
   settings.capacity =
       std::min(size.value("cores", 1.0),
                size.value("link_mbps", kMbpsPerCore) / kMbpsPerCore);
+  settings.drain = Seconds(value, "drain_s", settings.drain);
   settings.stop_grace = Seconds(value, "stop_grace_s", settings.stop_grace);
   if (!settings.regions.contains(settings.zone))
     findings.push_back({path, "/regions", "the own zone is missing"});
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -20,8 +20,18 @@
 
 }  // namespace
 
-TargetLink::TargetLink(asio::io_context& io, TargetEntry entry)
-    : io_(io), entry_(std::move(entry)) {}
+TargetLink::TargetLink(asio::io_context& io, Instant now, TargetEntry entry)
+    : io_(io) {
+  SetEntry(now, std::move(entry));
+}
+
+void TargetLink::SetEntry(Instant now, TargetEntry entry) {
+  entry_ = std::move(entry);
+  if (!entry_.leaving)
+    leaving_since_.reset();
+  else if (!leaving_since_)
+    leaving_since_ = now;
+}
 
 TargetLink::~TargetLink() {
   // Connections with a request on them live on until it ends.
@@ -170,13 +180,14 @@
 }
 
 void EntryTraffic::OnViewChanged() {
+  const Instant now = BootNow();
   for (const auto& [id, entry] : view_.targets) {
     auto& link = links_[id];
     if (!link || link->entry().life != entry.life ||
         link->entry().address != entry.address)
-      link = std::make_unique<TargetLink>(io_, entry);
+      link = std::make_unique<TargetLink>(io_, now, entry);
     else
-      link->SetEntry(entry);
+      link->SetEntry(now, entry);
   }
   std::erase_if(links_, [this](const auto& item) {
     return !view_.targets.contains(item.first);
@@ -250,7 +261,7 @@
 }
 
 TargetLink* EntryTraffic::PickShared(const ServiceId& service,
-                                     bool bulk,
+                                     const IngressRoute& route,
                                      const std::set<TargetId>& tried) {
   std::vector<Candidate> candidates;
   for (const auto& [id, link] : links_) {
@@ -260,8 +271,10 @@
     candidates.push_back({&entry, &link->load(), DistanceTo(entry.zone),
                           SharersOf(entry, false)});
   }
-  const Candidate* best =
-      PickTarget(candidates, PickRule{bulk, TypicalTime(service)}, BootNow());
+  const Candidate* best = PickTarget(
+      candidates,
+      PickRule{route.bulk, TypicalTime(service), route.latency_objective},
+      BootNow());
   return best ? LinkTo(best->entry->life.id) : nullptr;
 }
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -38,6 +38,9 @@
 // this part of its objective.
 constexpr double kMovingWaitShare = 0.6;
 constexpr Duration kLongestMovingWait = std::chrono::milliseconds(600);
+// Part of the time for which a leaving owner may get requests that this process
+// uses: word of its leaving may have come late.
+constexpr double kDrainShare = 0.5;
 // A target that said "not run" is asked again after this.
 constexpr Duration kAskAgain = std::chrono::milliseconds(60);
 // An idempotent request gets another attempt after this multiple of the usual
@@ -184,13 +187,18 @@
 
 TargetLink* Exchange::Choose() const {
   if (!keyed_)
-    return traffic_.PickShared(service_, route_->bulk, tried_);
+    return traffic_.PickShared(service_, *route_, tried_);
   const RangeEntry* entry = OwnerEntry();
   if (!entry)
     return nullptr;
   TargetLink* link = traffic_.LinkTo(entry->owner.id);
   if (!link)
     return nullptr;
+  // A move off a leaving owner may take long; the owner's time does not.
+  if (link->leaving_since() &&
+      BootNow() - *link->leaving_since() >
+          Scaled(traffic_.settings_.drain, kDrainShare))
+    return nullptr;
   return link->load().HasRoom(BootNow(), link->entry().slots,
                               traffic_.SharersOf(link->entry(), true))
              ? link
@@ -213,6 +221,9 @@
   const TargetLink* link = traffic_.LinkTo(entry->owner.id);
   if (!link)
     return fmt::format("owner {} left the directory", entry->owner.id.value());
+  if (link->leaving_since())
+    return fmt::format("owner {} leaves, token {}", entry->owner.id.value(),
+                       entry->fence);
   return fmt::format("owner {} has {} of this router's requests, token {}",
                      entry->owner.id.value(), link->load().in_flight(),
                      entry->fence);
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -9,21 +9,22 @@
 namespace {
 
 // Added to the expected time of targets farther away, since bytes between zones
-// and regions are charged; in microseconds.
-constexpr double kOtherZoneCost = 40'000;
-constexpr double kOtherZoneBulkCost = 100'000;
-constexpr double kOtherRegionCost = 120'000;
+// and regions are charged; as a part of the objective.
+constexpr double kOtherZoneCost = 0.12;
+constexpr double kOtherZoneBulkCost = 0.5;
+constexpr double kOtherRegionCost = 0.4;
 // Expected time of a target that fails is multiplied by up to this much more.
 constexpr double kFailureCost = 6;
 
-double DistanceCost(Distance distance, bool bulk) {
+double DistanceCost(Distance distance, const PickRule& rule) {
+  const auto objective = static_cast<double>(rule.objective.count());
   switch (distance) {
     case Distance::kSameZone:
       return 0;
     case Distance::kSameRegion:
-      return bulk ? kOtherZoneBulkCost : kOtherZoneCost;
+      return objective * (rule.bulk ? kOtherZoneBulkCost : kOtherZoneCost);
     case Distance::kOtherRegion:
-      return kOtherRegionCost;
+      return objective * kOtherRegionCost;
   }
   return 0;
 }
@@ -39,7 +40,7 @@
   const double queue = (candidate.load->in_flight() + others + 1) / slots;
   return latency * std::max(1.0, queue) * (1 + 0.2 * queue) *
              (1 + kFailureCost * candidate.load->failure_rate()) +
-         DistanceCost(candidate.distance, rule.bulk);
+         DistanceCost(candidate.distance, rule);
 }
 
 }  // namespace
