Read what may be old at a tenth of the price; grant only after a reading as member

A process that knows nothing reads targets and desired state as they may be seconds old, and follows changes from there; tables, members and mover are read as they are. After a lost membership only these are read again. Grants now need a reading of the tables that began after the member's key was written: one that was under way before that could miss a move whose mover did not know this member.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -102,17 +102,40 @@
     bool reading = false;
     std::set<ReleaseOrder> releasing;
   };
-  struct ReadAll {
+  // What is read of the store at once.
+  enum class ReadScope {
+    // Everything, by a process that knows nothing yet. Only what grants rest on
+    // has to be current; the rest may be old, since changes follow, and costs a
+    // tenth.
+    kFirst,
+    // What grants rest on, after a membership was lost.
+    kOwn,
+    // Everything as it is now, after changes were missed.
+    kEverything,
+  };
+  struct ReadSection {
+    std::string prefix;
+    bool may_be_old = false;
     std::vector<StoreItem> items;
-    Revision first_revision = 0;
+    // Of its first page.
+    Revision revision = 0;
+  };
+  struct Reading {
+    ReadScope scope;
+    // It began when this process was a member already; grants need that.
+    bool as_member = false;
+    std::vector<ReadSection> sections;
+    // The section being read.
+    std::size_t section = 0;
   };
 
   void Join();
   void WriteMember(bool then_read);
   void KeepMembership(Instant now);
-  void StartReadAll();
-  void ReadPage(const std::shared_ptr<ReadAll>& read, const std::string& after);
-  void ApplyAll(const ReadAll& read);
+  void StartReading(ReadScope scope);
+  void ReadPage(const std::shared_ptr<Reading>& reading,
+                const std::string& after);
+  void ApplyReading(const Reading& reading);
   // Listens to the region's reader, or watches the store itself.
   void Follow(Instant now);
   // Whom a member listens to. The root of all reads the store itself; the first
@@ -204,7 +227,9 @@
   Instant keep_at_{};
   bool joining_ = false;
   bool keeping_ = false;
-  // Tables were read after the membership began; grants need that.
+  // The member's key was written under the lease.
+  bool member_written_ = false;
+  // Tables were read after that; grants need it.
   bool tables_current_ = false;
   // Newest change of each table that this member's record in the store names.
   std::map<ServiceId, std::uint64_t> reported_;
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -37,8 +37,9 @@
   // Null if nothing is known of the key; deleted items are known.
   const StoreItem* Find(const std::string& key) const;
   // Deletions of what is known, older than `revision` and not among `items`,
-  // which are all that there was at `revision`.
+  // which are all that there was below `prefix` at `revision`.
   std::vector<StoreItem> MissingFrom(const std::vector<StoreItem>& items,
+                                     const std::string& prefix,
                                      Revision revision) const;
   MirrorChanges Since(Revision revision) const;
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -12,6 +12,7 @@
 
 using detail::kMembersPrefix;
 using detail::kMoverKey;
+using detail::kOwnPrefix;
 using detail::kTablesPrefix;
 using platform::StoreStatus;
 
@@ -103,47 +104,80 @@
               {"failure", answer.failure}});
 }
 
-void EntryControl::StartReadAll() {
+void EntryControl::StartReading(ReadScope scope) {
   if (reading_)
     return;
   reading_ = true;
-  ReadPage(std::make_shared<ReadAll>(), "");
+  const auto reading = std::make_shared<Reading>();
+  reading->scope = scope;
+  reading->as_member = member_written_;
+  if (scope == ReadScope::kEverything) {
+    reading->sections = {{kEverything, false, {}, 0}};
+  } else {
+    reading->sections = {{kOwnPrefix, false, {}, 0}};
+    if (scope == ReadScope::kFirst) {
+      for (const char* prefix :
+           {platform::kTargetsPrefix, platform::kDesiredStateKey})
+        reading->sections.push_back({prefix, true, {}, 0});
+    }
+  }
+  ReadPage(reading, "");
 }
 
-void EntryControl::ReadPage(const std::shared_ptr<ReadAll>& read,
+void EntryControl::ReadPage(const std::shared_ptr<Reading>& reading,
                             const std::string& after) {
-  store_.List(kEverything, after, [this, read](const StoreAnswer& answer) {
-    NoteStore(answer, "list");
-    if (answer.status != StoreStatus::kOk) {
-      reading_ = false;
-      return After(timing_.retry, [this] { StartReadAll(); });
-    }
-    if (read->first_revision == 0)
-      read->first_revision = answer.revision;
-    read->items.insert(read->items.end(), answer.items.begin(),
-                       answer.items.end());
-    if (answer.more && !answer.items.empty())
-      return ReadPage(read, answer.items.back().key);
-    reading_ = false;
-    ApplyAll(*read);
-  });
+  const ReadSection& asked = reading->sections[reading->section];
+  store_.List(asked.prefix, after, asked.may_be_old,
+              [this, reading](const StoreAnswer& answer) {
+                NoteStore(answer, "list");
+                if (answer.status != StoreStatus::kOk) {
+                  reading_ = false;
+                  return After(timing_.retry, [this, scope = reading->scope] {
+                    StartReading(scope);
+                  });
+                }
+                ReadSection& section = reading->sections[reading->section];
+                if (section.revision == 0)
+                  section.revision = answer.revision;
+                section.items.insert(section.items.end(), answer.items.begin(),
+                                     answer.items.end());
+                if (answer.more && !answer.items.empty())
+                  return ReadPage(reading, answer.items.back().key);
+                if (++reading->section < reading->sections.size())
+                  return ReadPage(reading, "");
+                reading_ = false;
+                ApplyReading(*reading);
+              });
 }
 
-void EntryControl::ApplyAll(const ReadAll& read) {
+void EntryControl::ApplyReading(const Reading& reading) {
   if (!read_once_)
     members_since_ = BootNow();
-  LearnAll(read.items, read.first_revision);
-  tables_current_ = member_lease_ != 0 && !joining_;
+  std::vector<StoreItem> items;
+  // Changes follow from the oldest section on.
+  Revision cursor = reading.sections.front().revision;
+  for (const ReadSection& section : reading.sections) {
+    const auto missing =
+        mirror_.MissingFrom(section.items, section.prefix, section.revision);
+    items.insert(items.end(), missing.begin(), missing.end());
+    items.insert(items.end(), section.items.begin(), section.items.end());
+    cursor = std::min(cursor, section.revision);
+  }
+  Learn(items, reading.scope == ReadScope::kOwn ? 0 : cursor);
+  tables_current_ = reading.as_member && member_written_;
   served_at_ = BootNow();
   read_once_ = true;
   log_.Write(LogLevel::kInfo, "store-read",
-             {{"items", std::to_string(read.items.size())},
-              {"revision", std::to_string(read.first_revision)}});
+             {{"items", std::to_string(items.size())},
+              {"revision", std::to_string(cursor)}});
+  if (member_written_ && !reading.as_member)
+    StartReading(ReadScope::kOwn);
 }
 
 void EntryControl::LearnAll(const std::vector<StoreItem>& items,
                             Revision revision) {
-  std::vector<StoreItem> changes = mirror_.MissingFrom(items, revision);
+  std::vector<StoreItem> changes =
+      mirror_.MissingFrom(items, kEverything, revision);
   changes.insert(changes.end(), items.begin(), items.end());
   Learn(changes, revision);
 }
@@ -303,7 +337,7 @@
   }
   if (answer.status == StoreStatus::kCompacted) {
     log_.Write(LogLevel::kWarning, "watch-history-gone", {});
-    return StartReadAll();
+    return StartReading(ReadScope::kEverything);
   }
   watch_at_ = BootNow() + timing_.retry;
 }
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -28,6 +28,7 @@
   if (joining_ || resigned_)
     return;
   joining_ = true;
+  member_written_ = false;
   tables_current_ = false;
   member_until_ = {};
   const Instant asked = BootNow();
@@ -37,7 +38,7 @@
         joining_ = false;
         if (answer.status != StoreStatus::kOk) {
           if (!read_once_)
-            StartReadAll();
+            StartReading(ReadScope::kFirst);
           return After(timing_.retry, [this] { Join(); });
         }
         member_lease_ = answer.lease;
@@ -73,10 +74,11 @@
         if (answer.status == StoreStatus::kOk) {
           reported_ = told;
           if (then_read) {
+            member_written_ = true;
             log_.Write(LogLevel::kInfo, "joined",
                        {{"lease", std::to_string(member_lease_)},
                         {"incarnation", incarnation_}});
-            StartReadAll();
+            StartReading(read_once_ ? ReadScope::kOwn : ReadScope::kFirst);
           }
           return;
         }
--- a/src/store_keys.h
+++ b/src/store_keys.h
@@ -8,6 +8,8 @@
 
 namespace figstall::detail {
 
+// Everything that members write.
+inline constexpr char kOwnPrefix[] = "figstall/";
 // One key for each member, under its membership's lease.
 inline constexpr char kMembersPrefix[] = "figstall/members/";
 // One table of key ranges for each service.
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -49,13 +49,15 @@
 
 std::vector<StoreItem> StoreMirror::MissingFrom(
     const std::vector<StoreItem>& items,
+    const std::string& prefix,
     Revision revision) const {
   std::set<std::string> present;
   for (const StoreItem& item : items)
     present.insert(item.key);
   std::vector<StoreItem> gone;
   for (const auto& [key, item] : items_) {
-    if (!item.deleted && item.revision < revision && !present.contains(key))
+    if (!item.deleted && item.revision < revision && key.starts_with(prefix) &&
+        !present.contains(key))
       gone.push_back({key, "", revision, true});
   }
   return gone;
--- a/test/store_mirror_test.cc
+++ b/test/store_mirror_test.cc
@@ -41,7 +41,7 @@
   mirror.Put({"servers/a", "1", 5, false});
   mirror.Put({"servers/b", "1", 6, false});
   mirror.Put({"servers/c", "1", 12, false});
-  const auto gone = mirror.MissingFrom({{"servers/b", "1", 6, false}}, 10);
+  const auto gone = mirror.MissingFrom({{"servers/b", "1", 6, false}}, "", 10);
   CHECK(gone == std::vector<StoreItem>{{"servers/a", "", 10, true}});
   for (const StoreItem& item : gone)
     CHECK(mirror.Put(item));
@@ -65,4 +65,13 @@
   CHECK_FALSE(mirror.Since(revision - 2).complete);
 }
 
+TEST_CASE("a reading of some keys says nothing of others") {
+  StoreMirror mirror;
+  mirror.Put({"servers/a", "1", 5, false});
+  mirror.Put({"own/a", "1", 6, false});
+  const auto gone = mirror.MissingFrom({}, "own/", 10);
+  REQUIRE(gone.size() == 1);
+  CHECK(gone.front().key == "own/a");
+}
+
 }  // namespace figstall
