Count the freshness of the relay from the asking

The head ran eight times slower for six seconds. It told the age that its copy had when it told; the time for which news had waited to be read counted nowhere, so the listener took itself for fresh.

Listeners now ask their source four times a second how old its copy is, and count from when they asked; one question at a time, behind the news on the same stream. The pushed words are gone.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -39,7 +39,7 @@
   Duration membership_renewal = std::chrono::milliseconds(1500);
   // A member that watches the store renews this often, since each renewal also
   // shows that the store is reached; it costs a tenth of a read.
-  Duration reader_renewal = std::chrono::milliseconds(400);
+  Duration reader_renewal = std::chrono::milliseconds(350);
   // The mover's lease; its loss delays moves only.
   Duration mover = std::chrono::milliseconds(2500);
   Duration mover_renewal = std::chrono::milliseconds(800);
@@ -51,13 +51,15 @@
   Duration watch_wait = std::chrono::seconds(2);
   // Between two watches, so that changes in quick succession cost one call.
   Duration watch_pause = std::chrono::milliseconds(150);
-  // Members say this often when the store's state was last confirmed; one that
-  // knows of no confirmation for the longer time watches for itself.
-  Duration reader_word = std::chrono::milliseconds(300);
+  // Members ask their source this often how old its copy is; one that knows of
+  // no confirmation for the longer time watches for itself. Both, with the
+  // renewals of the reader and three steps to it, stay within the platform's
+  // two seconds for a desired state.
+  Duration ask = std::chrono::milliseconds(250);
   Duration reader_silence = std::chrono::milliseconds(1100);
   // Those farther from the reader wait longer, since those nearer mend it for
   // them.
-  Duration reader_silence_step = std::chrono::milliseconds(200);
+  Duration reader_silence_step = std::chrono::milliseconds(150);
   // Between two reports that name the speed of targets.
   Duration report_speeds = std::chrono::seconds(3);
   Duration retry = std::chrono::milliseconds(250);
@@ -243,7 +245,7 @@
   // Tells an answer of the last watch from one that was given up.
   std::uint64_t watch_number_ = 0;
   Instant watch_at_{};
-  Instant told_at_{};
+  Instant asked_at_{};
   std::unique_ptr<RelaySender> sender_;
   RelayListener listener_;
   bool reading_ = false;
--- a/include/figstall/store_relay.h
+++ b/include/figstall/store_relay.h
@@ -38,9 +38,10 @@
   std::vector<ItemDelta> deltas;
   // All changes up to here have been told; zero says nothing.
   Revision cursor = 0;
-  // How long ago the store's state was confirmed, by the member that reads it;
-  // grows with each member that tells it on. None: never.
+  // How long ago the sender's copy was confirmed. None: never.
   std::optional<Duration> age;
+  // The question that this answers; zero for news.
+  std::uint32_t question = 0;
   // Keys that are not among the items do not exist.
   bool complete = false;
 
@@ -82,11 +83,14 @@
 class RelaySender {
  public:
   using ChangesSince = std::function<RelayUpdate(Revision)>;
+  // Cursor and age alone.
+  using State = std::function<RelayUpdate()>;
 
   // Throws boost::system::system_error if the address cannot be listened on.
   RelaySender(boost::asio::io_context& io,
               const Endpoint& listen,
-              ChangesSince changes_since);
+              ChangesSince changes_since,
+              State state);
 
   void Publish(const RelayUpdate& update);
   std::size_t listeners() const { return listeners_.size(); }
@@ -98,6 +102,7 @@
 
   boost::asio::io_context& io_;
   const ChangesSince changes_since_;
+  const State state_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<MessageStream>> streams_;
   // Those that have said from which revision on.
@@ -115,11 +120,15 @@
   // nothing while its connection stands.
   void ListenTo(const Endpoint& sender, Revision cursor);
   void Stop();
-  // When the store's state was last confirmed, as far as the sender knows.
+  // Asks how old the sender's copy is, unless it still owes an answer.
+  void Ask(Instant now);
+  // Changes until then have been told. It counts from the asking, so that a
+  // sender that is slow to tell does not look fresh.
   std::optional<Instant> confirmed_at() const { return confirmed_at_; }
 
  private:
   void OnMessage(const std::string& message);
+  void Send(Revision cursor, std::uint32_t question);
 
   boost::asio::io_context& io_;
   const VmId self_;
@@ -129,6 +138,9 @@
   std::shared_ptr<boost::asio::ip::tcp::socket> connecting_;
   std::shared_ptr<MessageStream> stream_;
   std::optional<Instant> confirmed_at_;
+  std::uint32_t question_ = 0;
+  // While an answer is owed.
+  std::optional<Instant> asked_at_;
   Instant tried_at_{};
 };
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -74,15 +74,22 @@
   peers_.open(endpoint.protocol());
   peers_.bind(endpoint);
   ReceiveReports();
+  const auto state = [this] {
+    RelayUpdate update;
+    update.cursor = cursor_;
+    update.age = Age(BootNow());
+    return update;
+  };
   sender_ = std::make_unique<RelaySender>(
-      io_, settings_.peers, [this](Revision revision) {
+      io_, settings_.peers,
+      [this, state](Revision revision) {
         MirrorChanges changes = mirror_.Since(revision);
-        return RelayUpdate{std::move(changes.items),
-                           {},
-                           cursor_,
-                           Age(BootNow()),
-                           changes.complete};
-      });
+        RelayUpdate update = state();
+        update.items = std::move(changes.items);
+        update.complete = changes.complete;
+        return update;
+      },
+      state);
   Join();
 }
 
@@ -195,12 +202,10 @@
   }
   view_.heard_at = BootNow();
   cursor_ = std::max(cursor_, cursor);
-  // That the cursor has advanced is said with the next word.
+  // That the cursor has advanced is told to those who ask.
   if (update.items.empty() && update.deltas.empty())
     return;
   update.cursor = cursor_;
-  told_at_ = BootNow();
-  update.age = Age(told_at_);
   sender_->Publish(update);
 }
 
@@ -290,6 +295,10 @@
   const Source source = ChooseSource();
   if (source.member) {
     listener_.ListenTo(source.member->peers, cursor_);
+    if (now - asked_at_ >= timing_.ask) {
+      asked_at_ = now;
+      listener_.Ask(now);
+    }
     const auto confirmed = listener_.confirmed_at();
     if (confirmed && now - *confirmed < timing_.reader_silence)
       served_at_ = std::max(served_at_, *confirmed);
@@ -302,10 +311,6 @@
   if (!contact_.watching() && !reading_ && now >= watch_at_ &&
       (!source.member || now - served_at_ >= source.patience))
     Watch();
-  if (now - told_at_ >= timing_.reader_word && sender_->listeners() > 0) {
-    told_at_ = now;
-    sender_->Publish({{}, {}, cursor_, Age(now), false});
-  }
 }
 
 void EntryControl::Watch() {
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -62,10 +62,13 @@
   samples @2 :Float32;
 }
 
-# A member asks a region's reader for all that changed after a revision.
+# A member asks its source for all that changed after a revision, and to be told
+# from then on.
 struct RelaySubscribe {
   vm @0 :Text;
   cursor @1 :UInt64;
+  # Not zero: a listener only asks how old the source's copy is.
+  question @2 :UInt32;
 }
 
 struct RelayItem {
@@ -100,4 +103,6 @@
   # Keys that are not among the items do not exist.
   complete @3 :Bool;
   deltas @4 :List(RelayDelta);
+  # The question that this answers, or zero.
+  question @5 :UInt32;
 }
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -155,7 +155,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8687b1ada684f70c, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8687b1ada684f70c, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -215,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82b77de53f4c3e7f, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(82b77de53f4c3e7f, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -973,6 +973,8 @@
 
   inline  ::uint64_t getCursor() const;
 
+  inline  ::uint32_t getQuestion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1011,6 +1013,9 @@
   inline  ::uint64_t getCursor();
   inline void setCursor( ::uint64_t value);
 
+  inline  ::uint32_t getQuestion();
+  inline void setQuestion( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1359,6 +1364,8 @@
   inline bool hasDeltas() const;
   inline  ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>::Reader getDeltas() const;
 
+  inline  ::uint32_t getQuestion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1410,6 +1417,9 @@
   inline void adoptDeltas(::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::RelayDelta,  ::capnp::Kind::STRUCT>> disownDeltas();
 
+  inline  ::uint32_t getQuestion();
+  inline void setQuestion( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2294,6 +2304,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RelaySubscribe::Reader::getQuestion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelaySubscribe::Builder::getQuestion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RelaySubscribe::Builder::setQuestion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RelayItem::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2658,6 +2682,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RelayUpdate::Reader::getQuestion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RelayUpdate::Builder::getQuestion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RelayUpdate::Builder::setQuestion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -90,6 +90,7 @@
                               update.age->count() / 1000, kNeverMillis - 1))
                         : kNeverMillis);
   root.setComplete(update.complete);
+  root.setQuestion(update.question);
   auto items = root.initItems(static_cast<unsigned>(update.items.size()));
   unsigned index = 0;
   for (const StoreItem& item : update.items) {
@@ -113,6 +114,7 @@
   if (root.getAgeMillis() != kNeverMillis)
     update.age = std::chrono::milliseconds(root.getAgeMillis());
   update.complete = root.getComplete();
+  update.question = root.getQuestion();
   for (const auto item : root.getItems()) {
     update.items.push_back({item.getKey(), Text(item.getValue()),
                             item.getRevision(), item.getDeleted()});
@@ -208,8 +210,12 @@
 
 RelaySender::RelaySender(asio::io_context& io,
                          const Endpoint& listen,
-                         ChangesSince changes_since)
-    : io_(io), changes_since_(std::move(changes_since)), acceptor_(io) {
+                         ChangesSince changes_since,
+                         State state)
+    : io_(io),
+      changes_since_(std::move(changes_since)),
+      state_(std::move(state)),
+      acceptor_(io) {
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(listen.address),
                                          listen.port);
   acceptor_.open(endpoint.protocol());
@@ -254,7 +260,10 @@
     kj::ArrayInputStream bytes(Bytes(message));
     capnp::PackedMessageReader reader(bytes);
     const auto root = reader.getRoot<wire::RelaySubscribe>();
-    stream->Send(Encode(changes_since_(root.getCursor())));
+    RelayUpdate update =
+        root.getQuestion() != 0 ? state_() : changes_since_(root.getCursor());
+    update.question = root.getQuestion();
+    stream->Send(Encode(update));
     listeners_.insert(stream);
   } catch (const kj::Exception&) {
     // A peer of another version; it reads the store for itself.
@@ -301,23 +310,35 @@
         };
         handlers.on_closed = [this] {
           stream_.reset();
-          confirmed_at_.reset();
+          asked_at_.reset();
         };
         stream_ = std::make_shared<MessageStream>(std::move(*socket),
                                                   std::move(handlers));
         stream_->Start();
-        capnp::MallocMessageBuilder message;
-        auto root = message.initRoot<wire::RelaySubscribe>();
-        root.setVm(self_.value());
-        root.setCursor(cursor);
-        stream_->Send(ToBytes(message));
+        Send(cursor, 0);
       });
 }
 
+void RelayListener::Send(Revision cursor, std::uint32_t question) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::RelaySubscribe>();
+  root.setVm(self_.value());
+  root.setCursor(cursor);
+  root.setQuestion(question);
+  stream_->Send(ToBytes(message));
+}
+
+void RelayListener::Ask(Instant now) {
+  if (!stream_ || asked_at_)
+    return;
+  asked_at_ = now;
+  Send(0, ++question_);
+}
+
 void RelayListener::Stop() {
   ++generation_;
   sender_.reset();
-  confirmed_at_.reset();
+  asked_at_.reset();
   if (connecting_) {
     error_code ignored;
     connecting_->close(ignored);
@@ -331,11 +352,14 @@
 void RelayListener::OnMessage(const std::string& message) {
   try {
     const RelayUpdate update = DecodeUpdate(message);
+    on_update_(update);
+    if (update.question == 0 || update.question != question_ || !asked_at_)
+      return;
     if (update.age) {
-      const Instant confirmed = BootNow() - *update.age;
+      const Instant confirmed = *asked_at_ - *update.age;
       confirmed_at_ = std::max(confirmed, confirmed_at_.value_or(confirmed));
     }
-    on_update_(update);
+    asked_at_.reset();
   } catch (const kj::Exception&) {
     // A sender of another version; this member reads the store for itself.
     Stop();
