Tell only the newest change of a key, and ask a source again after a gap

Now only the newest change of each key counts, its difference starts from what was told last, and a listener that finds a gap asks its source again from before it; its cursor does not pass what it lacks.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -152,9 +152,9 @@
   Source ChooseSource() const;
   // How to tell listeners of an item, if shorter than the item; null else.
   std::optional<ItemDelta> DeltaTo(const StoreItem& item) const;
-  // The item that a difference leads to; none if it is known already, or if it
-  // has to be read from the store.
-  std::optional<StoreItem> Restore(const ItemDelta& delta);
+  // Adds the item that a difference leads to, unless it is known already. False
+  // if what it starts from is not known.
+  bool Restore(const ItemDelta& delta, std::vector<StoreItem>& items);
   // How long ago the store's state was confirmed.
   std::optional<Duration> Age(Instant now) const;
   void Watch();
@@ -248,6 +248,8 @@
   Instant asked_at_{};
   std::unique_ptr<RelaySender> sender_;
   RelayListener listener_;
+  // From where a source is asked next, where its news did not fit.
+  std::optional<Revision> listen_from_;
   bool reading_ = false;
   bool read_once_ = false;
   TargetAbsence absence_;
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -30,6 +30,10 @@
   bool complete = false;
 };
 
+// The items without those that another one of the same key supersedes. What is
+// told on then starts from what listeners have.
+std::vector<StoreItem> NewestOfEachKey(const std::vector<StoreItem>& items);
+
 class StoreMirror {
  public:
   // False if something as new was known of the key.
--- a/include/figstall/store_relay.h
+++ b/include/figstall/store_relay.h
@@ -117,8 +117,8 @@
   RelayListener(boost::asio::io_context& io, VmId self, Handler on_update);
 
   // Listens to `sender` from now on; another call with the same one changes
-  // nothing while its connection stands.
-  void ListenTo(const Endpoint& sender, Revision cursor);
+  // nothing, and gives false, while its connection stands.
+  bool ListenTo(const Endpoint& sender, Revision cursor);
   void Stop();
   // Asks how old the sender's copy is, unless it still owes an answer.
   void Ask(Instant now);
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -191,7 +191,7 @@
 
 void EntryControl::Learn(const std::vector<StoreItem>& items, Revision cursor) {
   RelayUpdate update;
-  for (const StoreItem& item : items) {
+  for (const StoreItem& item : NewestOfEachKey(items)) {
     std::optional<ItemDelta> delta = DeltaTo(item);
     if (!mirror_.Put(item) || !Apply(item))
       continue;
@@ -220,25 +220,26 @@
                    MakeDelta(known->value, item.value)};
 }
 
-std::optional<StoreItem> EntryControl::Restore(const ItemDelta& delta) {
+bool EntryControl::Restore(const ItemDelta& delta,
+                           std::vector<StoreItem>& items) {
   const StoreItem* known = mirror_.Find(delta.key);
   if (known && known->revision >= delta.revision)
-    return std::nullopt;
+    return true;
   std::optional<std::string> value;
   if (known && known->revision == delta.base)
     value = ApplyDelta(known->value, delta.parts);
-  if (value)
-    return StoreItem{delta.key, std::move(*value), delta.revision, false};
+  if (value) {
+    items.push_back({delta.key, std::move(*value), delta.revision, false});
+    return true;
+  }
+  const Revision revision = known ? known->revision : 0;
   log_.Write(LogLevel::kWarning, "relay-gap",
              {{"key", delta.key},
               {"revision", std::to_string(delta.revision)},
               {"base", std::to_string(delta.base)},
-              {"known", std::to_string(known ? known->revision : 0)}});
-  store_.Get(delta.key, [this](const StoreAnswer& answer) {
-    NoteStore(answer, "read-gap");
-    Learn(answer.items, 0);
-  });
-  return std::nullopt;
+              {"known", std::to_string(revision)}});
+  listen_from_ = std::min(listen_from_.value_or(revision), revision);
+  return false;
 }
 
 EntryControl::Source EntryControl::ChooseSource() const {
@@ -294,7 +295,9 @@
     return;
   const Source source = ChooseSource();
   if (source.member) {
-    listener_.ListenTo(source.member->peers, cursor_);
+    if (listener_.ListenTo(source.member->peers,
+                           listen_from_.value_or(cursor_)))
+      listen_from_.reset();
     if (now - asked_at_ >= timing_.ask) {
       asked_at_ = now;
       listener_.Ask(now);
@@ -349,14 +352,18 @@
 
 void EntryControl::OnRelayed(const RelayUpdate& update) {
   std::vector<StoreItem> items = update.items;
-  for (const ItemDelta& delta : update.deltas) {
-    if (auto item = Restore(delta))
-      items.push_back(std::move(*item));
-  }
-  if (update.complete)
+  bool whole = true;
+  for (const ItemDelta& delta : update.deltas)
+    whole = Restore(delta, items) && whole;
+  if (!whole) {
+    // Asked again from before what is missing, the source tells it whole.
+    listener_.Stop();
+    Learn(items, 0);
+  } else if (update.complete) {
     LearnAll(items, update.cursor);
-  else
+  } else {
     Learn(items, update.cursor);
+  }
   if (view_changed_)
     ActOnChanges();
 }
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace figstall {
 namespace {
@@ -13,6 +14,20 @@
 
 }  // namespace
 
+std::vector<StoreItem> NewestOfEachKey(const std::vector<StoreItem>& items) {
+  std::map<std::string_view, Revision> newest;
+  for (const StoreItem& item : items) {
+    Revision& revision = newest[item.key];
+    revision = std::max(revision, item.revision);
+  }
+  std::vector<StoreItem> kept;
+  for (const StoreItem& item : items) {
+    if (item.revision == newest.at(item.key))
+      kept.push_back(item);
+  }
+  return kept;
+}
+
 bool StoreMirror::Put(const StoreItem& item) {
   StoreItem& known = items_[item.key];
   if (item.revision <= known.revision)
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -285,11 +285,11 @@
 RelayListener::RelayListener(asio::io_context& io, VmId self, Handler on_update)
     : io_(io), self_(std::move(self)), on_update_(std::move(on_update)) {}
 
-void RelayListener::ListenTo(const Endpoint& sender, Revision cursor) {
+bool RelayListener::ListenTo(const Endpoint& sender, Revision cursor) {
   const Instant now = BootNow();
   if (sender_ == sender &&
       (stream_ || connecting_ || now - tried_at_ < kTryAgain))
-    return;
+    return false;
   Stop();
   sender_ = sender;
   tried_at_ = now;
@@ -317,6 +317,7 @@
         stream_->Start();
         Send(cursor, 0);
       });
+  return true;
 }
 
 void RelayListener::Send(Revision cursor, std::uint32_t question) {
--- a/test/store_mirror_test.cc
+++ b/test/store_mirror_test.cc
@@ -74,4 +74,17 @@
   CHECK(gone.front().key == "own/a");
 }
 
+// Load: umurage hunt-cdc3-11. After a cut the reader got 40 changes of a table
+// and two desired states at once; each was told as a difference to the one
+// before, which its listeners did not have, and one of them stayed on an old
+// version.
+TEST_CASE("of several changes of a key only the newest is told") {
+  const std::vector<StoreItem> kept = NewestOfEachKey({{"a", "1", 5, false},
+                                                       {"b", "1", 6, false},
+                                                       {"a", "2", 7, false},
+                                                       {"a", "", 8, true}});
+  CHECK(kept ==
+        std::vector<StoreItem>{{"b", "1", 6, false}, {"a", "", 8, true}});
+}
+
 }  // namespace figstall
