Serve requests of one connection side by side, in a state machine without socket

Ruled out: answers mixed up at targets (matched by id).

CallerSession holds the HTTP of a connection: bytes, answers and time in, requests and bytes out. Requests that may be repeated are served at once, up to 16; one that must not be is served alone. Answers leave in the order of arrival; a cut one ends the connection behind the whole ones, and what came behind it is gone at once. Nothing behind an answer that closes is passed on. A closing connection is read for half a second more, so that the last answer is not lost to a reset; one that was just accepted keeps a second for its first request when the process stops.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -1,34 +1,51 @@
-// One HTTP connection of a caller. Requests are read one after the other; while
-// one is served, the caller's close is watched.
+// A caller's socket: carries bytes between it and its CallerSession.
 #ifndef FIGSTALL_CALLER_CONNECTION_H_
 #define FIGSTALL_CALLER_CONNECTION_H_
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "figstall/caller_session.h"
 #include "figstall/clock.h"
-#include "figstall/desired_state.h"
-#include "figstall/target_connection.h"
 
 namespace figstall {
 
-using HttpResponse =
-    boost::beast::http::response<boost::beast::http::string_body>;
+class CallerConnection;
+
+// The place of one request's answer on its connection. Calls for a request that
+// is gone or answered have no effect.
+class AnswerSlot {
+ public:
+  AnswerSlot(std::shared_ptr<CallerConnection> connection, RequestNumber number)
+      : connection_(std::move(connection)), number_(number) {}
+
+  // As the functions of CallerSession.
+  void OnGone(std::function<void()> handler);
+  void Reply(HttpResponse answer);
+  void BeginAnswer(AnswerHead head, std::function<void()> drained);
+  void SendBody(std::string_view bytes, bool last);
+  void Cut();
+  std::size_t unsent() const;
+  // Resets the whole connection.
+  void Abort();
+
+ private:
+  std::shared_ptr<CallerConnection> connection_;
+  RequestNumber number_;
+};
 
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   struct Handlers {
-    std::function<void(const std::shared_ptr<CallerConnection>&, HttpRequest)>
-        on_request;
+    std::function<void(AnswerSlot, CallerRequest)> on_request;
     std::function<void(const CallerConnection*)> on_closed;
     // Whether the process is stopping, so that connections end.
     std::function<bool()> stopping;
+    CallerSession::Repeatable repeatable;
   };
 
   CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -36,64 +53,38 @@
                    Handlers handlers);
 
   void Start();
-  // Called once if the caller leaves while its request is served.
-  void OnGone(std::function<void()> handler) { gone_ = std::move(handler); }
-
-  // A whole answer to the request being served.
-  void Reply(HttpResponse answer);
-  // An answer whose body follows. `drained` is called when more may be given.
-  void BeginAnswer(AnswerHead head, std::function<void()> drained);
-  void SendBody(std::string bytes, bool last);
-  // Ends the connection so that an answer under way looks cut.
+  // Resets the connection, so that an answer under way looks cut.
   void Abort();
   // Called now and then: ends connections that are idle or slow for too long.
   void CheckTimes(Instant now);
   // Ends the connection if no request is being read or served on it.
   void CloseIfIdle();
 
-  // Bytes of an answer that the caller has not taken yet.
-  std::size_t unsent() const { return unsent_; }
+  // Whether an answer, or the close behind it, is still on its way.
+  bool ending() const { return session_.writing() || closing_since_; }
 
  private:
+  friend class AnswerSlot;
   using Tcp = boost::asio::ip::tcp;
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-  struct Stream {
-    boost::beast::http::response<boost::beast::http::buffer_body> message;
-    std::optional<boost::beast::http::response_serializer<
-        boost::beast::http::buffer_body>>
-        serializer;
-    std::deque<std::string> chunks;
-    bool last = false;
-    bool writing = false;
-    std::function<void()> drained;
-  };
 
-  void ResetParser();
+  // Does what the session asks for.
+  void Pump();
   void Read();
-  void OnRead(const boost::system::error_code& error, std::size_t size);
-  void Parse();
-  void Refuse(int status);
-  void WriteNext();
-  void OnWritten(bool keep);
+  void Write();
+  void CloseSoftly();
   void Close();
 
   Tcp::socket socket_;
-  const CallerLimits limits_;
   const Handlers handlers_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  CallerSession session_;
+  std::array<char, 16'384> incoming_;
+  std::string outgoing_;
   bool reading_ = false;
-  bool reading_request_ = false;
-  bool serving_ = false;
+  bool pumping_ = false;
+  bool caller_ended_ = false;
   bool closed_ = false;
-  bool keep_alive_ = true;
-  bool refused_ = false;
-  std::size_t unsent_ = 0;
-  Instant since_;
-  std::function<void()> gone_;
-  std::shared_ptr<HttpResponse> answer_;
-  std::unique_ptr<Stream> stream_;
+  // Since when the sending side is closed and the caller's close is awaited.
+  std::optional<Instant> closing_since_;
 };
 
 }  // namespace figstall
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -92,8 +92,10 @@
   friend class Exchange;
 
   void Accept();
-  void OnRequest(const std::shared_ptr<CallerConnection>& caller,
-                 HttpRequest request);
+  // Whether a request may be served beside others of its connection. One that
+  // will be refused may.
+  bool IsRepeatable(const HttpRequest& request) const;
+  void OnRequest(AnswerSlot caller, CallerRequest request);
   void Retire(Exchange* exchange);
   void Wait(Exchange* exchange);
   void ServeWaiting();
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -45,8 +45,8 @@
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(EntryTraffic& traffic,
-           std::shared_ptr<CallerConnection> caller,
-           HttpRequest request,
+           AnswerSlot caller,
+           CallerRequest request,
            std::uint64_t number);
 
   // Finds the route and sends, waits or refuses.
@@ -95,7 +95,7 @@
   Duration TimeLeft(Instant now) const { return due_ - now; }
 
   EntryTraffic& traffic_;
-  std::shared_ptr<CallerConnection> caller_;
+  AnswerSlot caller_;
   HttpRequest request_;
   const std::uint64_t number_;
   const Instant arrived_;
--- /dev/null
+++ b/include/figstall/http_message.h
@@ -0,0 +1,23 @@
+// The HTTP messages that the data path passes on.
+#ifndef FIGSTALL_HTTP_MESSAGE_H_
+#define FIGSTALL_HTTP_MESSAGE_H_
+
+#include <boost/beast/http.hpp>
+#include <string_view>
+
+namespace figstall {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+using HttpFields = boost::beast::http::fields;
+using AnswerHead = boost::beast::http::response_header<>;
+
+inline std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_HTTP_MESSAGE_H_
--- a/include/figstall/target_connection.h
+++ b/include/figstall/target_connection.h
@@ -15,15 +15,11 @@
 #include <string_view>
 
 #include "figstall/clock.h"
+#include "figstall/http_message.h"
 #include "figstall/records.h"
 
 namespace figstall {
 
-using HttpRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
-using HttpFields = boost::beast::http::fields;
-using AnswerHead = boost::beast::http::response_header<>;
-
 // How far a request had come when its connection broke.
 enum class BreakPoint {
   // No byte of it was sent.
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -104,43 +104,53 @@
 }
 
 void EntryTraffic::Accept() {
-  acceptor_.async_accept([this](error_code error,
-                                asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted)
-      return;
-    if (error) {
-      log_.Write(LogLevel::kWarning, "accept-failed",
-                 {{"error", error.message()}});
-      const auto pause =
-          std::make_shared<asio::steady_timer>(io_, kAcceptPause);
-      pause->async_wait([this, pause](error_code stopped) {
-        if (!stopped)
-          Accept();
+  acceptor_.async_accept(
+      [this](error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+          return;
+        if (error) {
+          log_.Write(LogLevel::kWarning, "accept-failed",
+                     {{"error", error.message()}});
+          const auto pause =
+              std::make_shared<asio::steady_timer>(io_, kAcceptPause);
+          pause->async_wait([this, pause](error_code stopped) {
+            if (!stopped)
+              Accept();
+          });
+          return;
+        }
+        CallerConnection::Handlers handlers;
+        handlers.on_request = [this](AnswerSlot caller, CallerRequest request) {
+          OnRequest(std::move(caller), std::move(request));
+        };
+        handlers.on_closed = [this](const CallerConnection* caller) {
+          callers_.erase(caller);
+        };
+        handlers.stopping = [this] { return stop_by_.has_value(); };
+        handlers.repeatable = [this](const HttpRequest& request) {
+          return IsRepeatable(request);
+        };
+        const auto caller = std::make_shared<CallerConnection>(
+            std::move(socket),
+            view_.routes ? view_.routes->state().limits : CallerLimits{},
+            std::move(handlers));
+        callers_.emplace(caller.get(), caller);
+        caller->Start();
+        Accept();
       });
-      return;
-    }
-    CallerConnection::Handlers handlers;
-    handlers.on_request =
-        [this](const std::shared_ptr<CallerConnection>& caller,
-               HttpRequest request) { OnRequest(caller, std::move(request)); };
-    handlers.on_closed = [this](const CallerConnection* caller) {
-      callers_.erase(caller);
-    };
-    handlers.stopping = [this] { return stop_by_.has_value(); };
-    const auto caller = std::make_shared<CallerConnection>(
-        std::move(socket),
-        view_.routes ? view_.routes->state().limits : CallerLimits{},
-        std::move(handlers));
-    callers_.emplace(caller.get(), caller);
-    caller->Start();
-    Accept();
-  });
 }
 
-void EntryTraffic::OnRequest(const std::shared_ptr<CallerConnection>& caller,
-                             HttpRequest request) {
+bool EntryTraffic::IsRepeatable(const HttpRequest& request) const {
+  if (!view_.routes)
+    return true;
+  const IngressRoute* route = view_.routes->Find(
+      View(request[boost::beast::http::field::host]), View(request.target()));
+  return !route || route->idempotent;
+}
+
+void EntryTraffic::OnRequest(AnswerSlot caller, CallerRequest request) {
   const auto exchange = std::make_shared<Exchange>(
-      *this, caller, std::move(request), ++requests_seen_);
+      *this, std::move(caller), std::move(request), ++requests_seen_);
   exchanges_.emplace(exchange.get(), exchange);
   exchange->Start();
 }
@@ -198,9 +208,8 @@
 
 bool EntryTraffic::Quiet() const {
   return exchanges_.empty() &&
-         std::all_of(callers_.begin(), callers_.end(), [](const auto& each) {
-           return each.second->unsent() == 0;
-         });
+         std::all_of(callers_.begin(), callers_.end(),
+                     [](const auto& each) { return !each.second->ending(); });
 }
 
 void EntryTraffic::CloseIdleCallers() {
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -92,10 +92,6 @@
   }
 }
 
-std::string_view View(boost::beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
 template <typename Number>
 std::optional<Number> ParseNumber(std::string_view text) {
   Number value{};
@@ -125,19 +121,19 @@
 }
 
 Exchange::Exchange(EntryTraffic& traffic,
-                   std::shared_ptr<CallerConnection> caller,
-                   HttpRequest request,
+                   AnswerSlot caller,
+                   CallerRequest request,
                    std::uint64_t number)
     : traffic_(traffic),
       caller_(std::move(caller)),
-      request_(std::move(request)),
+      request_(std::move(request.message)),
       number_(number),
-      arrived_(BootNow()),
+      arrived_(request.arrived),
       id_(View(request_[platform::kRequestIdHeader])),
       routes_(traffic.view_.routes) {}
 
 void Exchange::Start() {
-  caller_->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  caller_.OnGone([self = shared_from_this()] { self->OnCallerGone(); });
   due_ = arrived_ + std::chrono::seconds(1);
   if (!routes_)
     return FinishOwn(kUnavailable, "no-desired-state", kRetryAfterMoving);
@@ -335,8 +331,8 @@
     return;
   Attempt& attempt = *attempt_;
   if (attempt.streaming) {
-    caller_->SendBody(std::string(bytes), false);
-    if (caller_->unsent() > kMaxUnsentBytes)
+    caller_.SendBody(bytes, false);
+    if (caller_.unsent() > kMaxUnsentBytes)
       attempt.connection->Pause();
     return;
   }
@@ -350,11 +346,12 @@
     return;
   attempt.streaming = true;
   const std::weak_ptr<TargetConnection> connection = attempt.connection;
-  caller_->BeginAnswer(CallerHead(), [connection] {
+  caller_.BeginAnswer(CallerHead(), [connection] {
     if (const auto paused = connection.lock())
       paused->Resume();
   });
-  caller_->SendBody(std::move(attempt.body), false);
+  caller_.SendBody(attempt.body, false);
+  attempt.body.clear();
 }
 
 void Exchange::OnEnd() {
@@ -391,9 +388,9 @@
 void Exchange::Forward() {
   const int status = static_cast<int>(attempt_->head.result_int());
   if (attempt_->streaming) {
-    caller_->SendBody({}, true);
+    caller_.SendBody({}, true);
   } else {
-    caller_->Reply(WholeAnswer());
+    caller_.Reply(WholeAnswer());
   }
   EndAttempt(status >= kFirstFailure ? AttemptKind::kFailed
                                      : AttemptKind::kAnswered);
@@ -434,7 +431,7 @@
     return;
   if (attempt_->streaming) {
     EndAttempt(AttemptKind::kBroken);
-    caller_->Abort();
+    caller_.Cut();
     return Finish("cut", 0, why);
   }
   if (!keyed_)
@@ -505,7 +502,7 @@
       connection->Abandon();
     }
     if (streaming) {
-      caller_->Abort();
+      caller_.Cut();
       return Finish("cut", 0, "out-of-time");
     }
     return FinishOwn(OwnStatus(run_, true), "out-of-time", std::nullopt);
@@ -550,10 +547,10 @@
   if (ended_)
     return;
   if (spare_) {
-    const auto caller = caller_;
+    AnswerSlot caller = caller_;
     HttpResponse answer = std::move(*spare_);
     Finish("answered", static_cast<int>(answer.result_int()), reason);
-    return caller->Reply(std::move(answer));
+    return caller.Reply(std::move(answer));
   }
   HttpResponse answer;
   answer.result(static_cast<unsigned>(status));
@@ -568,9 +565,9 @@
                fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1e6));
   }
   answer.set("Figstall-Reason", reason.substr(0, reason.find(':')));
-  const auto caller = caller_;
+  AnswerSlot caller = caller_;
   Finish(run_ == RunState::kNotRun ? "not-run" : "unknown", status, reason);
-  caller->Reply(std::move(answer));
+  caller.Reply(std::move(answer));
 }
 
 void Exchange::Finish(const std::string& outcome,
@@ -580,7 +577,7 @@
     return;
   ended_ = true;
   waiting_ = false;
-  caller_->OnGone(nullptr);
+  caller_.OnGone(nullptr);
   const Duration took = BootNow() - arrived_;
   const std::string labels =
       fmt::format("route=\"{}\",outcome=\"{}\",reason=\"{}\"",
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -106,6 +106,8 @@
 }
 
 struct EmulatedTarget::Work {
+  explicit Work(Caller from) : caller(std::move(from)) {}
+
   Caller caller;
   HttpRequest request;
   std::string id;
@@ -151,7 +153,7 @@
   queued_.clear();
   const auto callers = std::move(callers_);
   callers_.clear();
-  for (const Caller& caller : callers)
+  for (const Connection& caller : callers)
     caller->Abort();
 }
 
@@ -177,13 +179,14 @@
         if (error || life != life_ || !acceptor_)
           return;
         CallerConnection::Handlers handlers;
-        handlers.on_request = [this, life](const Caller& caller,
-                                           const HttpRequest& request) {
+        handlers.on_request = [this, life](Caller caller,
+                                           const CallerRequest& request) {
           if (life == life_)
-            OnRequest(caller, request);
+            OnRequest(caller, request.message);
         };
+        handlers.repeatable = [](const HttpRequest&) { return true; };
         handlers.on_closed = [this](const CallerConnection* closed) {
-          std::erase_if(callers_, [closed](const Caller& each) {
+          std::erase_if(callers_, [closed](const Connection& each) {
             return each.get() == closed;
           });
         };
@@ -196,7 +199,7 @@
       });
 }
 
-void EmulatedTarget::Reply(const Caller& caller,
+void EmulatedTarget::Reply(Caller caller,
                            int status,
                            bool not_run,
                            const std::string& request_id) {
@@ -208,11 +211,10 @@
     answer.set(platform::kRequestIdHeader, request_id);
   if (not_run)
     answer.set(platform::kNotRunHeader, "1");
-  caller->Reply(std::move(answer));
+  caller.Reply(std::move(answer));
 }
 
-void EmulatedTarget::OnRequest(const Caller& caller,
-                               const HttpRequest& request) {
+void EmulatedTarget::OnRequest(Caller caller, const HttpRequest& request) {
   if (silent_)
     return;
   const std::string path = Text(request.target());
@@ -238,7 +240,7 @@
   return BootNow() < held_until_[key];
 }
 
-void EmulatedTarget::OnGrant(const Caller& caller, const HttpRequest& request) {
+void EmulatedTarget::OnGrant(Caller caller, const HttpRequest& request) {
   const json body = json::parse(request.body(), nullptr, false);
   if (!body.is_object() || !body.contains("fence"))
     return Reply(caller, kBadRequest, false, "");
@@ -259,8 +261,7 @@
   Reply(caller, 200, false, "");
 }
 
-void EmulatedTarget::OnRelease(const Caller& caller,
-                               const HttpRequest& request) {
+void EmulatedTarget::OnRelease(Caller caller, const HttpRequest& request) {
   const json body = json::parse(request.body(), nullptr, false);
   if (!body.is_object() || !body.contains("fence"))
     return Reply(caller, kBadRequest, false, "");
@@ -274,13 +275,12 @@
   Reply(caller, 200, false, "");
 }
 
-void EmulatedTarget::Enqueue(const Caller& caller, const HttpRequest& request) {
-  const auto work = std::make_shared<Work>();
-  work->caller = caller;
+void EmulatedTarget::Enqueue(Caller caller, const HttpRequest& request) {
+  const auto work = std::make_shared<Work>(caller);
   work->request = request;
   work->id = Text(request[platform::kRequestIdHeader]);
   work->timer = std::make_unique<boost::asio::steady_timer>(io_);
-  caller->OnGone([this, work, life = life_] {
+  caller.OnGone([this, work, life = life_] {
     work->cancelled = true;
     if (life != life_ || working_.erase(work) == 0)
       return;
@@ -316,7 +316,7 @@
   if (!work->cancelled) {
     const bool broken = std::uniform_real_distribution<>()(random_) < garble_;
     if (broken) {
-      work->caller->Abort();
+      work->caller.Abort();
     } else {
       HttpResponse answer;
       answer.result(http::status::ok);
@@ -326,7 +326,7 @@
       answer.set(http::field::keep_alive, "timeout=10");
       answer.body() = work->id + ":";
       answer.body().resize(options_.answer_bytes, 'x');
-      work->caller->Reply(std::move(answer));
+      work->caller.Reply(std::move(answer));
     }
   }
   StartNext();
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -94,17 +94,18 @@
 
  private:
   struct Work;
-  using Caller = std::shared_ptr<CallerConnection>;
+  using Caller = AnswerSlot;
+  using Connection = std::shared_ptr<CallerConnection>;
 
   void Accept();
-  void OnRequest(const Caller& caller, const HttpRequest& request);
-  void OnGrant(const Caller& caller, const HttpRequest& request);
-  void OnRelease(const Caller& caller, const HttpRequest& request);
-  void Enqueue(const Caller& caller, const HttpRequest& request);
+  void OnRequest(Caller caller, const HttpRequest& request);
+  void OnGrant(Caller caller, const HttpRequest& request);
+  void OnRelease(Caller caller, const HttpRequest& request);
+  void Enqueue(Caller caller, const HttpRequest& request);
   void StartWork(const std::shared_ptr<Work>& work);
   void StartNext();
   void FinishWork(const std::shared_ptr<Work>& work);
-  void Reply(const Caller& caller,
+  void Reply(Caller caller,
              int status,
              bool not_run,
              const std::string& request_id);
@@ -121,7 +122,7 @@
   bool silent_ = false;
   double garble_ = 0;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
-  std::set<Caller> callers_;
+  std::set<Connection> callers_;
   std::set<std::shared_ptr<Work>> working_;
   std::deque<std::shared_ptr<Work>> queued_;
   // By key: highest token seen, and until when it is held.
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -116,10 +116,11 @@
       if (error)
         return;
       figstall::CallerConnection::Handlers handlers;
-      handlers.on_request = [this](const auto& caller,
-                                   const HttpRequest& request) {
-        OnStoreCall(caller, request);
+      handlers.on_request = [this](const figstall::AnswerSlot& caller,
+                                   const figstall::CallerRequest& request) {
+        OnStoreCall(caller, request.message);
       };
+      handlers.repeatable = [](const HttpRequest&) { return true; };
       handlers.on_closed = [this](const figstall::CallerConnection* closed) {
         std::erase_if(entries_, [closed](const auto& each) {
           return each.get() == closed;
@@ -136,8 +137,7 @@
     });
   }
 
-  void OnStoreCall(const std::shared_ptr<figstall::CallerConnection>& caller,
-                   const HttpRequest& request) {
+  void OnStoreCall(figstall::AnswerSlot caller, const HttpRequest& request) {
     ++report_.store_calls;
     if (store_fault_ == "store-silent")
       return;
@@ -161,15 +161,14 @@
                 });
   }
 
-  static void Answer(const std::shared_ptr<figstall::CallerConnection>& caller,
-                     const EmulatedReply& reply) {
+  static void Answer(figstall::AnswerSlot caller, const EmulatedReply& reply) {
     HttpResponse answer;
     answer.result(static_cast<unsigned>(reply.status));
     answer.version(11);
     answer.set(boost::beast::http::field::content_type, "application/json");
     if (!reply.body.is_null())
       answer.body() = reply.body.dump();
-    caller->Reply(std::move(answer));
+    caller.Reply(std::move(answer));
   }
 
   double Draw() { return std::uniform_real_distribution<>()(random_); }
