Gather no body without end in memory; take no refusal without an id for one's own

Found while reading for bytes that are no answer: an answer without length, and the body of a failure, were gathered whole in memory until the request's time was over. They now stream in chunks beyond 256 KB; the body of a refusal is dropped. More than 16 answers of other requests on a connection are no answer. A refusal without an id on a connection that had carried another request could be a late one, and called a request not run that runs; it is read past there.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -25,6 +25,20 @@
 // 503 promises that it has not run and never will.
 int OwnStatus(RunState state, bool out_of_time);
 
+// What is done with the body of a target's answer.
+enum class BodyRule {
+  // Held until it is whole, so that one that breaks off can be replaced.
+  kHold,
+  // Passed on as it comes. What has no length of its own is sent in chunks, so
+  // that a cut is seen.
+  kStream,
+  // Not delivered to anyone.
+  kDrop,
+};
+
+// `bytes`: of the body, as far as it has come.
+BodyRule RuleForBody(const AnswerHead& head, std::size_t bytes);
+
 // One sending of a request to a target.
 struct Attempt {
   TargetLink* link = nullptr;
--- a/include/figstall/target_connection.h
+++ b/include/figstall/target_connection.h
@@ -89,6 +89,7 @@
   // The answer being read belongs to another request.
   bool foreign_ = false;
   bool saw_foreign_ = false;
+  std::uint32_t foreign_answers_ = 0;
   bool answer_begun_ = false;
   std::uint32_t answers_ = 0;
   Instant usable_until_{};
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -120,6 +120,12 @@
   return out_of_time ? kGatewayTimeout : kBadGateway;
 }
 
+BodyRule RuleForBody(const AnswerHead& head, std::size_t bytes) {
+  if (head.count(platform::kNotRunHeader) > 0)
+    return BodyRule::kDrop;
+  return bytes <= kHeldBytes ? BodyRule::kHold : BodyRule::kStream;
+}
+
 Exchange::Exchange(EntryTraffic& traffic,
                    AnswerSlot caller,
                    CallerRequest request,
@@ -297,10 +303,12 @@
   link->load().OnSent(now);
   const auto self = shared_from_this();
   AnswerObserver observer;
-  observer.on_head = [self](const AnswerHead& head) {
+  // A refusal without an id belongs to this request only where no other was
+  // sent before; a late one would call a request that runs not run.
+  observer.on_head = [self, first = !attempt.reused](const AnswerHead& head) {
     const std::string_view echoed = View(head[platform::kRequestIdHeader]);
     const bool refused = head.count(platform::kNotRunHeader) > 0;
-    if (echoed != self->id_ && !(echoed.empty() && refused))
+    if (echoed != self->id_ && !(echoed.empty() && refused && first))
       return false;
     self->OnHead(head);
     return true;
@@ -336,14 +344,16 @@
       attempt.connection->Pause();
     return;
   }
+  switch (RuleForBody(attempt.head, attempt.body.size() + bytes.size())) {
+    case BodyRule::kDrop:
+      return;
+    case BodyRule::kHold:
+      attempt.body += bytes;
+      return;
+    case BodyRule::kStream:
+      break;
+  }
   attempt.body += bytes;
-  // Only an answer of known or marked length can be cut visibly.
-  const bool framed = attempt.head.count(http::field::content_length) > 0 ||
-                      attempt.head.count(http::field::transfer_encoding) > 0;
-  const bool success = attempt.head.result_int() < kFirstFailure;
-  if (attempt.body.size() <= kHeldBytes || !framed || !success ||
-      attempt.head.count(platform::kNotRunHeader) > 0)
-    return;
   attempt.streaming = true;
   const std::weak_ptr<TargetConnection> connection = attempt.connection;
   caller_.BeginAnswer(CallerHead(), [connection] {
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -14,6 +14,9 @@
 
 constexpr std::size_t kReadBytes = 32'768;
 constexpr std::size_t kMaxHeadBytes = 65'536;
+// Answers that belong to another request are read past so often on one
+// connection; a target that sends more of them sends no answer.
+constexpr std::uint32_t kMaxForeign = 16;
 // An idle connection is not used in the last part of the time for which the
 // target keeps it, since its close may already be on its way.
 constexpr double kUsableShare = 0.6;
@@ -48,6 +51,7 @@
   busy_ = true;
   written_ = sending_ = head_seen_ = answer_begun_ = paused_ = false;
   foreign_ = saw_foreign_ = false;
+  foreign_answers_ = 0;
   ResetParser();
   if (open_)
     return Write();
@@ -162,6 +166,8 @@
     if (head_seen_ && parser_->is_done()) {
       if (!foreign_)
         return FinishAnswer();
+      if (++foreign_answers_ > kMaxForeign)
+        return Break("answers of other requests");
       ResetParser();
       head_seen_ = foreign_ = false;
       if (buffer_.size() == 0)
