Walk moves with orders that are carried out late and owners that only the store lost

Random walks over grants and moves now play targets that carry an order out 2 to 12 s after it came, its time counting from its arrival, at shares of 0.05 and 0.4. Two more broken rules must be noticed: an owner that left the directory taken for gone at once, and grants without an answer taken for lost. The release at the held token is noticed with late orders too.

--- a/test/range_walk_test.cc
+++ b/test/range_walk_test.cc
@@ -1,8 +1,9 @@
 // Random walks over the decisions by which key ranges are granted and moved:
 // several members, targets that crash, restart and are cut off, a store that is
-// lost to some, calls that are late or whose answers are lost, members that
-// freeze. After every step at most one live target may hold a key. Flaws show
-// that the walk notices a broken rule.
+// lost to some, targets that are cut off from the store alone, calls that are
+// late, carried out seconds after they came, or whose answers are lost, members
+// that freeze. After every step at most one live target may hold a key. Flaws
+// show that the walk notices a broken rule.
 #include <catch2/catch.hpp>
 #include <functional>
 #include <iostream>
@@ -28,6 +29,11 @@
   kReleaseAtOldToken,
   // A departed member counts as gone at once.
   kNoDepartureWait,
+  // An owner that the store does not hear any more counts as gone at once.
+  kAbsentIsGone,
+  // The members' grants count from the answer of a call only, as if one without
+  // an answer had not arrived.
+  kUnansweredIsLost,
 };
 
 constexpr int kMembers = 4;
@@ -43,7 +49,8 @@
 
 class Walk {
  public:
-  Walk(std::uint64_t seed, Flaw flaw) : random_(seed), flaw_(flaw) {
+  Walk(std::uint64_t seed, Flaw flaw, double late_share = 0)
+      : random_(seed), flaw_(flaw), late_share_(late_share) {
     for (int i = 0; i < kTargets; ++i)
       Restart(i);
     for (int i = 0; i < kMembers; ++i)
@@ -312,9 +319,25 @@
       });
       return;
     }
+    // Some targets take an order and carry it out much later; its time counts
+    // from when it came.
+    if (late_share_ > 0 && Chance(late_share_)) {
+      const Duration arrival = Delay();
+      Later(arrival, [this, target, order] {
+        Later(milliseconds(2000 + Draw(10'000)),
+              [this, target, order, arrived = now_] {
+                Grant(target, order, arrived);
+              });
+      });
+      Later(timing_.call_limit, [this, i, order, run = member.run] {
+        if (members_[i].run == run)
+          members_[i].granter->OnOutcome(now_, order, GrantOutcome::kUnknown);
+      });
+      return;
+    }
     const Duration travel = Chance(0.1) ? timing_.call_limit - kStep : Delay();
     const bool answered = Chance(0.9) && travel < milliseconds(400);
-    Later(travel, [this, target, order] { Grant(target, order); });
+    Later(travel, [this, target, order] { Grant(target, order, now_); });
     Later(answered ? travel + Delay() : timing_.call_limit,
           [this, i, order, answered, run = member.run] {
             if (members_[i].run == run)
@@ -332,7 +355,7 @@
     return -1;
   }
 
-  void Grant(int i, const GrantOrder& order) {
+  void Grant(int i, const GrantOrder& order, Instant arrived) {
     Target& target = targets_[i];
     if (!target.up || target.life.id != order.owner.id)
       return;
@@ -347,7 +370,8 @@
       if (!order.range.Contains(key))
         continue;
       target.seen[key] = order.fence;
-      target.held_until[key] = now_ + hold;
+      Instant& until = target.held_until[key];
+      until = std::max(until, arrived + hold);
       // A grant to another life is not this life's fault, but a restart under
       // the same id is told apart only by its entry; those cases are excluded
       // from the check until the entry could be seen.
@@ -393,6 +417,16 @@
     MemberReports reports = member.reports;
     if (flaw_ == Flaw::kNoMembers)
       reports.clear();
+    if (flaw_ == Flaw::kAbsentIsGone) {
+      for (const ReleaseOrder& order : member.mover->OwedReleases()) {
+        if (!member.directory.contains(order.owner.id))
+          member.mover->OnReleased(order, "");
+      }
+    }
+    if (flaw_ == Flaw::kUnansweredIsLost) {
+      for (auto& [run, report] : reports)
+        report.holds_until.clear();
+    }
     if (flaw_ == Flaw::kNoDepartureWait) {
       std::erase_if(reports,
                     [](const auto& each) { return each.second.departed; });
@@ -467,6 +501,7 @@
 
   std::mt19937_64 random_;
   const Flaw flaw_;
+  const double late_share_;
   const GrantTiming timing_;
   Instant now_{std::chrono::seconds(100)};
   Target targets_[kTargets];
@@ -495,10 +530,10 @@
   return factor ? count * std::atoi(factor) : count;
 }
 
-int Violations(Flaw flaw, int walks) {
+int Violations(Flaw flaw, int walks, double late_share = 0) {
   int found = 0;
   for (int seed = 1; seed <= walks; ++seed) {
-    if (!Walk(static_cast<std::uint64_t>(seed), flaw).Run(kSteps)) {
+    if (!Walk(static_cast<std::uint64_t>(seed), flaw, late_share).Run(kSteps)) {
       if (flaw == Flaw::kNone)
         std::cerr << "two holders with seed " << seed << "\n";
       ++found;
@@ -513,6 +548,11 @@
   CHECK(Violations(Flaw::kNone, Walks(400)) == 0);
 }
 
+TEST_CASE("no key has two holders where many orders are carried out late") {
+  CHECK(Violations(Flaw::kNone, Walks(200), 0.05) == 0);
+  CHECK(Violations(Flaw::kNone, Walks(200), 0.4) == 0);
+}
+
 TEST_CASE("walks move ranges often enough to mean something") {
   Walk walk(1, Flaw::kNone);
   walk.Run(kSteps);
@@ -525,6 +565,9 @@
   CHECK(Violations(Flaw::kStaleAfterFreeze, 100) > 0);
   CHECK(Violations(Flaw::kReleaseAtOldToken, 100) > 0);
   CHECK(Violations(Flaw::kNoDepartureWait, 400) > 0);
+  CHECK(Violations(Flaw::kAbsentIsGone, 100) > 0);
+  CHECK(Violations(Flaw::kUnansweredIsLost, 100) > 0);
+  CHECK(Violations(Flaw::kReleaseAtOldToken, 100, 0.4) > 0);
 }
 
 }  // namespace figstall
