Let waits of requests grow with what their callers can bear

Waits for a target and for the next owner of a key, and what callers are told, were capped at 250, 600, 150 and 300 ms, which suits objectives of 300 to 500 ms. On the grown and large sites objectives are 1 to 2 s, work takes 230 to 610 ms, and a queue of one request outlasts the wait. They are parts of the objective now; a target that refused is asked again after a quarter of its typical time.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "figstall/entry_traffic.h"
+#include "figstall/request_waits.h"
 
 namespace figstall {
 
@@ -121,8 +122,7 @@
   bool keyed_ = false;
   ShardKey key_ = 0;
   Instant due_;
-  Instant wait_ends_;
-  Instant moving_wait_ends_;
+  RequestWaits waits_;
   bool waiting_ = false;
   bool ended_ = false;
   RunState run_ = RunState::kNotRun;
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -40,10 +40,7 @@
   Duration release_patience = std::chrono::milliseconds(1500);
 
   // From the arrival of a grant until it has surely run out.
-  Duration SurelyOver() const {
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(hold.count()) * (1 + clock_slack)));
-  }
+  Duration SurelyOver() const { return Scaled(hold, 1 + clock_slack); }
   // From the sending of a grant until it has surely run out.
   Duration LongestHold() const { return call_limit + SurelyOver(); }
 };
--- a/include/figstall/types.h
+++ b/include/figstall/types.h
@@ -14,6 +14,11 @@
 
 using Duration = std::chrono::microseconds;
 
+inline Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 // The monotonic clock that also counts while a VM is suspended, so that a lease
 // lapses for a holder that slept through it. Wall time never enters a decision.
 struct BootClock {
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -26,23 +26,11 @@
 constexpr std::size_t kHeldBytes = 262'144;
 // A caller that has not taken this much pauses its target's answer.
 constexpr std::size_t kMaxUnsentBytes = 262'144;
-// A request waits for a target at most this part of its latency objective; then
-// it is refused, so that its caller can come back while there is time.
-constexpr double kWaitShare = 0.25;
-// A keyed request has nowhere else to go.
-constexpr double kKeyedWaitShare = 0.4;
-constexpr Duration kLongestWait = std::chrono::milliseconds(250);
 // Less than this part of the latency objective left is no honest offer.
 constexpr double kLeastOffer = 0.1;
-// A key that moves has an owner again soon, so a request waits longer for that:
-// this part of its objective.
-constexpr double kMovingWaitShare = 0.6;
-constexpr Duration kLongestMovingWait = std::chrono::milliseconds(600);
 // Part of the time for which a leaving owner may get requests that this process
 // uses: word of its leaving may have come late.
 constexpr double kDrainShare = 0.5;
-// A target that said "not run" is asked again after this.
-constexpr Duration kAskAgain = std::chrono::milliseconds(60);
 // An idempotent request gets another attempt after this multiple of the usual
 // time, between these bounds.
 constexpr double kPatienceFactor = 3.0;
@@ -53,8 +41,8 @@
 // Callers come back after at most a third of the time that they have left.
 // Source: the platform's protocol.
 constexpr double kRetryAfterShare = 0.3;
-constexpr Duration kRetryAfterFull = std::chrono::milliseconds(150);
-constexpr Duration kRetryAfterMoving = std::chrono::milliseconds(300);
+// What a caller is told while this process knows no desired state.
+constexpr Duration kRetryAfterStart = std::chrono::milliseconds(300);
 // One in so many answered requests is logged.
 constexpr std::uint64_t kLogSample = 16;
 
@@ -107,11 +95,6 @@
       .count();
 }
 
-Duration Scaled(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 int OwnStatus(RunState state, bool out_of_time) {
@@ -142,7 +125,7 @@
   caller_.OnGone([self = shared_from_this()] { self->OnCallerGone(); });
   due_ = arrived_ + std::chrono::seconds(1);
   if (!routes_)
-    return FinishOwn(kUnavailable, "no-desired-state", kRetryAfterMoving);
+    return FinishOwn(kUnavailable, "no-desired-state", kRetryAfterStart);
   route_ =
       routes_->Find(View(request_[http::field::host]), View(request_.target()));
   if (!route_)
@@ -167,15 +150,10 @@
     traffic_.heat_[service_].Add(key_, traffic_.MeanWorkTime(service_));
   }
   traffic_.BudgetOf(service_).OnRequest(arrived_);
+  waits_ = WaitsFor(route_->latency_objective, traffic_.TypicalTime(service_),
+                    keyed_);
   if (keyed_ && !traffic_.Admits(service_, key_))
-    return FinishOwn(kUnavailable, "hot-key", kRetryAfterMoving);
-  wait_ends_ =
-      arrived_ +
-      std::min(kLongestWait, Scaled(route_->latency_objective,
-                                    keyed_ ? kKeyedWaitShare : kWaitShare));
-  moving_wait_ends_ =
-      arrived_ + std::min(kLongestMovingWait,
-                          Scaled(route_->latency_objective, kMovingWaitShare));
+    return FinishOwn(kUnavailable, "hot-key", waits_.come_back_moving);
   if (!TrySend())
     GoWaiting();
 }
@@ -234,8 +212,9 @@
 bool Exchange::MayWait(Instant now) const {
   if (now >= due_)
     return false;
-  return now < wait_ends_ ||
-         (keyed_ && now < moving_wait_ends_ && !OwnerEntry());
+  const Duration waited = now - arrived_;
+  return waited < waits_.room ||
+         (keyed_ && waited < waits_.owner && !OwnerEntry());
 }
 
 bool Exchange::TrySend() {
@@ -415,7 +394,7 @@
   EndAttempt(misdirected && !keyed_ ? AttemptKind::kBroken
                                     : AttemptKind::kRefused);
   if (keyed_)
-    not_before_ = BootNow() + kAskAgain;
+    not_before_ = BootNow() + waits_.ask_again;
   if (!traffic_.BudgetOf(service_).TryRetry(BootNow(), traffic_.Routers()))
     return Refuse("rejected-by-target");
   if (!TrySend())
@@ -453,7 +432,7 @@
   }
   EndAttempt(AttemptKind::kBroken);
   if (keyed_ && point == BreakPoint::kNotSent)
-    not_before_ = BootNow() + kAskAgain;
+    not_before_ = BootNow() + waits_.ask_again;
   RetryOr(point == BreakPoint::kAnswerCut ? "answer-cut: " + why
                                           : "target-broke: " + why);
 }
@@ -544,8 +523,9 @@
 }
 
 void Exchange::Refuse(const std::string& reason) {
-  const Duration wait = reason == "no-target-free" && keyed_ ? kRetryAfterMoving
-                                                             : kRetryAfterFull;
+  const Duration wait = reason == "no-target-free" && keyed_
+                            ? waits_.come_back_moving
+                            : waits_.come_back;
   if (reason == "no-target-free")
     return FinishOwn(OwnStatus(run_, false), reason + ": " + Explain(), wait);
   FinishOwn(OwnStatus(run_, false), reason, wait);
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -38,11 +38,6 @@
 // A member that reported within this time is heard.
 constexpr Duration kHeard = std::chrono::milliseconds(1200);
 
-Duration Scaled(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 void Write(const GrantReport& report, wire::GrantReport::Builder out) {
   const auto services = static_cast<unsigned>(report.seen_fence.size());
   auto names = out.initServices(services);
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -195,9 +195,7 @@
   observer_ = {};
   busy_ = false;
   if (reusable) {
-    usable_until_ =
-        BootNow() + Duration(static_cast<Duration::rep>(
-                        static_cast<double>(keep.count()) * kUsableShare));
+    usable_until_ = BootNow() + Scaled(keep, kUsableShare);
     paused_ = false;
     Read();
   } else {
