Pass on no request whose caller has already left

Its callers gave up requests that were not read after a second; their bytes and their close waited in the socket together. The bytes were read, the request was passed on, and only the next read found the close. Ruled out: requests held back by the process (they left 15 ms after being read).

What has already come behind a request is read before the request is passed on. caller_connection_test.cc fails on the code before.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -1,6 +1,7 @@
 // Implements a caller's socket.
 #include "figstall/caller_connection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <string_view>
 
@@ -93,19 +94,26 @@
         self->reading_ = false;
         if (self->closed_)
           return;
-        if (error) {
-          self->caller_ended_ = true;
-          self->session_.OnCallerEnded();
-          if (error != boost::asio::error::eof)
-            return self->Abort();
-        } else {
-          self->session_.OnBytes(
-              BootNow(), std::string_view(self->incoming_.data(), size));
-        }
-        self->Pump();
+        if (error)
+          return self->OnCallerEnded(error);
+        self->session_.OnBytes(BootNow(),
+                               std::string_view(self->incoming_.data(), size));
+        // What has already come behind, a close above all, is seen before the
+        // request is passed on, also by a process that runs late.
+        self->Read();
+        boost::asio::post(self->socket_.get_executor(),
+                          [self] { self->Pump(); });
       });
 }
 
+void CallerConnection::OnCallerEnded(const error_code& error) {
+  caller_ended_ = true;
+  session_.OnCallerEnded();
+  if (error != boost::asio::error::eof)
+    return Abort();
+  Pump();
+}
+
 void CallerConnection::Write() {
   std::string next = session_.TakeOutput(BootNow());
   if (next.empty())
