Ask a lost store by its cheapest calls; report moves to it only where the mover is deaf

And each wrote its record whenever a silent owner's ranges waited for the members for 0.7 s, although the mover hears them by datagram and is done 1.8 s after it began to wait.

While the store is lost only renewals and a probe that may be old are sent, 4 then 2 a second; work that costs follows when one is answered. After a long outage the source is given its moment before members watch for themselves. A report through the store follows after 1.9 s.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -72,8 +72,9 @@
   // A limit of hot keys holds this long unless it is told again.
   Duration admission = std::chrono::milliseconds(1000);
   // A member that could not tell the mover of a move tells the store after
-  // this.
-  Duration report_in_store = std::chrono::milliseconds(700);
+  // this. Where the mover hears all members the move is over by then, since
+  // their grants have run out.
+  Duration report_in_store = std::chrono::milliseconds(1900);
 };
 
 class EntryControl {
@@ -173,6 +174,9 @@
   void ApplyTable(const ServiceId& service, const StoreItem& item);
   void RemoveAbsent(Instant now);
   void NoteStore(const StoreAnswer& answer, const char* call);
+  // Does the work at once, or when a lost store answers again. It is asked by
+  // its cheapest call meanwhile.
+  void WhenReached(std::function<void()> work);
 
   void Campaign(Instant now);
   void KeepMover(Instant now);
@@ -242,6 +246,7 @@
   StoreMirror mirror_;
   Revision cursor_ = 0;
   StoreContact contact_;
+  Instant lost_at_{};
   // Tells an answer of the last watch from one that was given up.
   std::uint64_t watch_number_ = 0;
   Instant watch_at_{};
--- a/include/figstall/store_contact.h
+++ b/include/figstall/store_contact.h
@@ -1,9 +1,10 @@
 // Decides how far this process may believe that it hears of the store's
-// changes: when its copy was last confirmed, and when a waiting watch is given
-// up. Pure decisions.
+// changes: when its copy was last confirmed, when a waiting watch is given up,
+// and how a store that does not answer is asked again. Pure decisions.
 #ifndef FIGSTALL_STORE_CONTACT_H_
 #define FIGSTALL_STORE_CONTACT_H_
 
+#include <cstdint>
 #include <optional>
 
 #include "figstall/types.h"
@@ -22,7 +23,11 @@
   void OnWatchSent(Instant now) { watch_sent_ = now; }
   void OnWatchEnded(bool answered);
 
+  // While the store is lost only its cheapest calls are made, to find out
+  // whether it answers again: hundreds of members ask it at the same time.
   bool lost() const { return lost_; }
+  // Until the next such call.
+  Duration ProbeDelay() const;
   bool watching() const { return watch_sent_.has_value(); }
   // The watch that waits may have lost its connection without a word: a call
   // failed while it waited, and the store answers again.
@@ -36,6 +41,8 @@
   }
 
   bool lost_ = false;
+  // In a row.
+  std::uint32_t failures_ = 0;
   std::optional<Instant> failed_at_;
   std::optional<Instant> watch_sent_;
   // Only rises.
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -93,6 +93,19 @@
   Join();
 }
 
+void EntryControl::WhenReached(std::function<void()> work) {
+  if (!contact_.lost())
+    return work();
+  store_.List(kMoverKey, "", /*may_be_old=*/true,
+              [this, work = std::move(work)](const StoreAnswer& answer) {
+                NoteStore(answer, "probe");
+                if (!contact_.lost())
+                  return work();
+                After(contact_.ProbeDelay(),
+                      [this, work] { WhenReached(work); });
+              });
+}
+
 void EntryControl::NoteStore(const StoreAnswer& answer, const char* call) {
   const bool lost = answer.status == StoreStatus::kUnknown ||
                     answer.status == StoreStatus::kRefused;
@@ -104,6 +117,14 @@
       lost ? contact_.OnFailed(BootNow()) : contact_.OnAnswered();
   if (!changed)
     return;
+  const Instant now = BootNow();
+  if (lost) {
+    lost_at_ = now;
+    keep_at_ = std::min(keep_at_, now + contact_.ProbeDelay());
+  } else if (now - lost_at_ >= timing_.reader_silence) {
+    // The source was without the store as well; it is given its moment.
+    served_at_ = now;
+  }
   log_.Write(lost ? LogLevel::kWarning : LogLevel::kInfo,
              lost ? "store-lost" : "store-regained",
              {{"call", call},
@@ -140,7 +161,7 @@
                 if (answer.status != StoreStatus::kOk) {
                   reading_ = false;
                   return After(timing_.retry, [this, scope = reading->scope] {
-                    StartReading(scope);
+                    WhenReached([this, scope] { StartReading(scope); });
                   });
                 }
                 ReadSection& section = reading->sections[reading->section];
@@ -311,7 +332,8 @@
   if (contact_.WatchInDoubt())
     GiveUpWatch();
   // A source that was just chosen, or lost, is given a moment.
-  if (!contact_.watching() && !reading_ && now >= watch_at_ &&
+  if (!contact_.watching() && !contact_.lost() && !reading_ &&
+      now >= watch_at_ &&
       (!source.member || now - served_at_ >= source.patience))
     Watch();
 }
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -32,20 +32,20 @@
   tables_current_ = false;
   member_until_ = {};
   const Instant asked = BootNow();
-  store_.OpenLease(
-      timing_.membership, [this, asked](const StoreAnswer& answer) {
-        NoteStore(answer, "open-lease");
-        joining_ = false;
-        if (answer.status != StoreStatus::kOk) {
-          if (!read_once_)
-            StartReading(ReadScope::kFirst);
-          return After(timing_.retry, [this] { Join(); });
-        }
-        member_lease_ = answer.lease;
-        member_until_ = asked + answer.time_to_live - timing_.lease_margin;
-        keep_at_ = asked + timing_.membership_renewal;
-        WriteMember(/*then_read=*/true);
-      });
+  store_.OpenLease(timing_.membership, [this,
+                                        asked](const StoreAnswer& answer) {
+    NoteStore(answer, "open-lease");
+    joining_ = false;
+    if (answer.status != StoreStatus::kOk) {
+      if (!read_once_)
+        StartReading(ReadScope::kFirst);
+      return After(timing_.retry, [this] { WhenReached([this] { Join(); }); });
+    }
+    member_lease_ = answer.lease;
+    member_until_ = asked + answer.time_to_live - timing_.lease_margin;
+    keep_at_ = asked + timing_.membership_renewal;
+    WriteMember(/*then_read=*/true);
+  });
 }
 
 void EntryControl::WriteMember(bool then_read) {
@@ -85,7 +85,8 @@
         if (answer.status == StoreStatus::kNotFound)
           return Join();
         if (then_read)
-          After(timing_.retry, [this] { WriteMember(true); });
+          After(timing_.retry,
+                [this] { WhenReached([this] { WriteMember(true); }); });
       });
 }
 
@@ -107,7 +108,7 @@
                                             : timing_.membership_renewal);
       return;
     }
-    keep_at_ = BootNow() + timing_.retry;
+    keep_at_ = BootNow() + contact_.ProbeDelay();
     if (answer.status != StoreStatus::kNotFound)
       return;
     log_.Write(LogLevel::kWarning, "membership-lost",
@@ -184,7 +185,7 @@
 
 void EntryControl::Campaign(Instant now) {
   if (mover_key_exists_ || campaigning_ || resigned_ || !tables_current_ ||
-      now >= member_until_) {
+      contact_.lost() || now >= member_until_) {
     campaign_at_.reset();
     return;
   }
--- a/src/store_contact.cc
+++ b/src/store_contact.cc
@@ -4,20 +4,35 @@
 #include <algorithm>
 
 namespace figstall {
+namespace {
+
+// Most outages are short, so the first calls follow sooner. The longer delay
+// is still short against a membership.
+constexpr std::uint32_t kFirstProbes = 3;
+constexpr Duration kFirstProbeDelay = std::chrono::milliseconds(250);
+constexpr Duration kProbeDelay = std::chrono::milliseconds(500);
+
+}  // namespace
 
 bool StoreContact::OnAnswered() {
   const bool regained = lost_;
   lost_ = false;
+  failures_ = 0;
   return regained;
 }
 
 bool StoreContact::OnFailed(Instant now) {
   const bool newly_lost = !lost_;
   lost_ = true;
+  ++failures_;
   failed_at_ = now;
   return newly_lost;
 }
 
+Duration StoreContact::ProbeDelay() const {
+  return failures_ <= kFirstProbes ? kFirstProbeDelay : kProbeDelay;
+}
+
 void StoreContact::OnConfirmed(Instant asked) {
   if (watch_sent_ && *watch_sent_ <= asked && !FailedSinceWatch())
     confirmed_at_ = std::max(asked, confirmed_at_.value_or(asked));
--- a/test/store_contact_test.cc
+++ b/test/store_contact_test.cc
@@ -60,4 +60,23 @@
   CHECK(contact.confirmed_at() == At(1000));
 }
 
+// Load: platform_down on 195 members. Each watched the store for itself again
+// and again, 700 full calls a second; a lost store is asked by renewals alone.
+TEST_CASE("a lost store is asked seldom, and as before once it answers") {
+  StoreContact contact;
+  contact.OnFailed(At(0));
+  CHECK(contact.lost());
+  CHECK(contact.ProbeDelay() == std::chrono::milliseconds(250));
+  Instant now = At(0);
+  int probes = 0;
+  for (; now < At(5000); now += contact.ProbeDelay()) {
+    contact.OnFailed(now);
+    ++probes;
+  }
+  CHECK(probes <= 12);
+  contact.OnAnswered();
+  CHECK_FALSE(contact.lost());
+  CHECK(contact.ProbeDelay() == std::chrono::milliseconds(250));
+}
+
 }  // namespace figstall
