--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -46,6 +46,9 @@
     // Whether the process is stopping, so that connections end.
     std::function<bool()> stopping;
     CallerSession::Repeatable repeatable;
+    // Bytes that are no proper request were answered with this status; may be
+    // empty.
+    std::function<void(int status)> on_refused;
   };
 
   CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -83,6 +86,7 @@
   bool reading_ = false;
   bool pumping_ = false;
   bool caller_ended_ = false;
+  bool told_refusal_ = false;
   bool closed_ = false;
   // Since when the sending side is closed and the caller's close is awaited.
   std::optional<Instant> closing_since_;
--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -68,6 +68,9 @@
   // Drops everything.
   void Reset();
 
+  // Why the caller's bytes were refused, once they were: a status.
+  std::optional<int> refused() const { return refused_; }
+
   // The next request to be passed on.
   std::optional<CallerRequest> NextRequest();
   // Calls if the caller is gone, or its connection is of no more use, before
@@ -159,6 +162,7 @@
   bool closing_ = false;
   bool stopping_ = false;
   bool any_request_ = false;
+  std::optional<int> refused_;
   SessionEnd end_ = SessionEnd::kOpen;
   const Instant opened_;
   Instant idle_since_;
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -75,6 +75,10 @@
     handlers_.on_request(AnswerSlot(self, number), std::move(*request));
   }
   pumping_ = false;
+  if (session_.refused() && !told_refusal_ && handlers_.on_refused) {
+    told_refusal_ = true;
+    handlers_.on_refused(*session_.refused());
+  }
   if (session_.end() == SessionEnd::kReset)
     return Abort();
   Write();
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -152,6 +152,7 @@
 }
 
 void CallerSession::RefuseInput(int status) {
+  refused_ = status;
   HttpResponse answer;
   answer.result(static_cast<unsigned>(status));
   answer.version(11);
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -127,6 +127,10 @@
           callers_.erase(caller);
         };
         handlers.stopping = [this] { return stop_by_.has_value(); };
+        handlers.on_refused = [this](int status) {
+          log_.Write(LogLevel::kWarning, "caller-refused",
+                     {{"status", std::to_string(status)}});
+        };
         handlers.repeatable = [this](const HttpRequest& request) {
           return IsRepeatable(request);
         };
--- /dev/null
+++ b/test/caller_session_fuzz_test.cc
@@ -0,0 +1,166 @@
+// Any bytes at a caller's connection, in any pieces: no crash, no request that
+// depends on how the bytes came, no answer without a request.
+// FIGSTALL_FUZZ multiplies the number of inputs for a longer search.
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <random>
+
+#include "figstall/caller_session.h"
+
+namespace figstall {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr Instant kNow{std::chrono::seconds(100)};
+
+// Pieces of which inputs are made: good requests, parts of them and junk.
+const char* const kPieces[] = {
+    "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+    "GET /long HTTP/1.1\r\nHost: h\r\nCookie: aaaaaaaaaaaaaaaaaaaaaaa\r\n\r\n",
+    "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+    "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nabc\r\n0\r\n\r\n",
+    "POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+    "Content-Length: 2\r\n\r\nok",
+    "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    "POST /both HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "HEAD /h HTTP/1.1\r\nHost: h\r\n\r\n",
+    "GET /old HTTP/1.0\r\n\r\n",
+    "Content-Length: 7\r\n",
+    "\r\n\r\n",
+    "7\r\n",
+    "GET ",
+    " HTTP/1.1\r\n",
+    "\xff\x00\x01"};
+
+// The first of them are good requests.
+constexpr std::size_t kGood = 6;
+
+std::string MakeInput(std::mt19937_64& random) {
+  std::string input;
+  for (std::uint64_t pieces = 1 + random() % 8; pieces > 0; --pieces)
+    input +=
+        kPieces[random() % (random() % 4 > 0 ? kGood : std::size(kPieces))];
+  for (std::uint64_t changes = random() % 3; changes > 0; --changes) {
+    const std::size_t at = random() % input.size();
+    switch (random() % 3) {
+      case 0:
+        input[at] = static_cast<char>(random());
+        break;
+      case 1:
+        input.erase(at, 1 + random() % 5);
+        break;
+      default:
+        input.insert(at, 1, static_cast<char>(random()));
+    }
+    if (input.empty())
+      input = "\n";
+  }
+  // A head is judged once it is whole.
+  return input + "\r\n\r\n";
+}
+
+// What a session makes of an input that comes in pieces of these sizes.
+struct Outcome {
+  std::vector<std::string> requests;
+  std::vector<unsigned> answers;
+  bool junk = false;
+  SessionEnd end = SessionEnd::kOpen;
+
+  friend bool operator==(const Outcome&, const Outcome&) = default;
+};
+
+std::ostream& operator<<(std::ostream& out, const Outcome& outcome) {
+  for (const std::string& each : outcome.requests)
+    out << "[" << each << "] ";
+  for (const unsigned each : outcome.answers)
+    out << each << " ";
+  return out << (outcome.junk ? "junk " : "") << static_cast<int>(outcome.end);
+}
+
+void Pass(CallerSession& session, Outcome& outcome, std::string& out) {
+  for (bool more = true; more;) {
+    more = false;
+    while (auto request = session.NextRequest()) {
+      more = true;
+      outcome.requests.push_back(
+          std::string(View(request->message.method_string())) + " " +
+          std::string(View(request->message.target())) + " " +
+          request->message.body());
+      HttpResponse answer;
+      answer.version(11);
+      answer.result(204);
+      session.Reply(request->number, std::move(answer));
+    }
+    const std::string bytes = session.TakeOutput(kNow);
+    if (bytes.empty())
+      continue;
+    more = true;
+    out += bytes;
+    session.OnWritten(kNow);
+  }
+}
+
+template <typename NextSize>
+Outcome Feed(const std::string& input, NextSize&& next_size) {
+  CallerSession session(
+      {},
+      [](const HttpRequest& request) {
+        return request.method() == http::verb::get;
+      },
+      kNow);
+  Outcome outcome;
+  std::string out;
+  for (std::size_t at = 0; at < input.size();) {
+    const std::size_t size = std::min(input.size() - at, next_size());
+    session.OnBytes(kNow, std::string_view(input).substr(at, size));
+    at += size;
+    Pass(session, outcome, out);
+  }
+  outcome.end = session.end();
+  while (!out.empty()) {
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    boost::system::error_code error;
+    const std::size_t used =
+        parser.put(boost::asio::buffer(out.data(), out.size()), error);
+    if (error || !parser.is_done()) {
+      outcome.junk = true;
+      break;
+    }
+    // Whether there is an interim answer depends on when the body comes.
+    if (parser.get().result_int() != 100)
+      outcome.answers.push_back(parser.get().result_int());
+    out.erase(0, used);
+  }
+  return outcome;
+}
+
+}  // namespace
+
+TEST_CASE("any bytes in any pieces make the same requests and answers") {
+  const char* factor = std::getenv("FIGSTALL_FUZZ");
+  const std::uint64_t inputs = 4000U * (factor ? std::atoi(factor) : 1);
+  std::size_t requests = 0;
+  for (std::uint64_t seed = 1; seed <= inputs; ++seed) {
+    std::mt19937_64 random(seed);
+    const std::string input = MakeInput(random);
+    INFO("seed " << seed << ": " << input);
+    const Outcome whole = Feed(input, [&] { return input.size(); });
+    const Outcome bytes = Feed(input, [] { return std::size_t{1}; });
+    const Outcome pieces =
+        Feed(input, [&] { return std::size_t{1 + random() % 30}; });
+    REQUIRE_FALSE(whole.junk);
+    REQUIRE(whole == bytes);
+    REQUIRE(whole == pieces);
+    // One answer each, and one more for what is no request.
+    REQUIRE(whole.answers.size() >= whole.requests.size());
+    REQUIRE(whole.answers.size() <= whole.requests.size() + 1);
+    requests += whole.requests.size();
+  }
+  CHECK(requests > inputs);
+}
+
+}  // namespace figstall
