Let an unexpected error end one handler's work, not the process; damage every message

Looked for: one malformed message or unexpected error that takes a process down. Desired states, targets, tables, datagrams, admission orders and differences, each damaged 2,000 times: all refused or read (message_fuzz_test). Found by reading: nothing caught what a handler throws, so any surprise cut the requests of all callers, and the tick was set again only at its end; an exception is logged (unexpected-error) and the loop goes on, up to 100 of them. A member's word on how long its grants last counted without bound, so one damaged datagram could have held a move for years; no more is believed than a grant can last. The loop's guard itself has no test.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -72,6 +72,7 @@
 
   // Does what the session asks for.
   void Pump();
+  void PassOn();
   void Read();
   void OnCallerEnded(const boost::system::error_code& error);
   void Write();
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -11,6 +11,7 @@
 #ifndef FIGSTALL_RANGE_MOVER_H_
 #define FIGSTALL_RANGE_MOVER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -43,6 +44,10 @@
   Duration SurelyOver() const { return Scaled(hold, 1 + clock_slack); }
   // From the sending of a grant until it has surely run out.
   Duration LongestHold() const { return call_limit + SurelyOver(); }
+  // What may be true of a time that a member says a grant has left.
+  Duration Believable(Duration left) const {
+    return std::clamp(left, Duration{0}, LongestHold());
+  }
 };
 
 // What a member has said of its grants, and whether it still is one. Members
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "figstall/http_channel.h"
+#include "figstall/scoped_flag.h"
 
 namespace figstall {
 namespace {
@@ -67,24 +68,28 @@
   if (pumping_ || closed_)
     return;
   const auto self = shared_from_this();
-  pumping_ = true;
+  PassOn();
+  if (session_.end() == SessionEnd::kReset)
+    return Abort();
+  Write();
+  if (session_.end() != SessionEnd::kOpen && !session_.writing())
+    CloseSoftly();
+  Read();
+}
+
+void CallerConnection::PassOn() {
+  const ScopedFlag pumping(pumping_);
   if (handlers_.stopping())
     session_.Stop();
   while (auto request = session_.NextRequest()) {
     const RequestNumber number = request->number;
-    handlers_.on_request(AnswerSlot(self, number), std::move(*request));
+    handlers_.on_request(AnswerSlot(shared_from_this(), number),
+                         std::move(*request));
   }
-  pumping_ = false;
   if (session_.refused() && !told_refusal_ && handlers_.on_refused) {
     told_refusal_ = true;
     handlers_.on_refused(*session_.refused());
   }
-  if (session_.end() == SessionEnd::kReset)
-    return Abort();
-  Write();
-  if (session_.end() != SessionEnd::kOpen && !session_.writing())
-    CloseSoftly();
-  Read();
 }
 
 void CallerConnection::Read() {
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -149,7 +149,7 @@
                 [now](const auto& each) { return each.second <= now; });
   for (const auto& [owner, time] : report.holds_for) {
     Instant& until = known.holds_until[owner];
-    until = std::max(until, now + time);
+    until = std::max(until, now + settings_.grants.Believable(time));
   }
 }
 
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -52,6 +52,8 @@
 // A loop that has not ticked for this long is not ready.
 constexpr Duration kStall = std::chrono::seconds(2);
 constexpr unsigned kStatusConnections = 16;
+// Unexpected errors after which a process gives up and starts anew.
+constexpr int kMostUnexpected = 100;
 
 std::string MakeIncarnation() {
   std::random_device device;
@@ -94,13 +96,30 @@
                {{"callers", settings_.callers.ToString()},
                 {"store", settings_.store.ToString()},
                 {"zone", settings_.zone.value()}});
-    io_.run();
+    Serve();
     log_.Write(LogLevel::kInfo, "stopped",
                {{"in_flight", std::to_string(traffic_.in_flight())}});
     return 0;
   }
 
  private:
+  // An error that a handler did not expect ends that handler's work alone:
+  // one bad message must not cut the requests of all callers.
+  void Serve() {
+    for (int unexpected = 0;; ++unexpected) {
+      try {
+        io_.run();
+        return;
+      } catch (const std::exception& error) {
+        log_.Write(LogLevel::kError, "unexpected-error",
+                   {{"what", error.what()},
+                    {"count", std::to_string(unexpected + 1)}});
+        if (unexpected >= kMostUnexpected)
+          throw;
+      }
+    }
+  }
+
   figstall::HttpReply Answer(const figstall::HttpCall& call) const {
     figstall::HttpReply reply;
     reply.content_type = "text/plain";
@@ -166,6 +185,8 @@
     timer_.async_wait([this](boost::system::error_code error) {
       if (error)
         return;
+      // Set first, so that an unexpected error in a tick is not the last one.
+      ScheduleTick();
       const Instant now = BootNow();
       last_tick_us_ = now.time_since_epoch().count();
       control_.Tick(now);
@@ -173,8 +194,7 @@
       if (!stop_begun_)
         ready_ = control_.ready();
       else if (IsStopped(now))
-        return io_.stop();
-      ScheduleTick();
+        io_.stop();
     });
   }
 
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -6,6 +6,7 @@
 
 #include "figstall/exchange.h"
 #include "figstall/http_channel.h"
+#include "figstall/scoped_flag.h"
 
 namespace figstall {
 namespace {
@@ -181,7 +182,7 @@
 void EntryTraffic::ServeWaiting() {
   if (serving_waiting_)
     return;
-  serving_waiting_ = true;
+  const ScopedFlag serving(serving_waiting_);
   const std::vector<Exchange*> waiting(waiting_.begin(), waiting_.end());
   for (Exchange* each : waiting) {
     const auto found = exchanges_.find(each);
@@ -191,7 +192,6 @@
     if (kept->TrySend())
       waiting_.remove(each);
   }
-  serving_waiting_ = false;
 }
 
 void EntryTraffic::OnViewChanged() {
--- /dev/null
+++ b/test/message_fuzz_test.cc
@@ -0,0 +1,127 @@
+// Damaged messages of every kind that a process takes in: they are refused with
+// an error, or read as something, and never end the process.
+// FIGSTALL_FUZZ multiplies the number of inputs for a longer search.
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <random>
+
+#include "figstall/load_report.h"
+#include "figstall/range_mover.h"
+#include "figstall/range_table.h"
+#include "figstall/text_delta.h"
+#include "platform/decode.h"
+
+namespace figstall {
+namespace {
+
+std::string Damage(std::string text, std::mt19937_64& random) {
+  static const char* const kPieces[] = {
+      "null", "-1", "1e400", "[]", "{}", "\"\"", "99999999999999999999", "]"};
+  for (std::uint64_t changes = 1 + random() % 4; changes > 0; --changes) {
+    const std::size_t at = random() % (text.size() + 1);
+    switch (random() % 5) {
+      case 0:
+        if (at < text.size())
+          text[at] = static_cast<char>(random());
+        break;
+      case 1:
+        text.erase(at, 1 + random() % 20);
+        break;
+      case 2:
+        text.insert(at, kPieces[random() % std::size(kPieces)]);
+        break;
+      case 3:
+        text.resize(at);
+        break;
+      default:
+        text.insert(at, text.substr(0, random() % 40));
+    }
+  }
+  return text;
+}
+
+// Reads damaged copies of a message; the number of those that were refused.
+template <typename Read>
+int Refused(const std::string& good, Read&& read) {
+  const char* factor = std::getenv("FIGSTALL_FUZZ");
+  const std::uint64_t inputs = 2000U * (factor ? std::atoi(factor) : 1);
+  int refused = 0;
+  for (std::uint64_t seed = 1; seed <= inputs; ++seed) {
+    std::mt19937_64 random(seed);
+    const std::string damaged = Damage(good, random);
+    INFO("seed " << seed);
+    HandleError(
+        [&]() -> Result<void> {
+          BOOST_LEAF_CHECK(read(damaged));
+          return {};
+        },
+        [&](const Error&) { ++refused; });
+  }
+  return refused;
+}
+
+constexpr char kState[] = R"({"version":7,"routes":{
+  "r1":{"host":"a.example","prefix":"/x/","kind":"safe","timeoutS":1,
+        "sloS":0.4,"priority":2,"attempts":2,"service":"one"}},
+  "services":{"one":{"sharded":true,"healthPath":"/h"}},
+  "limits":{"maxHeaderBytes":8000,"maxBodyBytes":100000,"headerTimeoutS":5,
+            "idleTimeoutS":10}})";
+constexpr char kTarget[] = R"({"addr":"10.0.0.1:80","born":17,
+  "info":{"service":"one","version":"v1","zone":"z","slots":4},
+  "status":{"state":"ready","seq":1,"warmupLeftS":0}})";
+
+}  // namespace
+
+TEST_CASE("damaged desired states and targets end no process") {
+  CHECK(Refused(kState, platform::DecodeDesiredState) > 0);
+  CHECK(Refused(kTarget, [](const std::string& text) {
+          return platform::DecodeTargetEntry("i-1", text);
+        }) > 0);
+}
+
+TEST_CASE("damaged tables of key ranges end no process") {
+  RangeTable table;
+  table.last_fence = 3;
+  RangeEntry entry;
+  entry.range = {0, 65'535};
+  entry.owner = {TargetId("t"), 1};
+  entry.address = {"10.0.0.1", 80};
+  entry.zone = ZoneId("z");
+  entry.fence = 3;
+  table.entries = {entry};
+  RangeTableReader reader;
+  CHECK(Refused(EncodeRangeTable(table), [&](const std::string& text) {
+          return reader.Read(text, "table");
+        }) > 0);
+}
+
+TEST_CASE("damaged datagrams end no process, and hold nothing back for long") {
+  LoadReport report;
+  report.vm = VmId("m1");
+  report.services[ServiceId("one")] = {100, {{17, 0.25}}};
+  report.targets[TargetId("t1")] = {std::chrono::milliseconds(80), 12};
+  report.grants.seen_fence[ServiceId("one")] = 12;
+  report.grants.holds_for[TargetId("t2")] = std::chrono::milliseconds(1500);
+  Refused(EncodePeerDatagram(report),
+          [](const std::string& text) { return DecodePeerDatagram(text); });
+  const AdmissionOrder order{VmId("m1"), {{ServiceId("one"), {{3, 0.25}}}}};
+  Refused(EncodePeerDatagram(order),
+          [](const std::string& text) { return DecodePeerDatagram(text); });
+  // What a grant can last at most is all that is believed of its rest.
+  const GrantTiming timing;
+  CHECK(timing.Believable(std::chrono::hours(100)) == timing.LongestHold());
+  CHECK(timing.Believable(std::chrono::hours(-100)) == Duration{0});
+}
+
+TEST_CASE("damaged differences of a value are not applied") {
+  std::mt19937_64 random(1);
+  const std::string base(100, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    const DeltaPart part{static_cast<std::uint32_t>(random()),
+                         static_cast<std::uint32_t>(random()), "new"};
+    const auto applied = ApplyDelta(base, {part});
+    CHECK((!applied || applied->size() <= base.size() + 3));
+  }
+}
+
+}  // namespace figstall
