--- a/test/message_fuzz_test.cc
+++ b/test/message_fuzz_test.cc
@@ -15,7 +15,7 @@
 namespace {
 
 std::string Damage(std::string text, std::mt19937_64& random) {
-  static const char* const kPieces[] = {
+  static const char* const pieces[] = {
       "null", "-1", "1e400", "[]", "{}", "\"\"", "99999999999999999999", "]"};
   for (std::uint64_t changes = 1 + random() % 4; changes > 0; --changes) {
     const std::size_t at = random() % (text.size() + 1);
@@ -28,7 +28,7 @@
         text.erase(at, 1 + random() % 20);
         break;
       case 2:
-        text.insert(at, kPieces[random() % std::size(kPieces)]);
+        text.insert(at, pieces[random() % std::size(pieces)]);
         break;
       case 3:
         text.resize(at);
