--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -24,14 +24,14 @@
       : connection_(std::move(connection)), number_(number) {}
 
   // As the functions of CallerSession.
-  void OnGone(std::function<void()> handler);
-  void Reply(HttpResponse answer);
-  void BeginAnswer(AnswerHead head, std::function<void()> drained);
-  void SendBody(std::string_view bytes, bool last);
-  void Cut();
+  void OnGone(std::function<void()> handler) const;
+  void Reply(HttpResponse answer) const;
+  void BeginAnswer(AnswerHead head, std::function<void()> drained) const;
+  void SendBody(std::string_view bytes, bool last) const;
+  void Cut() const;
   std::size_t unsent() const;
   // Resets the whole connection.
-  void Abort();
+  void Abort() const;
 
  private:
   std::shared_ptr<CallerConnection> connection_;
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -19,27 +19,28 @@
 
 }  // namespace
 
-void AnswerSlot::OnGone(std::function<void()> handler) {
+void AnswerSlot::OnGone(std::function<void()> handler) const {
   connection_->session_.OnGone(number_, std::move(handler));
 }
 
-void AnswerSlot::Reply(HttpResponse answer) {
+void AnswerSlot::Reply(HttpResponse answer) const {
   connection_->session_.Reply(number_, std::move(answer));
   connection_->Pump();
 }
 
-void AnswerSlot::BeginAnswer(AnswerHead head, std::function<void()> drained) {
+void AnswerSlot::BeginAnswer(AnswerHead head,
+                             std::function<void()> drained) const {
   connection_->session_.BeginAnswer(number_, std::move(head),
                                     std::move(drained));
   connection_->Pump();
 }
 
-void AnswerSlot::SendBody(std::string_view bytes, bool last) {
+void AnswerSlot::SendBody(std::string_view bytes, bool last) const {
   connection_->session_.SendBody(number_, bytes, last);
   connection_->Pump();
 }
 
-void AnswerSlot::Cut() {
+void AnswerSlot::Cut() const {
   connection_->session_.Cut(number_);
   connection_->Pump();
 }
@@ -48,7 +49,7 @@
   return connection_->session_.unsent(number_);
 }
 
-void AnswerSlot::Abort() {
+void AnswerSlot::Abort() const {
   connection_->Abort();
 }
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -537,7 +537,7 @@
   if (ended_)
     return;
   if (spare_) {
-    AnswerSlot caller = caller_;
+    const AnswerSlot caller = caller_;
     HttpResponse answer = std::move(*spare_);
     Finish("answered", static_cast<int>(answer.result_int()), reason);
     return caller.Reply(std::move(answer));
@@ -555,7 +555,7 @@
                fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1e6));
   }
   answer.set("Figstall-Reason", reason.substr(0, reason.find(':')));
-  AnswerSlot caller = caller_;
+  const AnswerSlot caller = caller_;
   Finish(run_ == RunState::kNotRun ? "not-run" : "unknown", status, reason);
   caller.Reply(std::move(answer));
 }
