Set the next tick after the work again; fold what the last changes wrote twice

Found on reading the whole change again: - A guard of the loop had moved the setting of the next tick before its work, so a tick that takes longer than 25 ms, as on a tenth of a core, was followed by the next at once. It is set after the work, as before, also where the work throws. - Calls that wait for a lost store and try again stood three times nested: TryAgain. - The formula of a range's load stood beside two shapes of its total: LoadMeter works out the total once and has the one formula. - The body of an answer was appended in two branches; a flag beside the refusal of a caller's bytes could be had from the session; the factor of longer searches was read in three tests. A comment said that a request's kind is asked once; one that had to wait is asked again, which is what should be.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -87,7 +87,6 @@
   bool reading_ = false;
   bool pumping_ = false;
   bool caller_ended_ = false;
-  bool told_refusal_ = false;
   bool closed_ = false;
   // Since when the sending side is closed and the caller's close is awaited.
   std::optional<Instant> closing_since_;
--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "figstall/desired_state.h"
 #include "figstall/http_message.h"
@@ -49,7 +50,8 @@
 
 class CallerSession {
  public:
-  // Whether a request may be served again; asked once, when it is whole.
+  // Whether a request may be served again; asked when it is whole and, where it
+  // had to wait, when it is passed on.
   using Repeatable = std::function<bool(const HttpRequest&)>;
 
   CallerSession(CallerSessionLimits limits, Repeatable repeatable, Instant now);
@@ -68,8 +70,10 @@
   // Drops everything.
   void Reset();
 
-  // Why the caller's bytes were refused, once they were: a status.
-  std::optional<int> refused() const { return refused_; }
+  // The status with which the caller's bytes were refused; told once.
+  std::optional<int> TakeRefusal() {
+    return std::exchange(refused_, std::nullopt);
+  }
 
   // The next request to be passed on.
   std::optional<CallerRequest> NextRequest();
--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -181,6 +181,8 @@
   // Does the work at once, or when a lost store answers again. It is asked by
   // its cheapest call meanwhile.
   void WhenReached(std::function<void()> work);
+  // The same a moment later, after a call that failed.
+  void TryAgain(std::function<void()> work);
 
   void Campaign(Instant now);
   void KeepMover(Instant now);
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -87,10 +87,9 @@
     handlers_.on_request(AnswerSlot(shared_from_this(), number),
                          std::move(*request));
   }
-  if (session_.refused() && !told_refusal_ && handlers_.on_refused) {
-    told_refusal_ = true;
-    handlers_.on_refused(*session_.refused());
-  }
+  const auto refused = session_.TakeRefusal();
+  if (refused && handlers_.on_refused)
+    handlers_.on_refused(*refused);
 }
 
 void CallerConnection::Read() {
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -93,6 +93,10 @@
   Join();
 }
 
+void EntryControl::TryAgain(std::function<void()> work) {
+  After(timing_.retry, [this, work = std::move(work)] { WhenReached(work); });
+}
+
 void EntryControl::WhenReached(std::function<void()> work) {
   if (!contact_.lost())
     return work();
@@ -154,9 +158,8 @@
                 NoteStore(answer, "list");
                 if (answer.status != StoreStatus::kOk) {
                   reading_ = false;
-                  return After(timing_.retry, [this, scope = reading->scope] {
-                    WhenReached([this, scope] { StartReading(scope); });
-                  });
+                  return TryAgain(
+                      [this, scope = reading->scope] { StartReading(scope); });
                 }
                 ReadSection& section = reading->sections[reading->section];
                 if (section.revision == 0)
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -32,20 +32,20 @@
   tables_current_ = false;
   member_until_ = {};
   const Instant asked = BootNow();
-  store_.OpenLease(timing_.membership, [this,
-                                        asked](const StoreAnswer& answer) {
-    NoteStore(answer, "open-lease");
-    joining_ = false;
-    if (answer.status != StoreStatus::kOk) {
-      if (!read_once_)
-        StartReading(ReadScope::kFirst);
-      return After(timing_.retry, [this] { WhenReached([this] { Join(); }); });
-    }
-    member_lease_ = answer.lease;
-    member_until_ = asked + answer.time_to_live - timing_.lease_margin;
-    keep_at_ = asked + timing_.membership_renewal;
-    WriteMember(/*then_read=*/true);
-  });
+  store_.OpenLease(
+      timing_.membership, [this, asked](const StoreAnswer& answer) {
+        NoteStore(answer, "open-lease");
+        joining_ = false;
+        if (answer.status != StoreStatus::kOk) {
+          if (!read_once_)
+            StartReading(ReadScope::kFirst);
+          return TryAgain([this] { Join(); });
+        }
+        member_lease_ = answer.lease;
+        member_until_ = asked + answer.time_to_live - timing_.lease_margin;
+        keep_at_ = asked + timing_.membership_renewal;
+        WriteMember(/*then_read=*/true);
+      });
 }
 
 void EntryControl::WriteMember(bool then_read) {
@@ -85,8 +85,7 @@
         if (answer.status == StoreStatus::kNotFound)
           return Join();
         if (then_read)
-          After(timing_.retry,
-                [this] { WhenReached([this] { WriteMember(true); }); });
+          TryAgain([this] { WriteMember(true); });
       });
 }
 
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -185,19 +185,28 @@
     timer_.async_wait([this](boost::system::error_code error) {
       if (error)
         return;
-      // Set first, so that an unexpected error in a tick is not the last one.
-      ScheduleTick();
-      const Instant now = BootNow();
-      last_tick_us_ = now.time_since_epoch().count();
-      control_.Tick(now);
-      traffic_.Tick(now);
-      if (!stop_begun_)
-        ready_ = control_.ready();
-      else if (IsStopped(now))
-        io_.stop();
+      // An unexpected error in a tick must not make it the last one.
+      try {
+        Tick(BootNow());
+      } catch (const std::exception&) {
+        ScheduleTick();
+        throw;
+      }
+      if (!io_.stopped())
+        ScheduleTick();
     });
   }
 
+  void Tick(Instant now) {
+    last_tick_us_ = now.time_since_epoch().count();
+    control_.Tick(now);
+    traffic_.Tick(now);
+    if (!stop_begun_)
+      ready_ = control_.ready();
+    else if (IsStopped(now))
+      io_.stop();
+  }
+
   bool IsStopped(Instant now) {
     const Duration age = now - *stop_begun_;
     if (age < kReadinessNotice)
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -323,16 +323,13 @@
       attempt.connection->Pause();
     return;
   }
-  switch (RuleForBody(attempt.head, attempt.body.size() + bytes.size())) {
-    case BodyRule::kDrop:
-      return;
-    case BodyRule::kHold:
-      attempt.body += bytes;
-      return;
-    case BodyRule::kStream:
-      break;
-  }
+  const BodyRule rule =
+      RuleForBody(attempt.head, attempt.body.size() + bytes.size());
+  if (rule == BodyRule::kDrop)
+    return;
   attempt.body += bytes;
+  if (rule == BodyRule::kHold)
+    return;
   attempt.streaming = true;
   const std::weak_ptr<TargetConnection> connection = attempt.connection;
   caller_.BeginAnswer(CallerHead(), [connection] {
--- a/src/range_balance.cc
+++ b/src/range_balance.cc
@@ -39,29 +39,40 @@
   return {static_cast<ShardKey>(first), static_cast<ShardKey>(next - 1)};
 }
 
-double TotalOf(const RangeLoad& load) {
-  return std::accumulate(load.parts.begin(), load.parts.end(), 0.0);
-}
+// Tells the load of many ranges; works out the total of all once.
+class LoadMeter {
+ public:
+  // Null or empty: no samples.
+  explicit LoadMeter(const RangeLoad* load)
+      : load_(load && !load->parts.empty() ? load : nullptr),
+        total_(
+            load_
+                ? std::accumulate(load_->parts.begin(), load_->parts.end(), 0.0)
+                : 0) {}
 
-// `total`: of all parts.
-double SampledLoadOf(const KeyRange& range,
-                     const RangeLoad& load,
-                     double total) {
-  const double part_size = PartSize(load);
-  double sum = 0;
-  for (std::size_t part = static_cast<std::size_t>(range.first / part_size);
-       part < load.parts.size() &&
-       static_cast<double>(part) * part_size <= range.last;
-       ++part) {
-    const double begin = static_cast<double>(part) * part_size;
-    const double overlap =
-        std::min<double>(range.last + 1.0, begin + part_size) -
-        std::max<double>(range.first, begin);
-    sum += load.parts[part] * std::max(0.0, overlap) / part_size;
+  double Of(const KeyRange& range) const {
+    const double floor = static_cast<double>(range.size()) / kShardKeys;
+    if (!load_)
+      return floor;
+    const double part_size = PartSize(*load_);
+    double sum = 0;
+    for (std::size_t part = static_cast<std::size_t>(range.first / part_size);
+         part < load_->parts.size() &&
+         static_cast<double>(part) * part_size <= range.last;
+         ++part) {
+      const double begin = static_cast<double>(part) * part_size;
+      const double overlap =
+          std::min<double>(range.last + 1.0, begin + part_size) -
+          std::max<double>(range.first, begin);
+      sum += load_->parts[part] * std::max(0.0, overlap) / part_size;
+    }
+    return sum + floor * kUnseenShare * total_;
   }
-  const double floor = static_cast<double>(range.size()) / kShardKeys;
-  return sum + floor * kUnseenShare * total;
-}
+
+ private:
+  const RangeLoad* load_;
+  double total_;
+};
 
 // How much the total of all delays grows with the load of a target that is this
 // busy, in units of its work time. The delay is Sakasegawa's approximation for
@@ -151,13 +162,13 @@
                                 const RangeLoad& load) {
   const auto step =
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(PartSize(load)));
-  const double total = TotalOf(load);
+  const LoadMeter meter(&load);
   std::optional<KeyRange> best;
   double best_load = 0;
   const auto consider = [&](std::uint32_t first, std::uint32_t last) {
     const KeyRange piece{static_cast<ShardKey>(first),
                          static_cast<ShardKey>(last)};
-    const double each = SampledLoadOf(piece, load, total);
+    const double each = meter.Of(piece);
     if (each <= wanted * kPieceExcess && each > best_load) {
       best = piece;
       best_load = each;
@@ -234,9 +245,7 @@
 }  // namespace
 
 double LoadOf(const KeyRange& range, const RangeLoad* load) {
-  return !load || load->parts.empty()
-             ? static_cast<double>(range.size()) / kShardKeys
-             : SampledLoadOf(range, *load, TotalOf(*load));
+  return LoadMeter(load).Of(range);
 }
 
 TargetShares SharesOf(const RangeTable& table,
@@ -257,13 +266,11 @@
     shares[target->life.id] = share;
   }
   const bool sampled = load && !load->parts.empty();
-  const double total = sampled ? TotalOf(*load) : 0;
+  const LoadMeter meter(load);
   for (const RangeEntry& entry : table.entries) {
     const auto share = shares.find(entry.owner.id);
-    if (share == shares.end() || entry.phase != RangePhase::kSettled)
-      continue;
-    share->second.load += sampled ? SampledLoadOf(entry.range, *load, total)
-                                  : LoadOf(entry.range, nullptr);
+    if (share != shares.end() && entry.phase == RangePhase::kSettled)
+      share->second.load += meter.Of(entry.range);
   }
   for (std::size_t part = 0; sampled && part < load->parts.size(); ++part) {
     const RangeEntry* entry = table.Find(PartRange(*load, part).first);
--- a/test/caller_session_fuzz_test.cc
+++ b/test/caller_session_fuzz_test.cc
@@ -2,10 +2,10 @@
 // depends on how the bytes came, no answer without a request.
 // FIGSTALL_FUZZ multiplies the number of inputs for a longer search.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <random>
 
 #include "figstall/caller_session.h"
+#include "longer_search.h"
 
 namespace figstall {
 namespace {
@@ -144,8 +144,7 @@
 }  // namespace
 
 TEST_CASE("any bytes in any pieces make the same requests and answers") {
-  const char* factor = std::getenv("FIGSTALL_FUZZ");
-  const std::uint64_t inputs = 4000U * (factor ? std::atoi(factor) : 1);
+  const std::uint64_t inputs = 4000U * SearchFactor("FIGSTALL_FUZZ");
   std::size_t requests = 0;
   for (std::uint64_t seed = 1; seed <= inputs; ++seed) {
     std::mt19937_64 random(seed);
--- a/test/message_fuzz_test.cc
+++ b/test/message_fuzz_test.cc
@@ -2,13 +2,13 @@
 // an error, or read as something, and never end the process.
 // FIGSTALL_FUZZ multiplies the number of inputs for a longer search.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <random>
 
 #include "figstall/load_report.h"
 #include "figstall/range_mover.h"
 #include "figstall/range_table.h"
 #include "figstall/text_delta.h"
+#include "longer_search.h"
 #include "platform/decode.h"
 
 namespace figstall {
@@ -43,8 +43,7 @@
 // Reads damaged copies of a message; the number of those that were refused.
 template <typename Read>
 int Refused(const std::string& good, Read&& read) {
-  const char* factor = std::getenv("FIGSTALL_FUZZ");
-  const std::uint64_t inputs = 2000U * (factor ? std::atoi(factor) : 1);
+  const std::uint64_t inputs = 2000U * SearchFactor("FIGSTALL_FUZZ");
   int refused = 0;
   for (std::uint64_t seed = 1; seed <= inputs; ++seed) {
     std::mt19937_64 random(seed);
--- a/test/range_walk_test.cc
+++ b/test/range_walk_test.cc
@@ -11,6 +11,7 @@
 
 #include "figstall/range_granter.h"
 #include "figstall/range_mover.h"
+#include "longer_search.h"
 
 namespace figstall {
 namespace {
@@ -526,8 +527,7 @@
 constexpr int kSteps = 800;
 // FIGSTALL_WALKS multiplies the number of walks for a longer search.
 int Walks(int count) {
-  const char* factor = std::getenv("FIGSTALL_WALKS");
-  return factor ? count * std::atoi(factor) : count;
+  return count * SearchFactor("FIGSTALL_WALKS");
 }
 
 int Violations(Flaw flaw, int walks, double late_share = 0) {
