--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "figstall/error.h"
+#include "figstall/hot_key_limits.h"
 #include "figstall/range_load.h"
 #include "figstall/range_table.h"
 #include "figstall/target_entry.h"
@@ -75,37 +76,6 @@
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
 
-// Share of the requests that are admitted for each key, 0 to 1. Keys that are
-// not listed are not limited.
-using AdmittedShares = std::map<ShardKey, double>;
-
-// Sent by the mover to all members while keys have more load than their owners
-// can serve.
-struct HotKeyLimits {
-  VmId mover;
-  std::map<ServiceId, AdmittedShares> services;
-
-  friend bool operator==(const HotKeyLimits&, const HotKeyLimits&) = default;
-};
-
-// Utilization, as load divided by estimated capacity, to which an owner is
-// limited if one of its keys alone exceeds it. It is below one so that the
-// owner's queue stays short and its responses are in time.
-inline constexpr double kHotKeyUtilization = 0.85;
-// The limit for all other owners. Moves relieve these within a second, and
-// until then the capacity estimate is too uncertain to reject requests on.
-inline constexpr double kOverloadUtilization = 2.5;
-
-// Limits each owner whose load exceeds these utilizations. Its hottest keys
-// are reduced to one common load, such that the admitted load fits; its keys
-// with less load than that are admitted in full. `load` has a part for each
-// key.
-AdmittedShares ComputeAdmittedShares(
-    const RangeTable& table,
-    const RangeLoad& load,
-    const std::map<TargetId, double>& capacities,
-    const TargetDirectory& directory);
-
 KeyLoadReport MakeKeyLoadReport(const KeyLoad& load);
 using PeerDatagram = std::variant<LoadReport, HotKeyLimits>;
 std::string EncodePeerDatagram(const PeerDatagram& datagram);
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -342,9 +342,8 @@
   const auto shares = view_.hot_key_limits.services.find(service);
   if (shares == view_.hot_key_limits.services.end())
     return true;
-  const auto share = shares->second.find(key);
-  return share == shares->second.end() ||
-         std::uniform_real_distribution<>()(random_) < share->second;
+  const double share = AdmittedShareOf(shares->second, key);
+  return share >= 1 || std::uniform_real_distribution<>()(random_) < share;
 }
 
 LoadReport EntryTraffic::MakeLoadReport(Instant now,
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -132,12 +132,14 @@
   for (const auto& [service, shares] : limits.services) {
     auto out = services[index++];
     out.setService(service.value());
-    auto keys = out.initKeys(static_cast<unsigned>(shares.size()));
-    auto thousandths = out.initKeyShares(static_cast<unsigned>(shares.size()));
-    unsigned key_index = 0;
-    for (const auto& [key, share] : shares) {
-      keys.set(key_index, key);
-      thousandths.set(key_index++, static_cast<std::uint16_t>(share * 1000));
+    const auto count = static_cast<unsigned>(shares.size());
+    auto firsts = out.initFirsts(count);
+    auto lasts = out.initLasts(count);
+    auto thousandths = out.initRangeShares(count);
+    for (unsigned i = 0; i < count; ++i) {
+      firsts.set(i, shares[i].range.first);
+      lasts.set(i, shares[i].range.last);
+      thousandths.set(i, static_cast<std::uint16_t>(shares[i].share * 1000));
     }
   }
 }
@@ -148,10 +150,16 @@
   for (const auto service : root.getServices()) {
     AdmittedShares& shares =
         limits.services[ServiceId(std::string(service.getService()))];
-    const auto keys = service.getKeys();
-    const auto thousandths = service.getKeyShares();
-    for (unsigned i = 0; i < std::min(keys.size(), thousandths.size()); ++i)
-      shares[keys[i]] = thousandths[i] / 1000.0;
+    const auto firsts = service.getFirsts();
+    const auto lasts = service.getLasts();
+    const auto thousandths = service.getRangeShares();
+    const unsigned count =
+        std::min({firsts.size(), lasts.size(), thousandths.size()});
+    for (unsigned i = 0; i < count; ++i) {
+      if (firsts[i] <= lasts[i] &&
+          (shares.empty() || shares.back().range.last < firsts[i]))
+        shares.push_back({{firsts[i], lasts[i]}, thousandths[i] / 1000.0});
+    }
   }
   return limits;
 }
@@ -220,59 +228,6 @@
   return report;
 }
 
-AdmittedShares ComputeAdmittedShares(
-    const RangeTable& table,
-    const RangeLoad& load,
-    const std::map<TargetId, double>& capacities,
-    const TargetDirectory& directory) {
-  AdmittedShares shares;
-  if (load.empty())
-    return shares;
-  // Keys with load of each owner, by ascending load.
-  std::map<TargetId, std::vector<std::pair<double, ShardKey>>> keys_of;
-  for (const RangeEntry& entry : table.entries) {
-    auto& keys = keys_of[entry.owner.id];
-    for (std::uint32_t key = entry.range.first; key <= entry.range.last;
-         ++key) {
-      if (load.parts()[key] > 0)
-        keys.emplace_back(load.parts()[key], static_cast<ShardKey>(key));
-    }
-  }
-  for (auto& [owner, keys] : keys_of) {
-    const auto entry = directory.find(owner);
-    if (entry == directory.end() || keys.empty())
-      continue;
-    const auto known = capacities.find(owner);
-    const double capacity =
-        known != capacities.end() ? known->second : entry->second.slots;
-    double total_load = 0;
-    double hottest_load = 0;
-    for (const auto& [key_load, key] : keys) {
-      total_load += key_load;
-      hottest_load = std::max(hottest_load, key_load);
-    }
-    double admissible_load =
-        capacity * (hottest_load > kHotKeyUtilization * capacity
-                        ? kHotKeyUtilization
-                        : kOverloadUtilization);
-    if (total_load <= admissible_load)
-      continue;
-    // In order of load, so that each key with less load than its equal share
-    // of what is left is admitted in full.
-    std::sort(keys.begin(), keys.end());
-    std::size_t keys_left = keys.size();
-    for (const auto& [key_load, key] : keys) {
-      const double max_key_load =
-          admissible_load / static_cast<double>(keys_left);
-      if (key_load > max_key_load)
-        shares[key] = max_key_load / key_load;
-      admissible_load -= std::min(key_load, max_key_load);
-      --keys_left;
-    }
-  }
-  return shares;
-}
-
 std::string EncodePeerDatagram(const PeerDatagram& datagram) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::PeerDatagram>();
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -16,7 +16,8 @@
 }
 
 # Sent by the mover to all members while the load of some keys exceeds the
-# capacity of their owners: the share of requests admitted, by key.
+# capacity of their owners: the share of requests admitted, by range
+# of keys.
 struct Admission {
   mover @0 :Text;
   services @1 :List(ServiceAdmission);
@@ -27,9 +28,11 @@
   # Of earlier versions, by 1024 equal parts of the key space: not sent, ignored.
   parts @1 :List(UInt16);
   shares @2 :List(UInt16);
-  keys @3 :List(UInt16);
-  # Admitted share for each of `keys`, in thousandths.
-  keyShares @4 :List(UInt16);
+  # Ranges of keys by their first and last keys, by ascending keys, and the
+  # admitted share of each, in thousandths.
+  firsts @3 :List(UInt16);
+  lasts @4 :List(UInt16);
+  rangeShares @5 :List(UInt16);
 }
 
 struct PeerReport {
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -80,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c50a9f830cb643f, 0, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(8c50a9f830cb643f, 0, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -438,11 +438,14 @@
   inline bool hasShares() const;
   inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getShares() const;
 
-  inline bool hasKeys() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getKeys() const;
+  inline bool hasFirsts() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getFirsts() const;
 
-  inline bool hasKeyShares() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getKeyShares() const;
+  inline bool hasLasts() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getLasts() const;
+
+  inline bool hasRangeShares() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getRangeShares() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -495,21 +498,29 @@
   inline void adoptShares(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownShares();
 
-  inline bool hasKeys();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getKeys();
-  inline void setKeys( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setKeys(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initKeys(unsigned int size);
-  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownKeys();
-
-  inline bool hasKeyShares();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getKeyShares();
-  inline void setKeyShares( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setKeyShares(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initKeyShares(unsigned int size);
-  inline void adoptKeyShares(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownKeyShares();
+  inline bool hasFirsts();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getFirsts();
+  inline void setFirsts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setFirsts(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initFirsts(unsigned int size);
+  inline void adoptFirsts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownFirsts();
+
+  inline bool hasLasts();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getLasts();
+  inline void setLasts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLasts(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initLasts(unsigned int size);
+  inline void adoptLasts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownLasts();
+
+  inline bool hasRangeShares();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getRangeShares();
+  inline void setRangeShares( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRangeShares(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initRangeShares(unsigned int size);
+  inline void adoptRangeShares(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownRangeShares();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1787,82 +1798,120 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ServiceAdmission::Reader::hasKeys() const {
+inline bool ServiceAdmission::Reader::hasFirsts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceAdmission::Builder::hasKeys() {
+inline bool ServiceAdmission::Builder::hasFirsts() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ServiceAdmission::Reader::getKeys() const {
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ServiceAdmission::Reader::getFirsts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::getKeys() {
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::getFirsts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ServiceAdmission::Builder::setKeys( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void ServiceAdmission::Builder::setFirsts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void ServiceAdmission::Builder::setKeys(::kj::ArrayPtr<const  ::uint16_t> value) {
+inline void ServiceAdmission::Builder::setFirsts(::kj::ArrayPtr<const  ::uint16_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::initKeys(unsigned int size) {
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::initFirsts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ServiceAdmission::Builder::adoptKeys(
+inline void ServiceAdmission::Builder::adoptFirsts(
     ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ServiceAdmission::Builder::disownKeys() {
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ServiceAdmission::Builder::disownFirsts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool ServiceAdmission::Reader::hasKeyShares() const {
+inline bool ServiceAdmission::Reader::hasLasts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceAdmission::Builder::hasKeyShares() {
+inline bool ServiceAdmission::Builder::hasLasts() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ServiceAdmission::Reader::getKeyShares() const {
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ServiceAdmission::Reader::getLasts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::getKeyShares() {
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::getLasts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void ServiceAdmission::Builder::setKeyShares( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void ServiceAdmission::Builder::setLasts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void ServiceAdmission::Builder::setKeyShares(::kj::ArrayPtr<const  ::uint16_t> value) {
+inline void ServiceAdmission::Builder::setLasts(::kj::ArrayPtr<const  ::uint16_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::initKeyShares(unsigned int size) {
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::initLasts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void ServiceAdmission::Builder::adoptKeyShares(
+inline void ServiceAdmission::Builder::adoptLasts(
     ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ServiceAdmission::Builder::disownKeyShares() {
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ServiceAdmission::Builder::disownLasts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool ServiceAdmission::Reader::hasRangeShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceAdmission::Builder::hasRangeShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader ServiceAdmission::Reader::getRangeShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::getRangeShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ServiceAdmission::Builder::setRangeShares( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void ServiceAdmission::Builder::setRangeShares(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder ServiceAdmission::Builder::initRangeShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ServiceAdmission::Builder::adoptRangeShares(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> ServiceAdmission::Builder::disownRangeShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool PeerReport::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/test/hot_key_limits_test.cc
@@ -0,0 +1,94 @@
+// Tests which keys of overloaded owners are limited, and to which share.
+#include "figstall/hot_key_limits.h"
+
+#include <catch2/catch.hpp>
+
+namespace figstall {
+
+// Guards against refusals of other keys beside a hot one. In the scenario
+// hot_key a third of all requests are for one key, four times what its owner
+// can serve.
+TEST_CASE("only the hot key of an overloaded owner is limited") {
+  RangeTable table;
+  TargetDirectory directory;
+  for (int i = 0; i < 2; ++i) {
+    RangeEntry entry;
+    entry.owner.id = TargetId("t" + std::to_string(i));
+    entry.range = {static_cast<ShardKey>(i * 32768),
+                   static_cast<ShardKey>(i * 32768 + 32767)};
+    table.entries.push_back(entry);
+    directory[entry.owner.id].slots = 4;
+  }
+  std::vector<double> loads(kKeySpaceSize, 2.0 / 32'768);
+  loads[100] = 24;
+  const AdmittedShares shares =
+      ComputeAdmittedShares(table, RangeLoad(loads), {}, directory);
+  REQUIRE(shares.size() == 1);
+  CHECK(AdmittedShareOf(shares, 99) == 1);
+  CHECK(AdmittedShareOf(shares, 100) == shares.at(0).share);
+  CHECK(AdmittedShareOf(shares, 101) == 1);
+  const double admitted_load = 2.0 * 32'767 / 32'768 + 24 * shares.at(0).share;
+  CHECK(admitted_load == Approx(kHotKeyUtilization * 4).epsilon(0.01));
+}
+
+// Guards against refusals for a short overload. In the recorded day umurage
+// scale-1 many owners were slightly above their estimated capacity for a
+// moment, and 4,264 requests for keys that were not hot were refused.
+TEST_CASE("an owner whose overload moves can relieve is not limited") {
+  RangeTable table;
+  RangeEntry entry;
+  entry.owner.id = TargetId("t1");
+  entry.range = {0, 65'535};
+  table.entries.push_back(entry);
+  TargetDirectory directory;
+  directory[entry.owner.id].slots = 4;
+  std::vector<double> loads(kKeySpaceSize, 6.0 / kKeySpaceSize);
+  loads[100] = 2;
+  CHECK(ComputeAdmittedShares(table, RangeLoad(loads), {}, directory).empty());
+}
+
+TEST_CASE("owners with spare capacity are not limited") {
+  RangeTable table;
+  RangeEntry entry;
+  entry.owner.id = TargetId("t1");
+  entry.range = {0, 65'535};
+  table.entries.push_back(entry);
+  TargetDirectory directory;
+  directory[entry.owner.id].slots = 4;
+  const RangeLoad load(std::vector<double>(kKeySpaceSize, 3.5 / kKeySpaceSize));
+  CHECK(ComputeAdmittedShares(table, load, {}, directory).empty());
+  const AdmittedShares shares =
+      ComputeAdmittedShares(table, load, {{entry.owner.id, 1.0}}, directory);
+  for (const ShardKey key : {0, 1, 30'000, 65'535})
+    CHECK(AdmittedShareOf(shares, key) == Approx(2.5 / 3.5));
+}
+
+// Guards against limits that fill the links between members. Load scenario:
+// Atlas grown scale-2, where each message named hundreds of keys and all of
+// them a quarter of the bytes between regions.
+TEST_CASE("limits of an owner with many keys are a few ranges") {
+  RangeTable table;
+  RangeEntry entry;
+  entry.owner.id = TargetId("t1");
+  entry.range = {0, 65'535};
+  table.entries.push_back(entry);
+  TargetDirectory directory;
+  directory[entry.owner.id].slots = 4;
+  std::vector<double> loads(kKeySpaceSize, 0);
+  for (std::size_t key = 0; key < 400; ++key)
+    loads[key] = 20.0 / 400;
+  AdmittedShares shares =
+      ComputeAdmittedShares(table, RangeLoad(loads), {}, directory);
+  CHECK(shares.size() == 1);
+  // Beside it, a key that alone is too much for the owner.
+  loads[1000] = 30;
+  shares = ComputeAdmittedShares(table, RangeLoad(loads), {}, directory);
+  CHECK(shares.size() <= 2);
+  double admitted = 0;
+  for (std::size_t key = 0; key < loads.size(); ++key)
+    admitted +=
+        loads[key] * AdmittedShareOf(shares, static_cast<ShardKey>(key));
+  CHECK(admitted == Approx(kHotKeyUtilization * 4).epsilon(0.01));
+}
+
+}  // namespace figstall
