A lost member of another zone delays no move

Cause: an owner that falls silent is replaced only once every member has reported the move or its membership has ended, up to 9.4 s after a VM was lost anywhere. Change: a range is granted by members of its owner's zone and by the mover, which is checked again when the grant is sent. A silent member of another zone counts until an earlier mover's grants have certainly ended. Random runs play zones; without either wait two holders are found.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -43,7 +43,7 @@
   // tenth of a read.
   Duration watcher_renewal_interval = std::chrono::milliseconds(350);
   // Lease of the elected mover. Losing it only delays moves.
-  Duration mover_lease_duration = std::chrono::milliseconds(2500);
+  Duration mover_lease_duration = GrantTiming().mover_lease_duration;
   Duration mover_renewal_interval = std::chrono::milliseconds(800);
   // A lease is treated as expired this long before it ends, because clocks
   // differ.
@@ -307,6 +307,8 @@
   platform::LeaseId mover_lease_ = 0;
   Revision mover_key_revision_ = 0;
   Instant mover_lease_valid_until_{};
+  // When this member was last elected as the mover.
+  Instant mover_since_{};
   Instant mover_renewal_due_at_{};
   std::map<ServiceId, MoverState> movers_;
 
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -7,9 +7,11 @@
 // moving under a new fencing token and asks the old owner to release the range
 // at that token, after which the owner refuses every older grant. The mover
 // then settles the entry at the new owner under the same token. If the old
-// owner does not respond, the mover first waits until each member has reported
-// that it knows of the move and until when its grants last, or has departed,
-// and until all of those grants have expired.
+// owner does not respond, the mover first waits until each member that may have
+// granted the range has reported that it knows of the move and until when its
+// grants last, or has departed, and until all of those grants have expired.
+// Only members of the owner's zone and the mover grant a range, so that a lost
+// member delays no moves of other zones.
 #ifndef FIGSTALL_RANGE_MOVER_H_
 #define FIGSTALL_RANGE_MOVER_H_
 
@@ -39,6 +41,10 @@
   // A grant call without a response by then is aborted and its connection
   // reset, so that the grant cannot arrive later.
   Duration call_timeout = std::chrono::milliseconds(800);
+  // Longest time for which an earlier mover may take itself for the mover once
+  // another one is elected. The store may end its lease early, so this is the
+  // duration of the lease.
+  Duration mover_lease_duration = std::chrono::milliseconds(2500);
   // How long the mover waits for an owner to release a range, and for members'
   // direct reports, before it asks all members to report through the store.
   Duration release_timeout = std::chrono::milliseconds(1500);
@@ -60,6 +66,8 @@
 // What a member has reported about its grants, and whether it has departed.
 // Each incarnation of a process counts as a member of its own.
 struct MemberReport {
+  // Zone of the member, empty while it is not known.
+  ZoneId zone;
   // Fencing token of the newest change that the member has seen in each
   // service's table.
   std::map<ServiceId, std::uint64_t> seen_fence;
@@ -84,6 +92,8 @@
   // When this mover first knew the members. A member that departed earlier is
   // missing from `members`.
   Instant members_known_since{};
+  // When this mover was elected.
+  Instant mover_since{};
   // Relative capacity of targets; a target that is missing here counts by its
   // slots.
   const std::map<TargetId, double>* capacity = nullptr;
@@ -170,6 +180,11 @@
   bool Balance(RangeTable& next, const MoverInput& input);
   // Whether the entry's owner has left, is leaving or has restarted.
   bool MustMove(const RangeEntry& entry, const MoverInput& input);
+  // Whether a member may have sent a grant of the entry that is still valid,
+  // though it has not reported that it knows of the move.
+  bool MayHaveGranted(const MemberReport& member,
+                      const RangeEntry& entry,
+                      const MoverInput& input) const;
   // Whether certainly no target holds the moving entry's range.
   bool HasNoHolder(const RangeEntry& entry, const MoverInput& input) const;
 
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -178,8 +178,10 @@
     if (known != view_.members.end() &&
         known->second.incarnation != member.incarnation)
       mark_departed();
-    member_reports_[MemberIncarnationId(vm, member.incarnation)]
-        .departed_at.reset();
+    MemberReport& known_report =
+        member_reports_[MemberIncarnationId(vm, member.incarnation)];
+    known_report.zone = member.zone;
+    known_report.departed_at.reset();
     MergeGrantReport(now, vm, member.incarnation, report);
     if (known != view_.members.end() && known->second == member)
       return;
@@ -237,6 +239,7 @@
                 mover_lease_ = lease;
                 mover_key_revision_ = response.revision;
                 mover_lease_valid_until_ = valid_until;
+                mover_since_ = BootNow();
                 mover_key_exists_ = true;
                 mover_renewal_due_at_ =
                     BootNow() + timing_.mover_renewal_interval;
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -86,8 +86,12 @@
   for (const GrantRequest& request : due) {
     const auto may_send = [this, request] {
       const Instant at = BootNow();
+      const RangeEntry* entry =
+          view_.tables.at(request.service).Find(request.range.first);
+      const bool is_granter =
+          entry && (entry->zone == settings_.zone || IsMover(at));
       return !resigned_ && tables_up_to_date_ && at < membership_valid_until_ &&
-             granter_.TryBeginSend(at, request);
+             is_granter && granter_.TryBeginSend(at, request);
     };
     platform::SendGrant(
         *ChannelTo(request.owner.id, request.address), request,
@@ -319,6 +323,7 @@
     input.members = &member_reports_;
     input.members_up_to_date = cursor_ >= state.revision;
     input.members_known_since = members_known_since_;
+    input.mover_since = mover_since_;
     input.capacity = &capacity;
     input.load = &load;
     const auto next = state.mover->Plan(input);
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -140,6 +140,18 @@
   return changed;
 }
 
+bool RangeMover::MayHaveGranted(const MemberReport& member,
+                                const RangeEntry& entry,
+                                const MoverInput& input) const {
+  if (member.departed_at &&
+      input.now >= *member.departed_at + timing_.MaxHoldFromSend())
+    return false;
+  // A member of another zone grants the range only while it is the mover.
+  return member.zone.value().empty() || member.zone == entry.zone ||
+         input.now < input.mover_since + timing_.mover_lease_duration +
+                         timing_.MaxHoldFromSend();
+}
+
 bool RangeMover::HasNoHolder(const RangeEntry& entry,
                              const MoverInput& input) const {
   const auto progress = progress_.find({entry.range.first, entry.fence});
@@ -156,8 +168,7 @@
       const auto until = member.holds_until.find(entry.owner.id);
       if (until != member.holds_until.end() && input.now < until->second)
         return false;
-    } else if (!member.departed_at ||
-               input.now < *member.departed_at + timing_.MaxHoldFromSend()) {
+    } else if (MayHaveGranted(member, entry, input)) {
       return false;
     }
   }
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -38,6 +38,18 @@
   // The mover ignores the hold times that members report, as if grants without
   // a response had not arrived.
   kNoReportedHolds,
+  // The mover does not wait for what an earlier mover of another zone may have
+  // granted.
+  kNoEarlierMoverWait,
+  // The mover takes each silent member for one of another zone.
+  kNoZoneCheck,
+};
+
+// Which members grant a range.
+enum class Granters {
+  kAllMembers,
+  // Those of the owner's zone, and the mover.
+  kZoneMembers,
 };
 
 constexpr int kMembers = 4;
@@ -53,10 +65,14 @@
 
 class RandomRun {
  public:
-  RandomRun(std::uint64_t seed, Mutation mutation, double late_grant_share = 0)
+  RandomRun(std::uint64_t seed,
+            Mutation mutation,
+            double late_grant_share = 0,
+            Granters granters = Granters::kAllMembers)
       : random_(seed),
         mutation_(mutation),
-        late_grant_share_(late_grant_share) {
+        late_grant_share_(late_grant_share),
+        granters_(granters) {
     for (int i = 0; i < kTargets; ++i)
       RestartTarget(i);
     for (int i = 0; i < kMembers; ++i)
@@ -97,6 +113,7 @@
     bool joined = false;
     Instant membership_valid_until{};
     Instant mover_lease_valid_until{};
+    Instant mover_since{};
     Instant next_renewal_at{};
     Instant members_known_since{};
     std::uint64_t revision = 0;
@@ -112,6 +129,12 @@
     std::function<void()> run;
   };
 
+  static ZoneId ZoneOf(int i) { return ZoneId(i % 2 == 0 ? "z0" : "z1"); }
+  bool IsGranter(int i, const RangeEntry& entry) const {
+    return granters_ == Granters::kAllMembers || entry.zone == ZoneOf(i) ||
+           now_ < members_[i].mover_lease_valid_until;
+  }
+
   std::int64_t RandomBelow(std::int64_t limit) {
     return static_cast<std::int64_t>(random_() %
                                      static_cast<std::uint64_t>(limit));
@@ -200,7 +223,7 @@
             target.incarnation,
             {"10.0.0." + std::to_string(i), 80},
             kService,
-            ZoneId("z"),
+            ZoneOf(i),
             4,
             false,
             Duration{0}};
@@ -262,8 +285,10 @@
       mover_id_ = member.id;
       mover_lease_until_ = now_ + kMoverLease;
       ++mover_term_;
-      if (Chance(0.9))
+      if (Chance(0.9)) {
         member.mover_lease_valid_until = now_ + kMoverLease - kLeaseMargin;
+        member.mover_since = now_;
+      }
     } else if (mover_id_ == member.id && Chance(0.1)) {
       mover_lease_until_ = now_ + kMoverLease;
       member.mover_lease_valid_until = now_ + kMoverLease - kLeaseMargin;
@@ -278,8 +303,11 @@
       if (!membership_expiries_.contains(id) && !report.departed_at)
         report.departed_at = now_;
     }
-    for (const auto& [id, until] : membership_expiries_)
+    for (const auto& [id, until] : membership_expiries_) {
       member.reports[id].departed_at.reset();
+      if (granters_ == Granters::kZoneMembers)
+        member.reports[id].zone = ZoneOf(id[1] - '0');
+    }
     if (revision_ > member.revision) {
       member.revision = revision_;
       member.mover->OnTable(table_, now_);
@@ -292,7 +320,9 @@
     Member& member = members_[i];
     const auto due = member.granter->TakeDueGrants(
         now_, member.directory,
-        [](const ServiceId&, const RangeEntry&) { return true; });
+        [this, i](const ServiceId&, const RangeEntry& entry) {
+          return IsGranter(i, entry);
+        });
     for (const GrantRequest& request : due) {
       // The bytes are written once the connection is open, which takes time.
       Schedule(RandomDelay(), [this, i, request, id = member.id] {
@@ -308,6 +338,15 @@
     }
   }
 
+  bool IsStillGranter(int i, const GrantRequest& request) const {
+    const auto& tables = members_[i].granter->tables();
+    const auto table = tables.find(kService);
+    const RangeEntry* entry = table == tables.end()
+                                  ? nullptr
+                                  : table->second.Find(request.range.first);
+    return entry && IsGranter(i, *entry);
+  }
+
   // Sends a grant once the member is no longer frozen.
   void SendGrantAfterFreeze(int i,
                             const GrantRequest& request,
@@ -326,7 +365,8 @@
     const bool membership_valid =
         member.joined && now_ < member.membership_valid_until;
     if (mutation_ != Mutation::kNoClockCheckAfterFreeze &&
-        (!membership_valid || !member.granter->TryBeginSend(now_, request)))
+        (!membership_valid || !IsStillGranter(i, request) ||
+         !member.granter->TryBeginSend(now_, request)))
       return;
     const int target = FindTarget(request.owner.id);
     if (target < 0 || member.unreachable_targets.contains(target)) {
@@ -458,6 +498,13 @@
     input.members = &reports;
     input.members_up_to_date = member.revision == revision_;
     input.members_known_since = member.members_known_since;
+    input.mover_since = mutation_ == Mutation::kNoEarlierMoverWait
+                            ? Instant{}
+                            : member.mover_since;
+    if (mutation_ == Mutation::kNoZoneCheck) {
+      for (auto& [id, report] : reports)
+        report.zone = ZoneId("elsewhere");
+    }
     input.capacity = &no_capacity;
     input.load = &no_load;
     const auto next = member.mover->Plan(input);
@@ -527,6 +574,7 @@
   std::mt19937_64 random_;
   const Mutation mutation_;
   const double late_grant_share_;
+  const Granters granters_;
   const GrantTiming timing_;
   Instant now_{std::chrono::seconds(100)};
   Target targets_[kTargets];
@@ -557,10 +605,12 @@
 // Returns the number of runs in which two targets held a key at once.
 int CountViolations(Mutation mutation,
                     int run_count,
-                    double late_grant_share = 0) {
+                    double late_grant_share = 0,
+                    Granters granters = Granters::kAllMembers) {
   int violations = 0;
   for (int seed = 1; seed <= run_count; ++seed) {
-    if (!RandomRun(static_cast<std::uint64_t>(seed), mutation, late_grant_share)
+    if (!RandomRun(static_cast<std::uint64_t>(seed), mutation, late_grant_share,
+                   granters)
              .Run(kSteps)) {
       if (mutation == Mutation::kNone)
         std::cerr << "two targets held a key in the random run with seed "
@@ -582,6 +632,16 @@
   CHECK(CountViolations(Mutation::kNone, RunCount(200), 0.4) == 0);
 }
 
+// Members of other zones that are silent do not delay a move.
+TEST_CASE("no key has two holders when only members of its zone grant it") {
+  CHECK(CountViolations(Mutation::kNone, RunCount(400), 0,
+                        Granters::kZoneMembers) == 0);
+  CHECK(CountViolations(Mutation::kNoZoneCheck, 400, 0,
+                        Granters::kZoneMembers) > 0);
+  CHECK(CountViolations(Mutation::kNoEarlierMoverWait, 4000, 0,
+                        Granters::kZoneMembers) > 0);
+}
+
 // Guards against runs that pass because hardly any range moves.
 TEST_CASE("random runs move ranges often enough") {
   RandomRun run(1, Mutation::kNone);
