--- a/include/figstall/range_balance.h
+++ b/include/figstall/range_balance.h
@@ -25,10 +25,8 @@
   // A target whose load is below this share of its fair load is idle and
   // receives ranges.
   double idle_ratio = 0.2;
-  // Maximum number of ranges that one change of the table moves: the larger of
-  // a number and a share of the targets.
+  // Maximum number of ranges that one change of the table moves.
   std::uint32_t max_moves = 12;
-  double max_moves_per_target = 0.25;
   // A single part of the key space is hot if its load exceeds this share of its
   // owner's capacity. It should then be its owner's only work.
   double hot_part_ratio = 0.9;
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -112,7 +112,8 @@
 };
 
 struct MoverOptions {
-  // Minimum time from one balancing change to the next.
+  // Minimum time from one balancing change to the next. None starts while a
+  // range is moving.
   Duration balance_interval = std::chrono::milliseconds(1000);
   // The same when a part of the key space has just become hot, and the minimum
   // time between two checks for such a part.
@@ -175,8 +176,6 @@
   bool RequestReports(RangeTable& next, const MoverInput& input) const;
   bool AssignUnheldRanges(RangeTable& next, const MoverInput& input);
   bool IsStable(const std::vector<const TargetEntry*>& usable, Instant now);
-  // Returns the table as it will be once all moves for balance are done.
-  RangeTable WithPlannedOwners(const RangeTable& table) const;
   bool Balance(RangeTable& next, const MoverInput& input);
   // Whether the entry's owner has left, is leaving or has restarted.
   bool MustMove(const RangeEntry& entry, const MoverInput& input);
--- a/src/range_balance.cc
+++ b/src/range_balance.cc
@@ -276,11 +276,7 @@
   RangeTable next = table;
   PlanHotParts(next, shares, load, limits, moves);
   std::set<TargetId> exhausted;
-  const auto max_moves = std::max<std::size_t>(
-      limits.max_moves,
-      static_cast<std::size_t>(limits.max_moves_per_target *
-                               static_cast<double>(shares.size())));
-  while (moves.size() < max_moves) {
+  while (moves.size() < limits.max_moves) {
     TargetShare* donor = nullptr;
     for (auto& [id, share] : shares) {
       if (!exhausted.contains(id) &&
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -227,21 +227,11 @@
   return changed;
 }
 
-RangeTable RangeMover::WithPlannedOwners(const RangeTable& table) const {
-  RangeTable planned = table;
-  for (RangeEntry& entry : planned.entries) {
-    const auto owner = planned_owner_.find(entry.range.first);
-    if (entry.phase == RangePhase::kSettled || owner == planned_owner_.end())
-      continue;
-    entry.owner.id = owner->second;
-    entry.phase = RangePhase::kSettled;
-  }
-  return planned;
-}
-
 bool RangeMover::Balance(RangeTable& next, const MoverInput& input) {
   if (!input.load || input.load->empty())
     return false;
+  if (!progress_.empty())
+    return false;
   const Duration since_balance = last_balance_at_
                                      ? input.now - *last_balance_at_
                                      : options_.balance_interval;
@@ -254,9 +244,8 @@
     return false;
   last_balance_evaluation_at_ = input.now;
   ++balance_evaluations_;
-  const auto shares =
-      ComputeTargetShares(WithPlannedOwners(next), usable, input.capacity,
-                          *input.load, options_.balance);
+  const auto shares = ComputeTargetShares(next, usable, input.capacity,
+                                          *input.load, options_.balance);
   std::set<TargetId> hot_owners;
   for (const auto& [id, share] : shares) {
     if (share.hot_load > 0)
@@ -300,10 +289,8 @@
     changed = StartMoves(next, input) || changed;
   changed = RequestReports(next, input) || changed;
   if (!changed) {
-    std::erase_if(planned_owner_, [this](const auto& planned) {
-      const auto moving = progress_.lower_bound({planned.first, 0});
-      return moving == progress_.end() || moving->first.first != planned.first;
-    });
+    if (progress_.empty())
+      planned_owner_.clear();
     changed = Balance(next, input);
   }
   if (!changed)
