--- a/test/range_balance_test.cc
+++ b/test/range_balance_test.cc
@@ -2,6 +2,7 @@
 #include "figstall/range_balance.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace figstall {
 namespace {
@@ -168,4 +169,27 @@
   CHECK(RangeLoad().Of({0, 32'767}) == Approx(0.5));
 }
 
+// Guards against one owner for many busy keys. Load scenario: Atlas grown,
+// where the busiest keys lie side by side and 64 of them carry more than any
+// target can serve, so that requests for them were refused all day.
+TEST_CASE("busy keys that lie side by side are served by several targets") {
+  Fleet fleet({1, 1, 1, 1, 1, 1, 1, 1});
+  // 64 neighbouring keys with the load of four targets, each key a small one.
+  fleet.parts.assign(kKeySpaceSize, 4.0 / kKeySpaceSize);
+  constexpr std::size_t kFirst = 128;
+  for (std::size_t key = kFirst; key < kFirst + 64; ++key)
+    fleet.parts[key] = 16.0 / 64;
+  fleet.Balance(6);
+  std::set<TargetId> owners;
+  for (std::size_t key = kFirst; key < kFirst + 64; ++key)
+    owners.insert(fleet.table.Find(static_cast<ShardKey>(key))->owner.id);
+  CHECK(owners.size() >= 4);
+  const RangeLoad load(fleet.parts);
+  std::map<TargetId, double> loads;
+  for (const RangeEntry& entry : fleet.table.entries)
+    loads[entry.owner.id] += load.Of(entry.range);
+  for (const auto& [id, carried] : loads)
+    CHECK(carried < 4.0);
+}
+
 }  // namespace figstall
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -49,6 +49,7 @@
     input.members = &members;
     input.members_up_to_date = true;
     input.members_known_since = Instant{};
+    input.mover_since = mover_since;
     input.capacity = &capacity;
     load_ = RangeLoad(parts);
     input.load = &load_;
@@ -66,6 +67,7 @@
   std::map<TargetId, double> capacity;
   std::vector<double> parts;
   int writes = 0;
+  Instant mover_since{};
 
  private:
   mutable RangeLoad load_;
@@ -180,6 +182,47 @@
   CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
 }
 
+// Guards against a lost VM that delays the moves of all zones until its
+// membership ends. Load scenario: Atlas grown trouble-3, where one VM was
+// removed and the keys of crashed targets had no owner for 9 s.
+TEST_CASE("a silent member of another zone delays no move") {
+  MoverFixture fixture({"t1", "t2"});
+  const TargetId owner(fixture.OwnerOf(0));
+  fixture.members["m1#a"].zone = ZoneId("elsewhere");
+  fixture.directory.erase(owner);
+  fixture.Advance(milliseconds(1));
+  fixture.Advance(milliseconds(400));
+  fixture.Advance(milliseconds(100));
+  CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
+}
+
+TEST_CASE("an earlier mover's grants in another zone are waited for") {
+  MoverFixture fixture({"t1", "t2"});
+  const TargetId owner(fixture.OwnerOf(0));
+  const GrantTiming timing;
+  fixture.members["m1#a"].zone = ZoneId("elsewhere");
+  fixture.mover_since = fixture.now;
+  fixture.directory.erase(owner);
+  fixture.Advance(milliseconds(1));
+  fixture.Advance(milliseconds(400));
+  fixture.Advance(timing.mover_lease_duration + timing.MaxHoldFromSend() -
+                  milliseconds(402));
+  CHECK(fixture.table().Find(0)->phase != RangePhase::kSettled);
+  fixture.Advance(milliseconds(2));
+  fixture.Advance(milliseconds(100));
+  CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
+}
+
+TEST_CASE("a silent member of the owner's zone is waited for") {
+  MoverFixture fixture({"t1", "t2"});
+  fixture.members["m1#a"].zone = ZoneId("z");
+  fixture.directory.erase(TargetId(fixture.OwnerOf(0)));
+  fixture.Advance(milliseconds(1));
+  fixture.Advance(milliseconds(400));
+  fixture.Advance(std::chrono::seconds(20));
+  CHECK(fixture.table().Find(0)->phase == RangePhase::kAwaitingReports);
+}
+
 TEST_CASE("a move waits while the list of members may be incomplete") {
   MoverFixture fixture({"t1", "t2"});
   fixture.directory.erase(TargetId(fixture.OwnerOf(0)));
