--- a/test/hot_key_limits_test.cc
+++ b/test/hot_key_limits_test.cc
@@ -5,6 +5,30 @@
 
 namespace figstall {
 
+namespace {
+
+// One target with four slots owns all keys.
+struct OneOwner {
+  OneOwner() {
+    RangeEntry entry;
+    entry.owner.id = id;
+    entry.range = {0, 65'535};
+    table.entries.push_back(entry);
+    directory[id].slots = 4;
+  }
+  AdmittedShares Shares(
+      const RangeLoad& load,
+      const std::map<TargetId, double>& capacities = {}) const {
+    return ComputeAdmittedShares(table, load, capacities, directory);
+  }
+
+  const TargetId id{"t1"};
+  RangeTable table;
+  TargetDirectory directory;
+};
+
+}  // namespace
+
 // Guards against refusals of other keys beside a hot one. In the scenario
 // hot_key a third of all requests are for one key, four times what its owner
 // can serve.
@@ -35,30 +59,17 @@
 // scale-1 many owners were slightly above their estimated capacity for a
 // moment, and 4,264 requests for keys that were not hot were refused.
 TEST_CASE("an owner whose overload moves can relieve is not limited") {
-  RangeTable table;
-  RangeEntry entry;
-  entry.owner.id = TargetId("t1");
-  entry.range = {0, 65'535};
-  table.entries.push_back(entry);
-  TargetDirectory directory;
-  directory[entry.owner.id].slots = 4;
+  const OneOwner owner;
   std::vector<double> loads(kKeySpaceSize, 6.0 / kKeySpaceSize);
   loads[100] = 2;
-  CHECK(ComputeAdmittedShares(table, RangeLoad(loads), {}, directory).empty());
+  CHECK(owner.Shares(RangeLoad(loads)).empty());
 }
 
 TEST_CASE("owners with spare capacity are not limited") {
-  RangeTable table;
-  RangeEntry entry;
-  entry.owner.id = TargetId("t1");
-  entry.range = {0, 65'535};
-  table.entries.push_back(entry);
-  TargetDirectory directory;
-  directory[entry.owner.id].slots = 4;
+  const OneOwner owner;
   const RangeLoad load(std::vector<double>(kKeySpaceSize, 3.5 / kKeySpaceSize));
-  CHECK(ComputeAdmittedShares(table, load, {}, directory).empty());
-  const AdmittedShares shares =
-      ComputeAdmittedShares(table, load, {{entry.owner.id, 1.0}}, directory);
+  CHECK(owner.Shares(load).empty());
+  const AdmittedShares shares = owner.Shares(load, {{owner.id, 1.0}});
   for (const ShardKey key : {0, 1, 30'000, 65'535})
     CHECK(AdmittedShareOf(shares, key) == Approx(2.5 / 3.5));
 }
@@ -67,22 +78,15 @@
 // Atlas grown scale-2, where each message named hundreds of keys and all of
 // them a quarter of the bytes between regions.
 TEST_CASE("limits of an owner with many keys are a few ranges") {
-  RangeTable table;
-  RangeEntry entry;
-  entry.owner.id = TargetId("t1");
-  entry.range = {0, 65'535};
-  table.entries.push_back(entry);
-  TargetDirectory directory;
-  directory[entry.owner.id].slots = 4;
+  const OneOwner owner;
   std::vector<double> loads(kKeySpaceSize, 0);
   for (std::size_t key = 0; key < 400; ++key)
     loads[key] = 20.0 / 400;
-  AdmittedShares shares =
-      ComputeAdmittedShares(table, RangeLoad(loads), {}, directory);
+  AdmittedShares shares = owner.Shares(RangeLoad(loads));
   CHECK(shares.size() == 1);
   // Beside it, a key that alone is too much for the owner.
   loads[1000] = 30;
-  shares = ComputeAdmittedShares(table, RangeLoad(loads), {}, directory);
+  shares = owner.Shares(RangeLoad(loads));
   CHECK(shares.size() <= 2);
   double admitted = 0;
   for (std::size_t key = 0; key < loads.size(); ++key)
