One lookup of a target's capacity; plainer limits, reading and mover tests

The capacity of a target was looked up in three places, two with the lower bound of one slot; Limit() took a struct whose ranges were a copy and whose sums can be derived; ApplyRead asked the scope twice; six tests of the mover lost an owner by the same three lines. Change: CapacityOf() in range_balance.h serves all three; one function limits an owner; one revision says until when a reading is complete; LoseOwnerOf() in the mover's fixture. The targets of the limits' fixture carry their id now, as the product's do. Behaviour is the same but for a target of no slots, which counts as one slot in the limits of hot keys as it does everywhere else.

--- a/include/figstall/range_balance.h
+++ b/include/figstall/range_balance.h
@@ -35,6 +35,11 @@
   double min_capacity_ratio = 1.6;
 };
 
+// Returns the capacity of a target: as listed, otherwise its slots.
+// `capacities` may be null.
+double CapacityOf(const TargetEntry& target,
+                  const std::map<TargetId, double>* capacities);
+
 // One target's share of the load.
 struct TargetShare {
   const TargetEntry* target = nullptr;
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -195,10 +195,12 @@
     items.insert(items.end(), section.items.begin(), section.items.end());
     cursor = std::min(cursor, section.revision);
   }
-  // Changes after the cursor follow one by one, also deletions.
-  if (read.scope != ReadScope::kMemberKeys)
-    mirror_.OnSnapshot(cursor);
-  ApplyUpdate(items, read.scope == ReadScope::kMemberKeys ? 0 : cursor);
+  // Members' keys alone bring the copy up to no revision. Changes after the
+  // cursor follow one by one, also deletions.
+  const Revision complete_until =
+      read.scope == ReadScope::kMemberKeys ? 0 : cursor;
+  mirror_.OnSnapshot(complete_until);
+  ApplyUpdate(items, complete_until);
   tables_up_to_date_ = read.started_as_member && member_written_;
   source_confirmed_at_ = BootNow();
   initial_read_done_ = true;
--- a/src/hot_key_limits.cc
+++ b/src/hot_key_limits.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "figstall/range_balance.h"
+
 namespace figstall {
 namespace {
 
@@ -12,52 +14,45 @@
 // by itself.
 constexpr double kMinHotLoad = 0.1;
 
-// Load of one owner.
-struct OwnerLoad {
-  std::vector<KeyRange> ranges;
-  // Keys that may be limited one by one.
+// Limits one owner of `capacity`, which owns `ranges`.
+void Limit(const std::vector<KeyRange>& ranges,
+           const RangeLoad& load,
+           double capacity,
+           AdmittedShares& shares) {
+  // Keys that may be limited one by one, and the load of all others.
   std::vector<std::pair<double, ShardKey>> hot_keys;
   double hot_load = 0;
-  double total_load = 0;
-};
-
-OwnerLoad LoadOf(const std::vector<KeyRange>& ranges,
-                 const RangeLoad& load,
-                 double capacity) {
-  OwnerLoad owner;
-  owner.ranges = ranges;
+  double other_load = 0;
   for (const KeyRange& range : ranges) {
     for (std::uint32_t key = range.first; key <= range.last; ++key) {
       const double key_load = load.parts()[key];
-      owner.total_load += key_load;
-      if (key_load < kMinHotLoad * capacity)
+      if (key_load < kMinHotLoad * capacity) {
+        other_load += key_load;
         continue;
-      owner.hot_load += key_load;
-      owner.hot_keys.emplace_back(key_load, static_cast<ShardKey>(key));
+      }
+      hot_load += key_load;
+      hot_keys.emplace_back(key_load, static_cast<ShardKey>(key));
     }
   }
-  std::sort(owner.hot_keys.begin(), owner.hot_keys.end());
-  return owner;
-}
-
-void Limit(const OwnerLoad& owner, double capacity, AdmittedShares& shares) {
+  std::sort(hot_keys.begin(), hot_keys.end());
   const bool has_hot_key =
-      !owner.hot_keys.empty() &&
-      owner.hot_keys.back().first > kHotKeyUtilization * capacity;
+      !hot_keys.empty() &&
+      hot_keys.back().first > kHotKeyUtilization * capacity;
   const double admissible_load =
       capacity * (has_hot_key ? kHotKeyUtilization : kOverloadUtilization);
-  if (owner.total_load <= admissible_load)
+  const double total_load = hot_load + other_load;
+  if (total_load <= admissible_load)
     return;
-  double hot_load_left = admissible_load - (owner.total_load - owner.hot_load);
-  if (hot_load_left <= 0) {
-    for (const KeyRange& range : owner.ranges)
-      shares.push_back({range, admissible_load / owner.total_load});
+  if (other_load >= admissible_load) {
+    for (const KeyRange& range : ranges)
+      shares.push_back({range, admissible_load / total_load});
     return;
   }
+  double hot_load_left = admissible_load - other_load;
   // In order of load, so that each key with less load than its equal share of
   // what is left is admitted in full.
-  std::size_t keys_left = owner.hot_keys.size();
-  for (const auto& [key_load, key] : owner.hot_keys) {
+  std::size_t keys_left = hot_keys.size();
+  for (const auto& [key_load, key] : hot_keys) {
     const double max_load = hot_load_left / static_cast<double>(keys_left--);
     if (key_load > max_load)
       shares.push_back({{key, key}, max_load / key_load});
@@ -93,10 +88,7 @@
     const auto entry = directory.find(owner);
     if (entry == directory.end())
       continue;
-    const auto known = capacities.find(owner);
-    const double capacity =
-        known != capacities.end() ? known->second : entry->second.slots;
-    Limit(LoadOf(ranges, load, capacity), capacity, shares);
+    Limit(ranges, load, CapacityOf(entry->second, &capacities), shares);
   }
   std::sort(shares.begin(), shares.end(),
             [](const AdmittedRange& a, const AdmittedRange& b) {
--- a/src/range_balance.cc
+++ b/src/range_balance.cc
@@ -207,6 +207,16 @@
 
 }  // namespace
 
+double CapacityOf(const TargetEntry& target,
+                  const std::map<TargetId, double>* capacities) {
+  if (capacities) {
+    const auto known = capacities->find(target.incarnation.id);
+    if (known != capacities->end())
+      return known->second;
+  }
+  return std::max<std::uint32_t>(1, target.slots);
+}
+
 TargetShares ComputeTargetShares(const RangeTable& table,
                                  const std::vector<const TargetEntry*>& usable,
                                  const std::map<TargetId, double>* capacity,
@@ -216,12 +226,7 @@
   for (const TargetEntry* target : usable) {
     TargetShare share;
     share.target = target;
-    share.capacity = std::max<std::uint32_t>(1, target->slots);
-    if (capacity) {
-      const auto known = capacity->find(target->incarnation.id);
-      if (known != capacity->end())
-        share.capacity = known->second;
-    }
+    share.capacity = CapacityOf(*target, capacity);
     shares[target->incarnation.id] = share;
   }
   for (const RangeEntry& entry : table.entries) {
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -9,15 +9,6 @@
 namespace figstall {
 namespace {
 
-double CapacityOf(const TargetEntry& target, const MoverInput& input) {
-  if (input.capacity) {
-    const auto known = input.capacity->find(target.incarnation.id);
-    if (known != input.capacity->end())
-      return known->second;
-  }
-  return std::max<std::uint32_t>(1, target.slots);
-}
-
 const RangeLoad& LoadIn(const MoverInput& input) {
   static const RangeLoad no_samples;
   return input.load ? *input.load : no_samples;
@@ -76,11 +67,11 @@
   first.last_fence = 1;
   double total = 0;
   for (const TargetEntry* target : usable)
-    total += CapacityOf(*target, input);
+    total += CapacityOf(*target, input.capacity);
   double sum = 0;
   std::uint32_t begin = 0;
   for (const TargetEntry* target : usable) {
-    sum += CapacityOf(*target, input);
+    sum += CapacityOf(*target, input.capacity);
     const auto end = target == usable.back()
                          ? kKeySpaceSize
                          : static_cast<std::uint32_t>(
--- a/test/hot_key_limits_test.cc
+++ b/test/hot_key_limits_test.cc
@@ -4,7 +4,6 @@
 #include <catch2/catch.hpp>
 
 namespace figstall {
-
 namespace {
 
 // One target with four slots owns all keys.
@@ -14,6 +13,7 @@
     entry.owner.id = id;
     entry.range = {0, 65'535};
     table.entries.push_back(entry);
+    directory[id].incarnation.id = id;
     directory[id].slots = 4;
   }
   AdmittedShares Shares(
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -42,6 +42,13 @@
     for (const ReleaseRequest& request : mover_.OutstandingReleases())
       mover_.OnReleased(request, handover);
   }
+  // The owner of a key leaves the directory and does not respond, and the mover
+  // marks its ranges as moving, 401 ms later.
+  void LoseOwnerOf(ShardKey key) {
+    directory.erase(TargetId(OwnerOf(key)));
+    Advance(milliseconds(1));
+    Advance(milliseconds(400));
+  }
   MoverInput Input() const {
     MoverInput input;
     input.now = now;
@@ -148,9 +155,7 @@
   const GrantTiming timing;
   MemberReport& member = fixture.members["m1#a"];
   member.holds_until[owner] = fixture.now + timing.MaxHoldFromArrival();
-  fixture.directory.erase(owner);
-  fixture.Advance(milliseconds(1));
-  fixture.Advance(milliseconds(400));
+  fixture.LoseOwnerOf(0);
   REQUIRE(fixture.table().Find(0)->phase == RangePhase::kMoving);
   // The member has not seen the move, so it may still send grants.
   fixture.Advance(std::chrono::seconds(20));
@@ -169,11 +174,8 @@
 // (nodes).
 TEST_CASE("a departed member's grants count until they have expired") {
   MoverFixture fixture({"t1", "t2"});
-  const TargetId owner(fixture.OwnerOf(0));
   fixture.members["m1#a"].departed_at = fixture.now;
-  fixture.directory.erase(owner);
-  fixture.Advance(milliseconds(1));
-  fixture.Advance(milliseconds(400));
+  fixture.LoseOwnerOf(0);
   const GrantTiming timing;
   fixture.Advance(timing.MaxHoldFromSend() - milliseconds(402));
   CHECK(fixture.table().Find(0)->phase != RangePhase::kSettled);
@@ -187,24 +189,18 @@
 // removed and the keys of crashed targets had no owner for 9 s.
 TEST_CASE("a silent member of another zone delays no move") {
   MoverFixture fixture({"t1", "t2"});
-  const TargetId owner(fixture.OwnerOf(0));
   fixture.members["m1#a"].zone = ZoneId("elsewhere");
-  fixture.directory.erase(owner);
-  fixture.Advance(milliseconds(1));
-  fixture.Advance(milliseconds(400));
+  fixture.LoseOwnerOf(0);
   fixture.Advance(milliseconds(100));
   CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
 }
 
 TEST_CASE("an earlier mover's grants in another zone are waited for") {
   MoverFixture fixture({"t1", "t2"});
-  const TargetId owner(fixture.OwnerOf(0));
   const GrantTiming timing;
   fixture.members["m1#a"].zone = ZoneId("elsewhere");
   fixture.mover_since = fixture.now;
-  fixture.directory.erase(owner);
-  fixture.Advance(milliseconds(1));
-  fixture.Advance(milliseconds(400));
+  fixture.LoseOwnerOf(0);
   fixture.Advance(timing.mover_lease_duration + timing.MaxHoldFromSend() -
                   milliseconds(402));
   CHECK(fixture.table().Find(0)->phase != RangePhase::kSettled);
@@ -216,18 +212,14 @@
 TEST_CASE("a silent member of the owner's zone is waited for") {
   MoverFixture fixture({"t1", "t2"});
   fixture.members["m1#a"].zone = ZoneId("z");
-  fixture.directory.erase(TargetId(fixture.OwnerOf(0)));
-  fixture.Advance(milliseconds(1));
-  fixture.Advance(milliseconds(400));
+  fixture.LoseOwnerOf(0);
   fixture.Advance(std::chrono::seconds(20));
   CHECK(fixture.table().Find(0)->phase == RangePhase::kAwaitingReports);
 }
 
 TEST_CASE("a move waits while the list of members may be incomplete") {
   MoverFixture fixture({"t1", "t2"});
-  fixture.directory.erase(TargetId(fixture.OwnerOf(0)));
-  fixture.Advance(milliseconds(1));
-  fixture.Advance(milliseconds(400));
+  fixture.LoseOwnerOf(0);
   MoverInput input = fixture.Input();
   input.members_up_to_date = false;
   input.now += std::chrono::seconds(60);
