Log and count what targets say of themselves in their answers

Change: platform/target_notice decodes Server-Leaving, Server-Limit and, of a 503, Retry-After; TargetNotices keeps them by incarnation; each one that begins or ends is a line `target-notice` with its source and is counted in figstall_target_notices_total. Answers to grants and releases count too. Invalid values are logged once and ignored; a 421 may come from another target at the same address and says nothing. No decision depends on it yet. TargetClient's old place in entry_traffic is removed here.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -28,6 +28,7 @@
 #include "figstall/store_mirror.h"
 #include "figstall/store_relay.h"
 #include "figstall/target_absence.h"
+#include "figstall/target_notice_recorder.h"
 #include "platform/store_client.h"
 
 namespace figstall {
@@ -98,6 +99,7 @@
                std::string incarnation,
                EntryView& view,
                EntryTraffic& traffic,
+               TargetNoticeRecorder& notices,
                Log& log,
                Metrics& metrics);
 
@@ -254,6 +256,7 @@
   const ControlTiming timing_;
   EntryView& view_;
   EntryTraffic& traffic_;
+  TargetNoticeRecorder& notices_;
   Log& log_;
   Metrics& metrics_;
   platform::StoreClient store_;
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -21,54 +21,19 @@
 #include "figstall/log.h"
 #include "figstall/metrics.h"
 #include "figstall/shared_retry_budget.h"
-#include "figstall/target_connection.h"
-#include "figstall/target_load.h"
+#include "figstall/target_client.h"
+#include "figstall/target_notice_recorder.h"
 
 namespace figstall {
 
 class Exchange;
 
-// This router's connections to one target and the target's load.
-class TargetClient {
- public:
-  TargetClient(boost::asio::io_context& io, Instant now, TargetEntry entry);
-  ~TargetClient();
-  TargetClient(const TargetClient&) = delete;
-  TargetClient& operator=(const TargetClient&) = delete;
-
-  // Returns an idle connection well within the target's idle timeout, or a new
-  // one.
-  std::shared_ptr<TargetConnection> Acquire(Instant now);
-  bool Connected(Instant now) const { return FindIdle(now) != nullptr; }
-  // Closes idle connections that will not be used again, since a target accepts
-  // a limited number of connections from all routers.
-  void CloseStale(Instant now);
-  void SetEntry(Instant now, TargetEntry entry);
-  // When this process first learned that the target is leaving; none if it is
-  // not.
-  std::optional<Instant> leaving_since() const { return leaving_since_; }
-
-  const TargetEntry& entry() const { return entry_; }
-  TargetLoad& load() { return load_; }
-  const TargetLoad& load() const { return load_; }
-
- private:
-  std::shared_ptr<TargetConnection> FindIdle(Instant now) const;
-
-  boost::asio::io_context& io_;
-  TargetEntry entry_;
-  std::optional<Instant> leaving_since_;
-  TargetLoad load_;
-  std::set<std::shared_ptr<TargetConnection>> connections_;
-  // Lets handlers of connections check whether this object still exists.
-  const std::shared_ptr<int> alive_ = std::make_shared<int>(0);
-};
-
 class EntryTraffic {
  public:
   EntryTraffic(boost::asio::io_context& io,
                const EntrySettings& settings,
                const EntryView& view,
+               TargetNoticeRecorder& notices,
                Log& log,
                Metrics& metrics);
   ~EntryTraffic();
@@ -125,6 +90,7 @@
   boost::asio::io_context& io_;
   const EntrySettings& settings_;
   const EntryView& view_;
+  TargetNoticeRecorder& notices_;
   Log& log_;
   Metrics& metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -45,7 +45,7 @@
 // One attempt to have a request served by a target.
 struct Attempt {
   TargetClient* client = nullptr;
-  TargetId target;
+  TargetIncarnation target;
   std::shared_ptr<TargetConnection> connection;
   Instant sent_at;
   bool reused = false;
--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "figstall/clock.h"
+#include "figstall/http_message.h"
 #include "figstall/records.h"
 
 namespace figstall {
@@ -40,6 +41,9 @@
   // Empty if no complete response was received.
   std::optional<int> status;
   std::function<std::string(const char* name)> header;
+  // All header fields; null if no complete response was received. Valid while
+  // the handler runs.
+  const HttpFields* fields = nullptr;
   std::string body;
   // Why there is no response; empty if there is one.
   std::string failure;
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -96,8 +96,9 @@
     platform::SendGrant(
         *ChannelTo(request.owner.id, request.address), request,
         settings_.grant_timing.call_timeout, may_send,
-        [this, request](GrantOutcome outcome) {
+        [this, request](GrantOutcome outcome, const TargetNotice& notice) {
           granter_.OnOutcome(BootNow(), request, outcome);
+          notices_.OnAnswer(BootNow(), request.owner, notice, "grant");
           static constexpr const char* kNames[] = {
               "granted", "refused", "not-there", "not-sent", "unknown"};
           const char* name = kNames[static_cast<int>(outcome)];
@@ -406,7 +407,9 @@
     platform::SendRelease(
         *ChannelTo(request.owner.id, request.address), request, kReleaseTimeout,
         [this, service, request](platform::ReleaseOutcome outcome,
-                                 const std::string& handover) {
+                                 const std::string& handover,
+                                 const TargetNotice& notice) {
+          notices_.OnAnswer(BootNow(), request.owner, notice, "release");
           MoverState& current = movers_[service];
           static constexpr const char* kNames[] = {"released", "owner-gone",
                                                    "unknown"};
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -72,12 +72,14 @@
              settings.log.level,
              settings.log.format,
              stdout),
-        traffic_(io_, settings_, view_, log_, metrics_),
+        notices_(log_, metrics_),
+        traffic_(io_, settings_, view_, notices_, log_, metrics_),
         control_(io_,
                  settings_,
                  MakeIncarnation(),
                  view_,
                  traffic_,
+                 notices_,
                  log_,
                  metrics_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -227,6 +229,7 @@
   figstall::Metrics metrics_;
   boost::asio::io_context io_{1};
   figstall::EntryView view_;
+  figstall::TargetNoticeRecorder notices_;
   figstall::EntryTraffic traffic_;
   figstall::EntryControl control_;
   boost::asio::signal_set signals_;
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -1,6 +1,6 @@
-// Holds the accept loop, the connection pool of each target, the queue of
-// waiting requests and the latency estimates of each service. Handlers add and
-// remove requests and connections, so loops that call them iterate over copies.
+// Holds the accept loop, the queue of waiting requests and the latency
+// estimates of each service. Handlers add and remove requests and connections,
+// so loops that call them iterate over copies.
 #include "figstall/entry_traffic.h"
 
 #include <algorithm>
@@ -24,72 +24,16 @@
 
 }  // namespace
 
-TargetClient::TargetClient(asio::io_context& io, Instant now, TargetEntry entry)
-    : io_(io) {
-  SetEntry(now, std::move(entry));
-}
-
-void TargetClient::SetEntry(Instant now, TargetEntry entry) {
-  entry_ = std::move(entry);
-  if (!entry_.leaving)
-    leaving_since_.reset();
-  else if (!leaving_since_)
-    leaving_since_ = now;
-}
-
-TargetClient::~TargetClient() {
-  // Connections that serve a request stay open until it ends.
-  const auto connections = std::move(connections_);
-  connections_.clear();
-  for (const auto& connection : connections) {
-    if (connection->idle())
-      connection->Cancel();
-  }
-}
-
-std::shared_ptr<TargetConnection> TargetClient::FindIdle(Instant now) const {
-  const auto found = std::find_if(
-      connections_.begin(), connections_.end(), [now](const auto& connection) {
-        return connection->idle() && connection->IsUsableAt(now);
-      });
-  return found == connections_.end() ? nullptr : *found;
-}
-
-std::shared_ptr<TargetConnection> TargetClient::Acquire(Instant now) {
-  if (auto found = FindIdle(now))
-    return found;
-  const auto weak_self = std::make_shared<std::weak_ptr<TargetConnection>>();
-  auto connection = std::make_shared<TargetConnection>(
-      io_, entry_.address,
-      [this, weak_self, alive = std::weak_ptr<int>(alive_)] {
-        if (alive.expired())
-          return;
-        if (const auto self = weak_self->lock())
-          connections_.erase(self);
-      });
-  *weak_self = connection;
-  connections_.insert(connection);
-  return connection;
-}
-
-void TargetClient::CloseStale(Instant now) {
-  std::vector<std::shared_ptr<TargetConnection>> stale;
-  for (const auto& connection : connections_) {
-    if (connection->idle() && !connection->IsUsableAt(now))
-      stale.push_back(connection);
-  }
-  for (const auto& connection : stale)
-    connection->Cancel();
-}
-
 EntryTraffic::EntryTraffic(asio::io_context& io,
                            const EntrySettings& settings,
                            const EntryView& view,
+                           TargetNoticeRecorder& notices,
                            Log& log,
                            Metrics& metrics)
     : io_(io),
       settings_(settings),
       view_(view),
+      notices_(notices),
       log_(log),
       metrics_(metrics),
       acceptor_(io),
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 
 #include "platform/headers.h"
+#include "platform/target_notice.h"
 
 namespace figstall {
 namespace {
@@ -276,8 +277,8 @@
   attempt_.emplace();
   Attempt& attempt = *attempt_;
   attempt.client = client;
-  attempt.target = client->entry().incarnation.id;
-  last_target_ = attempt.target;
+  attempt.target = client->entry().incarnation;
+  last_target_ = attempt.target.id;
   in_flight_when_sent_ = client->load().in_flight();
   if (keyed_) {
     const RangeEntry* entry = traffic_.view_.tables.at(service_).Find(key_);
@@ -326,6 +327,10 @@
     return;
   attempt_->head = head;
   attempt_->head_seen = true;
+  traffic_.notices_.OnAnswer(
+      BootNow(), attempt_->target,
+      platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head),
+      "response");
 }
 
 ResponseHead Exchange::MakeCallerHead() const {
@@ -369,7 +374,7 @@
     return OnRejected(status);
   const bool failed = status >= kFirstServerError;
   if (failed && !attempt_->streaming && MayRetry()) {
-    tried_targets_.insert(attempt_->target);
+    tried_targets_.insert(attempt_->target.id);
     TargetClient* other = ChooseTarget();
     if (other && TimeLeft(BootNow()) > traffic_.MeanLatency(service_) &&
         traffic_.RetryBudgetFor(service_).TryRetry(BootNow(),
@@ -409,7 +414,7 @@
   --possible_executions_;
   const bool misdirected = status == kMisdirected;
   if (!keyed_)
-    tried_targets_.insert(attempt_->target);
+    tried_targets_.insert(attempt_->target.id);
   EndAttempt(misdirected && !keyed_ ? AttemptOutcome::kBroken
                                     : AttemptOutcome::kRefused);
   if (keyed_)
@@ -447,7 +452,7 @@
     return Finish("cut", 0, error_text);
   }
   if (!keyed_)
-    tried_targets_.insert(attempt_->target);
+    tried_targets_.insert(attempt_->target.id);
   if (stage == FailureStage::kNotSent) {
     --possible_executions_;
   } else {
@@ -476,7 +481,7 @@
   const Instant now = BootNow();
   const Duration latency = now - attempt_->sent_at;
   // The target may have been removed in the meantime.
-  TargetClient* client = traffic_.FindTarget(attempt_->target);
+  TargetClient* client = traffic_.FindTarget(attempt_->target.id);
   if (client && client == attempt_->client)
     client->load().OnDone(now, outcome, latency, attempt_->queueing_factor);
   if (outcome == AttemptOutcome::kAnswered) {
@@ -494,7 +499,7 @@
     traffic_.log_.Write(
         LogLevel::kInfo, "attempt-failed",
         {{"id", id_},
-         {"target", attempt_->target.value()},
+         {"target", attempt_->target.id.value()},
          {"how", kNames[static_cast<int>(outcome)]},
          {"status", std::to_string(
                         attempt_->head_seen ? attempt_->head.result_int() : 0)},
@@ -539,7 +544,7 @@
   if (!MayRetry() || traffic_.shutdown_deadline_ ||
       TimeLeft(now) <= traffic_.MeanLatency(service_))
     return;
-  tried_targets_.insert(attempt_->target);
+  tried_targets_.insert(attempt_->target.id);
   TargetClient* other = ChooseTarget();
   if (!other ||
       !traffic_.RetryBudgetFor(service_).TryRetry(now, traffic_.RouterCount()))
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -152,6 +152,7 @@
                      response.header = [message](const char* name) {
                        return std::string((*message)[name]);
                      };
+                     response.fields = &*message;
                      response.body = std::move(message->body());
                      if (!message->keep_alive())
                        self->Drop();
--- /dev/null
+++ b/src/target_notice_recorder.cc
@@ -0,0 +1,37 @@
+// Each change is one line of the log and one count of a metric.
+#include "figstall/target_notice_recorder.h"
+
+#include <fmt/format.h>
+
+namespace figstall {
+
+void TargetNoticeRecorder::OnAnswer(Instant now,
+                                    const TargetIncarnation& target,
+                                    const TargetNotice& notice,
+                                    std::string_view source) {
+  LogChanges(target, notices_.OnAnswer(now, target, notice), source);
+}
+
+void TargetNoticeRecorder::LogChanges(const TargetIncarnation& target,
+                                      const std::vector<NoticeChange>& changes,
+                                      std::string_view source) {
+  for (const NoticeChange& change : changes) {
+    const std::string_view kind = ToString(change.kind);
+    ++metrics_.Counter("figstall_target_notices_total",
+                       fmt::format("notice=\"{}\"", kind));
+    const bool invalid = change.kind == NoticeChange::Kind::kInvalid;
+    log_.Write(
+        invalid ? LogLevel::kWarning : LogLevel::kInfo, "target-notice",
+        {{"target", target.id.value()},
+         {"born", std::to_string(target.started_at_ms)},
+         {"notice", kind},
+         {"value", invalid ? change.text : fmt::format("{:.3f}", change.value)},
+         {"lasted_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             change.lasted)
+                             .count())},
+         {"source", source}});
+  }
+}
+
+}  // namespace figstall
