Failing test of DRAIN: targets that say in their answers that they leave

Cause: the emulator's targets could leave only by their entry in the store, and nothing checked what an entry does with the notices in answers. Change: targets of the emulator say that they leave, name a limit, ask for a pause, or say invalid things, while their entry says ready. NoticeChecker holds entries to the users' DRAIN, BUDGET and LIMIT by request id, with an entry that is disturbed excused. Callers can keep their connections, and a request that ran and whose connection closed without an answer is a violation.

--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -107,6 +107,30 @@
     assert count(report, "drawing", 200) > 0
 
 
+# Guards against requests to a target that said in its answers that it leaves,
+# later than the drain time, while its entry in the store says otherwise.
+def a_target_that_says_it_leaves_gets_nothing_later():
+    _, report = run(faults=[
+        {"at_s": 1, "kind": "target-says-leaving", "service": "accounts",
+         "count": 2, "for_s": 6.5},
+        {"at_s": 1, "kind": "target-says-leaving", "service": "orders",
+         "count": 1, "for_s": 6.5}])
+    assert served_fraction(report) > 0.8, report["routes"]
+    # Their keys have moved before they stop.
+    assert report["owner_changes"] > 0
+
+
+# The same while the store is away and no key can move.
+def a_target_that_says_it_leaves_in_an_outage_gets_nothing_later():
+    _, report = run(faults=[
+        {"at_s": 0.5, "kind": "store-silent", "for_s": 5},
+        {"at_s": 1, "kind": "target-says-leaving", "service": "accounts",
+         "count": 1, "for_s": 6.5},
+        {"at_s": 1, "kind": "target-says-leaving", "service": "orders",
+         "count": 1, "for_s": 6.5}])
+    assert served_fraction(report) > 0.6, report["routes"]
+
+
 def killed_entry_serves_after_restart():
     _, report = run(actions=[(LEAD_S + 2, restart_entry(0)),
                              (LEAD_S + 4, restart_entry(1))])
@@ -165,6 +189,8 @@
          a_silent_store_stops_nothing,
          lost_answers_of_the_store_break_no_promise,
          a_dropped_history_is_read_anew, garbled_answers_reach_nobody,
+         a_target_that_says_it_leaves_gets_nothing_later,
+         a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -114,6 +114,14 @@
                         problem);
 }
 
+void EmulatorChecker::OnCut(const std::string& request_id) {
+  const auto found = request_records_.find(request_id);
+  if (found != request_records_.end() && found->second.count > 0)
+    violations_.push_back(
+        "request ran and its connection was closed without an answer: " +
+        request_id);
+}
+
 struct EmulatedTarget::Work {
   explicit Work(Caller from) : caller(std::move(from)) {}
 
@@ -127,8 +135,13 @@
 EmulatedTarget::EmulatedTarget(boost::asio::io_context& io,
                                EmulatedTargetOptions options,
                                EmulatorChecker& checker,
+                               NoticeChecker& notice_checker,
                                std::uint64_t seed)
-    : io_(io), options_(std::move(options)), checker_(checker), random_(seed) {}
+    : io_(io),
+      options_(std::move(options)),
+      checker_(checker),
+      notice_checker_(notice_checker),
+      random_(seed) {}
 
 EmulatedTarget::~EmulatedTarget() = default;
 
@@ -139,8 +152,10 @@
   started_at_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
                        .count();
-  draining_ = silent_ = false;
+  draining_ = silent_ = says_invalid_ = false;
   abort_ratio_ = 0;
+  said_ = {};
+  rejects_for_.reset();
   highest_token_.assign(kKeySpaceSize, 0);
   held_until_.assign(kKeySpaceSize, {});
   acceptor_ = std::make_unique<boost::asio::ip::tcp::acceptor>(io_);
@@ -221,9 +236,38 @@
     response.set(platform::kRequestIdHeader, request_id);
   if (not_run)
     response.set(platform::kNotRunHeader, "1");
+  AddNotices(response, request_id);
   caller.Reply(std::move(response));
 }
 
+void EmulatedTarget::AddNotices(HttpResponse& response,
+                                const std::string& request_id) {
+  SaidNotices said = said_;
+  if (said.leaving)
+    response.set(platform::kLeavingHeader, "1");
+  if (said.limit)
+    response.set(platform::kRateLimitHeader, fmt::format("{}", *said.limit));
+  if (response.result_int() == kUnavailable && rejects_for_) {
+    said.retry_after = rejects_for_;
+    response.set(
+        platform::kRetryAfterHeader,
+        fmt::format("{}",
+                    std::chrono::duration<double>(*rejects_for_).count()));
+  }
+  if (says_invalid_) {
+    static constexpr const char* kInvalid[] = {"-1", "inf", "many", "", "1e9"};
+    const char* value = kInvalid[random_() % std::size(kInvalid)];
+    response.set(platform::kLeavingHeader, value);
+    response.insert(platform::kRateLimitHeader, "0.1");
+    response.insert(platform::kRateLimitHeader, value);
+    response.set(platform::kRetryAfterHeader, value);
+  }
+  // The request may have reached another target, which says nothing about this
+  // one.
+  if (response.result_int() != kMisdirected)
+    notice_checker_.OnAnswered(id_, request_id, said, BootNow());
+}
+
 void EmulatedTarget::OnRequest(const Caller& caller,
                                const HttpRequest& request) {
   if (silent_)
@@ -245,6 +289,9 @@
     if (key.empty() || !HoldsKey(static_cast<ShardKey>(std::stoul(key))))
       return SendResponse(caller, kMisdirected, true, id);
   }
+  notice_checker_.OnArrival(id_, id, BootNow());
+  if (rejects_for_)
+    return SendResponse(caller, kUnavailable, true, id);
   Enqueue(caller, request);
 }
 
@@ -341,6 +388,7 @@
       response.set(http::field::keep_alive, "timeout=10");
       response.body() = work->id + ":";
       response.body().resize(options_.response_bytes, 'x');
+      AddNotices(response, work->id);
       work->caller.Reply(std::move(response));
     }
   }
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -15,6 +15,7 @@
 
 #include "figstall/caller_connection.h"
 #include "figstall/range_table.h"
+#include "notice_checker.h"
 
 namespace figstall::detail {
 
@@ -41,6 +42,8 @@
   void OnTargetCrash(const std::string& target) { range_leases_.erase(target); }
   void OnWrongResponse(const std::string& request_id,
                        const std::string& problem);
+  // The connection of a request closed without an answer.
+  void OnCut(const std::string& request_id);
 
   const std::vector<std::string>& violations() const { return violations_; }
   // How many grants gave a range to another target than its previous holder.
@@ -79,6 +82,7 @@
   EmulatedTarget(boost::asio::io_context& io,
                  EmulatedTargetOptions options,
                  EmulatorChecker& checker,
+                 NoticeChecker& notice_checker,
                  std::uint64_t seed);
   ~EmulatedTarget();
 
@@ -91,6 +95,14 @@
   void SetSilent(bool silent) { silent_ = silent; }
   // Closes the connection instead of responding to this share of the requests.
   void SetAbortRatio(double ratio) { abort_ratio_ = ratio; }
+  // The target's answers say that it leaves. Its entry in the store does not.
+  void SayLeaving() { said_.leaving = true; }
+  // The target's answers name this limit in requests per second, or none.
+  void SayLimit(std::optional<double> limit) { said_.limit = limit; }
+  // The target rejects all requests and asks for a pause of this length.
+  void RejectFor(std::optional<Duration> pause) { rejects_for_ = pause; }
+  // The target's answers carry notices with invalid values.
+  void SayInvalidNotices(bool invalid) { says_invalid_ = invalid; }
 
   bool running() const { return acceptor_ != nullptr; }
   const std::string& id() const { return id_; }
@@ -116,11 +128,15 @@
                     int status,
                     bool not_run,
                     const std::string& request_id);
+  // Adds the notices to an answer, and tells the checker about it if it answers
+  // a caller's request.
+  void AddNotices(HttpResponse& response, const std::string& request_id);
   bool HoldsKey(ShardKey key) const;
 
   boost::asio::io_context& io_;
   const EmulatedTargetOptions options_;
   EmulatorChecker& checker_;
+  NoticeChecker& notice_checker_;
   std::mt19937_64 random_;
   std::string id_;
   std::int64_t started_at_ms_ = 0;
@@ -128,6 +144,9 @@
   bool draining_ = false;
   bool silent_ = false;
   double abort_ratio_ = 0;
+  SaidNotices said_;
+  std::optional<Duration> rejects_for_;
+  bool says_invalid_ = false;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   std::set<Connection> connections_;
   std::set<std::shared_ptr<Work>> in_flight_;
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -77,8 +77,8 @@
         tick_timer_(io_),
         store_acceptor_(io_) {
     for (const auto& options : scenario_.targets) {
-      targets_.push_back(
-          std::make_unique<EmulatedTarget>(io_, options, checker_, random_()));
+      targets_.push_back(std::make_unique<EmulatedTarget>(
+          io_, options, checker_, notice_checker_, random_()));
       last_heartbeat_at_.push_back({});
     }
   }
@@ -94,6 +94,10 @@
     ScheduleTick();
     io_.run();
     report_.violations = checker_.violations();
+    report_.violations.insert(report_.violations.end(),
+                              notice_checker_.violations().begin(),
+                              notice_checker_.violations().end());
+    report_.highest_limit_use = notice_checker_.highest_limit_use();
     report_.owner_changes = checker_.owner_changes();
     for (const auto& target : targets_)
       report_.requests_run[target->options().service] += target->requests_run();
@@ -239,6 +243,11 @@
         store_.Compact();
       return;
     }
+    if (fault.kind == "entry-disturbed") {
+      if (starts)
+        notice_checker_.ExcuseEntry(fault.entry, BootNow() + fault.duration);
+      return;
+    }
     if (fault.kind.rfind("store-", 0) == 0) {
       store_fault_ = starts ? fault.kind : "";
       return;
@@ -263,10 +272,26 @@
         target.SetSilent(starts);
       } else if (fault.kind == "target-garble") {
         target.SetAbortRatio(starts ? fault.abort_ratio : 0);
+      } else if (fault.kind == "target-says-leaving") {
+        if (starts)
+          target.SayLeaving();
+        else
+          target.Crash();
+      } else if (fault.kind == "target-limit") {
+        target.SayLimit(starts ? std::optional(fault.value) : std::nullopt);
+      } else if (fault.kind == "target-retry-after") {
+        target.RejectFor(starts ? std::optional(FromSeconds(fault.value))
+                                : std::nullopt);
+      } else if (fault.kind == "target-says-invalid") {
+        target.SayInvalidNotices(starts);
       }
     }
   }
 
+  static Duration FromSeconds(double seconds) {
+    return Duration(static_cast<Duration::rep>(seconds * 1e6));
+  }
+
   static double ToSeconds(Duration duration) {
     return std::chrono::duration<double>(duration).count();
   }
@@ -287,8 +312,7 @@
 
   void SendRequest(std::size_t route) {
     const auto& traffic = scenario_.traffic[route];
-    const Endpoint& entry =
-        scenario_.entries[random_() % scenario_.entries.size()];
+    const std::size_t entry = random_() % scenario_.entries.size();
     const std::string id = fmt::format("{:016x}", random_());
     figstall::ChannelRequest request;
     request.method = traffic.idempotent ? "GET" : "POST";
@@ -311,14 +335,30 @@
       request.body = R"({"order": 1})";
     request.limit = traffic.deadline + std::chrono::milliseconds(200);
     const Instant sent_at = BootNow();
-    const auto channel = figstall::HttpChannel::Make(io_, entry, 1);
+    const auto channel = ChannelTo(entry, traffic.keeps_connections);
     const bool idempotent = traffic.idempotent;
+    notice_checker_.OnRequestSent(id, entry, sent_at);
     channel->Call(std::move(request), [this, channel, id, sent_at, idempotent,
                                        route](const auto& response) {
       OnResponse(route, id, idempotent, sent_at, response);
     });
   }
 
+  // Returns a connection without a request, new or kept.
+  std::shared_ptr<figstall::HttpChannel> ChannelTo(std::size_t entry,
+                                                   bool kept) {
+    const Endpoint& address = scenario_.entries[entry];
+    if (!kept)
+      return figstall::HttpChannel::Make(io_, address, 1);
+    auto& channels = kept_channels_[entry];
+    for (const auto& channel : channels) {
+      if (channel->queued() == 0)
+        return channel;
+    }
+    channels.push_back(figstall::HttpChannel::Make(io_, address, 1));
+    return channels.back();
+  }
+
   void OnResponse(std::size_t route,
                   const std::string& id,
                   bool idempotent,
@@ -327,6 +367,14 @@
     const int status = response.status.value_or(0);
     if (status == 503 || status == 429)
       checker_.OnRefused(id, idempotent);
+    const Instant now = BootNow();
+    if (status == 200)
+      notice_checker_.OnPassedOn(id, now);
+    // A planned stop cuts off no request that a target ran.
+    if (status == 0 && response.sent &&
+        now < sent_at + scenario_.traffic[route].deadline &&
+        !notice_checker_.ExcusedAt(id, now))
+      checker_.OnCut(id);
     if (status == 200) {
       const std::string received_id =
           response.header(figstall::platform::kRequestIdHeader);
@@ -345,7 +393,11 @@
   asio::ip::tcp::acceptor store_acceptor_;
   EmulatedStore store_;
   EmulatorChecker checker_;
+  figstall::detail::NoticeChecker notice_checker_;
   EmulatorReport report_;
+  // Connections of callers by index of the entry.
+  std::map<std::size_t, std::vector<std::shared_ptr<figstall::HttpChannel>>>
+      kept_channels_;
   std::vector<std::unique_ptr<EmulatedTarget>> targets_;
   std::vector<Instant> last_heartbeat_at_;
   std::set<std::shared_ptr<figstall::CallerConnection>> entry_connections_;
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -45,6 +45,7 @@
         "kind": {"enum": ["safe", "unsafe", "download"]},
         "service": {"type": "string"},
         "per_second": {"type": "number", "exclusiveMinimum": 0},
+        "keep_connections": {"type": "boolean"},
         "deadline_ms": {"type": "number", "exclusiveMinimum": 0}}}},
     "faults": {"type": "array", "items": {
       "type": "object", "additionalProperties": false,
@@ -53,8 +54,13 @@
         "at_s": {"type": "number", "minimum": 0},
         "for_s": {"type": "number", "minimum": 0},
         "kind": {"enum": ["target-crash", "target-leave", "target-silent",
-                          "target-garble", "store-silent", "store-busy",
+                          "target-garble", "target-says-leaving",
+                          "target-limit", "target-retry-after",
+                          "target-says-invalid", "entry-disturbed",
+                          "store-silent", "store-busy",
                           "store-lost-answers", "store-compact"]},
+        "value": {"type": "number", "minimum": 0},
+        "entry": {"type": "integer", "minimum": 0},
         "service": {"type": "string"},
         "count": {"type": "integer", "minimum": 1},
         "strength": {"type": "number", "minimum": 0, "maximum": 1}}}}}
@@ -149,6 +155,7 @@
                         .value(service, json::object())
                         .value("keyed", false);
     traffic.requests_per_second = route.at("per_second");
+    traffic.keeps_connections = route.value("keep_connections", false);
     traffic.deadline = FromSeconds(deadline_s);
     scenario.traffic.push_back(traffic);
     scenario.desired_state["routes"][name] = {
@@ -168,6 +175,8 @@
     fault.duration = FromSeconds(value.value("for_s", 2.0));
     fault.kind = value.at("kind");
     fault.abort_ratio = value.value("strength", 0.2);
+    fault.value = value.value("value", 1.0);
+    fault.entry = value.value("entry", std::size_t{0});
     if (fault.kind.rfind("target-", 0) == 0) {
       const std::string service = value.value("service", "");
       const std::size_t count = value.value("count", 1U);
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -19,6 +19,8 @@
   std::string prefix;
   bool idempotent = true;
   bool keyed = false;
+  // Callers send requests on connections that they keep open.
+  bool keeps_connections = false;
   double requests_per_second = 1;
   Duration deadline{0};
 };
@@ -32,6 +34,10 @@
   std::vector<std::size_t> targets;
   // Share of requests that a target-garble fault breaks off.
   double abort_ratio = 0;
+  // Of target-limit: requests per second. Of target-retry-after: seconds.
+  double value = 0;
+  // Index into Scenario::entries, for entry-disturbed.
+  std::size_t entry = 0;
 };
 
 struct Scenario {
--- /dev/null
+++ b/test/fakes/notice_checker.cc
@@ -0,0 +1,152 @@
+// Requests are matched to entries by their id, since all entries connect from
+// one address.
+#include "notice_checker.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace figstall::detail {
+namespace {
+
+constexpr Duration kLimitWindow = std::chrono::seconds(4);
+// Time that an entry has to act on an answer. Source: the users' rules.
+constexpr Duration kReactionTime = std::chrono::milliseconds(500);
+constexpr double kLimitTolerance = 1.5;
+constexpr double kLimitSlack = 5;
+constexpr int kMaxArrivalsInPause = 2;
+
+long ToMillis(Duration duration) {
+  return static_cast<long>(duration.count() / 1000);
+}
+
+}  // namespace
+
+void NoticeChecker::OnRequestSent(const std::string& request_id,
+                                  std::size_t entry,
+                                  Instant now) {
+  requests_[request_id] = {entry, now, "", {}};
+}
+
+void NoticeChecker::OnArrival(const std::string& target_id,
+                              const std::string& request_id,
+                              Instant now) {
+  const auto found = requests_.find(request_id);
+  if (found == requests_.end())
+    return;
+  const SentRequest& request = found->second;
+  Target& target = targets_[target_id];
+  const auto leaving = target.told_leaving.find(request.entry);
+  if (leaving != target.told_leaving.end() &&
+      request.sent_at > leaving->second + bounds_.drain)
+    violations_.push_back(fmt::format(
+        "request {} reached {} {} ms after entry {} had passed on that it "
+        "leaves",
+        request_id, target_id, ToMillis(now - leaving->second), request.entry));
+  const auto pause = target.pauses.find(request.entry);
+  if (pause != target.pauses.end() && now >= pause->second.from &&
+      now < pause->second.until &&
+      ++pause->second.arrivals > kMaxArrivalsInPause)
+    violations_.push_back(
+        fmt::format("request {} reached {} from entry {} {} ms before the end "
+                    "of its Retry-After",
+                    request_id, target_id, request.entry,
+                    ToMillis(pause->second.until - now)));
+  const auto told = target.told_limit.find(request.entry);
+  if (target.limited_since && told != target.told_limit.end() &&
+      now >= told->second + kReactionTime &&
+      now >= *target.limited_since + bounds_.stability) {
+    target.counted_arrivals.push_back(now);
+    CheckLimit(target_id, target, now);
+  }
+}
+
+void NoticeChecker::CheckLimit(const std::string& id,
+                               Target& target,
+                               Instant now) {
+  while (now - target.counted_arrivals.front() > kLimitWindow)
+    target.counted_arrivals.pop_front();
+  while (target.limits.size() > 1 &&
+         now - target.limits[1].first > kLimitWindow)
+    target.limits.pop_front();
+  double limit = 0;
+  for (const auto& [from, per_second] : target.limits)
+    limit = std::max(limit, per_second);
+  const double allowed =
+      kLimitTolerance * limit *
+          std::chrono::duration<double>(kLimitWindow).count() +
+      kLimitSlack;
+  const auto count = static_cast<double>(target.counted_arrivals.size());
+  highest_limit_use_ = std::max(highest_limit_use_, count / allowed);
+  if (count <= allowed || target.limit_broken)
+    return;
+  target.limit_broken = true;
+  violations_.push_back(fmt::format(
+      "{} named a limit of {} a second and got {} requests in 4 s from entries "
+      "that it had told, allowed {:.0f}",
+      id, limit, count, allowed));
+}
+
+void NoticeChecker::OnAnswered(const std::string& target_id,
+                               const std::string& request_id,
+                               const SaidNotices& said,
+                               Instant now) {
+  const auto found = requests_.find(request_id);
+  if (found == requests_.end())
+    return;
+  found->second.answered_by = target_id;
+  found->second.said = said;
+  Target& target = targets_[target_id];
+  if (said.retry_after && !Excused(found->second.entry, now)) {
+    Pause& pause = target.pauses[found->second.entry];
+    const Instant until = now + *said.retry_after;
+    if (now >= pause.until)
+      pause = {now + kReactionTime, until, 0};
+    pause.until = std::max(pause.until, until);
+  }
+  if (!said.limit) {
+    target.limited_since.reset();
+    target.told_limit.clear();
+    target.limits.clear();
+    target.counted_arrivals.clear();
+    target.limit_broken = false;
+    return;
+  }
+  target.limited_since = target.limited_since.value_or(now);
+  if (target.limits.empty() || target.limits.back().second != *said.limit)
+    target.limits.emplace_back(now, *said.limit);
+}
+
+void NoticeChecker::OnPassedOn(const std::string& request_id, Instant now) {
+  const auto found = requests_.find(request_id);
+  if (found == requests_.end() || found->second.answered_by.empty() ||
+      Excused(found->second.entry, now))
+    return;
+  Target& target = targets_[found->second.answered_by];
+  if (found->second.said.leaving)
+    target.told_leaving.try_emplace(found->second.entry, now);
+  if (found->second.said.limit)
+    target.told_limit.try_emplace(found->second.entry, now);
+}
+
+void NoticeChecker::ExcuseEntry(std::size_t entry, Instant until) {
+  excused_until_[entry] = std::max(excused_until_[entry], until);
+  for (auto& [id, target] : targets_) {
+    target.told_leaving.erase(entry);
+    target.told_limit.erase(entry);
+    target.pauses.erase(entry);
+  }
+}
+
+bool NoticeChecker::Excused(std::size_t entry, Instant now) const {
+  const auto found = excused_until_.find(entry);
+  return found != excused_until_.end() && now < found->second;
+}
+
+bool NoticeChecker::ExcusedAt(const std::string& request_id,
+                              Instant now) const {
+  const auto found = requests_.find(request_id);
+  return found == requests_.end() || Excused(found->second.entry, now);
+}
+
+}  // namespace figstall::detail
--- /dev/null
+++ b/test/fakes/notice_checker.h
@@ -0,0 +1,100 @@
+// Checks in the emulator that entries act on what targets say of themselves.
+// The bounds are those of the users' rules DRAIN, BUDGET and LIMIT.
+#ifndef FIGSTALL_TEST_FAKES_NOTICE_CHECKER_H_
+#define FIGSTALL_TEST_FAKES_NOTICE_CHECKER_H_
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "figstall/types.h"
+
+namespace figstall::detail {
+
+// What an emulated target says in its answers.
+struct SaidNotices {
+  bool leaving = false;
+  // Requests per second.
+  std::optional<double> limit;
+  // Of a 503.
+  std::optional<Duration> retry_after;
+};
+
+struct NoticeBounds {
+  // Requests that callers sent to an entry later than this after the entry
+  // passed on that a target leaves must not reach the target.
+  Duration drain = std::chrono::seconds(2);
+  // A limit applies from this time after the target first named it.
+  Duration stability = std::chrono::seconds(3);
+};
+
+class NoticeChecker {
+ public:
+  explicit NoticeChecker(NoticeBounds bounds = {}) : bounds_(bounds) {}
+
+  // A caller sends a request to the entry with this index.
+  void OnRequestSent(const std::string& request_id,
+                     std::size_t entry,
+                     Instant now);
+  // The request reaches a target, or `answered` by it.
+  void OnArrival(const std::string& target,
+                 const std::string& request_id,
+                 Instant now);
+  void OnAnswered(const std::string& target,
+                  const std::string& request_id,
+                  const SaidNotices& said,
+                  Instant now);
+  // The entry passed the target's answer to this request on.
+  void OnPassedOn(const std::string& request_id, Instant now);
+  // Until then the entry restarts, is frozen or cut off; what it was told does
+  // not bind it.
+  void ExcuseEntry(std::size_t entry, Instant until);
+  bool Excused(std::size_t entry, Instant now) const;
+  bool ExcusedAt(const std::string& request_id, Instant now) const;
+
+  const std::vector<std::string>& violations() const { return violations_; }
+  // Highest number of counted requests in 4 s, as a share of what the target's
+  // limit allows.
+  double highest_limit_use() const { return highest_limit_use_; }
+
+ private:
+  struct SentRequest {
+    std::size_t entry = 0;
+    Instant sent_at;
+    // What the last target that answered it said.
+    std::string answered_by;
+    SaidNotices said;
+  };
+  struct Pause {
+    Instant from;
+    Instant until;
+    int arrivals = 0;
+  };
+  struct Target {
+    // By entry: when it passed on that the target leaves, or a limit.
+    std::map<std::size_t, Instant> told_leaving;
+    std::map<std::size_t, Instant> told_limit;
+    std::map<std::size_t, Pause> pauses;
+    std::optional<Instant> limited_since;
+    // Highest limit named within the last window.
+    std::deque<std::pair<Instant, double>> limits;
+    std::deque<Instant> counted_arrivals;
+    bool limit_broken = false;
+  };
+
+  void CheckLimit(const std::string& id, Target& target, Instant now);
+
+  const NoticeBounds bounds_;
+  std::map<std::string, SentRequest> requests_;
+  std::map<std::string, Target> targets_;
+  std::map<std::size_t, Instant> excused_until_;
+  std::vector<std::string> violations_;
+  double highest_limit_use_ = 0;
+};
+
+}  // namespace figstall::detail
+
+#endif  // FIGSTALL_TEST_FAKES_NOTICE_CHECKER_H_
