A target that says in an answer that it leaves gets nothing later

Callers' requests reached targets long after these had said that they leave (DRAIN): up to 6.5 s in the emulator, where 2 s are allowed. Cause: an entry knew a target to leave only by the target's entry in the store. A target whose entry still says ready, is lost, or cannot be read stayed in use, and its key ranges stayed with it. Class: knowledge that came with the data path's own traffic was dropped. The same class: the time since when a target leaves was kept in TargetClient and counted anew when the entry came back or changed its address. Change: what an answer says holds at once for requests that arrive, wait or are retried, by the target's incarnation, until that is gone for ten minutes; answers to grants count too, so that an owner without traffic is heard. Members report it to the mover with their datagrams, at once and then each 300 ms, and the mover moves the ranges whatever the store says. The time since when a target leaves is that of the first word, from the store or an answer.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -203,6 +203,9 @@
   void ApplyMember(const VmId& vm, const StoreItem& item);
   void ApplyTable(const ServiceId& service, const StoreItem& item);
   void RemoveAbsentTargets(Instant now);
+  // Applies what targets said in their answers, here or to other members, to
+  // the directory, so that the mover moves their ranges.
+  void MarkLeavingTargets();
   void RecordStoreCall(const StoreResponse& response, const char* call);
   // Runs `task` at once, or, if the store is unreachable, as soon as it
   // responds again. Until then the store is probed with its cheapest call.
@@ -234,6 +237,7 @@
                    const RangeEntry& entry) const;
   void ReportToStore(Instant now);
   GrantReport MakeGrantReport(Instant now) const;
+  std::vector<ReportedNotice> MakeNoticeReport() const;
   void MergeGrantReport(Instant now,
                         const VmId& vm,
                         const std::string& incarnation,
@@ -298,6 +302,9 @@
   bool store_read_in_progress_ = false;
   bool initial_read_done_ = false;
   TargetAbsence absence_;
+  // TargetNotices::changes() when they were last applied and last reported.
+  std::uint64_t applied_notices_ = 0;
+  std::uint64_t reported_notices_ = 0;
   MemberReports member_reports_;
   Instant members_known_since_{};
 
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -65,6 +65,15 @@
   friend bool operator==(const GrantReport&, const GrantReport&) = default;
 };
 
+// What a target said of itself in an answer to the reporting member.
+struct ReportedNotice {
+  TargetIncarnation target;
+  bool leaving = false;
+
+  friend bool operator==(const ReportedNotice&,
+                         const ReportedNotice&) = default;
+};
+
 struct LoadReport {
   VmId vm;
   std::string incarnation;
@@ -72,6 +81,7 @@
   std::map<ServiceId, KeyLoadReport> services;
   // Empty if the times of the previous report still apply.
   std::map<TargetId, ProcessingTime> targets;
+  std::vector<ReportedNotice> notices;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/include/figstall/target_client.h
+++ b/include/figstall/target_client.h
@@ -4,8 +4,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
-#include <optional>
 #include <set>
+#include <utility>
 
 #include "figstall/target_connection.h"
 #include "figstall/target_entry.h"
@@ -15,7 +15,8 @@
 
 class TargetClient {
  public:
-  TargetClient(boost::asio::io_context& io, Instant now, TargetEntry entry);
+  TargetClient(boost::asio::io_context& io, TargetEntry entry)
+      : io_(io), entry_(std::move(entry)) {}
   ~TargetClient();
   TargetClient(const TargetClient&) = delete;
   TargetClient& operator=(const TargetClient&) = delete;
@@ -27,10 +28,7 @@
   // Closes idle connections that will not be used again, since a target accepts
   // a limited number of connections from all routers.
   void CloseStale(Instant now);
-  void SetEntry(Instant now, TargetEntry entry);
-  // When this process first learned that the target is leaving; none if it is
-  // not.
-  std::optional<Instant> leaving_since() const { return leaving_since_; }
+  void SetEntry(TargetEntry entry) { entry_ = std::move(entry); }
 
   const TargetEntry& entry() const { return entry_; }
   TargetLoad& load() { return load_; }
@@ -41,7 +39,6 @@
 
   boost::asio::io_context& io_;
   TargetEntry entry_;
-  std::optional<Instant> leaving_since_;
   TargetLoad load_;
   std::set<std::shared_ptr<TargetConnection>> connections_;
   // Lets handlers of connections check whether this object still exists.
--- a/include/figstall/target_notice_recorder.h
+++ b/include/figstall/target_notice_recorder.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "figstall/load_report.h"
 #include "figstall/log.h"
 #include "figstall/metrics.h"
 #include "figstall/target_notices.h"
@@ -23,6 +24,9 @@
                 const TargetNotice& notice,
                 std::string_view source);
 
+  // Records what a target said in an answer to another member.
+  void OnReport(Instant now, const VmId& member, const ReportedNotice& notice);
+
   TargetNotices& notices() { return notices_; }
   const TargetNotices& notices() const { return notices_; }
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -490,6 +490,12 @@
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(entry, platform::DecodeTargetEntry(id, item.value));
         const bool was_absent = absence_.OnEntryPresent(target);
+        notices_.notices().OnListed(BootNow(), entry.incarnation,
+                                    entry.leaving);
+        // An entry may still say ready after the target's answers said that it
+        // leaves.
+        entry.leaving =
+            notices_.notices().LeavingSince(entry.incarnation).has_value();
         const auto known = view_.targets.find(target);
         if (known != view_.targets.end() && known->second == entry)
           return was_absent;
@@ -514,6 +520,18 @@
       });
 }
 
+void EntryControl::MarkLeavingTargets() {
+  if (applied_notices_ == notices_.notices().changes())
+    return;
+  applied_notices_ = notices_.notices().changes();
+  for (auto& [id, entry] : view_.targets) {
+    if (entry.leaving || !notices_.notices().SaidLeaving(entry.incarnation))
+      continue;
+    entry.leaving = true;
+    MarkViewChanged();
+  }
+}
+
 void EntryControl::RemoveAbsentTargets(Instant now) {
   for (const TargetId& target : absence_.TakeRemovedTargets(now)) {
     log_.Write(LogLevel::kInfo, "target-gone", {{"target", target.value()}});
@@ -574,6 +592,7 @@
   RenewMembership(now);
   MaintainSubscription(now);
   RemoveAbsentTargets(now);
+  MarkLeavingTargets();
   RenewMoverLease(now);
   Campaign(now);
   ProcessChanges();
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -145,6 +145,16 @@
   return report;
 }
 
+std::vector<ReportedNotice> EntryControl::MakeNoticeReport() const {
+  std::vector<ReportedNotice> report;
+  for (const TargetIncarnation& target : notices_.notices().Reportable()) {
+    const auto listed = view_.targets.find(target.id);
+    if (listed != view_.targets.end() && listed->second.incarnation == target)
+      report.push_back({target, notices_.notices().SaidLeaving(target)});
+  }
+  return report;
+}
+
 void EntryControl::MergeGrantReport(Instant now,
                                     const VmId& vm,
                                     const std::string& incarnation,
@@ -170,13 +180,16 @@
 
 void EntryControl::SendReport(Instant now) {
   const bool due = now - load_reported_at_ >= timing_.report_interval ||
-                   reported_table_changes_ != table_change_count_;
+                   reported_table_changes_ != table_change_count_ ||
+                   reported_notices_ != notices_.notices().changes();
   if (!due || resigned_ || !initial_read_done_)
     return;
   load_reported_at_ = now;
   reported_table_changes_ = table_change_count_;
+  reported_notices_ = notices_.notices().changes();
   LoadReport report = traffic_.MakeLoadReport(now, incarnation_);
   report.grants = MakeGrantReport(now);
+  report.notices = MakeNoticeReport();
   // Processing times change slowly and make up most of a report.
   if (now - processing_times_reported_at_ >=
       timing_.processing_time_report_interval)
@@ -253,6 +266,8 @@
                 if (auto* report = std::get_if<LoadReport>(&datagram)) {
                   MergeGrantReport(now, report->vm, report->incarnation,
                                    report->grants);
+                  for (const ReportedNotice& notice : report->notices)
+                    notices_.OnReport(now, report->vm, notice);
                   load_aggregator_.OnReport(now, std::move(*report));
                   return {};
                 }
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -144,14 +144,13 @@
 }
 
 void EntryTraffic::OnViewChanged() {
-  const Instant now = BootNow();
   for (const auto& [id, entry] : view_.targets) {
     auto& client = target_clients_[id];
     if (!client || client->entry().incarnation != entry.incarnation ||
         client->entry().address != entry.address)
-      client = std::make_unique<TargetClient>(io_, now, entry);
+      client = std::make_unique<TargetClient>(io_, entry);
     else
-      client->SetEntry(now, entry);
+      client->SetEntry(entry);
   }
   std::erase_if(target_clients_, [this](const auto& item) {
     return !view_.targets.contains(item.first);
@@ -190,6 +189,7 @@
   for (auto& [id, client] : target_clients_)
     client->CloseStale(now);
   UpdateProcessingTimes(now);
+  notices_.notices().Prune(now, view_.targets);
   std::vector<std::shared_ptr<CallerConnection>> callers;
   for (const auto& [key, caller] : callers_)
     callers.push_back(caller);
@@ -231,7 +231,8 @@
   std::vector<Candidate> candidates;
   for (const auto& [id, client] : target_clients_) {
     const TargetEntry& entry = client->entry();
-    if (entry.service != service || entry.leaving || tried_targets.contains(id))
+    if (entry.service != service || tried_targets.contains(id) ||
+        notices_.notices().LeavingSince(entry.incarnation))
       continue;
     candidates.push_back({&entry, &client->load(), DistanceTo(entry.zone),
                           SharingRouters(entry, false),
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -189,8 +189,10 @@
   if (!client)
     return nullptr;
   // Moving the key may take longer than a leaving owner may receive requests.
-  if (client->leaving_since() &&
-      BootNow() - *client->leaving_since() >
+  const auto leaving_since =
+      traffic_.notices_.notices().LeavingSince(client->entry().incarnation);
+  if (leaving_since &&
+      BootNow() - *leaving_since >
           Scaled(traffic_.settings_.drain_duration, kLeavingOwnerShare))
     return nullptr;
   return client->load().HasSpareCapacity(
@@ -216,7 +218,7 @@
   const TargetClient* client = traffic_.FindTarget(entry->owner.id);
   if (!client)
     return fmt::format("owner {} left the directory", entry->owner.id.value());
-  if (client->leaving_since())
+  if (traffic_.notices_.notices().LeavingSince(client->entry().incarnation))
     return fmt::format("owner {} is leaving, fencing token {}",
                        entry->owner.id.value(), entry->fence);
   return fmt::format(
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -102,6 +102,14 @@
     out.setSamples(static_cast<float>(processing_time.samples));
   }
   Write(report.grants, root.initGrants());
+  auto notices = root.initNotices(static_cast<unsigned>(report.notices.size()));
+  index = 0;
+  for (const ReportedNotice& notice : report.notices) {
+    auto out = notices[index++];
+    out.setTarget(notice.target.id.value());
+    out.setStartedAtMillis(notice.target.started_at_ms);
+    out.setLeaving(notice.leaving);
+  }
 }
 
 LoadReport Read(wire::PeerReport::Reader root) {
@@ -121,6 +129,11 @@
   for (const auto target : root.getTargets())
     report.targets[TargetId(std::string(target.getTarget()))] = {
         Duration(target.getWorkMicros()), std::max(0.0F, target.getSamples())};
+  for (const auto notice : root.getNotices()) {
+    report.notices.push_back({{TargetId(std::string(notice.getTarget())),
+                               notice.getStartedAtMillis()},
+                              notice.getLeaving()});
+  }
   return report;
 }
 
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -41,6 +41,15 @@
   services @2 :List(ServiceHeat);
   targets @3 :List(TargetSpeed);
   grants @4 :GrantReport;
+  # What targets said of themselves, as far as other members should know it.
+  notices @5 :List(TargetNotice);
+}
+
+struct TargetNotice {
+  target @0 :Text;
+  # Start time of the target's incarnation, in milliseconds of its own clock.
+  startedAtMillis @1 :Int64;
+  leaving @2 :Bool;
 }
 
 # What the member has seen of moves, as the fencing token of the newest change
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(dd66e3846dd798a9);
 CAPNP_DECLARE_SCHEMA(8c50a9f830cb643f);
 CAPNP_DECLARE_SCHEMA(b549c40b1495ce37);
+CAPNP_DECLARE_SCHEMA(b5f8b4a1cf7a1e6a);
 CAPNP_DECLARE_SCHEMA(c740a834351a2a83);
 CAPNP_DECLARE_SCHEMA(f227c2a806ba8ecf);
 CAPNP_DECLARE_SCHEMA(db6bc0c1d3b12469);
@@ -95,7 +96,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b549c40b1495ce37, 0, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b549c40b1495ce37, 0, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TargetNotice {
+  TargetNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b5f8b4a1cf7a1e6a, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -580,6 +596,9 @@
   inline bool hasGrants() const;
   inline  ::figstall::wire::GrantReport::Reader getGrants() const;
 
+  inline bool hasNotices() const;
+  inline  ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Reader getNotices() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -643,6 +662,13 @@
   inline void adoptGrants(::capnp::Orphan< ::figstall::wire::GrantReport>&& value);
   inline ::capnp::Orphan< ::figstall::wire::GrantReport> disownGrants();
 
+  inline bool hasNotices();
+  inline  ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Builder getNotices();
+  inline void setNotices( ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Builder initNotices(unsigned int size);
+  inline void adoptNotices(::capnp::Orphan< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>> disownNotices();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -670,6 +696,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class TargetNotice::Reader {
+public:
+  typedef TargetNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::int64_t getStartedAtMillis() const;
+
+  inline bool getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetNotice::Builder {
+public:
+  typedef TargetNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::int64_t getStartedAtMillis();
+  inline void setStartedAtMillis( ::int64_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetNotice::Pipeline {
+public:
+  typedef TargetNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class GrantReport::Reader {
 public:
   typedef GrantReport Reads;
@@ -2087,6 +2204,102 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool PeerReport::Reader::hasNotices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerReport::Builder::hasNotices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Reader PeerReport::Reader::getNotices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::getNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void PeerReport::Builder::setNotices( ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>::Builder PeerReport::Builder::initNotices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void PeerReport::Builder::adoptNotices(
+    ::capnp::Orphan< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>> PeerReport::Builder::disownNotices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figstall::wire::TargetNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool TargetNotice::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetNotice::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetNotice::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetNotice::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetNotice::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetNotice::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetNotice::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetNotice::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t TargetNotice::Reader::getStartedAtMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TargetNotice::Builder::getStartedAtMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetNotice::Builder::setStartedAtMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TargetNotice::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool TargetNotice::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void TargetNotice::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GrantReport::Reader::hasServices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/target_client.cc
+++ b/src/target_client.cc
@@ -7,21 +7,6 @@
 
 namespace figstall {
 
-TargetClient::TargetClient(boost::asio::io_context& io,
-                           Instant now,
-                           TargetEntry entry)
-    : io_(io) {
-  SetEntry(now, std::move(entry));
-}
-
-void TargetClient::SetEntry(Instant now, TargetEntry entry) {
-  entry_ = std::move(entry);
-  if (!entry_.leaving)
-    leaving_since_.reset();
-  else if (!leaving_since_)
-    leaving_since_ = now;
-}
-
 TargetClient::~TargetClient() {
   // Connections that serve a request stay open until it ends.
   const auto connections = std::move(connections_);
--- a/src/target_notice_recorder.cc
+++ b/src/target_notice_recorder.cc
@@ -12,6 +12,14 @@
   LogChanges(target, notices_.OnAnswer(now, target, notice), source);
 }
 
+void TargetNoticeRecorder::OnReport(Instant now,
+                                    const VmId& member,
+                                    const ReportedNotice& notice) {
+  if (notice.leaving)
+    LogChanges(notice.target, notices_.OnReportedLeaving(now, notice.target),
+               member.value());
+}
+
 void TargetNoticeRecorder::LogChanges(const TargetIncarnation& target,
                                       const std::vector<NoticeChange>& changes,
                                       std::string_view source) {
--- a/test/load_report_test.cc
+++ b/test/load_report_test.cc
@@ -31,6 +31,7 @@
   report.targets[TargetId("t1")] = {milliseconds(80), 12};
   report.grants.seen_fence[kService] = 12;
   report.grants.holds_for[TargetId("t2")] = milliseconds(1500);
+  report.notices = {{{TargetId("t1"), 1786139964622}, true}};
   const PeerDatagram decoded = HandleError(
       [&]() -> Result<PeerDatagram> {
         return DecodePeerDatagram(EncodePeerDatagram(report));
