A target that asks for a pause with a 503 gets nothing until it ends

Change: the target is left out until the latest end that it named, for requests that arrive, wait, are retried or still open a connection. Those of a service without keys go to other targets. If all that could serve a request pause for longer than it may wait, it is refused at once, with Retry-After up to the end of the pause. The choice of a target, its reasons and their texts move from EntryTraffic and Exchange into TargetSelector.

--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -10,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -21,8 +20,8 @@
 #include "figstall/log.h"
 #include "figstall/metrics.h"
 #include "figstall/shared_retry_budget.h"
-#include "figstall/target_client.h"
 #include "figstall/target_notice_recorder.h"
+#include "figstall/target_selector.h"
 
 namespace figstall {
 
@@ -70,14 +69,6 @@
   void RemoveExchange(Exchange* exchange);
   void EnqueueWaiting(Exchange* exchange);
   void RetryWaiting();
-  // Chooses a target of an unkeyed service for a request. Returns null if no
-  // target may receive it now.
-  TargetClient* PickUnkeyedTarget(const ServiceId& service,
-                                  const IngressRoute& route,
-                                  const std::set<TargetId>& tried_targets);
-  TargetClient* FindTarget(const TargetId& id);
-  Distance DistanceTo(const ZoneId& zone) const;
-  std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
   SharedRetryBudget& RetryBudgetFor(const ServiceId& service);
   Duration MeanLatency(const ServiceId& service) const;
   // Processing time of a request at a target of mean speed, without queueing.
@@ -85,19 +76,18 @@
   void UpdateProcessingTimes(Instant now);
   // Whether the limits on hot keys admit a request.
   bool Admits(const ServiceId& service, ShardKey key);
-  std::uint32_t RouterCount() const;
 
   boost::asio::io_context& io_;
   const EntrySettings& settings_;
   const EntryView& view_;
   TargetNoticeRecorder& notices_;
+  TargetSelector targets_;
   Log& log_;
   Metrics& metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::optional<Instant> shutdown_deadline_;
   std::unordered_map<const CallerConnection*, std::shared_ptr<CallerConnection>>
       callers_;
-  std::map<TargetId, std::unique_ptr<TargetClient>> target_clients_;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
   // Requests that wait for a target, sorted by ascending priority() and then by
   // the time of their insertion.
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -77,15 +77,11 @@
   bool waiting() const { return waiting_; }
 
  private:
-  // Range table entry of the request's key, or null while the key has no
-  // settled owner.
-  const RangeEntry* OwnerEntry() const;
   // Whether a request that cannot be sent may keep waiting.
   bool MayWait(Instant now) const;
+  TargetQuery MakeTargetQuery() const;
   // Returns the target that may take the request now, or null.
-  TargetClient* ChooseTarget() const;
-  // Describes for the log why ChooseTarget() found none.
-  std::string ExplainNoTarget() const;
+  TargetClient* ChooseTarget();
   void Send(TargetClient* client);
   void RetryOnOtherTarget(Instant now);
   // Returns the attempt's buffered response as the caller receives it.
@@ -141,6 +137,8 @@
   std::uint32_t in_flight_when_sent_ = 0;
   std::set<TargetId> tried_targets_;
   std::optional<Instant> retry_not_before_;
+  // Result of the last ChooseTarget().
+  TargetChoice last_choice_;
   std::optional<Attempt> attempt_;
   // A target's server error, delivered if no further attempt delivers a
   // response.
--- a/include/figstall/target_connection.h
+++ b/include/figstall/target_connection.h
@@ -32,6 +32,9 @@
 };
 
 struct ResponseObserver {
+  // Called once a connection that had to be opened for the request is open. If
+  // it returns false, nothing is sent and the request fails.
+  std::function<bool()> may_send;
   // Returns false if the response belongs to another request. That response is
   // discarded, and the connection continues to wait for the right one.
   std::function<bool(const ResponseHead& head)> on_head;
--- /dev/null
+++ b/include/figstall/target_selector.h
@@ -0,0 +1,92 @@
+// This router's targets, and the choice of the one that may get a request now.
+#ifndef FIGSTALL_TARGET_SELECTOR_H_
+#define FIGSTALL_TARGET_SELECTOR_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "figstall/entry_settings.h"
+#include "figstall/entry_view.h"
+#include "figstall/target_client.h"
+#include "figstall/target_notices.h"
+
+namespace figstall {
+
+struct TargetQuery {
+  ServiceId service;
+  // None for a service without keys.
+  std::optional<ShardKey> key;
+  // Responses are large.
+  bool bulk = false;
+  Duration latency_objective{0};
+  // Mean latency of the service.
+  Duration mean_latency{0};
+  // Not chosen again for a request without a key.
+  std::set<TargetId> tried_targets;
+};
+
+// Why no target may get a request now.
+enum class Unavailability {
+  kNone,
+  // The key has no settled owner, or its owner is not in the directory.
+  kNoOwner,
+  kOwnerLeaving,
+  // Each target that could serve the request wants none for a while.
+  kPaused,
+  // This router has as many requests in flight as it may have.
+  kNoCapacity,
+};
+
+struct TargetChoice {
+  // Null if no target may get the request now.
+  TargetClient* client = nullptr;
+  Unavailability reason = Unavailability::kNone;
+  // When a target may get the request, if that is known.
+  std::optional<Instant> available_at;
+};
+
+class TargetSelector {
+ public:
+  using Clients = std::map<TargetId, std::unique_ptr<TargetClient>>;
+
+  TargetSelector(boost::asio::io_context& io,
+                 const EntrySettings& settings,
+                 const EntryView& view,
+                 const TargetNotices& notices)
+      : io_(io), settings_(settings), view_(view), notices_(notices) {}
+
+  // Opens and drops clients as the directory changed.
+  void OnViewChanged();
+  TargetChoice Choose(Instant now, const TargetQuery& query) const;
+  // Describes for the log why Choose() found no target.
+  std::string Explain(Instant now,
+                      const TargetQuery& query,
+                      const TargetChoice& choice) const;
+
+  TargetClient* Find(const TargetId& id) const;
+  // The entry of the range table that a key belongs to, or null while the key
+  // has no settled owner.
+  const RangeEntry* OwnerEntry(const ServiceId& service, ShardKey key) const;
+  const Clients& clients() const { return clients_; }
+  Distance DistanceTo(const ZoneId& zone) const;
+  std::uint32_t RouterCount() const;
+  std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
+
+ private:
+  TargetChoice ChooseOwner(Instant now, const TargetQuery& query) const;
+  TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query) const;
+
+  boost::asio::io_context& io_;
+  const EntrySettings& settings_;
+  const EntryView& view_;
+  const TargetNotices& notices_;
+  Clients clients_;
+};
+
+}  // namespace figstall
+
+#endif  // FIGSTALL_TARGET_SELECTOR_H_
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -34,6 +34,7 @@
       settings_(settings),
       view_(view),
       notices_(notices),
+      targets_(io, settings, view, notices.notices()),
       log_(log),
       metrics_(metrics),
       acceptor_(io),
@@ -144,17 +145,7 @@
 }
 
 void EntryTraffic::OnViewChanged() {
-  for (const auto& [id, entry] : view_.targets) {
-    auto& client = target_clients_[id];
-    if (!client || client->entry().incarnation != entry.incarnation ||
-        client->entry().address != entry.address)
-      client = std::make_unique<TargetClient>(io_, entry);
-    else
-      client->SetEntry(entry);
-  }
-  std::erase_if(target_clients_, [this](const auto& item) {
-    return !view_.targets.contains(item.first);
-  });
+  targets_.OnViewChanged();
   RetryWaiting();
 }
 
@@ -186,7 +177,7 @@
   if (now - last_housekeeping_at_ < kHousekeepingInterval)
     return;
   last_housekeeping_at_ = now;
-  for (auto& [id, client] : target_clients_)
+  for (const auto& [id, client] : targets_.clients())
     client->CloseStale(now);
   UpdateProcessingTimes(now);
   notices_.notices().Prune(now, view_.targets);
@@ -197,55 +188,6 @@
     caller->EnforceTimeouts(now);
 }
 
-TargetClient* EntryTraffic::FindTarget(const TargetId& id) {
-  const auto found = target_clients_.find(id);
-  return found == target_clients_.end() ? nullptr : found->second.get();
-}
-
-Distance EntryTraffic::DistanceTo(const ZoneId& zone) const {
-  if (zone == settings_.zone)
-    return Distance::kSameZone;
-  const auto region = view_.regions.find(zone);
-  return region != view_.regions.end() && region->second == settings_.region
-             ? Distance::kSameRegion
-             : Distance::kOtherRegion;
-}
-
-std::uint32_t EntryTraffic::RouterCount() const {
-  return std::max<std::uint32_t>(
-      1, static_cast<std::uint32_t>(view_.members.size()));
-}
-
-std::uint32_t EntryTraffic::SharingRouters(const TargetEntry& entry,
-                                           bool keyed) const {
-  if (keyed)
-    return RouterCount();
-  return std::max(1U, view_.MembersIn(entry.zone));
-}
-
-TargetClient* EntryTraffic::PickUnkeyedTarget(
-    const ServiceId& service,
-    const IngressRoute& route,
-    const std::set<TargetId>& tried_targets) {
-  const Instant now = BootNow();
-  std::vector<Candidate> candidates;
-  for (const auto& [id, client] : target_clients_) {
-    const TargetEntry& entry = client->entry();
-    if (entry.service != service || tried_targets.contains(id) ||
-        notices_.notices().LeavingSince(entry.incarnation))
-      continue;
-    candidates.push_back({&entry, &client->load(), DistanceTo(entry.zone),
-                          SharingRouters(entry, false),
-                          client->Connected(now)});
-  }
-  const Candidate* best =
-      PickTarget(candidates,
-                 SelectionOptions{route.bulk, MeanLatency(service),
-                                  route.latency_objective},
-                 BootNow());
-  return best ? FindTarget(best->entry->incarnation.id) : nullptr;
-}
-
 SharedRetryBudget& EntryTraffic::RetryBudgetFor(const ServiceId& service) {
   return retry_budgets_.try_emplace(service, settings_.retries).first->second;
 }
@@ -266,7 +208,7 @@
 void EntryTraffic::UpdateProcessingTimes(Instant now) {
   // The geometric mean weights all targets equally, as the mover does.
   std::map<ServiceId, std::pair<double, int>> sums;
-  for (const auto& [id, client] : target_clients_) {
+  for (const auto& [id, client] : targets_.clients()) {
     if (const auto processing_time = client->load().processing_time(now)) {
       auto& [sum, count] = sums[client->entry().service];
       sum += std::log(
@@ -298,12 +240,12 @@
   report.incarnation = incarnation;
   for (const auto& [service, load] : key_load_)
     report.services[service] = MakeKeyLoadReport(load);
-  for (const auto& [id, client] : target_clients_) {
+  for (const auto& [id, client] : targets_.clients()) {
     // Targets in other regions are left out, since the network latency would
     // count as processing time.
     const auto processing_time = client->load().processing_time(now);
     if (processing_time && key_load_.contains(client->entry().service) &&
-        DistanceTo(client->entry().zone) != Distance::kOtherRegion)
+        targets_.DistanceTo(client->entry().zone) != Distance::kOtherRegion)
       report.targets[id] = *processing_time;
   }
   return report;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -33,10 +33,6 @@
 // A request with less time left than this fraction of the latency objective is
 // not sent, since a response in time is unlikely.
 constexpr double kMinTimeLeftShare = 0.1;
-// A leaving owner may receive requests for the drain duration. This process
-// uses only this fraction of it, since it may have learned late that the owner
-// is leaving.
-constexpr double kLeavingOwnerShare = 0.5;
 // An idempotent request may get another attempt after this multiple of the
 // expected latency, but not before the minimum.
 constexpr double kAttemptTimeoutFactor = 3.0;
@@ -172,75 +168,38 @@
     WaitForTarget();
 }
 
-const RangeEntry* Exchange::OwnerEntry() const {
-  const auto table = traffic_.view_.tables.find(service_);
-  const RangeEntry* entry =
-      table == traffic_.view_.tables.end() ? nullptr : table->second.Find(key_);
-  return entry && entry->phase == RangePhase::kSettled ? entry : nullptr;
+TargetQuery Exchange::MakeTargetQuery() const {
+  return {service_,
+          keyed_ ? std::optional(key_) : std::nullopt,
+          route_->bulk,
+          route_->latency_objective,
+          traffic_.MeanLatency(service_),
+          tried_targets_};
 }
 
-TargetClient* Exchange::ChooseTarget() const {
-  if (!keyed_)
-    return traffic_.PickUnkeyedTarget(service_, *route_, tried_targets_);
-  const RangeEntry* entry = OwnerEntry();
-  if (!entry)
-    return nullptr;
-  TargetClient* client = traffic_.FindTarget(entry->owner.id);
-  if (!client)
-    return nullptr;
-  // Moving the key may take longer than a leaving owner may receive requests.
-  const auto leaving_since =
-      traffic_.notices_.notices().LeavingSince(client->entry().incarnation);
-  if (leaving_since &&
-      BootNow() - *leaving_since >
-          Scaled(traffic_.settings_.drain_duration, kLeavingOwnerShare))
-    return nullptr;
-  return client->load().HasSpareCapacity(
-             BootNow(), client->entry().slots,
-             traffic_.SharingRouters(client->entry(), true))
-             ? client
-             : nullptr;
-}
-
-std::string Exchange::ExplainNoTarget() const {
-  if (!keyed_) {
-    return fmt::format("no target of {} has spare capacity, {} already tried",
-                       service_.value(), tried_targets_.size());
-  }
-  const auto table = traffic_.view_.tables.find(service_);
-  const RangeEntry* entry =
-      table == traffic_.view_.tables.end() ? nullptr : table->second.Find(key_);
-  if (!entry)
-    return "key has no owner yet";
-  if (entry->phase != RangePhase::kSettled)
-    return fmt::format("key is moving away from owner {}, fencing token {}",
-                       entry->owner.id.value(), entry->fence);
-  const TargetClient* client = traffic_.FindTarget(entry->owner.id);
-  if (!client)
-    return fmt::format("owner {} left the directory", entry->owner.id.value());
-  if (traffic_.notices_.notices().LeavingSince(client->entry().incarnation))
-    return fmt::format("owner {} is leaving, fencing token {}",
-                       entry->owner.id.value(), entry->fence);
-  return fmt::format(
-      "owner {} has {} of this router's requests in flight, fencing token {}",
-      entry->owner.id.value(), client->load().in_flight(), entry->fence);
+TargetClient* Exchange::ChooseTarget() {
+  last_choice_ = traffic_.targets_.Choose(BootNow(), MakeTargetQuery());
+  return last_choice_.client;
 }
 
 bool Exchange::MayWait(Instant now) const {
   if (now >= deadline_)
     return false;
   const Duration waited = now - arrived_at_;
+  // Whoever has to wait longer than that is refused at once.
+  if (last_choice_.available_at &&
+      *last_choice_.available_at - arrived_at_ >= waits_.capacity_wait_timeout)
+    return false;
   return waited < waits_.capacity_wait_timeout ||
-         (keyed_ && waited < waits_.owner_wait_timeout && !OwnerEntry());
+         (keyed_ && waited < waits_.owner_wait_timeout &&
+          !traffic_.targets_.OwnerEntry(service_, key_));
 }
 
 bool Exchange::TrySend() {
   if (ended_)
     return true;
-  if (retry_not_before_ && BootNow() < *retry_not_before_)
-    return false;
   TargetClient* client = ChooseTarget();
-  if (!client)
+  if (!client || (retry_not_before_ && BootNow() < *retry_not_before_))
     return false;
   waiting_ = false;
   Send(client);
@@ -300,7 +259,7 @@
                          Scaled(expected_latency, kAttemptTimeoutFactor)));
   attempt.queueing_factor = client->load().QueueingFactor(
       now, client->entry().slots,
-      traffic_.SharingRouters(client->entry(), keyed_));
+      traffic_.targets_.SharingRouters(client->entry(), keyed_));
   client->load().OnSent(now);
   const auto self = shared_from_this();
   ResponseObserver observer;
@@ -315,6 +274,9 @@
     self->OnHead(head);
     return true;
   };
+  observer.may_send = [self, target = attempt.target] {
+    return !self->traffic_.notices_.notices().RetryNotBefore(BootNow(), target);
+  };
   observer.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
   observer.on_end = [self] { self->OnEnd(); };
   observer.on_error = [self](FailureStage stage,
@@ -379,8 +341,8 @@
     tried_targets_.insert(attempt_->target.id);
     TargetClient* other = ChooseTarget();
     if (other && TimeLeft(BootNow()) > traffic_.MeanLatency(service_) &&
-        traffic_.RetryBudgetFor(service_).TryRetry(BootNow(),
-                                                   traffic_.RouterCount())) {
+        traffic_.RetryBudgetFor(service_).TryRetry(
+            BootNow(), traffic_.targets_.RouterCount())) {
       fallback_response_ = BufferedResponse();
       execution_state_ = ExecutionState::kUnknown;
       EndAttempt(AttemptOutcome::kFailed);
@@ -421,8 +383,8 @@
                                     : AttemptOutcome::kRefused);
   if (keyed_)
     retry_not_before_ = BootNow() + waits_.target_retry_interval;
-  if (!traffic_.RetryBudgetFor(service_).TryRetry(BootNow(),
-                                                  traffic_.RouterCount()))
+  if (!traffic_.RetryBudgetFor(service_).TryRetry(
+          BootNow(), traffic_.targets_.RouterCount()))
     return Refuse("rejected-by-target");
   if (!TrySend())
     WaitForTarget();
@@ -435,8 +397,8 @@
 void Exchange::RetryOrRefuse(const std::string& reason) {
   if ((execution_state_ == ExecutionState::kNotRun || MayRetry()) &&
       BootNow() < deadline_ &&
-      traffic_.RetryBudgetFor(service_).TryRetry(BootNow(),
-                                                 traffic_.RouterCount())) {
+      traffic_.RetryBudgetFor(service_).TryRetry(
+          BootNow(), traffic_.targets_.RouterCount())) {
     if (!TrySend())
       WaitForTarget();
     return;
@@ -483,7 +445,7 @@
   const Instant now = BootNow();
   const Duration latency = now - attempt_->sent_at;
   // The target may have been removed in the meantime.
-  TargetClient* client = traffic_.FindTarget(attempt_->target.id);
+  TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
   if (client && client == attempt_->client)
     client->load().OnDone(now, outcome, latency, attempt_->queueing_factor);
   if (outcome == AttemptOutcome::kAnswered) {
@@ -548,8 +510,8 @@
     return;
   tried_targets_.insert(attempt_->target.id);
   TargetClient* other = ChooseTarget();
-  if (!other ||
-      !traffic_.RetryBudgetFor(service_).TryRetry(now, traffic_.RouterCount()))
+  if (!other || !traffic_.RetryBudgetFor(service_).TryRetry(
+                    now, traffic_.targets_.RouterCount()))
     return;
   execution_state_ = ExecutionState::kUnknown;
   const auto connection = attempt_->connection;
@@ -559,14 +521,18 @@
 }
 
 void Exchange::Refuse(const std::string& reason) {
-  const Duration wait = reason == "no-target-free" && keyed_
-                            ? waits_.retry_after_moving
-                            : waits_.retry_after;
-  if (reason == "no-target-free")
-    return FinishWithLocalResponse(LocalResponseStatus(execution_state_, false),
-                                   reason + ": " + ExplainNoTarget(), wait);
-  FinishWithLocalResponse(LocalResponseStatus(execution_state_, false), reason,
-                          wait);
+  const int status = LocalResponseStatus(execution_state_, false);
+  if (reason != "no-target-free")
+    return FinishWithLocalResponse(status, reason, waits_.retry_after);
+  const Instant now = BootNow();
+  Duration wait = keyed_ ? waits_.retry_after_moving : waits_.retry_after;
+  if (last_choice_.available_at)
+    wait = std::max(wait, *last_choice_.available_at - now);
+  FinishWithLocalResponse(
+      status,
+      reason + ": " +
+          traffic_.targets_.Explain(now, MakeTargetQuery(), last_choice_),
+      wait);
 }
 
 void Exchange::FinishWithLocalResponse(int status,
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -62,16 +62,19 @@
     return Write();
   error_code error;
   const auto address = boost::asio::ip::make_address(target_.address, error);
-  socket_.async_connect(Tcp::endpoint(address, target_.port),
-                        [self = shared_from_this()](error_code failed) {
-                          if (self->closed_)
-                            return;
-                          if (failed)
-                            return self->Fail(failed.message());
-                          TuneSocket(self->socket_);
-                          self->open_ = true;
-                          self->Write();
-                        });
+  socket_.async_connect(
+      Tcp::endpoint(address, target_.port),
+      [self = shared_from_this()](error_code failed) {
+        if (self->closed_)
+          return;
+        if (failed)
+          return self->Fail(failed.message());
+        TuneSocket(self->socket_);
+        self->open_ = true;
+        if (self->observer_.may_send && !self->observer_.may_send())
+          return self->Fail("target wants no requests");
+        self->Write();
+      });
 }
 
 void TargetConnection::Write() {
--- /dev/null
+++ b/src/target_selector.cc
@@ -0,0 +1,162 @@
+// A key has one owner; a service without keys leaves the choice to
+// PickTarget().
+#include "figstall/target_selector.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "figstall/clock.h"
+
+namespace figstall {
+namespace {
+
+// A leaving owner may receive requests for the drain duration. This process
+// uses only this fraction of it, since it may have learned late that the owner
+// is leaving.
+constexpr double kLeavingOwnerShare = 0.5;
+
+}  // namespace
+
+void TargetSelector::OnViewChanged() {
+  for (const auto& [id, entry] : view_.targets) {
+    auto& client = clients_[id];
+    if (!client || client->entry().incarnation != entry.incarnation ||
+        client->entry().address != entry.address)
+      client = std::make_unique<TargetClient>(io_, entry);
+    else
+      client->SetEntry(entry);
+  }
+  std::erase_if(clients_, [this](const auto& item) {
+    return !view_.targets.contains(item.first);
+  });
+}
+
+TargetClient* TargetSelector::Find(const TargetId& id) const {
+  const auto found = clients_.find(id);
+  return found == clients_.end() ? nullptr : found->second.get();
+}
+
+Distance TargetSelector::DistanceTo(const ZoneId& zone) const {
+  if (zone == settings_.zone)
+    return Distance::kSameZone;
+  const auto region = view_.regions.find(zone);
+  return region != view_.regions.end() && region->second == settings_.region
+             ? Distance::kSameRegion
+             : Distance::kOtherRegion;
+}
+
+std::uint32_t TargetSelector::RouterCount() const {
+  return std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(view_.members.size()));
+}
+
+std::uint32_t TargetSelector::SharingRouters(const TargetEntry& entry,
+                                             bool keyed) const {
+  if (keyed)
+    return RouterCount();
+  return std::max(1U, view_.MembersIn(entry.zone));
+}
+
+const RangeEntry* TargetSelector::OwnerEntry(const ServiceId& service,
+                                             ShardKey key) const {
+  const auto table = view_.tables.find(service);
+  const RangeEntry* entry =
+      table == view_.tables.end() ? nullptr : table->second.Find(key);
+  return entry && entry->phase == RangePhase::kSettled ? entry : nullptr;
+}
+
+TargetChoice TargetSelector::Choose(Instant now,
+                                    const TargetQuery& query) const {
+  return query.key ? ChooseOwner(now, query) : ChooseUnkeyed(now, query);
+}
+
+TargetChoice TargetSelector::ChooseOwner(Instant now,
+                                         const TargetQuery& query) const {
+  const RangeEntry* entry = OwnerEntry(query.service, *query.key);
+  TargetClient* client = entry ? Find(entry->owner.id) : nullptr;
+  if (!client)
+    return {nullptr, Unavailability::kNoOwner, {}};
+  const TargetIncarnation& target = client->entry().incarnation;
+  // Moving the key may take longer than a leaving owner may receive requests.
+  const auto leaving_since = notices_.LeavingSince(target);
+  if (leaving_since && now - *leaving_since >
+                           Scaled(settings_.drain_duration, kLeavingOwnerShare))
+    return {nullptr, Unavailability::kOwnerLeaving, {}};
+  if (const auto pause_end = notices_.RetryNotBefore(now, target))
+    return {nullptr, Unavailability::kPaused, pause_end};
+  if (!client->load().HasSpareCapacity(now, client->entry().slots,
+                                       SharingRouters(client->entry(), true)))
+    return {nullptr, Unavailability::kNoCapacity, {}};
+  return {client, Unavailability::kNone, {}};
+}
+
+TargetChoice TargetSelector::ChooseUnkeyed(Instant now,
+                                           const TargetQuery& query) const {
+  std::vector<Candidate> candidates;
+  std::optional<Instant> first_pause_end;
+  for (const auto& [id, client] : clients_) {
+    const TargetEntry& entry = client->entry();
+    if (entry.service != query.service || query.tried_targets.contains(id) ||
+        notices_.LeavingSince(entry.incarnation))
+      continue;
+    if (const auto pause_end =
+            notices_.RetryNotBefore(now, entry.incarnation)) {
+      first_pause_end =
+          std::min(first_pause_end.value_or(*pause_end), *pause_end);
+      continue;
+    }
+    candidates.push_back({&entry, &client->load(), DistanceTo(entry.zone),
+                          SharingRouters(entry, false),
+                          client->Connected(now)});
+  }
+  const Candidate* best = PickTarget(
+      candidates,
+      SelectionOptions{query.bulk, query.mean_latency, query.latency_objective},
+      now);
+  if (best)
+    return {Find(best->entry->incarnation.id), Unavailability::kNone, {}};
+  if (candidates.empty() && first_pause_end)
+    return {nullptr, Unavailability::kPaused, first_pause_end};
+  return {nullptr, Unavailability::kNoCapacity, {}};
+}
+
+std::string TargetSelector::Explain(Instant now,
+                                    const TargetQuery& query,
+                                    const TargetChoice& choice) const {
+  const long pause_ms =
+      choice.available_at
+          ? static_cast<long>((*choice.available_at - now).count() / 1000)
+          : 0;
+  if (!query.key) {
+    if (choice.reason == Unavailability::kPaused)
+      return fmt::format("all targets of {} want no requests for {} ms",
+                         query.service.value(), pause_ms);
+    return fmt::format("no target of {} has spare capacity, {} already tried",
+                       query.service.value(), query.tried_targets.size());
+  }
+  const auto table = view_.tables.find(query.service);
+  const RangeEntry* entry =
+      table == view_.tables.end() ? nullptr : table->second.Find(*query.key);
+  if (!entry)
+    return "key has no owner yet";
+  const std::string& owner = entry->owner.id.value();
+  if (entry->phase != RangePhase::kSettled)
+    return fmt::format("key is moving away from owner {}, fencing token {}",
+                       owner, entry->fence);
+  const TargetClient* client = Find(entry->owner.id);
+  if (!client)
+    return fmt::format("owner {} left the directory", owner);
+  if (choice.reason == Unavailability::kPaused)
+    return fmt::format("owner {} wants no requests for {} ms, fencing token {}",
+                       owner, pause_ms, entry->fence);
+  if (notices_.LeavingSince(client->entry().incarnation))
+    return fmt::format("owner {} is leaving, fencing token {}", owner,
+                       entry->fence);
+  return fmt::format(
+      "owner {} has {} of this router's requests in flight, fencing token {}",
+      owner, client->load().in_flight(), entry->fence);
+}
+
+}  // namespace figstall
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -131,6 +131,35 @@
     assert served_fraction(report) > 0.6, report["routes"]
 
 
+# Guards against requests to a target in the time for which it asked, with a
+# 503, to be left alone (BUDGET): more than two from one entry.
+def a_target_that_asks_for_a_pause_is_left_alone():
+    fleet, report = run(faults=[
+        {"at_s": 1, "kind": "target-retry-after", "service": "accounts",
+         "count": 2, "for_s": 4, "value": 1.5},
+        {"at_s": 1, "kind": "target-retry-after", "service": "orders",
+         "count": 2, "for_s": 4, "value": 1.5}])
+    # The other targets of a service without keys serve its requests.
+    assert count(report, "order", 200) >= 0.9 * report["routes"]["order"][
+        "asked"], report["routes"]
+    assert any(line["event"] == "target-notice" and
+               line["notice"] == "retry-after"
+               for line in fleet.entries[0].log())
+
+
+# Guards against an invalid notice that holds requests up or ends the process.
+def invalid_notices_hold_nobody_up():
+    fleet, report = run(faults=[
+        {"at_s": 0, "kind": "target-says-invalid", "service": service,
+         "count": targets, "for_s": 7}
+        for service, targets in (("accounts", 6), ("orders", 4),
+                                 ("archive", 4))])
+    assert served_fraction(report) > 0.9, report["routes"]
+    assert any(line["event"] == "target-notice" and
+               line["notice"] == "invalid"
+               for line in fleet.entries[0].log())
+
+
 def killed_entry_serves_after_restart():
     _, report = run(actions=[(LEAD_S + 2, restart_entry(0)),
                              (LEAD_S + 4, restart_entry(1))])
@@ -191,6 +220,8 @@
          a_dropped_history_is_read_anew, garbled_answers_reach_nobody,
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
+         a_target_that_asks_for_a_pause_is_left_alone,
+         invalid_notices_hold_nobody_up,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
--- a/test/target_connection_test.cc
+++ b/test/target_connection_test.cc
@@ -205,4 +205,23 @@
   CHECK(test.target().closed());
 }
 
+// Guards against a request that reaches a target which asked for a pause while
+// the connection was being opened.
+TEST_CASE("a request that may not be sent any more leaves no byte") {
+  boost::asio::io_context io;
+  RawTarget target(io);
+  const auto connection =
+      std::make_shared<TargetConnection>(io, target.address(), [] {});
+  std::optional<FailureStage> failed;
+  ResponseObserver observer;
+  observer.may_send = [] { return false; };
+  observer.on_error = [&](FailureStage stage, const std::string&) {
+    failed = stage;
+  };
+  connection->Send(MakeRequest(), std::move(observer));
+  io.run_for(std::chrono::milliseconds(200));
+  CHECK(failed == FailureStage::kNotSent);
+  CHECK_FALSE(connection->idle());
+}
+
 }  // namespace figstall
