Failing test of LIMIT: targets that name a limit for all entries together

Eight entries in two zones; two owners of key ranges and one or two targets without keys name 2.2 requests a second. The checker counts as the users' rule does and reports the first request beyond it.

--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -21,10 +21,11 @@
 
 
 # Runs a scenario and checks that the emulator reported no violation.
-def run(faults=(), actions=(), length_s=8, entries=1):
+def run(faults=(), actions=(), length_s=8, entries=1, rate=1.0):
     fleet = EntryFleet(ZONES, entries)
     report, status = fleet.run(
-        small_scenario(fleet, length_s=length_s, faults=faults), actions)
+        small_scenario(fleet, length_s=length_s, faults=faults, rate=rate),
+        actions)
     assert report, "the emulator wrote no report"
     assert report["violations"] == [], report["violations"]
     assert status == 0, status
@@ -147,6 +148,42 @@
                for line in fleet.entries[0].log())
 
 
+# Guards against entries that together send a target more than the limit that
+# it names (LIMIT), each within its own share.
+def a_named_limit_bounds_the_sum_over_entries():
+    _, report = run(
+        entries=4, length_s=14, rate=1.5,
+        faults=[{"at_s": 1, "kind": "target-limit", "service": "accounts",
+                 "count": 2, "for_s": 11, "value": 2.2},
+                {"at_s": 1, "kind": "target-limit", "service": "orders",
+                 "count": 1, "for_s": 11, "value": 2.2}])
+    # What is over the limit is served by other targets, also of keys once
+    # these have moved.
+    assert served_fraction(report) > 0.85, report["routes"]
+    # The limit is used.
+    assert report["highest_limit_use"] > 0.3, report["highest_limit_use"]
+
+
+# The same while the member that hands out the credits of a target may be
+# frozen, killed and restarted, and the store is away.
+def a_named_limit_holds_while_entries_fail():
+    _, report = run(
+        entries=4, length_s=16, rate=1.5,
+        faults=[{"at_s": 1, "kind": "target-limit", "service": "accounts",
+                 "count": 2, "for_s": 15, "value": 2.2},
+                {"at_s": 1, "kind": "target-limit", "service": "orders",
+                 "count": 2, "for_s": 15, "value": 2.2},
+                {"at_s": 3.5, "kind": "entry-disturbed", "entry": 0,
+                 "for_s": 4},
+                {"at_s": 7.5, "kind": "entry-disturbed", "entry": 5,
+                 "for_s": 2},
+                {"at_s": 9, "kind": "store-silent", "for_s": 5}],
+        actions=[(LEAD_S + 4, signal_entry(0, STOP)),
+                 (LEAD_S + 7, signal_entry(0, CONTINUE)),
+                 (LEAD_S + 8, restart_entry(5))])
+    assert served_fraction(report) > 0.6, report["routes"]
+
+
 # Guards against an invalid notice that holds requests up or ends the process.
 def invalid_notices_hold_nobody_up():
     fleet, report = run(faults=[
@@ -221,6 +258,8 @@
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
          a_target_that_asks_for_a_pause_is_left_alone,
+         a_named_limit_bounds_the_sum_over_entries,
+         a_named_limit_holds_while_entries_fail,
          invalid_notices_hold_nobody_up,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
