--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -24,6 +24,7 @@
 #include "figstall/metrics.h"
 #include "figstall/range_granter.h"
 #include "figstall/range_mover.h"
+#include "figstall/send_credits.h"
 #include "figstall/store_connectivity.h"
 #include "figstall/store_mirror.h"
 #include "figstall/store_relay.h"
@@ -100,6 +101,7 @@
                EntryView& view,
                EntryTraffic& traffic,
                TargetNoticeRecorder& notices,
+               SendCredits& credits,
                Log& log,
                Metrics& metrics);
 
@@ -108,6 +110,8 @@
   void Tick(Instant now);
   // Ends the membership and, on the mover, its term, by revoking their leases.
   void Resign();
+  // Sends a message about credits to another member; it may be lost.
+  void SendCreditMessage(const VmId& to, const CreditMessage& message);
   bool ready() const { return view_.routes != nullptr && initial_read_done_; }
 
  private:
@@ -223,6 +227,10 @@
   void UpdateLoad(Instant now);
   const std::map<TargetId, double>& TargetCapacities(Instant now,
                                                      const ServiceId& service);
+  // Capacities by which ranges are placed: those that targets have, or what a
+  // limit of theirs allows.
+  std::map<TargetId, double> LimitedCapacities(Instant now,
+                                               const ServiceId& service);
   void MoveRanges(Instant now);
   void LogMove(const ServiceId& service, const PlannedMove& move);
   void WriteTable(const ServiceId& service, const RangeTable& next);
@@ -237,7 +245,7 @@
                    const RangeEntry& entry) const;
   void ReportToStore(Instant now);
   GrantReport MakeGrantReport(Instant now) const;
-  std::vector<ReportedNotice> MakeNoticeReport() const;
+  std::vector<ReportedNotice> MakeNoticeReport(Instant now) const;
   void MergeGrantReport(Instant now,
                         const VmId& vm,
                         const std::string& incarnation,
@@ -248,6 +256,9 @@
   // On the mover: sends all members the limits for keys whose load exceeds
   // their owners' capacity.
   void LimitHotKeys(Instant now);
+  void AnswerCreditRequest(Instant now,
+                           const CreditRequest& request,
+                           const boost::asio::ip::udp::endpoint& sender);
   void ReceiveDatagrams();
   std::shared_ptr<HttpChannel> ChannelTo(const TargetId& owner,
                                          const Endpoint& address);
@@ -261,6 +272,7 @@
   EntryView& view_;
   EntryTraffic& traffic_;
   TargetNoticeRecorder& notices_;
+  SendCredits& credits_;
   Log& log_;
   Metrics& metrics_;
   platform::StoreClient store_;
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -19,6 +19,7 @@
 #include "figstall/load_report.h"
 #include "figstall/log.h"
 #include "figstall/metrics.h"
+#include "figstall/send_credits.h"
 #include "figstall/shared_retry_budget.h"
 #include "figstall/target_notice_recorder.h"
 #include "figstall/target_selector.h"
@@ -33,6 +34,7 @@
                const EntrySettings& settings,
                const EntryView& view,
                TargetNoticeRecorder& notices,
+               SendCredits& credits,
                Log& log,
                Metrics& metrics);
   ~EntryTraffic();
@@ -54,6 +56,10 @@
   // Enforces timeouts; called every kTickInterval.
   void Tick(Instant now);
 
+  // Sends requests that wait for a target which may have become available.
+  void RetryWaiting();
+  // Processing time of a request at a target of mean speed, without queueing.
+  Duration MeanProcessingTime(const ServiceId& service) const;
   // Returns the load that this router has observed, for the mover.
   LoadReport MakeLoadReport(Instant now, const std::string& incarnation) const;
 
@@ -68,11 +74,8 @@
   void OnRequest(ResponseWriter caller, CallerRequest request);
   void RemoveExchange(Exchange* exchange);
   void EnqueueWaiting(Exchange* exchange);
-  void RetryWaiting();
   SharedRetryBudget& RetryBudgetFor(const ServiceId& service);
   Duration MeanLatency(const ServiceId& service) const;
-  // Processing time of a request at a target of mean speed, without queueing.
-  Duration MeanProcessingTime(const ServiceId& service) const;
   void UpdateProcessingTimes(Instant now);
   // Whether the limits on hot keys admit a request.
   bool Admits(const ServiceId& service, ShardKey key);
@@ -81,6 +84,7 @@
   const EntrySettings& settings_;
   const EntryView& view_;
   TargetNoticeRecorder& notices_;
+  SendCredits& credits_;
   TargetSelector targets_;
   Log& log_;
   Metrics& metrics_;
--- a/include/figstall/entry_view.h
+++ b/include/figstall/entry_view.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "figstall/desired_state.h"
-#include "figstall/load_report.h"
+#include "figstall/hot_key_limits.h"
 #include "figstall/range_table.h"
 #include "figstall/target_entry.h"
 #include "figstall/types.h"
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -1,7 +1,6 @@
-// Datagrams between members and the elected mover. Several times a second each
-// member reports the load by key and the processing times of targets, as hints
-// for balancing, and its knowledge of moves, on which the completion of a move
-// may depend. The mover sends limits for hot keys.
+// What members report to the elected mover several times a second: the load by
+// key and the processing times of targets, as hints for balancing, and their
+// knowledge of moves, on which the completion of a move may depend.
 #ifndef FIGSTALL_LOAD_REPORT_H_
 #define FIGSTALL_LOAD_REPORT_H_
 
@@ -9,16 +8,13 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
-#include <variant>
 #include <vector>
 
-#include "figstall/error.h"
-#include "figstall/hot_key_limits.h"
 #include "figstall/range_load.h"
 #include "figstall/range_table.h"
 #include "figstall/target_entry.h"
 #include "figstall/target_load.h"
+#include "figstall/target_notices.h"
 #include "figstall/types.h"
 
 namespace figstall {
@@ -69,6 +65,7 @@
 struct ReportedNotice {
   TargetIncarnation target;
   bool leaving = false;
+  std::optional<LimitStatement> limit;
 
   friend bool operator==(const ReportedNotice&,
                          const ReportedNotice&) = default;
@@ -87,9 +84,6 @@
 };
 
 KeyLoadReport MakeKeyLoadReport(const KeyLoad& load);
-using PeerDatagram = std::variant<LoadReport, HotKeyLimits>;
-std::string EncodePeerDatagram(const PeerDatagram& datagram);
-Result<PeerDatagram> DecodePeerDatagram(std::string_view bytes);
 
 // The load by which the mover plans. It is an average over seconds, so that
 // random variation causes no moves, but follows at once where load rises or
--- a/include/figstall/target_notice_recorder.h
+++ b/include/figstall/target_notice_recorder.h
@@ -27,6 +27,10 @@
   // Records what a target said in an answer to another member.
   void OnReport(Instant now, const VmId& member, const ReportedNotice& notice);
 
+  void OnReportedLimit(const VmId& member,
+                       const TargetIncarnation& target,
+                       const RateLimit& limit);
+
   TargetNotices& notices() { return notices_; }
   const TargetNotices& notices() const { return notices_; }
 
--- a/include/figstall/target_notices.h
+++ b/include/figstall/target_notices.h
@@ -42,6 +42,17 @@
   friend bool operator==(const RateLimit&, const RateLimit&) = default;
 };
 
+// A RateLimit as members tell each other, without a common clock.
+struct LimitStatement {
+  // Requests per second; none if the target has no limit any more.
+  std::optional<double> per_second;
+  // Time since the target said so.
+  Duration age{0};
+
+  friend bool operator==(const LimitStatement&,
+                         const LimitStatement&) = default;
+};
+
 // A notice that begins or ends, for the log.
 struct NoticeChange {
   enum class Kind {
@@ -91,6 +102,9 @@
                                         const TargetIncarnation& target) const;
   // Null if the target never stated a limit.
   const RateLimit* LimitOf(const TargetIncarnation& target) const;
+  std::optional<LimitStatement> StatementOf(
+      Instant now,
+      const TargetIncarnation& target) const;
 
   // Targets that said something which other routers should know.
   std::vector<TargetIncarnation> Reportable() const;
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -11,6 +11,7 @@
 
 #include "figstall/entry_settings.h"
 #include "figstall/entry_view.h"
+#include "figstall/send_credits.h"
 #include "figstall/target_client.h"
 #include "figstall/target_notices.h"
 
@@ -37,6 +38,10 @@
   kOwnerLeaving,
   // Each target that could serve the request wants none for a while.
   kPaused,
+  // Each target that could serve the request limits its requests. A credit was
+  // requested, or refused.
+  kAwaitingCredit,
+  kRateLimited,
   // This router has as many requests in flight as it may have.
   kNoCapacity,
 };
@@ -56,12 +61,18 @@
   TargetSelector(boost::asio::io_context& io,
                  const EntrySettings& settings,
                  const EntryView& view,
-                 const TargetNotices& notices)
-      : io_(io), settings_(settings), view_(view), notices_(notices) {}
+                 const TargetNotices& notices,
+                 SendCredits& credits)
+      : io_(io),
+        settings_(settings),
+        view_(view),
+        notices_(notices),
+        credits_(credits) {}
 
   // Opens and drops clients as the directory changed.
   void OnViewChanged();
-  TargetChoice Choose(Instant now, const TargetQuery& query) const;
+  // Requests credits where the choice depends on them.
+  TargetChoice Choose(Instant now, const TargetQuery& query);
   // Describes for the log why Choose() found no target.
   std::string Explain(Instant now,
                       const TargetQuery& query,
@@ -77,13 +88,16 @@
   std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
 
  private:
-  TargetChoice ChooseOwner(Instant now, const TargetQuery& query) const;
-  TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query) const;
+  TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
+  TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query);
+  // Whether what the target said of itself lets it get a request now.
+  TargetChoice CheckNotices(Instant now, TargetClient& client);
 
   boost::asio::io_context& io_;
   const EntrySettings& settings_;
   const EntryView& view_;
   const TargetNotices& notices_;
+  SendCredits& credits_;
   Clients clients_;
 };
 
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -42,6 +42,7 @@
                            EntryView& view,
                            EntryTraffic& traffic,
                            TargetNoticeRecorder& notices,
+                           SendCredits& credits,
                            Log& log,
                            Metrics& metrics)
     : io_(io),
@@ -50,6 +51,7 @@
       view_(view),
       traffic_(traffic),
       notices_(notices),
+      credits_(credits),
       log_(log),
       metrics_(metrics),
       store_(io, settings.store, timing_.store_call_timeout),
@@ -576,6 +578,10 @@
   if (view_changed_) {
     view_changed_ = false;
     grants_check_due_ = true;
+    std::map<VmId, ZoneId> members;
+    for (const auto& [vm, member] : view_.members)
+      members[vm] = member.zone;
+    credits_.SetMembers(std::move(members));
     traffic_.OnViewChanged();
   }
   const Instant now = BootNow();
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -129,6 +129,7 @@
 
 void EntryControl::Resign() {
   resigned_ = true;
+  credits_.StopIssuing();
   log_.Write(LogLevel::kInfo, "resigning",
              {{"mover", IsMover(BootNow()) ? "yes" : "no"}});
   const auto ignore = [](const StoreResponse&) {};
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "figstall/entry_control.h"
+#include "figstall/peer_datagram.h"
 #include "platform/target_orders.h"
 #include "store_keys.h"
 
@@ -24,6 +25,9 @@
 // How long the report of a departed member is kept. Longer than any grant is
 // valid.
 constexpr Duration kDepartedReportRetention = std::chrono::seconds(60);
+// Capacity of a target that takes nearly no requests. It is above zero because
+// loads are compared in proportion to capacities.
+constexpr double kMinLimitedCapacity = 0.01;
 constexpr Duration kReleaseRetryInterval = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -145,12 +149,13 @@
   return report;
 }
 
-std::vector<ReportedNotice> EntryControl::MakeNoticeReport() const {
+std::vector<ReportedNotice> EntryControl::MakeNoticeReport(Instant now) const {
   std::vector<ReportedNotice> report;
   for (const TargetIncarnation& target : notices_.notices().Reportable()) {
     const auto listed = view_.targets.find(target.id);
     if (listed != view_.targets.end() && listed->second.incarnation == target)
-      report.push_back({target, notices_.notices().SaidLeaving(target)});
+      report.push_back({target, notices_.notices().SaidLeaving(target),
+                        notices_.notices().StatementOf(now, target)});
   }
   return report;
 }
@@ -189,7 +194,7 @@
   reported_notices_ = notices_.notices().changes();
   LoadReport report = traffic_.MakeLoadReport(now, incarnation_);
   report.grants = MakeGrantReport(now);
-  report.notices = MakeNoticeReport();
+  report.notices = MakeNoticeReport(now);
   // Processing times change slowly and make up most of a report.
   if (now - processing_times_reported_at_ >=
       timing_.processing_time_report_interval)
@@ -219,6 +224,32 @@
       });
 }
 
+void EntryControl::SendCreditMessage(const VmId& to,
+                                     const CreditMessage& message) {
+  const auto member = view_.members.find(to);
+  if (member == view_.members.end() || member->second.peer_endpoint.port == 0)
+    return;
+  SendDatagram(
+      member->second.peer_endpoint,
+      std::make_shared<std::string>(std::visit(
+          [](const auto& each) { return EncodePeerDatagram(each); }, message)));
+}
+
+void EntryControl::AnswerCreditRequest(
+    Instant now,
+    const CreditRequest& request,
+    const boost::asio::ip::udp::endpoint& sender) {
+  const auto target = view_.targets.find(request.target.id);
+  const CreditResponse response = credits_.OnRequest(
+      now, request,
+      target == view_.targets.end() ? ZoneId() : target->second.zone);
+  ++metrics_.Counter(
+      "figstall_credit_requests_total",
+      response.granted > 0 ? "outcome=\"granted\"" : "outcome=\"refused\"");
+  SendDatagram({sender.address().to_string(), sender.port()},
+               std::make_shared<std::string>(EncodePeerDatagram(response)));
+}
+
 void EntryControl::LimitHotKeys(Instant now) {
   if (!IsMover(now) || !view_.routes ||
       now - hot_keys_checked_at_ < timing_.report_interval)
@@ -271,6 +302,17 @@
                   load_aggregator_.OnReport(now, std::move(*report));
                   return {};
                 }
+                if (const auto* request =
+                        std::get_if<CreditRequest>(&datagram)) {
+                  AnswerCreditRequest(now, *request, peer_sender_);
+                  return {};
+                }
+                if (const auto* response =
+                        std::get_if<CreditResponse>(&datagram)) {
+                  credits_.OnResponse(now, *response);
+                  traffic_.RetryWaiting();
+                  return {};
+                }
                 auto& limits = std::get<HotKeyLimits>(datagram);
                 if (limits.mover != mover_vm_)
                   return {};
@@ -299,6 +341,24 @@
   return known.by_target;
 }
 
+std::map<TargetId, double> EntryControl::LimitedCapacities(
+    Instant now,
+    const ServiceId& service) {
+  std::map<TargetId, double> capacities = TargetCapacities(now, service);
+  const double busy_per_request =
+      std::chrono::duration<double>(traffic_.MeanProcessingTime(service))
+          .count();
+  for (const auto& [id, entry] : view_.targets) {
+    const RateLimit* limit = notices_.notices().LimitOf(entry.incarnation);
+    if (entry.service != service || !limit || !limit->per_second)
+      continue;
+    capacities[id] = std::min(
+        CapacityOf(entry, &capacities),
+        std::max(kMinLimitedCapacity, *limit->per_second * busy_per_request));
+  }
+  return capacities;
+}
+
 void EntryControl::UpdateLoad(Instant now) {
   if (!IsMover(now)) {
     smoothed_load_.clear();
@@ -332,7 +392,7 @@
     if (state.write_in_progress || state.read_in_progress)
       continue;
     const RangeLoad& load = smoothed_load_[service].load();
-    const auto& capacity = TargetCapacities(now, service);
+    const auto capacity = LimitedCapacities(now, service);
     MoverInput input;
     input.now = now;
     input.directory = &view_.targets;
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -73,13 +73,15 @@
              settings.log.format,
              stdout),
         notices_(log_, metrics_),
-        traffic_(io_, settings_, view_, notices_, log_, metrics_),
+        credits_(settings.vm, notices_.notices(), MakeCreditHandlers()),
+        traffic_(io_, settings_, view_, notices_, credits_, log_, metrics_),
         control_(io_,
                  settings_,
                  MakeIncarnation(),
                  view_,
                  traffic_,
                  notices_,
+                 credits_,
                  log_,
                  metrics_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -125,6 +127,20 @@
     }
   }
 
+  figstall::SendCredits::Handlers MakeCreditHandlers() {
+    figstall::SendCredits::Handlers handlers;
+    handlers.send = [this](const figstall::VmId& to,
+                           const figstall::CreditMessage& message) {
+      control_.SendCreditMessage(to, message);
+    };
+    handlers.on_limit = [this](const figstall::VmId& from,
+                               const figstall::TargetIncarnation& target,
+                               const figstall::RateLimit& limit) {
+      notices_.OnReportedLimit(from, target, limit);
+    };
+    return handlers;
+  }
+
   figstall::ServerResponse HandleStatusRequest(
       const figstall::ServerRequest& call) const {
     figstall::ServerResponse response;
@@ -230,6 +246,7 @@
   boost::asio::io_context io_{1};
   figstall::EntryView view_;
   figstall::TargetNoticeRecorder notices_;
+  figstall::SendCredits credits_;
   figstall::EntryTraffic traffic_;
   figstall::EntryControl control_;
   boost::asio::signal_set signals_;
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -28,13 +28,15 @@
                            const EntrySettings& settings,
                            const EntryView& view,
                            TargetNoticeRecorder& notices,
+                           SendCredits& credits,
                            Log& log,
                            Metrics& metrics)
     : io_(io),
       settings_(settings),
       view_(view),
       notices_(notices),
-      targets_(io, settings, view, notices.notices()),
+      credits_(credits),
+      targets_(io, settings, view, notices.notices(), credits),
       log_(log),
       metrics_(metrics),
       acceptor_(io),
@@ -181,6 +183,7 @@
     client->CloseStale(now);
   UpdateProcessingTimes(now);
   notices_.notices().Prune(now, view_.targets);
+  credits_.Prune(now);
   std::vector<std::shared_ptr<CallerConnection>> callers;
   for (const auto& [key, caller] : callers_)
     callers.push_back(caller);
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -186,7 +186,10 @@
   if (now >= deadline_)
     return false;
   const Duration waited = now - arrived_at_;
-  // Whoever has to wait longer than that is refused at once.
+  // What is over a target's limit is refused at once, and so is what would have
+  // to wait too long for the end of a pause.
+  if (last_choice_.reason == Unavailability::kRateLimited)
+    return false;
   if (last_choice_.available_at &&
       *last_choice_.available_at - arrived_at_ >= waits_.capacity_wait_timeout)
     return false;
@@ -233,6 +236,7 @@
   const Instant now = BootNow();
   if (TimeLeft(now) < Scaled(route_->latency_objective, kMinTimeLeftShare))
     return Refuse("no-time-left");
+  traffic_.credits_.Consume(now, client->entry().incarnation);
   ++attempts_sent_;
   ++possible_executions_;
   attempt_.emplace();
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -12,9 +12,30 @@
   union {
     report @0 :PeerReport;
     admission @1 :Admission;
+    creditRequest @2 :CreditRequest;
+    creditResponse @3 :CreditResponse;
   }
 }
 
+# Requests credits for sending to a target that limits its requests. One member
+# issues the credits of a target.
+struct CreditRequest {
+  from @0 :Text;
+  serial @1 :UInt64;
+  target @2 :TargetNotice;
+  # Zero if the sender only asks whether the receiver responds.
+  wanted @3 :UInt32;
+}
+
+struct CreditResponse {
+  from @0 :Text;
+  serial @1 :UInt64;
+  target @2 :TargetNotice;
+  granted @3 :UInt32;
+  # Time after which it is worth to ask again.
+  backoffMicros @4 :UInt32;
+}
+
 # Sent by the mover to all members while the load of some keys exceeds the
 # capacity of their owners: the share of requests admitted, by range
 # of keys.
@@ -50,6 +71,12 @@
   # Start time of the target's incarnation, in milliseconds of its own clock.
   startedAtMillis @1 :Int64;
   leaving @2 :Bool;
+  # Whether the target ever stated a limit. The fields below state the last one.
+  limitKnown @3 :Bool;
+  # Requests per second; negative if the target has no limit any more.
+  limitPerSecond @4 :Float64;
+  # Time since the target said so.
+  limitAgeMicros @5 :UInt64;
 }
 
 # What the member has seen of moves, as the fencing token of the newest change
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -20,6 +20,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c608104fde225692);
+CAPNP_DECLARE_SCHEMA(e58ac88e54050bd7);
+CAPNP_DECLARE_SCHEMA(807b5002f19d6adb);
 CAPNP_DECLARE_SCHEMA(dd66e3846dd798a9);
 CAPNP_DECLARE_SCHEMA(8c50a9f830cb643f);
 CAPNP_DECLARE_SCHEMA(b549c40b1495ce37);
@@ -48,6 +50,8 @@
   enum Which: uint16_t {
     REPORT,
     ADMISSION,
+    CREDIT_REQUEST,
+    CREDIT_RESPONSE,
   };
 
   struct _capnpPrivate {
@@ -58,6 +62,36 @@
   };
 };
 
+struct CreditRequest {
+  CreditRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e58ac88e54050bd7, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CreditResponse {
+  CreditResponse() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(807b5002f19d6adb, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Admission {
   Admission() = delete;
 
@@ -111,7 +145,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5f8b4a1cf7a1e6a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b5f8b4a1cf7a1e6a, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -266,6 +300,14 @@
   inline bool hasAdmission() const;
   inline  ::figstall::wire::Admission::Reader getAdmission() const;
 
+  inline bool isCreditRequest() const;
+  inline bool hasCreditRequest() const;
+  inline  ::figstall::wire::CreditRequest::Reader getCreditRequest() const;
+
+  inline bool isCreditResponse() const;
+  inline bool hasCreditResponse() const;
+  inline  ::figstall::wire::CreditResponse::Reader getCreditResponse() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -311,6 +353,22 @@
   inline void adoptAdmission(::capnp::Orphan< ::figstall::wire::Admission>&& value);
   inline ::capnp::Orphan< ::figstall::wire::Admission> disownAdmission();
 
+  inline bool isCreditRequest();
+  inline bool hasCreditRequest();
+  inline  ::figstall::wire::CreditRequest::Builder getCreditRequest();
+  inline void setCreditRequest( ::figstall::wire::CreditRequest::Reader value);
+  inline  ::figstall::wire::CreditRequest::Builder initCreditRequest();
+  inline void adoptCreditRequest(::capnp::Orphan< ::figstall::wire::CreditRequest>&& value);
+  inline ::capnp::Orphan< ::figstall::wire::CreditRequest> disownCreditRequest();
+
+  inline bool isCreditResponse();
+  inline bool hasCreditResponse();
+  inline  ::figstall::wire::CreditResponse::Builder getCreditResponse();
+  inline void setCreditResponse( ::figstall::wire::CreditResponse::Reader value);
+  inline  ::figstall::wire::CreditResponse::Builder initCreditResponse();
+  inline void adoptCreditResponse(::capnp::Orphan< ::figstall::wire::CreditResponse>&& value);
+  inline ::capnp::Orphan< ::figstall::wire::CreditResponse> disownCreditResponse();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -337,6 +395,215 @@
 };
 #endif  // !CAPNP_LITE
 
+class CreditRequest::Reader {
+public:
+  typedef CreditRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
+  inline  ::uint64_t getSerial() const;
+
+  inline bool hasTarget() const;
+  inline  ::figstall::wire::TargetNotice::Reader getTarget() const;
+
+  inline  ::uint32_t getWanted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CreditRequest::Builder {
+public:
+  typedef CreditRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
+  inline  ::uint64_t getSerial();
+  inline void setSerial( ::uint64_t value);
+
+  inline bool hasTarget();
+  inline  ::figstall::wire::TargetNotice::Builder getTarget();
+  inline void setTarget( ::figstall::wire::TargetNotice::Reader value);
+  inline  ::figstall::wire::TargetNotice::Builder initTarget();
+  inline void adoptTarget(::capnp::Orphan< ::figstall::wire::TargetNotice>&& value);
+  inline ::capnp::Orphan< ::figstall::wire::TargetNotice> disownTarget();
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CreditRequest::Pipeline {
+public:
+  typedef CreditRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::figstall::wire::TargetNotice::Pipeline getTarget();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CreditResponse::Reader {
+public:
+  typedef CreditResponse Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
+  inline  ::uint64_t getSerial() const;
+
+  inline bool hasTarget() const;
+  inline  ::figstall::wire::TargetNotice::Reader getTarget() const;
+
+  inline  ::uint32_t getGranted() const;
+
+  inline  ::uint32_t getBackoffMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CreditResponse::Builder {
+public:
+  typedef CreditResponse Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
+  inline  ::uint64_t getSerial();
+  inline void setSerial( ::uint64_t value);
+
+  inline bool hasTarget();
+  inline  ::figstall::wire::TargetNotice::Builder getTarget();
+  inline void setTarget( ::figstall::wire::TargetNotice::Reader value);
+  inline  ::figstall::wire::TargetNotice::Builder initTarget();
+  inline void adoptTarget(::capnp::Orphan< ::figstall::wire::TargetNotice>&& value);
+  inline ::capnp::Orphan< ::figstall::wire::TargetNotice> disownTarget();
+
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
+
+  inline  ::uint32_t getBackoffMicros();
+  inline void setBackoffMicros( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CreditResponse::Pipeline {
+public:
+  typedef CreditResponse Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::figstall::wire::TargetNotice::Pipeline getTarget();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Admission::Reader {
 public:
   typedef Admission Reads;
@@ -720,6 +987,12 @@
 
   inline bool getLeaving() const;
 
+  inline bool getLimitKnown() const;
+
+  inline double getLimitPerSecond() const;
+
+  inline  ::uint64_t getLimitAgeMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -761,6 +1034,15 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool getLimitKnown();
+  inline void setLimitKnown(bool value);
+
+  inline double getLimitPerSecond();
+  inline void setLimitPerSecond(double value);
+
+  inline  ::uint64_t getLimitAgeMicros();
+  inline void setLimitAgeMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1737,6 +2019,330 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::isCreditRequest() const {
+  return which() == PeerDatagram::CREDIT_REQUEST;
+}
+inline bool PeerDatagram::Builder::isCreditRequest() {
+  return which() == PeerDatagram::CREDIT_REQUEST;
+}
+inline bool PeerDatagram::Reader::hasCreditRequest() const {
+  if (which() != PeerDatagram::CREDIT_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasCreditRequest() {
+  if (which() != PeerDatagram::CREDIT_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::figstall::wire::CreditRequest::Reader PeerDatagram::Reader::getCreditRequest() const {
+  KJ_IREQUIRE((which() == PeerDatagram::CREDIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::figstall::wire::CreditRequest::Builder PeerDatagram::Builder::getCreditRequest() {
+  KJ_IREQUIRE((which() == PeerDatagram::CREDIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setCreditRequest( ::figstall::wire::CreditRequest::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CREDIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::figstall::wire::CreditRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::figstall::wire::CreditRequest::Builder PeerDatagram::Builder::initCreditRequest() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CREDIT_REQUEST);
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptCreditRequest(
+    ::capnp::Orphan< ::figstall::wire::CreditRequest>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CREDIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::figstall::wire::CreditRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::figstall::wire::CreditRequest> PeerDatagram::Builder::disownCreditRequest() {
+  KJ_IREQUIRE((which() == PeerDatagram::CREDIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerDatagram::Reader::isCreditResponse() const {
+  return which() == PeerDatagram::CREDIT_RESPONSE;
+}
+inline bool PeerDatagram::Builder::isCreditResponse() {
+  return which() == PeerDatagram::CREDIT_RESPONSE;
+}
+inline bool PeerDatagram::Reader::hasCreditResponse() const {
+  if (which() != PeerDatagram::CREDIT_RESPONSE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasCreditResponse() {
+  if (which() != PeerDatagram::CREDIT_RESPONSE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::figstall::wire::CreditResponse::Reader PeerDatagram::Reader::getCreditResponse() const {
+  KJ_IREQUIRE((which() == PeerDatagram::CREDIT_RESPONSE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditResponse>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::figstall::wire::CreditResponse::Builder PeerDatagram::Builder::getCreditResponse() {
+  KJ_IREQUIRE((which() == PeerDatagram::CREDIT_RESPONSE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditResponse>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setCreditResponse( ::figstall::wire::CreditResponse::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CREDIT_RESPONSE);
+  ::capnp::_::PointerHelpers< ::figstall::wire::CreditResponse>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::figstall::wire::CreditResponse::Builder PeerDatagram::Builder::initCreditResponse() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CREDIT_RESPONSE);
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditResponse>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptCreditResponse(
+    ::capnp::Orphan< ::figstall::wire::CreditResponse>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::CREDIT_RESPONSE);
+  ::capnp::_::PointerHelpers< ::figstall::wire::CreditResponse>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::figstall::wire::CreditResponse> PeerDatagram::Builder::disownCreditResponse() {
+  KJ_IREQUIRE((which() == PeerDatagram::CREDIT_RESPONSE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::figstall::wire::CreditResponse>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CreditRequest::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditRequest::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CreditRequest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CreditRequest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CreditRequest::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CreditRequest::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CreditRequest::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CreditRequest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CreditRequest::Reader::getSerial() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditRequest::Builder::getSerial() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CreditRequest::Builder::setSerial( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CreditRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::figstall::wire::TargetNotice::Reader CreditRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::figstall::wire::TargetNotice::Builder CreditRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::figstall::wire::TargetNotice::Pipeline CreditRequest::Pipeline::getTarget() {
+  return  ::figstall::wire::TargetNotice::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void CreditRequest::Builder::setTarget( ::figstall::wire::TargetNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::figstall::wire::TargetNotice::Builder CreditRequest::Builder::initTarget() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CreditRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::figstall::wire::TargetNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::figstall::wire::TargetNotice> CreditRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CreditRequest::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditRequest::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditRequest::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CreditResponse::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditResponse::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CreditResponse::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CreditResponse::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CreditResponse::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CreditResponse::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CreditResponse::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CreditResponse::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CreditResponse::Reader::getSerial() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CreditResponse::Builder::getSerial() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CreditResponse::Builder::setSerial( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CreditResponse::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CreditResponse::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::figstall::wire::TargetNotice::Reader CreditResponse::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::figstall::wire::TargetNotice::Builder CreditResponse::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::figstall::wire::TargetNotice::Pipeline CreditResponse::Pipeline::getTarget() {
+  return  ::figstall::wire::TargetNotice::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void CreditResponse::Builder::setTarget( ::figstall::wire::TargetNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::figstall::wire::TargetNotice::Builder CreditResponse::Builder::initTarget() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CreditResponse::Builder::adoptTarget(
+    ::capnp::Orphan< ::figstall::wire::TargetNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::figstall::wire::TargetNotice> CreditResponse::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::figstall::wire::TargetNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CreditResponse::Reader::getGranted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditResponse::Builder::getGranted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CreditResponse::Builder::setGranted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CreditResponse::Reader::getBackoffMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CreditResponse::Builder::getBackoffMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CreditResponse::Builder::setBackoffMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Admission::Reader::hasMover() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2300,6 +2906,48 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TargetNotice::Reader::getLimitKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool TargetNotice::Builder::getLimitKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void TargetNotice::Builder::setLimitKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline double TargetNotice::Reader::getLimitPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double TargetNotice::Builder::getLimitPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TargetNotice::Builder::setLimitPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TargetNotice::Reader::getLimitAgeMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetNotice::Builder::getLimitAgeMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TargetNotice::Builder::setLimitAgeMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GrantReport::Reader::hasServices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/src/send_credits.cc
@@ -0,0 +1,303 @@
+// Every message carries what its sender knows of the target's limit, so that
+// the newest statement reaches the issuer and those who ask it.
+#include "figstall/send_credits.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace figstall {
+namespace {
+
+// An account that was not used for this long is dropped.
+constexpr Duration kRetention = std::chrono::seconds(30);
+
+Duration FromSeconds(double seconds) {
+  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
+
+}  // namespace
+
+std::uint32_t CreditBucket::Take(Instant now,
+                                 double per_second,
+                                 std::uint32_t wanted,
+                                 const CreditTiming& timing) {
+  const double capacity =
+      std::max(timing.min_burst, per_second * timing.burst_seconds);
+  // A new issuer starts without tokens, since another one may have just issued
+  // them.
+  const double elapsed =
+      refilled_at_ ? std::chrono::duration<double>(now - *refilled_at_).count()
+                   : 0;
+  refilled_at_ = now;
+  tokens_ = std::min(capacity, tokens_ + per_second * elapsed);
+  const auto granted = std::min<std::uint32_t>(
+      wanted, static_cast<std::uint32_t>(std::floor(tokens_)));
+  tokens_ -= granted;
+  refused_ = granted > 0 ? 0 : refused_ + 1;
+  return granted;
+}
+
+Duration CreditBucket::Backoff(double per_second,
+                               const CreditTiming& timing) const {
+  const double missing = static_cast<double>(refused_) - tokens_;
+  return std::min(timing.max_backoff,
+                  FromSeconds(std::max(0.0, missing) / per_second));
+}
+
+SendCredits::SendCredits(VmId self,
+                         const TargetNotices& notices,
+                         Handlers handlers,
+                         CreditTiming timing)
+    : self_(std::move(self)),
+      notices_(notices),
+      handlers_(std::move(handlers)),
+      timing_(timing) {}
+
+void SendCredits::SetMembers(std::map<VmId, ZoneId> members) {
+  members_ = std::move(members);
+  std::erase_if(peers_, [this](const auto& each) {
+    return !members_.contains(each.first);
+  });
+}
+
+bool SendCredits::IsLimited(const TargetIncarnation& target) const {
+  const RateLimit* limit = notices_.LimitOf(target);
+  return limit && limit->per_second;
+}
+
+void SendCredits::MergeStatement(Instant now,
+                                 const VmId& from,
+                                 const TargetIncarnation& target,
+                                 const std::optional<LimitStatement>& limit) {
+  if (limit && from != self_)
+    handlers_.on_limit(from, target, {limit->per_second, now - limit->age});
+}
+
+std::vector<VmId> SendCredits::Ranking(const TargetIncarnation& target,
+                                       const ZoneId& target_zone) const {
+  struct Ranked {
+    bool other_zone;
+    std::uint64_t hash;
+    VmId vm;
+  };
+  std::vector<Ranked> ranked;
+  for (const auto& [vm, zone] : members_) {
+    const std::string text = vm.value() + "/" + target.id.value();
+    ranked.push_back(
+        {zone != target_zone, XXH3_64bits(text.data(), text.size()), vm});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    return std::tie(a.other_zone, a.hash, a.vm) <
+           std::tie(b.other_zone, b.hash, b.vm);
+  });
+  std::vector<VmId> vms;
+  for (const Ranked& each : ranked)
+    vms.push_back(each.vm);
+  if (vms.empty())
+    vms.push_back(self_);
+  return vms;
+}
+
+bool SendCredits::Responds(Instant now, const VmId& member) const {
+  if (member == self_)
+    return true;
+  const auto peer = peers_.find(member);
+  if (peer == peers_.end())
+    return true;
+  const Peer& known = peer->second;
+  return known.unanswered < timing_.max_unanswered ||
+         (known.unanswered == timing_.max_unanswered &&
+          now - known.last_sent_at < timing_.resend_interval);
+}
+
+void SendCredits::SendRequest(Instant now,
+                              const VmId& to,
+                              CreditRequest request) {
+  Peer& peer = peers_[to];
+  const bool responded = peer.unanswered < timing_.max_unanswered;
+  if (responded && now - peer.last_sent_at > timing_.unanswered_timeout)
+    peer.unanswered = 0;
+  // Requests for several targets at once count as one.
+  if (now - peer.last_sent_at >= timing_.resend_interval ||
+      peer.unanswered == 0)
+    ++peer.unanswered;
+  peer.last_sent_at = now;
+  request.from = self_;
+  request.limit = notices_.StatementOf(now, request.target);
+  handlers_.send(to, request);
+}
+
+void SendCredits::Probe(Instant now,
+                        const VmId& member,
+                        const TargetIncarnation& target,
+                        Duration interval) {
+  const auto peer = peers_.find(member);
+  if (peer != peers_.end() && now - peer->second.last_sent_at < interval)
+    return;
+  CreditRequest request;
+  request.serial = ++last_serial_;
+  request.target = target;
+  SendRequest(now, member, request);
+}
+
+VmId SendCredits::FindIssuer(Instant now,
+                             const TargetIncarnation& target,
+                             const ZoneId& target_zone) {
+  const std::vector<VmId> ranking = Ranking(target, target_zone);
+  for (const VmId& member : ranking) {
+    if (member == self_ ? issuing_ : Responds(now, member))
+      return member;
+    if (member != self_)
+      Probe(now, member, target, timing_.probe_interval);
+  }
+  return ranking.front();
+}
+
+CreditState SendCredits::Check(Instant now,
+                               const TargetIncarnation& target,
+                               const ZoneId& target_zone) {
+  if (!IsLimited(target))
+    return CreditState::kAvailable;
+  Account& account = accounts_[target];
+  account.used_at = now;
+  const auto has_credit = [&] {
+    while (!account.credits.empty() && account.credits.front() <= now) {
+      account.next_wanted = 1;
+      account.credits.pop_front();
+    }
+    return !account.credits.empty();
+  };
+  if (has_credit())
+    return CreditState::kAvailable;
+  if (now < account.refused_until)
+    return CreditState::kRefused;
+  if (!account.last_requested_at || account.requested_at.empty() ||
+      now - *account.last_requested_at >= timing_.resend_interval)
+    Request(now, target, target_zone, account);
+  // This member may be the issuer, or have learned that the limit has ended.
+  if (has_credit() || !IsLimited(target))
+    return CreditState::kAvailable;
+  return now < account.refused_until ? CreditState::kRefused
+                                     : CreditState::kPending;
+}
+
+void SendCredits::Request(Instant now,
+                          const TargetIncarnation& target,
+                          const ZoneId& target_zone,
+                          Account& account) {
+  std::erase_if(account.requested_at, [&](const auto& each) {
+    return now - each.second >= timing_.validity;
+  });
+  CreditRequest request;
+  request.serial = ++last_serial_;
+  request.target = target;
+  request.wanted = account.next_wanted;
+  account.requested_at[request.serial] = now;
+  account.last_requested_at = now;
+  const VmId issuer = FindIssuer(now, target, target_zone);
+  if (issuer == self_)
+    return OnResponse(now, Issue(now, request));
+  SendRequest(now, issuer, request);
+}
+
+Instant SendCredits::RefusedUntil(const TargetIncarnation& target) const {
+  const auto account = accounts_.find(target);
+  return account == accounts_.end() ? Instant{} : account->second.refused_until;
+}
+
+void SendCredits::Consume(Instant now, const TargetIncarnation& target) {
+  const auto account = accounts_.find(target);
+  if (account == accounts_.end() || account->second.credits.empty())
+    return;
+  account->second.credits.pop_front();
+  if (!account->second.credits.empty())
+    return;
+  // More are requested at once only if all were used quickly; a credit that
+  // expires unused is lost to the other members.
+  const bool quickly =
+      now - *account->second.last_requested_at < timing_.quick_use;
+  account->second.next_wanted =
+      quickly ? std::min(2 * account->second.next_wanted, timing_.max_wanted)
+              : 1;
+}
+
+CreditResponse SendCredits::Issue(Instant now, const CreditRequest& request) {
+  CreditResponse response;
+  response.from = self_;
+  response.serial = request.serial;
+  response.target = request.target;
+  response.limit = notices_.StatementOf(now, request.target);
+  if (!response.limit || !response.limit->per_second) {
+    response.granted = request.wanted;
+    return response;
+  }
+  const double rate = std::max(*response.limit->per_second, timing_.min_rate);
+  CreditBucket& bucket = buckets_[request.target];
+  response.granted = bucket.Take(now, rate, request.wanted, timing_);
+  if (response.granted == 0)
+    response.backoff = bucket.Backoff(rate, timing_);
+  return response;
+}
+
+CreditResponse SendCredits::OnRequest(Instant now,
+                                      const CreditRequest& request,
+                                      const ZoneId& target_zone) {
+  MergeStatement(now, request.from, request.target, request.limit);
+  CreditResponse response;
+  response.from = self_;
+  response.serial = request.serial;
+  response.target = request.target;
+  if (request.wanted == 0)
+    return response;
+  for (const VmId& member : Ranking(request.target, target_zone)) {
+    if (member == self_ && issuing_)
+      return Issue(now, request);
+    if (member != self_ && Responds(now, member)) {
+      Probe(now, member, request.target, timing_.resend_interval);
+      break;
+    }
+    if (member != self_)
+      Probe(now, member, request.target, timing_.probe_interval);
+  }
+  response.backoff = timing_.resend_interval;
+  return response;
+}
+
+void SendCredits::OnResponse(Instant now, const CreditResponse& response) {
+  const auto peer = peers_.find(response.from);
+  if (peer != peers_.end())
+    peer->second.unanswered = 0;
+  MergeStatement(now, response.from, response.target, response.limit);
+  const auto account = accounts_.find(response.target);
+  if (account == accounts_.end())
+    return;
+  const auto requested = account->second.requested_at.find(response.serial);
+  if (requested == account->second.requested_at.end())
+    return;
+  const Instant expiry = requested->second + timing_.validity;
+  account->second.requested_at.erase(requested);
+  if (expiry <= now)
+    return;
+  const std::uint32_t granted = std::min(response.granted, timing_.max_wanted);
+  granted_ += granted;
+  for (std::uint32_t i = 0; i < granted; ++i)
+    account->second.credits.push_back(expiry);
+  if (granted > 0)
+    return;
+  ++refused_;
+  account->second.next_wanted = 1;
+  account->second.refused_until =
+      now + std::min(response.backoff, timing_.max_backoff);
+}
+
+void SendCredits::Prune(Instant now) {
+  std::erase_if(accounts_, [&](const auto& each) {
+    return now - each.second.used_at > kRetention;
+  });
+  std::erase_if(buckets_,
+                [&](const auto& each) { return !IsLimited(each.first); });
+}
+
+}  // namespace figstall
--- a/src/target_notice_recorder.cc
+++ b/src/target_notice_recorder.cc
@@ -18,6 +18,15 @@
   if (notice.leaving)
     LogChanges(notice.target, notices_.OnReportedLeaving(now, notice.target),
                member.value());
+  if (notice.limit)
+    OnReportedLimit(member, notice.target,
+                    {notice.limit->per_second, now - notice.limit->age});
+}
+
+void TargetNoticeRecorder::OnReportedLimit(const VmId& member,
+                                           const TargetIncarnation& target,
+                                           const RateLimit& limit) {
+  LogChanges(target, notices_.OnReportedLimit(target, limit), member.value());
 }
 
 void TargetNoticeRecorder::LogChanges(const TargetIncarnation& target,
--- a/src/target_notices.cc
+++ b/src/target_notices.cc
@@ -152,6 +152,15 @@
   return record && record->limit ? &*record->limit : nullptr;
 }
 
+std::optional<LimitStatement> TargetNotices::StatementOf(
+    Instant now,
+    const TargetIncarnation& target) const {
+  const RateLimit* limit = LimitOf(target);
+  if (!limit)
+    return std::nullopt;
+  return LimitStatement{limit->per_second, now - limit->stated_at};
+}
+
 std::vector<TargetIncarnation> TargetNotices::Reportable() const {
   std::vector<TargetIncarnation> reportable;
   for (const auto& [target, record] : records_) {
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -67,49 +67,63 @@
   return entry && entry->phase == RangePhase::kSettled ? entry : nullptr;
 }
 
-TargetChoice TargetSelector::Choose(Instant now,
-                                    const TargetQuery& query) const {
+TargetChoice TargetSelector::Choose(Instant now, const TargetQuery& query) {
   return query.key ? ChooseOwner(now, query) : ChooseUnkeyed(now, query);
 }
 
+TargetChoice TargetSelector::CheckNotices(Instant now, TargetClient& client) {
+  const TargetEntry& entry = client.entry();
+  if (const auto pause_end = notices_.RetryNotBefore(now, entry.incarnation))
+    return {nullptr, Unavailability::kPaused, pause_end};
+  switch (credits_.Check(now, entry.incarnation, entry.zone)) {
+    case CreditState::kAvailable:
+      break;
+    case CreditState::kPending:
+      return {nullptr, Unavailability::kAwaitingCredit, {}};
+    case CreditState::kRefused:
+      return {nullptr, Unavailability::kRateLimited,
+              credits_.RefusedUntil(entry.incarnation)};
+  }
+  return {&client, Unavailability::kNone, {}};
+}
+
 TargetChoice TargetSelector::ChooseOwner(Instant now,
-                                         const TargetQuery& query) const {
+                                         const TargetQuery& query) {
   const RangeEntry* entry = OwnerEntry(query.service, *query.key);
   TargetClient* client = entry ? Find(entry->owner.id) : nullptr;
   if (!client)
     return {nullptr, Unavailability::kNoOwner, {}};
-  const TargetIncarnation& target = client->entry().incarnation;
   // Moving the key may take longer than a leaving owner may receive requests.
-  const auto leaving_since = notices_.LeavingSince(target);
+  const auto leaving_since = notices_.LeavingSince(client->entry().incarnation);
   if (leaving_since && now - *leaving_since >
                            Scaled(settings_.drain_duration, kLeavingOwnerShare))
     return {nullptr, Unavailability::kOwnerLeaving, {}};
-  if (const auto pause_end = notices_.RetryNotBefore(now, target))
-    return {nullptr, Unavailability::kPaused, pause_end};
+  // Before credits are requested, which would expire unused.
   if (!client->load().HasSpareCapacity(now, client->entry().slots,
                                        SharingRouters(client->entry(), true)))
     return {nullptr, Unavailability::kNoCapacity, {}};
-  return {client, Unavailability::kNone, {}};
+  return CheckNotices(now, *client);
 }
 
 TargetChoice TargetSelector::ChooseUnkeyed(Instant now,
-                                           const TargetQuery& query) const {
+                                           const TargetQuery& query) {
   std::vector<Candidate> candidates;
-  std::optional<Instant> first_pause_end;
+  // Of the targets that want no requests now, the one that may get some first.
+  TargetChoice first_available{nullptr, Unavailability::kNoCapacity, {}};
   for (const auto& [id, client] : clients_) {
     const TargetEntry& entry = client->entry();
     if (entry.service != query.service || query.tried_targets.contains(id) ||
         notices_.LeavingSince(entry.incarnation))
       continue;
-    if (const auto pause_end =
-            notices_.RetryNotBefore(now, entry.incarnation)) {
-      first_pause_end =
-          std::min(first_pause_end.value_or(*pause_end), *pause_end);
-      continue;
+    const TargetChoice checked = CheckNotices(now, *client);
+    if (checked.client) {
+      candidates.push_back({&entry, &client->load(), DistanceTo(entry.zone),
+                            SharingRouters(entry, false),
+                            client->Connected(now)});
+    } else if (first_available.reason == Unavailability::kNoCapacity ||
+               checked.available_at < first_available.available_at) {
+      first_available = checked;
     }
-    candidates.push_back({&entry, &client->load(), DistanceTo(entry.zone),
-                          SharingRouters(entry, false),
-                          client->Connected(now)});
   }
   const Candidate* best = PickTarget(
       candidates,
@@ -117,9 +131,9 @@
       now);
   if (best)
     return {Find(best->entry->incarnation.id), Unavailability::kNone, {}};
-  if (candidates.empty() && first_pause_end)
-    return {nullptr, Unavailability::kPaused, first_pause_end};
-  return {nullptr, Unavailability::kNoCapacity, {}};
+  if (!candidates.empty())
+    return {nullptr, Unavailability::kNoCapacity, {}};
+  return first_available;
 }
 
 std::string TargetSelector::Explain(Instant now,
@@ -129,7 +143,12 @@
       choice.available_at
           ? static_cast<long>((*choice.available_at - now).count() / 1000)
           : 0;
+  const char* limited_text =
+      "limits its requests, and this router has no credit for another one";
   if (!query.key) {
+    if (choice.reason == Unavailability::kRateLimited)
+      return fmt::format("each target of {} {}", query.service.value(),
+                         limited_text);
     if (choice.reason == Unavailability::kPaused)
       return fmt::format("all targets of {} want no requests for {} ms",
                          query.service.value(), pause_ms);
@@ -151,6 +170,10 @@
   if (choice.reason == Unavailability::kPaused)
     return fmt::format("owner {} wants no requests for {} ms, fencing token {}",
                        owner, pause_ms, entry->fence);
+  if (choice.reason == Unavailability::kRateLimited ||
+      choice.reason == Unavailability::kAwaitingCredit)
+    return fmt::format("owner {} {}, fencing token {}", owner, limited_text,
+                       entry->fence);
   if (notices_.LeavingSince(client->entry().incarnation))
     return fmt::format("owner {} is leaving, fencing token {}", owner,
                        entry->fence);
--- a/test/load_report_test.cc
+++ b/test/load_report_test.cc
@@ -1,5 +1,4 @@
-// Encoding of peer datagrams, limits for hot keys, and the load that the mover
-// derives from the reports of all members.
+// The load that the mover derives from the reports of all members.
 #include <catch2/catch.hpp>
 #include <numeric>
 
@@ -26,51 +25,6 @@
 
 }  // namespace
 
-TEST_CASE("a load report is equal after encoding and decoding") {
-  LoadReport report = Report("m1", 17, 0.25);
-  report.targets[TargetId("t1")] = {milliseconds(80), 12};
-  report.grants.seen_fence[kService] = 12;
-  report.grants.holds_for[TargetId("t2")] = milliseconds(1500);
-  report.notices = {{{TargetId("t1"), 1786139964622}, true}};
-  const PeerDatagram decoded = HandleError(
-      [&]() -> Result<PeerDatagram> {
-        return DecodePeerDatagram(EncodePeerDatagram(report));
-      },
-      [](const Error& error) -> PeerDatagram {
-        FAIL(error.message);
-        return {};
-      });
-  CHECK(std::get<LoadReport>(decoded) == report);
-}
-
-TEST_CASE("bytes that are not a report are rejected or name no member") {
-  for (const std::string& bytes :
-       {std::string(), std::string("GET / HTTP/1.1"), std::string(64, '\xff'),
-        std::string(64, '\0')}) {
-    const std::string member = HandleError(
-        [&]() -> Result<std::string> {
-          BOOST_LEAF_AUTO(datagram, DecodePeerDatagram(bytes));
-          return std::get<LoadReport>(datagram).vm.value();
-        },
-        [](const Error&) { return std::string(); });
-    CHECK(member.empty());
-  }
-}
-
-TEST_CASE("hot key limits are equal after encoding and decoding") {
-  const HotKeyLimits limits{VmId("m1"),
-                            {{kService, {{{3, 3}, 0.25}, {{900, 950}, 0.5}}}}};
-  const PeerDatagram decoded = HandleError(
-      [&]() -> Result<PeerDatagram> {
-        return DecodePeerDatagram(EncodePeerDatagram(limits));
-      },
-      [](const Error& error) -> PeerDatagram {
-        FAIL(error.message);
-        return {};
-      });
-  CHECK(std::get<HotKeyLimits>(decoded) == limits);
-}
-
 TEST_CASE("key load is right from the first observations on and decays") {
   KeyLoad key_load;
   key_load.Decay(At(0));
--- a/test/message_fuzz_test.cc
+++ b/test/message_fuzz_test.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "figstall/load_report.h"
+#include "figstall/peer_datagram.h"
 #include "figstall/range_mover.h"
 #include "figstall/range_table.h"
 #include "figstall/text_delta.h"
@@ -110,6 +110,15 @@
   CountRejected(EncodePeerDatagram(limits), [](const std::string& text) {
     return DecodePeerDatagram(text);
   });
+  report.notices = {{{TargetId("t1"), 5}, true, LimitStatement{3.8, {}}}};
+  CountRejected(EncodePeerDatagram(report), [](const std::string& text) {
+    return DecodePeerDatagram(text);
+  });
+  const CreditRequest request{
+      VmId("m1"), 7, {TargetId("t1"), 5}, 2, LimitStatement{3.8, {}}};
+  CountRejected(EncodePeerDatagram(request), [](const std::string& text) {
+    return DecodePeerDatagram(text);
+  });
   // A reported remaining hold is limited to the longest that a grant can last.
   const GrantTiming timing;
   CHECK(timing.ClampRemainingHold(std::chrono::hours(100)) ==
--- /dev/null
+++ b/test/peer_datagram_test.cc
@@ -0,0 +1,90 @@
+// Encoding of the datagrams between members.
+#include "figstall/peer_datagram.h"
+
+#include <catch2/catch.hpp>
+
+namespace figstall {
+namespace {
+
+using std::chrono::milliseconds;
+
+const ServiceId kService("accounts");
+
+}  // namespace
+
+TEST_CASE("a load report is equal after encoding and decoding") {
+  LoadReport report;
+  report.vm = VmId("m1");
+  report.incarnation = "a";
+  report.services[kService] = {100, {{17, 0.25}}};
+  report.targets[TargetId("t1")] = {milliseconds(80), 12};
+  report.grants.seen_fence[kService] = 12;
+  report.grants.holds_for[TargetId("t2")] = milliseconds(1500);
+  report.notices = {
+      {{TargetId("t1"), 1786139964622}, true, {}},
+      {{TargetId("t2"), 5}, false, LimitStatement{3.8, milliseconds(70)}},
+      {{TargetId("t3"), 6}, false, LimitStatement{{}, milliseconds(90)}}};
+  const PeerDatagram decoded = HandleError(
+      [&]() -> Result<PeerDatagram> {
+        return DecodePeerDatagram(EncodePeerDatagram(report));
+      },
+      [](const Error& error) -> PeerDatagram {
+        FAIL(error.message);
+        return {};
+      });
+  CHECK(std::get<LoadReport>(decoded) == report);
+}
+
+TEST_CASE("bytes that are not a report are rejected or name no member") {
+  for (const std::string& bytes :
+       {std::string(), std::string("GET / HTTP/1.1"), std::string(64, '\xff'),
+        std::string(64, '\0')}) {
+    const std::string member = HandleError(
+        [&]() -> Result<std::string> {
+          BOOST_LEAF_AUTO(datagram, DecodePeerDatagram(bytes));
+          return std::get<LoadReport>(datagram).vm.value();
+        },
+        [](const Error&) { return std::string(); });
+    CHECK(member.empty());
+  }
+}
+
+TEST_CASE("hot key limits are equal after encoding and decoding") {
+  const HotKeyLimits limits{VmId("m1"),
+                            {{kService, {{{3, 3}, 0.25}, {{900, 950}, 0.5}}}}};
+  const PeerDatagram decoded = HandleError(
+      [&]() -> Result<PeerDatagram> {
+        return DecodePeerDatagram(EncodePeerDatagram(limits));
+      },
+      [](const Error& error) -> PeerDatagram {
+        FAIL(error.message);
+        return {};
+      });
+  CHECK(std::get<HotKeyLimits>(decoded) == limits);
+}
+
+TEST_CASE("messages about credits are equal after encoding and decoding") {
+  const auto decode = [](const PeerDatagram& datagram) {
+    return HandleError(
+        [&]() -> Result<PeerDatagram> {
+          return DecodePeerDatagram(EncodePeerDatagram(datagram));
+        },
+        [](const Error& error) -> PeerDatagram {
+          FAIL(error.message);
+          return {};
+        });
+  };
+  const CreditRequest request{VmId("m1"),
+                              7,
+                              {TargetId("t1"), 5},
+                              2,
+                              LimitStatement{3.8, milliseconds(40)}};
+  CHECK(std::get<CreditRequest>(decode(request)) == request);
+  const CreditResponse response{
+      VmId("m2"),          7,
+      {TargetId("t1"), 5}, 1,
+      milliseconds(260),   LimitStatement{{}, milliseconds(1)}};
+  CHECK(std::get<CreditResponse>(decode(response)) == response);
+}
+
+}  // namespace figstall
