Router: a target's response that ends within its head is invalid

Operators of a similar system: clients got a 200 with an empty or short body, framed as whole, when a target stopped in the middle of its answer's head. Cause here: libcurl reports no error for a connection that closes within the head and returns the status it has read. figstall-router then passed a 200 without a body on. figstall-entry does not: Beast's parser is not done. Change: HttpClient checks that the empty line after the last status line came. A response framed by its close and one with trailer fields are still complete.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -37,12 +37,24 @@
   return size * count;
 }
 
+// The head of a response as far as it was received.
+struct ReceivedHead {
+  std::map<std::string, std::string>* headers = nullptr;
+  // Whether the empty line after the last status line was received.
+  bool complete = false;
+};
+
 std::size_t AppendHeader(char* data,
                          std::size_t size,
                          std::size_t count,
                          void* context) {
-  auto* headers = static_cast<std::map<std::string, std::string>*>(context);
+  auto* head = static_cast<ReceivedHead*>(context);
+  auto* headers = head->headers;
   const std::string line(data, size * count);
+  if (line.rfind("HTTP/", 0) == 0)
+    head->complete = false;
+  else if (line == "\r\n" || line == "\n")
+    head->complete = true;
   const std::size_t colon = line.find(':');
   if (colon == std::string::npos)
     return size * count;
@@ -90,7 +102,8 @@
     curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, AppendBody);
     curl_easy_setopt(easy_, CURLOPT_WRITEDATA, &response_.body);
     curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, AppendHeader);
-    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, &response_.headers);
+    head_ = {&response_.headers, false};
+    curl_easy_setopt(easy_, CURLOPT_HEADERDATA, &head_);
     if (request.method == "HEAD")
       curl_easy_setopt(easy_, CURLOPT_NOBODY, 1L);
     if (request.fresh_connection)
@@ -108,6 +121,13 @@
     HttpResult result;
     long bytes_sent = 0;
     curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &bytes_sent);
+    if (code == CURLE_OK && !head_.complete) {
+      // libcurl takes a connection that closes within the head for the end of
+      // an empty body.
+      result.failure = HttpFailure::kInvalidResponse;
+      result.error = "connection closed within the head of the response";
+      return result;
+    }
     if (code == CURLE_OK) {
       long status = 0;
       curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
@@ -137,6 +157,7 @@
   curl_slist* headers_ = nullptr;
   std::string body_;
   HttpClientResponse response_;
+  ReceivedHead head_;
 };
 
 }  // namespace
--- a/test/target_connection_test.cc
+++ b/test/target_connection_test.cc
@@ -40,6 +40,7 @@
     endless_ = bytes;
     WriteMore();
   }
+  void Close() { socket_.close(); }
   std::size_t written() const { return written_; }
   bool closed() const { return closed_; }
 
@@ -205,6 +206,24 @@
   CHECK(test.target().closed());
 }
 
+// Guards against a 200 with an empty body made from a response that ended
+// within its head.
+TEST_CASE("a response that ends within its head is a failed attempt") {
+  for (const char* bytes :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 5\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+    CAPTURE(bytes);
+    TestConnection test;
+    const auto observed = test.Send("one");
+    test.target().Write(bytes);
+    test.target().Close();
+    test.Settle();
+    CHECK_FALSE(observed->ended);
+    CHECK(observed->failure == FailureStage::kAnswerCut);
+  }
+}
+
 // Guards against a request that reaches a target which asked for a pause while
 // the connection was being opened.
 TEST_CASE("a request that may not be sent any more leaves no byte") {
