A repeated request that must not run twice uses a new connection

Operators of a similar system: a target wrote an earlier refusal once more on a kept connection; clients were told 'not run' for what ran (REFUSED), or it ran again (TWICE). Cause here: an entry repeats a refused request of a key at its owner under the same id, on the same kept connection. A late copy of the refusal carries that id and was taken for the response to the repeat, while the target ran it. Change: such a repeat opens a connection, on which no earlier response can come. Repeats of idempotent requests still use kept ones.

--- a/include/figstall/target_client.h
+++ b/include/figstall/target_client.h
@@ -24,6 +24,8 @@
   // Returns an idle connection well within the target's idle timeout, or a new
   // one.
   std::shared_ptr<TargetConnection> Acquire(Instant now);
+  // Returns a new connection.
+  std::shared_ptr<TargetConnection> Open();
   bool Connected(Instant now) const { return FindIdle(now) != nullptr; }
   // Closes idle connections that will not be used again, since a target accepts
   // a limited number of connections from all routers.
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -250,7 +250,11 @@
     last_fence_ = entry ? entry->fence : 0;
   }
   attempt.sent_at = now;
-  attempt.connection = client->Acquire(now);
+  // A late copy of an earlier refusal carries the same id as the response to
+  // this attempt, but it can only come on the connection of that attempt.
+  attempt.connection = !route_->idempotent && attempts_sent_ > 1
+                           ? client->Open()
+                           : client->Acquire(now);
   attempt.reused = attempt.connection->used();
   const Duration expected_latency =
       std::max(client->load().latency().value_or(Duration{0}),
--- a/src/target_client.cc
+++ b/src/target_client.cc
@@ -26,8 +26,11 @@
 }
 
 std::shared_ptr<TargetConnection> TargetClient::Acquire(Instant now) {
-  if (auto found = FindIdle(now))
-    return found;
+  auto found = FindIdle(now);
+  return found ? found : Open();
+}
+
+std::shared_ptr<TargetConnection> TargetClient::Open() {
   const auto weak_self = std::make_shared<std::weak_ptr<TargetConnection>>();
   auto connection = std::make_shared<TargetConnection>(
       io_, entry_.address,
--- /dev/null
+++ b/support/raw_target.py
@@ -0,0 +1,69 @@
+"""A target for tests that writes faulty bytes, served on a thread per connection.
+
+It accepts all grants and releases. The emulator publishes its entry in the store
+(a target with "external": true).
+"""
+import socket
+import threading
+
+
+def read_request(stream):
+    """Returns the path, header fields and body of a request, or None at the end
+    of the connection."""
+    line = stream.readline()
+    if not line:
+        return None
+    fields = {}
+    while (field := stream.readline()) not in (b"\r\n", b""):
+        name, value = field.decode().split(":", 1)
+        fields[name.strip().lower()] = value.strip()
+    body = stream.read(int(fields.get("content-length", 0)))
+    return line.decode().split(" ")[1], fields, body
+
+
+def response(status, request_id="", body="", **fields):
+    """Returns the bytes of a response that keeps the connection open."""
+    head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}",
+            "Keep-Alive: timeout=10"]
+    if request_id:
+        head.append(f"Request-Id: {request_id}")
+    head += [f"{name.replace('_', '-')}: {value}"
+             for name, value in fields.items()]
+    return ("\r\n".join(head) + "\r\n\r\n" + body).encode()
+
+
+class RawTarget:
+    """`answer(connection, request_id, send)` is called for each request of a
+    caller, with a number for its connection and a function that writes bytes."""
+
+    def __init__(self, port, answer):
+        self._answer = answer
+        self._listener = socket.create_server(("127.0.0.1", port))
+        self._connections = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections += 1
+            threading.Thread(target=self._serve, daemon=True,
+                             args=(connection, self._connections)).start()
+
+    def _serve(self, connection, number):
+        with connection, connection.makefile("rb") as stream:
+            try:
+                while request := read_request(stream):
+                    path, fields, _ = request
+                    if path in ("/grant", "/release"):
+                        connection.sendall(response(200))
+                    else:
+                        self._answer(number, fields["request-id"],
+                                     connection.sendall)
+            except OSError:
+                pass
+
+    def close(self):
+        self._listener.close()
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -6,15 +6,19 @@
     python3 test/entry_process_test.py --list
     python3 test/entry_process_test.py NAME
 """
+import http.client
 import json
 import pathlib
 import subprocess
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
                        "support"))
 from entry_fleet import (BIN, CONTINUE, STOP, TERMINATE, EntryFleet,  # noqa: E402
-                         restart_entry, signal_entry, small_scenario)
+                         address, free_ports, restart_entry, signal_entry,
+                         small_scenario)
+from raw_target import RawTarget, response  # noqa: E402
 
 ZONES = {"north-a": "north", "south-a": "south"}
 LEAD_S = 3
@@ -197,6 +201,57 @@
                for line in fleet.entries[0].log())
 
 
+# Guards against a refusal that a target writes once more, on a connection that
+# is in use again, and that is taken for the response to the repeated request:
+# the caller is told "not run" for what runs, or it runs again.
+def a_repeated_refusal_is_not_believed():
+    runs = {}
+    refused_on = {}
+
+    def answer(connection, request_id, send):
+        refusal = response(503, request_id, Not_Executed="1")
+        if request_id not in refused_on:
+            refused_on[request_id] = connection
+            return send(refusal)
+        if refused_on[request_id] == connection:
+            send(refusal)
+        runs[request_id] = runs.get(request_id, 0) + 1
+        time.sleep(0.05)
+        send(response(200, request_id, "paid", Backend_Signature="s"))
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    port, = free_ports(1)
+    target = RawTarget(port, answer)
+    scenario = {
+        "lead_s": 3, "length_s": 6,
+        "services": {"ledger": {"keyed": True, "targets": [
+            {"address": address(port), "zone": "north-a", "external": True}]}},
+        "routes": {"pay": {"host": "a.example", "prefix": "/pay/",
+                           "kind": "unsafe", "service": "ledger",
+                           "per_second": 0.01}}}
+    statuses = {}
+
+    def pay(fleet):
+        host, entry_port = fleet.entries[0].callers.split(":")
+        for i in range(20):
+            caller = http.client.HTTPConnection(host, int(entry_port))
+            caller.request("POST", f"/pay/{i}", body="10", headers={
+                "Host": "a.example", "Request-Id": f"id-{i}",
+                "Deadline-Ms": "1000", "Shard-Key": "7"})
+            statuses[f"id-{i}"] = caller.getresponse().status
+            caller.close()
+
+    try:
+        fleet.run(scenario, actions=[(LEAD_S + 1, pay)])
+    finally:
+        target.close()
+    assert len(refused_on) >= 15, (statuses, refused_on)
+    assert all(count == 1 for count in runs.values()), runs
+    assert not [each for each, status in statuses.items()
+                if status == 503 and each in runs], (statuses, runs)
+    assert list(statuses.values()).count(200) >= 15, statuses
+
+
 def killed_entry_serves_after_restart():
     _, report = run(actions=[(LEAD_S + 2, restart_entry(0)),
                              (LEAD_S + 4, restart_entry(1))])
@@ -261,6 +316,7 @@
          a_named_limit_bounds_the_sum_over_entries,
          a_named_limit_holds_while_entries_fail,
          invalid_notices_hold_nobody_up,
+         a_repeated_refusal_is_not_believed,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -158,6 +158,8 @@
   rejects_for_.reset();
   highest_token_.assign(kKeySpaceSize, 0);
   held_until_.assign(kKeySpaceSize, {});
+  if (options_.external)
+    return;
   acceptor_ = std::make_unique<boost::asio::ip::tcp::acceptor>(io_);
   const boost::asio::ip::tcp::endpoint endpoint(
       boost::asio::ip::make_address(options_.address.address),
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -75,6 +75,9 @@
   Duration nominal_work_time = std::chrono::milliseconds(20);
   std::size_t response_bytes = 2'000;
   bool keyed = false;
+  // The test serves the target's address itself; only the target's entry in the
+  // store is emulated.
+  bool external = false;
 };
 
 class EmulatedTarget {
@@ -104,7 +107,7 @@
   // The target's answers carry notices with invalid values.
   void SayInvalidNotices(bool invalid) { says_invalid_ = invalid; }
 
-  bool running() const { return acceptor_ != nullptr; }
+  bool running() const { return acceptor_ != nullptr || options_.external; }
   const std::string& id() const { return id_; }
   const EmulatedTargetOptions& options() const { return options_; }
   // The target's entry in the store, as JSON.
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -31,7 +31,8 @@
             "type": "object", "additionalProperties": false,
             "required": ["address", "zone"],
             "properties": {"address": {"type": "string"},
-                           "zone": {"type": "string"}}}},
+                           "zone": {"type": "string"},
+                           "external": {"type": "boolean"}}}},
           "keyed": {"type": "boolean"},
           "slots": {"type": "integer", "minimum": 1},
           "queue": {"type": "integer", "minimum": 0},
@@ -125,6 +126,7 @@
       options.service = name;
       options.keyed = keyed;
       options.zone = target.at("zone");
+      options.external = target.value("external", false);
       options.address =
           ParseEndpointAt("/services/" + name, target.at("address"));
       options.slots = service.value("slots", options.slots);
