Test: requests late in the grace of a planned stop are answered

Operators of a similar system: in a planned stop, requests that came late in the grace were passed on and cut at its end. Not so here: a request whose deadline lies beyond the end of the grace is refused as not run, and every other one is answered by its deadline.

--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -283,6 +283,26 @@
     assert stopped and stopped[0]["in_flight"] == "0", stopped
 
 
+# Guards against requests that come late in the grace of a planned stop, are
+# passed on and then cut when the process ends. Callers keep using their
+# connections until the process is gone; targets take long.
+def requests_late_in_the_grace_are_answered():
+    fleet = EntryFleet(ZONES, 1)
+    scenario = small_scenario(fleet, length_s=11)
+    scenario["services"]["orders"]["work_ms"] = 500
+    scenario["services"]["archive"]["work_ms"] = 300
+    for route in scenario["routes"].values():
+        route.update(keep_connections=True, deadline_ms=2500, per_second=20)
+    report, status = fleet.run(
+        scenario, [(LEAD_S + 2, signal_entry(0, TERMINATE)),
+                   (LEAD_S + 4, signal_entry(1, TERMINATE))])
+    assert report["violations"] == [] and status == 0, report["violations"]
+    assert fleet.entries[0].process.returncode == 0
+    stopped = [line for line in fleet.entries[0].log()
+               if line["event"] == "stopped"]
+    assert stopped and stopped[0]["in_flight"] == "0", stopped
+
+
 def invalid_input_is_refused_with_its_places():
     fleet = EntryFleet(ZONES, 1)
     settings = json.loads(fleet.entries[0].settings_path.read_text())
@@ -320,6 +340,7 @@
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
+         requests_late_in_the_grace_are_answered,
          invalid_input_is_refused_with_its_places]
 
 
