Soak of real entries under random faults that overlap; credits by ranking once

A seed draws the deployment, load and faults of targets (notices among them), of the store, and of entries: planned stops with callers that keep their connections, freezes, kills, reloads. The emulator holds entries to all its guarantees. Six seeds run with the other tests of real entries. Ranks of members for a target are computed once for each member list. For a service without keys, an entry asks for credits of a limited target in another zone only if no other target may get the request, so that they do not expire unused there. credit-issuer lines say whom an entry asks.

--- a/include/figstall/send_credits.h
+++ b/include/figstall/send_credits.h
@@ -114,6 +114,9 @@
                        const TargetIncarnation& target,
                        const RateLimit& limit)>
         on_limit;
+    // This member takes another member than before for the issuer.
+    std::function<void(const TargetIncarnation& target, const VmId& issuer)>
+        on_issuer;
   };
 
   SendCredits(VmId self,
@@ -131,6 +134,8 @@
   CreditState Check(Instant now,
                     const TargetIncarnation& target,
                     const ZoneId& target_zone);
+  // Whether a request may be sent now without requesting credits.
+  bool HasCredit(Instant now, const TargetIncarnation& target) const;
   // When credits may be requested again after a refusal.
   Instant RefusedUntil(const TargetIncarnation& target) const;
   // Consumes a credit, if the target has a limit. Call after Check() returned
@@ -156,6 +161,7 @@
     std::map<std::uint64_t, Instant> requested_at;
     std::optional<Instant> last_requested_at;
     Instant refused_until{};
+    VmId issuer;
     std::uint32_t next_wanted = 1;
     Instant used_at{};
   };
@@ -165,8 +171,8 @@
   };
 
   // Members in the order in which they issue credits for the target.
-  std::vector<VmId> Ranking(const TargetIncarnation& target,
-                            const ZoneId& target_zone) const;
+  const std::vector<VmId>& Ranking(const TargetIncarnation& target,
+                                   const ZoneId& target_zone);
   bool Responds(Instant now, const VmId& member) const;
   // Returns the first member of the ranking that responds, and asks those
   // before it again from time to time.
@@ -195,6 +201,8 @@
   const CreditTiming timing_;
   bool issuing_ = true;
   std::map<VmId, ZoneId> members_;
+  // Cleared when the members change.
+  std::map<TargetIncarnation, std::vector<VmId>> rankings_;
   std::map<VmId, Peer> peers_;
   std::map<TargetIncarnation, Account> accounts_;
   std::map<TargetIncarnation, CreditBucket> buckets_;
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -138,6 +138,11 @@
                                const figstall::RateLimit& limit) {
       notices_.OnReportedLimit(from, target, limit);
     };
+    handlers.on_issuer = [this](const figstall::TargetIncarnation& target,
+                                const figstall::VmId& issuer) {
+      log_.Write(LogLevel::kInfo, "credit-issuer",
+                 {{"target", target.id.value()}, {"issuer", issuer.value()}});
+    };
     return handlers;
   }
 
--- a/src/send_credits.cc
+++ b/src/send_credits.cc
@@ -56,7 +56,10 @@
       timing_(timing) {}
 
 void SendCredits::SetMembers(std::map<VmId, ZoneId> members) {
+  if (members == members_)
+    return;
   members_ = std::move(members);
+  rankings_.clear();
   std::erase_if(peers_, [this](const auto& each) {
     return !members_.contains(each.first);
   });
@@ -75,8 +78,11 @@
     handlers_.on_limit(from, target, {limit->per_second, now - limit->age});
 }
 
-std::vector<VmId> SendCredits::Ranking(const TargetIncarnation& target,
-                                       const ZoneId& target_zone) const {
+const std::vector<VmId>& SendCredits::Ranking(const TargetIncarnation& target,
+                                              const ZoneId& target_zone) {
+  std::vector<VmId>& vms = rankings_[target];
+  if (!vms.empty())
+    return vms;
   struct Ranked {
     bool other_zone;
     std::uint64_t hash;
@@ -92,7 +98,6 @@
     return std::tie(a.other_zone, a.hash, a.vm) <
            std::tie(b.other_zone, b.hash, b.vm);
   });
-  std::vector<VmId> vms;
   for (const Ranked& each : ranked)
     vms.push_back(each.vm);
   if (vms.empty())
@@ -145,7 +150,7 @@
 VmId SendCredits::FindIssuer(Instant now,
                              const TargetIncarnation& target,
                              const ZoneId& target_zone) {
-  const std::vector<VmId> ranking = Ranking(target, target_zone);
+  const std::vector<VmId>& ranking = Ranking(target, target_zone);
   for (const VmId& member : ranking) {
     if (member == self_ ? issuing_ : Responds(now, member))
       return member;
@@ -155,6 +160,15 @@
   return ranking.front();
 }
 
+bool SendCredits::HasCredit(Instant now,
+                            const TargetIncarnation& target) const {
+  if (!IsLimited(target))
+    return true;
+  const auto account = accounts_.find(target);
+  return account != accounts_.end() && !account->second.credits.empty() &&
+         account->second.credits.back() > now;
+}
+
 CreditState SendCredits::Check(Instant now,
                                const TargetIncarnation& target,
                                const ZoneId& target_zone) {
@@ -197,6 +211,9 @@
   account.requested_at[request.serial] = now;
   account.last_requested_at = now;
   const VmId issuer = FindIssuer(now, target, target_zone);
+  if (issuer != account.issuer)
+    handlers_.on_issuer(target, issuer);
+  account.issuer = issuer;
   if (issuer == self_)
     return OnResponse(now, Issue(now, request));
   SendRequest(now, issuer, request);
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -110,25 +110,44 @@
   std::vector<Candidate> candidates;
   // Of the targets that want no requests now, the one that may get some first.
   TargetChoice first_available{nullptr, Unavailability::kNoCapacity, {}};
-  for (const auto& [id, client] : clients_) {
-    const TargetEntry& entry = client->entry();
-    if (entry.service != query.service || query.tried_targets.contains(id) ||
-        notices_.LeavingSince(entry.incarnation))
-      continue;
-    const TargetChoice checked = CheckNotices(now, *client);
+  const auto consider = [&](TargetClient& client) {
+    const TargetChoice checked = CheckNotices(now, client);
+    const TargetEntry& entry = client.entry();
     if (checked.client) {
-      candidates.push_back({&entry, &client->load(), DistanceTo(entry.zone),
+      candidates.push_back({&entry, &client.load(), DistanceTo(entry.zone),
                             SharingRouters(entry, false),
-                            client->Connected(now)});
+                            client.Connected(now)});
     } else if (first_available.reason == Unavailability::kNoCapacity ||
                checked.available_at < first_available.available_at) {
       first_available = checked;
     }
+  };
+  const auto pick = [&] {
+    return PickTarget(candidates,
+                      SelectionOptions{query.bulk, query.mean_latency,
+                                       query.latency_objective},
+                      now);
+  };
+  // Credits of a target in another zone are left to the members there unless no
+  // other target may get the request.
+  std::vector<TargetClient*> limited_elsewhere;
+  for (const auto& [id, client] : clients_) {
+    const TargetEntry& entry = client->entry();
+    if (entry.service != query.service || query.tried_targets.contains(id) ||
+        notices_.LeavingSince(entry.incarnation))
+      continue;
+    if (entry.zone == settings_.zone ||
+        credits_.HasCredit(now, entry.incarnation))
+      consider(*client);
+    else
+      limited_elsewhere.push_back(client.get());
+  }
+  const Candidate* best = pick();
+  if (!best && !limited_elsewhere.empty()) {
+    for (TargetClient* client : limited_elsewhere)
+      consider(*client);
+    best = pick();
   }
-  const Candidate* best = PickTarget(
-      candidates,
-      SelectionOptions{query.bulk, query.mean_latency, query.latency_objective},
-      now);
   if (best)
     return {Find(best->entry->incarnation.id), Unavailability::kNone, {}};
   if (!candidates.empty())
--- a/support/run_tests.py
+++ b/support/run_tests.py
@@ -103,7 +103,8 @@
         ([*catch_tests(), *trace_tests(), *mutation_tests(),
           *random_run_tests()],
          os.cpu_count() or 1),
-        ([*process_tests("entry_process_test")], 3),
+        ([*process_tests("entry_process_test"),
+          *process_tests("entry_soak_test")], 3),
         ([*process_tests("process_test")], 1))
     for tests, workers in groups:
         chosen = [test for test in tests if name_filter in test[0]]
--- /dev/null
+++ b/test/entry_soak_test.py
@@ -0,0 +1,157 @@
+"""Runs entries against the emulator under random faults that overlap.
+
+A seed determines the deployment, the load and the faults: of targets, of the
+store, notices of targets, and signals that stop, freeze, kill and restart
+entries. Callers keep using their connections until a process is gone. The
+emulator checks figstall's guarantees. Usage:
+
+    python3 test/entry_soak_test.py --list
+    python3 test/entry_soak_test.py seed_7 [--large]
+    python3 test/entry_soak_test.py --seeds 1 50 [--jobs N] [--large]
+
+A failed seed prints its violations and the folder with the logs.
+"""
+import argparse
+import concurrent.futures
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
+                       "support"))
+from entry_fleet import (CONTINUE, STOP, STOP_GRACE_S, TERMINATE,  # noqa: E402
+                         EntryFleet, restart_entry, signal_entry,
+                         small_scenario)
+
+CI_SEEDS = range(1, 7)
+LEAD_S = 3
+LENGTH_S = 20
+# A process that starts again knows nothing of what targets said before, and one
+# that was frozen acts on it late.
+EXCUSED_AFTER_S = 2
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south",
+         "south-b": "south"}
+STORE_FAULTS = ("store-silent", "store-busy", "store-lost-answers",
+                "store-compact")
+SERVICES = {"accounts": 6, "orders": 4, "archive": 4}
+
+
+def target_fault(rng):
+    """A fault of some targets of one service, which leaves others in order."""
+    service = rng.choice(sorted(SERVICES))
+    kind = rng.choice(("target-crash", "target-leave", "target-silent",
+                       "target-garble", "target-says-leaving", "target-limit",
+                       "target-limit", "target-retry-after",
+                       "target-says-invalid"))
+    return {"kind": kind, "service": service,
+            "count": rng.randint(1, SERVICES[service] // 2),
+            "at_s": round(rng.uniform(0.3, LENGTH_S - 4), 2),
+            "for_s": round(rng.uniform(0.5, 8), 2),
+            "strength": 0.2, "value": round(rng.uniform(0.2, 4), 2)}
+
+
+def disturb_entry(rng, index):
+    """Returns the actions on one entry, and when what it was told does not bind
+    it."""
+    at_s = round(rng.uniform(1, LENGTH_S - 9), 2)
+    kind = rng.choice(("stop", "freeze", "kill", "reload"))
+    if kind == "reload":
+        return [(at_s, signal_entry(index, signal.SIGHUP))], []
+    if kind == "stop":
+        gone_s = at_s + STOP_GRACE_S
+        return ([(at_s, signal_entry(index, TERMINATE)),
+                 (gone_s, restart_entry(index))],
+                [(gone_s, EXCUSED_AFTER_S)])
+    if kind == "kill":
+        return [(at_s, restart_entry(index))], [(at_s, EXCUSED_AFTER_S)]
+    for_s = round(rng.uniform(0.3, 6), 2)
+    return ([(at_s, signal_entry(index, STOP)),
+             (at_s + for_s, signal_entry(index, CONTINUE))],
+            [(at_s, for_s + EXCUSED_AFTER_S)])
+
+
+def run_seed(seed, large):
+    """Returns the violations of a run and the folder with its logs."""
+    rng = random.Random(seed)
+    zones = dict(list(ZONES.items())[:rng.randint(2, len(ZONES))])
+    fleet = EntryFleet(zones, 8 if large else rng.randint(1, 2))
+    faults = [target_fault(rng) for _ in range(rng.randint(3, 8))]
+    for _ in range(rng.randint(0, 2)):
+        faults.append({"kind": rng.choice(STORE_FAULTS),
+                       "at_s": round(rng.uniform(0.3, LENGTH_S - 6), 2),
+                       "for_s": round(rng.uniform(0.3, 5), 2)})
+    actions = []
+    indices = list(range(len(fleet.entries)))
+    rng.shuffle(indices)
+    # One disturbance an entry, and one entry at least without.
+    for index in indices[:rng.randint(1, max(1, len(indices) - 1))]:
+        entry_actions, excused = disturb_entry(rng, index)
+        actions += [(LEAD_S + at_s, action) for at_s, action in entry_actions]
+        # A little earlier, since actions are late by some milliseconds at most.
+        faults += [{"kind": "entry-disturbed", "entry": index,
+                    "at_s": round(at_s - 0.1, 2), "for_s": for_s + 0.2}
+                   for at_s, for_s in excused]
+    scenario = small_scenario(fleet, length_s=LENGTH_S, faults=faults,
+                              rate=rng.uniform(0.5, 2.5))
+    for service in scenario["services"].values():
+        service["work_ms"] = rng.choice((10, 25, 80, 200))
+    for route in scenario["routes"].values():
+        route["keep_connections"] = rng.random() < 0.7
+        route["deadline_ms"] = rng.choice((600, 1000, 2500))
+    report, _ = fleet.run(scenario, actions, seed=seed)
+    if report is None:
+        return ["the emulator wrote no report"], fleet.directory
+    served = sum(route["statuses"].get("200", 0)
+                 for route in report["routes"].values())
+    violations = list(report["violations"])
+    if served == 0:
+        violations.append("no request was served")
+    for entry in fleet.entries:
+        errors = [line for line in entry.log()
+                  if line["event"] == "unexpected-error"]
+        if errors:
+            violations.append(f"{entry.name}: {errors[0]}")
+    return violations, fleet.directory
+
+
+def run_in_process(seed, large):
+    command = [sys.executable, __file__, f"seed_{seed}"]
+    return seed, subprocess.run(command + (["--large"] if large else []),
+                                capture_output=True, text=True, check=False)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("name", nargs="?")
+    parser.add_argument("--list", action="store_true")
+    parser.add_argument("--seeds", nargs=2, type=int)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--large", action="store_true")
+    options = parser.parse_args()
+    if options.list:
+        return print("\n".join(f"seed_{seed}" for seed in CI_SEEDS))
+    if options.name:
+        violations, logs = run_seed(int(options.name.removeprefix("seed_")),
+                                    options.large)
+        if violations:
+            sys.exit("\n".join([f"{options.name}: logs in {logs}", *violations]))
+        return None
+    failed = 0
+    first, last = options.seeds
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        runs = [pool.submit(run_in_process, seed, options.large)
+                for seed in range(first, last + 1)]
+        for run in concurrent.futures.as_completed(runs):
+            seed, result = run.result()
+            failed += result.returncode != 0
+            print(f"seed {seed}: "
+                  f"{'ok' if result.returncode == 0 else result.stderr}",
+                  flush=True)
+    print(f"{last + 1 - first - failed} passed, {failed} failed")
+    return sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/test/peer_datagram_test.cc
+++ b/test/peer_datagram_test.cc
@@ -10,6 +10,21 @@
 
 const ServiceId kService("accounts");
 
+// Returns the datagram after encoding and decoding.
+template <typename Message>
+Message Decoded(const Message& message) {
+  return HandleError(
+      [&]() -> Result<Message> {
+        BOOST_LEAF_AUTO(datagram,
+                        DecodePeerDatagram(EncodePeerDatagram(message)));
+        return std::get<Message>(datagram);
+      },
+      [](const Error& error) -> Message {
+        FAIL(error.message);
+        return {};
+      });
+}
+
 }  // namespace
 
 TEST_CASE("a load report is equal after encoding and decoding") {
@@ -24,15 +39,7 @@
       {{TargetId("t1"), 1786139964622}, true, {}},
       {{TargetId("t2"), 5}, false, LimitStatement{3.8, milliseconds(70)}},
       {{TargetId("t3"), 6}, false, LimitStatement{{}, milliseconds(90)}}};
-  const PeerDatagram decoded = HandleError(
-      [&]() -> Result<PeerDatagram> {
-        return DecodePeerDatagram(EncodePeerDatagram(report));
-      },
-      [](const Error& error) -> PeerDatagram {
-        FAIL(error.message);
-        return {};
-      });
-  CHECK(std::get<LoadReport>(decoded) == report);
+  CHECK(Decoded(report) == report);
 }
 
 TEST_CASE("bytes that are not a report are rejected or name no member") {
@@ -52,39 +59,21 @@
 TEST_CASE("hot key limits are equal after encoding and decoding") {
   const HotKeyLimits limits{VmId("m1"),
                             {{kService, {{{3, 3}, 0.25}, {{900, 950}, 0.5}}}}};
-  const PeerDatagram decoded = HandleError(
-      [&]() -> Result<PeerDatagram> {
-        return DecodePeerDatagram(EncodePeerDatagram(limits));
-      },
-      [](const Error& error) -> PeerDatagram {
-        FAIL(error.message);
-        return {};
-      });
-  CHECK(std::get<HotKeyLimits>(decoded) == limits);
+  CHECK(Decoded(limits) == limits);
 }
 
 TEST_CASE("messages about credits are equal after encoding and decoding") {
-  const auto decode = [](const PeerDatagram& datagram) {
-    return HandleError(
-        [&]() -> Result<PeerDatagram> {
-          return DecodePeerDatagram(EncodePeerDatagram(datagram));
-        },
-        [](const Error& error) -> PeerDatagram {
-          FAIL(error.message);
-          return {};
-        });
-  };
   const CreditRequest request{VmId("m1"),
                               7,
                               {TargetId("t1"), 5},
                               2,
                               LimitStatement{3.8, milliseconds(40)}};
-  CHECK(std::get<CreditRequest>(decode(request)) == request);
+  CHECK(Decoded(request) == request);
   const CreditResponse response{
       VmId("m2"),          7,
       {TargetId("t1"), 5}, 1,
       milliseconds(260),   LimitStatement{{}, milliseconds(1)}};
-  CHECK(std::get<CreditResponse>(decode(response)) == response);
+  CHECK(Decoded(response) == response);
 }
 
 }  // namespace figstall
--- a/test/send_credits_test.cc
+++ b/test/send_credits_test.cc
@@ -28,6 +28,7 @@
 constexpr Duration kStability = seconds(3);
 constexpr Duration kReaction = milliseconds(500);
 
+// Requests that the rule allows in one window.
 double Allowed(double limit) {
   return 1.5 * limit * 4 + 5;
 }
@@ -128,6 +129,7 @@
                                       const RateLimit& limit) {
       members_[index]->notices.OnReportedLimit(target, limit);
     };
+    handlers.on_issuer = [](const auto&...) {};
     member->credits = std::make_unique<SendCredits>(member->vm, member->notices,
                                                     std::move(handlers));
     members_.push_back(std::move(member));
@@ -342,6 +344,16 @@
   std::optional<Instant> first_named_at_;
 };
 
+// Several times as much demand as the limit allows.
+Options OverloadOf(std::size_t members, double limit, int seed) {
+  Options options;
+  options.members = members;
+  options.limit = limit;
+  options.demand = std::max(20.0, 6 * limit);
+  options.seed = static_cast<std::uint64_t>(seed);
+  return options;
+}
+
 }  // namespace
 
 // Guards against shares per member whose bursts add up: at 67 and 195 members a
@@ -351,13 +363,9 @@
     for (const double limit : {0.0, 0.5, 3.8, 25.0}) {
       for (int seed = 1; seed <= 2 * IterationFactor("FIGSTALL_WALKS");
            ++seed) {
-        Options options;
-        options.members = members;
-        options.limit = limit;
-        options.demand = std::max(20.0, 6 * limit);
-        options.seed = static_cast<std::uint64_t>(seed);
         CAPTURE(members, limit, seed);
-        const RunResult result = Simulation(options).Run();
+        const RunResult result =
+            Simulation(OverloadOf(members, limit, seed)).Run();
         CHECK(static_cast<double>(result.most) <= Allowed(limit));
         // A target within its limit is used.
         if (limit >= 0.5)
@@ -374,13 +382,9 @@
     for (const double limit : {0.5, 3.8, 25.0}) {
       for (int seed = 1; seed <= 4 * IterationFactor("FIGSTALL_WALKS");
            ++seed) {
-        Options options;
-        options.members = members;
-        options.limit = limit;
-        options.demand = std::max(20.0, 6 * limit);
+        Options options = OverloadOf(members, limit, seed);
         options.faults = true;
         options.message_loss = 0.05;
-        options.seed = static_cast<std::uint64_t>(seed);
         CAPTURE(members, limit, seed);
         const RunResult result = Simulation(options).Run();
         CHECK(static_cast<double>(result.most) <= Allowed(limit));
@@ -413,6 +417,7 @@
     requests.push_back(std::get<CreditRequest>(message));
   };
   handlers.on_limit = [](const auto&...) {};
+  handlers.on_issuer = [](const auto&...) {};
   SendCredits credits(VmId("m-1"), notices, handlers);
   credits.SetMembers({{VmId("m-0"), kTargetZone}});
   const Instant sent_at = Instant{} + seconds(1);
@@ -444,6 +449,7 @@
                           const RateLimit& limit) {
     notices.OnReportedLimit(target, limit);
   };
+  handlers.on_issuer = [](const auto&...) {};
   SendCredits credits(VmId("m-1"), notices, handlers);
   credits.SetMembers({{VmId("m-0"), kTargetZone}});
   const Instant now = Instant{} + seconds(9);
