--- a/test/target_notices_test.cc
+++ b/test/target_notices_test.cc
@@ -37,6 +37,7 @@
 
 std::vector<Kind> Kinds(const std::vector<NoticeChange>& changes) {
   std::vector<Kind> kinds;
+  kinds.reserve(changes.size());
   for (const NoticeChange& change : changes)
     kinds.push_back(change.kind);
   return kinds;
