--- a/include/figstall/send_credits.h
+++ b/include/figstall/send_credits.h
@@ -151,7 +151,6 @@
   void Prune(Instant now);
 
   std::uint64_t granted() const { return granted_; }
-  std::uint64_t refused() const { return refused_; }
 
  private:
   struct Account {
@@ -201,14 +200,13 @@
   const CreditTiming timing_;
   bool issuing_ = true;
   std::map<VmId, ZoneId> members_;
-  // Cleared when the members change.
-  std::map<TargetIncarnation, std::vector<VmId>> rankings_;
+  // By target and its zone; cleared when the members change.
+  std::map<std::pair<TargetIncarnation, ZoneId>, std::vector<VmId>> rankings_;
   std::map<VmId, Peer> peers_;
   std::map<TargetIncarnation, Account> accounts_;
   std::map<TargetIncarnation, CreditBucket> buckets_;
   std::uint64_t last_serial_ = 0;
   std::uint64_t granted_ = 0;
-  std::uint64_t refused_ = 0;
 };
 
 }  // namespace figstall
--- a/include/figstall/target_notices.h
+++ b/include/figstall/target_notices.h
@@ -122,7 +122,7 @@
     std::optional<Instant> retry_not_before;
     std::optional<RateLimit> limit;
     std::optional<Instant> limited_since;
-    std::string invalid_fields;
+    std::optional<Instant> invalid_reported_at;
     Instant updated_at{};
   };
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -391,6 +391,9 @@
                                     : AttemptOutcome::kRefused);
   if (keyed_)
     retry_not_before_ = BootNow() + waits_.target_retry_interval;
+  // A repeat that cannot be sent would only use up the budget.
+  if (!ChooseTarget() && !MayWait(BootNow()))
+    return Refuse("no-target-free");
   if (!traffic_.RetryBudgetFor(service_).TryRetry(
           BootNow(), traffic_.targets_.RouterCount()))
     return Refuse("rejected-by-target");
--- a/src/send_credits.cc
+++ b/src/send_credits.cc
@@ -80,7 +80,7 @@
 
 const std::vector<VmId>& SendCredits::Ranking(const TargetIncarnation& target,
                                               const ZoneId& target_zone) {
-  std::vector<VmId>& vms = rankings_[target];
+  std::vector<VmId>& vms = rankings_[{target, target_zone}];
   if (!vms.empty())
     return vms;
   struct Ranked {
@@ -303,7 +303,6 @@
     account->second.credits.push_back(expiry);
   if (granted > 0)
     return;
-  ++refused_;
   account->second.next_wanted = 1;
   account->second.refused_until =
       now + std::min(response.backoff, timing_.max_backoff);
@@ -315,6 +314,8 @@
   });
   std::erase_if(buckets_,
                 [&](const auto& each) { return !IsLimited(each.first); });
+  std::erase_if(rankings_,
+                [&](const auto& each) { return !IsLimited(each.first.first); });
 }
 
 }  // namespace figstall
--- a/src/target_notices.cc
+++ b/src/target_notices.cc
@@ -12,6 +12,9 @@
 // A target that left the directory may come back for a store outage at most.
 constexpr Duration kRetention = std::chrono::minutes(10);
 
+// A faulty target may say something invalid in each answer.
+constexpr Duration kInvalidReportInterval = std::chrono::seconds(10);
+
 }  // namespace
 
 std::string_view ToString(NoticeChange::Kind kind) {
@@ -55,14 +58,17 @@
          {}});
   }
   if (!notice.invalid_fields.empty()) {
-    const std::string text =
-        fmt::format("{}", fmt::join(notice.invalid_fields, "; "));
     Record& record = records_[target];
     record.updated_at = now;
-    // A target may repeat an invalid value in each answer.
-    if (record.invalid_fields != text)
-      changed.push_back({NoticeChange::Kind::kInvalid, 0, {}, text});
-    record.invalid_fields = text;
+    if (!record.invalid_reported_at ||
+        now - *record.invalid_reported_at >= kInvalidReportInterval) {
+      record.invalid_reported_at = now;
+      changed.push_back(
+          {NoticeChange::Kind::kInvalid,
+           0,
+           {},
+           fmt::format("{}", fmt::join(notice.invalid_fields, "; "))});
+    }
   }
   const bool ends_limit =
       notice.complete && !notice.rate_limit && LimitOf(target);
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -263,6 +263,8 @@
     response.insert(platform::kRateLimitHeader, "0.1");
     response.insert(platform::kRateLimitHeader, value);
     response.set(platform::kRetryAfterHeader, value);
+    // What the target said before in the same fields is not sent.
+    said = {};
   }
   // The request may have reached another target, which says nothing about this
   // one.
--- a/test/target_notices_test.cc
+++ b/test/target_notices_test.cc
@@ -149,12 +149,16 @@
 }
 
 // Guards against a log line for each answer of a faulty target.
-TEST_CASE("an invalid field that is repeated is reported once") {
+TEST_CASE("invalid fields of one target are reported once in ten seconds") {
   TargetNotices notices;
   const TargetNotice notice = Decode(kOk, {{"Server-Limit", "-1"}});
   CHECK(Kinds(notices.OnAnswer(At(1), kTarget, notice)) ==
         std::vector{Kind::kInvalid});
   CHECK(notices.OnAnswer(At(2), kTarget, notice).empty());
+  const TargetNotice other = Decode(kOk, {{"Server-Limit", "many"}});
+  CHECK(notices.OnAnswer(At(10.9), kTarget, other).empty());
+  CHECK(Kinds(notices.OnAnswer(At(11), kTarget, other)) ==
+        std::vector{Kind::kInvalid});
 }
 
 }  // namespace figstall
