--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -1,6 +1,6 @@
 // Implements reading, watching and relaying the store. Membership and the
 // election are in entry_control_members.cc, grants and moves of key ranges in
-// entry_control_ranges.cc.
+// entry_control_ranges.cc, datagrams between members in entry_control_peers.cc.
 #include "figstall/entry_control.h"
 
 #include <fmt/format.h>
--- a/test/send_credits_test.cc
+++ b/test/send_credits_test.cc
@@ -50,7 +50,7 @@
 struct RunResult {
   // Most counted requests in one window.
   std::size_t most = 0;
-  // Requests after the first window, as a share of the limit.
+  // Counted requests after the first window, as a share of the limit.
   double use = 0;
   std::size_t requested = 0;
   std::size_t sent = 0;
@@ -312,10 +312,10 @@
     std::size_t measured = 0;
     for (const auto& [at, counted] : arrivals_) {
       ++result.sent;
-      if (at >= measured_from)
-        ++measured;
       if (!counted)
         continue;
+      if (at >= measured_from)
+        ++measured;
       window.push_back(at);
       while (at - window.front() > kWindow)
         window.pop_front();
