A relay source passes an entry's change on, whatever the answers said

A member that had heard from a target's answer that it leaves saw no change when the target's entry in the store said so, too, and did not pass the entry on. Subscribers that had not heard would have gone on sending.

--- a/include/figstall/target_notices.h
+++ b/include/figstall/target_notices.h
@@ -89,8 +89,10 @@
                                               const TargetIncarnation& target);
   std::vector<NoticeChange> OnReportedLimit(const TargetIncarnation& target,
                                             const RateLimit& limit);
-  // The target's entry in the directory states whether it leaves.
-  void OnListed(Instant now, const TargetIncarnation& target, bool leaving);
+  // The target's entry in the directory states whether it leaves. Returns
+  // whether the entry said otherwise before, whatever the target's answers
+  // said.
+  bool OnListed(Instant now, const TargetIncarnation& target, bool leaving);
 
   // When this process first learned that the target leaves; none if it does
   // not.
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -492,15 +492,16 @@
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(entry, platform::DecodeTargetEntry(id, item.value));
         const bool was_absent = absence_.OnEntryPresent(target);
-        notices_.notices().OnListed(BootNow(), entry.incarnation,
-                                    entry.leaving);
+        const bool listed_otherwise = notices_.notices().OnListed(
+            BootNow(), entry.incarnation, entry.leaving);
         // An entry may still say ready after the target's answers said that it
         // leaves.
         entry.leaving =
             notices_.notices().LeavingSince(entry.incarnation).has_value();
         const auto known = view_.targets.find(target);
+        // Subscribers may not have heard yet what this member knew before.
         if (known != view_.targets.end() && known->second == entry)
-          return was_absent;
+          return was_absent || listed_otherwise;
         // The initial read is logged as one line for all targets.
         if (initial_read_done_)
           LogTarget(entry, known == view_.targets.end(), item.revision);
--- a/src/target_notices.cc
+++ b/src/target_notices.cc
@@ -115,17 +115,19 @@
            {}}};
 }
 
-void TargetNotices::OnListed(Instant now,
+bool TargetNotices::OnListed(Instant now,
                              const TargetIncarnation& target,
                              bool leaving) {
   if (!leaving && !Find(target))
-    return;
+    return false;
   Record& record = records_[target];
   record.updated_at = now;
+  const bool changed = record.listed_leaving_at.has_value() != leaving;
   if (!leaving)
     record.listed_leaving_at.reset();
   else if (!record.listed_leaving_at)
     record.listed_leaving_at = now;
+  return changed;
 }
 
 std::optional<Instant> TargetNotices::LeavingSince(
--- a/test/target_notices_test.cc
+++ b/test/target_notices_test.cc
@@ -120,6 +120,17 @@
   CHECK_FALSE(notices.LeavingSince(kTarget));
 }
 
+// Guards against a relay source that keeps the store's word from its
+// subscribers because the target's own answers had said the same to it alone.
+TEST_CASE("a change of a target's entry is one whatever its answers said") {
+  TargetNotices notices;
+  notices.OnAnswer(At(1), kTarget, Decode(kOk, {{"Server-Leaving", "1"}}));
+  CHECK(notices.OnListed(At(2), kTarget, true));
+  CHECK_FALSE(notices.OnListed(At(3), kTarget, true));
+  CHECK(notices.OnListed(At(4), kTarget, false));
+  CHECK_FALSE(notices.OnListed(At(5), kRestarted, false));
+}
+
 TEST_CASE("a pause that a target asks for ends at its latest end") {
   TargetNotices notices;
   notices.OnAnswer(At(1), kTarget,
