NoticeChecker: comments that say what its functions and limits are

Found by reading the whole change once more: one comment broke off, one took the list of limits for its highest. Only comments; built, and one process test of the checker passes.

--- a/test/fakes/notice_checker.h
+++ b/test/fakes/notice_checker.h
@@ -39,18 +39,19 @@
   void OnRequestSent(const std::string& request_id,
                      std::size_t entry,
                      Instant now);
-  // The request reaches a target, or `answered` by it.
+  // The request reaches a target.
   void OnArrival(const std::string& target,
                  const std::string& request_id,
                  Instant now);
+  // The target answers the request, and `said` is in the answer's head.
   void OnAnswered(const std::string& target,
                   const std::string& request_id,
                   const SaidNotices& said,
                   Instant now);
   // The entry passed the target's answer to this request on.
   void OnPassedOn(const std::string& request_id, Instant now);
-  // Until then the entry restarts, is frozen or cut off; what it was told does
-  // not bind it.
+  // The entry restarts, is frozen or cut off until then. What it was told until
+  // then does not bind it.
   void ExcuseEntry(std::size_t entry, Instant until);
   bool Excused(std::size_t entry, Instant now) const;
   bool ExcusedAt(const std::string& request_id, Instant now) const;
@@ -79,7 +80,8 @@
     std::map<std::size_t, Instant> told_limit;
     std::map<std::size_t, Pause> pauses;
     std::optional<Instant> limited_since;
-    // Highest limit named within the last window.
+    // Limits in the order in which the target named them, and since when each
+    // applies. Only those that applied within the last window are kept.
     std::deque<std::pair<Instant, double>> limits;
     std::deque<Instant> counted_arrivals;
     bool limit_broken = false;
