Test harness: kills of entries are told to the emulator's checks with the action

Callers of killed_entry_serves_after_restart: "request ran and its connection was closed without an answer", at the moment when the test kills an entry.

Cause: the check of cut connections came with the test of planned stops. The scenarios had to name kills as faults for it, by hand and with guessed times; this test and the demo did not. SIGKILL cuts what runs, and no rule asks otherwise. Ruled out: cuts at any other time; all of those reported lie at the two kills.

Change: an action on an entry carries what the emulator has to know, and EntryFleet adds it to the scenario, so that no test can forget it. Emulator and actions count from one moment of the boot clock, not from the starts of two processes. Stricter than before: a frozen entry is excused for what targets said only, no longer for cut connections, and for 0.5 s after its return instead of 2 s in the soak; a killed one for 1.5 s instead of 2 s.

--- a/support/entry_demo.py
+++ b/support/entry_demo.py
@@ -2,8 +2,8 @@
 import json
 import sys
 
-from entry_fleet import (BIN, CONTINUE, STOP, EntryFleet, restart_entry,
-                         signal_entry, small_scenario)
+from entry_fleet import (BIN, EntryFleet, freeze_entry, restart_entry,
+                         small_scenario)
 
 ZONES = {"arima": "northcaroni", "chaguanas": "northcaroni",
          "sando": "southcaroni", "couva": "southcaroni"}
@@ -22,9 +22,7 @@
           "Two targets crash, the store is silent for 4 s, a target leaves,\n"
           "one entry is killed and another is frozen for 3 s.", flush=True)
     report, status = fleet.run(scenario, actions=[
-        (9, restart_entry(1)),
-        (14, signal_entry(2, STOP)),
-        (17, signal_entry(2, CONTINUE))])
+        restart_entry(9, 1), *freeze_entry(14, 2, for_s=3)])
     print(json.dumps(report, indent=1))
     print(f"plot: {fleet.plot_path}")
     sys.exit(status)
--- a/support/entry_fleet.py
+++ b/support/entry_fleet.py
@@ -13,6 +13,7 @@
 import subprocess
 import tempfile
 import time
+import typing
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = ROOT / "build" / "bin"
@@ -90,6 +91,32 @@
         return [json.loads(line) for line in lines if line.startswith("{")]
 
 
+# Seconds for which what targets said before does not bind an entry that was
+# frozen, or killed and started again.
+RECOVERY_AFTER_FREEZE_S = 0.5
+RECOVERY_AFTER_KILL_S = 1.5
+# An action may be this much later than planned.
+ACTION_DELAY_S = 0.1
+
+
+class Action(typing.NamedTuple):
+    """Something that happens to the fleet during a run."""
+    # Since the start of the run.
+    at_s: float
+    # Called with the fleet.
+    call: typing.Callable
+    # The emulator's fault that tells its checks of the action, with the entry
+    # and the duration, or None.
+    fault: typing.Optional[dict] = None
+
+    def scenario_faults(self, lead_s):
+        if not self.fault:
+            return []
+        at_s = max(0, self.at_s - lead_s - ACTION_DELAY_S)
+        return [dict(self.fault, at_s=at_s,
+                     for_s=self.fault["for_s"] + 2 * ACTION_DELAY_S)]
+
+
 class EntryFleet:
     """The entries of several zones, and the emulator that provides their store,
     targets and callers."""
@@ -138,14 +165,20 @@
             self.emulator.wait()
 
     def run(self, scenario, actions=(), seed=1):
-        """Runs a scenario. `actions` are pairs of seconds since the start and a
-        function that is called with this fleet."""
-        begin = time.monotonic()
+        """Runs a scenario and the actions in the order of their times."""
+        # The emulator counts from the same moment, however long it takes to
+        # start.
+        begin_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        faults = [fault for action in actions
+                  for fault in action.scenario_faults(scenario["lead_s"])]
+        scenario = dict(scenario, begins_at_s=begin_s,
+                        faults=scenario.get("faults", []) + faults)
         try:
             self.start(scenario, seed)
-            for offset_s, action in sorted(actions, key=lambda pair: pair[0]):
-                time.sleep(max(0.0, begin + offset_s - time.monotonic()))
-                action(self)
+            for action in sorted(actions, key=lambda action: action.at_s):
+                time.sleep(max(0.0, begin_s + action.at_s -
+                               time.clock_gettime(time.CLOCK_BOOTTIME)))
+                action.call(self)
             return self.report()
         finally:
             self.stop()
@@ -175,17 +208,27 @@
         "faults": list(faults)}
 
 
-def signal_entry(index, signal_number):
-    """Returns an action that sends a signal to one entry."""
-    return lambda fleet: fleet.entries[index].send_signal(signal_number)
+def signal_entry(at_s, index, signal_number):
+    """Returns the action that sends a signal to one entry."""
+    return Action(at_s, lambda fleet: fleet.entries[index].send_signal(
+        signal_number))
+
+
+def freeze_entry(at_s, index, for_s):
+    """Returns the actions that stop one entry and let it continue."""
+    return [signal_entry(at_s, index, signal.SIGSTOP)._replace(
+                fault={"kind": "entry-frozen", "entry": index,
+                       "for_s": for_s + RECOVERY_AFTER_FREEZE_S}),
+            signal_entry(at_s + for_s, index, signal.SIGCONT)]
 
 
-def restart_entry(index):
-    """Returns an action that kills one entry and starts it again."""
+def restart_entry(at_s, index):
+    """Returns the action that kills one entry and starts it again."""
     def restart(fleet):
         fleet.entries[index].kill()
         fleet.entries[index].start()
-    return restart
+    return Action(at_s, restart, {"kind": "entry-killed", "entry": index,
+                                  "for_s": RECOVERY_AFTER_KILL_S})
 
 
-STOP, CONTINUE, TERMINATE = signal.SIGSTOP, signal.SIGCONT, signal.SIGTERM
+TERMINATE, RELOAD = signal.SIGTERM, signal.SIGHUP
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -15,9 +15,9 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
                        "support"))
-from entry_fleet import (BIN, CONTINUE, STOP, TERMINATE, EntryFleet,  # noqa: E402
-                         address, free_ports, restart_entry, signal_entry,
-                         small_scenario)
+from entry_fleet import (BIN, TERMINATE, Action, EntryFleet,  # noqa: E402
+                         address, free_ports, freeze_entry, restart_entry,
+                         signal_entry, small_scenario)
 from raw_target import RawTarget, response  # noqa: E402
 
 ZONES = {"north-a": "north", "south-a": "south"}
@@ -177,14 +177,9 @@
                  "count": 2, "for_s": 15, "value": 2.2},
                 {"at_s": 1, "kind": "target-limit", "service": "orders",
                  "count": 2, "for_s": 15, "value": 2.2},
-                {"at_s": 3.5, "kind": "entry-disturbed", "entry": 0,
-                 "for_s": 4},
-                {"at_s": 7.5, "kind": "entry-disturbed", "entry": 5,
-                 "for_s": 2},
                 {"at_s": 9, "kind": "store-silent", "for_s": 5}],
-        actions=[(LEAD_S + 4, signal_entry(0, STOP)),
-                 (LEAD_S + 7, signal_entry(0, CONTINUE)),
-                 (LEAD_S + 8, restart_entry(5))])
+        actions=[*freeze_entry(LEAD_S + 4, 0, for_s=3),
+                 restart_entry(LEAD_S + 8, 5)])
     assert served_fraction(report) > 0.6, report["routes"]
 
 
@@ -242,7 +237,7 @@
             caller.close()
 
     try:
-        fleet.run(scenario, actions=[(LEAD_S + 1, pay)])
+        fleet.run(scenario, actions=[Action(LEAD_S + 1, pay)])
     finally:
         target.close()
     assert len(refused_on) >= 15, (statuses, refused_on)
@@ -252,9 +247,11 @@
     assert list(statuses.values()).count(200) >= 15, statuses
 
 
+# Fails if killed entries don't serve again, or break connections at other times
+# than their end.
 def killed_entry_serves_after_restart():
-    _, report = run(actions=[(LEAD_S + 2, restart_entry(0)),
-                             (LEAD_S + 4, restart_entry(1))])
+    _, report = run(actions=[restart_entry(LEAD_S + 2, 0),
+                             restart_entry(LEAD_S + 4, 1)])
     assert served_fraction(report) > 0.3, report["routes"]
 
 
@@ -265,13 +262,12 @@
         length_s=10, entries=2,
         faults=[{"at_s": 2, "kind": "target-crash", "service": "accounts",
                  "count": 3, "for_s": 2}],
-        actions=[(LEAD_S + 1, signal_entry(0, STOP)),
-                 (LEAD_S + 8, signal_entry(0, CONTINUE))])
+        actions=freeze_entry(LEAD_S + 1, 0, for_s=7))
     assert served_fraction(report) > 0.2, report["routes"]
 
 
 def graceful_shutdown_completes_requests():
-    fleet, report = run(actions=[(LEAD_S + 2, signal_entry(0, TERMINATE))],
+    fleet, report = run(actions=[signal_entry(LEAD_S + 2, 0, TERMINATE)],
                         entries=2)
     # The emulator's callers keep sending requests to the stopped entry. They may
     # find no connection, but no connection may break during a request.
@@ -294,8 +290,8 @@
     for route in scenario["routes"].values():
         route.update(keep_connections=True, deadline_ms=2500, per_second=20)
     report, status = fleet.run(
-        scenario, [(LEAD_S + 2, signal_entry(0, TERMINATE)),
-                   (LEAD_S + 4, signal_entry(1, TERMINATE))])
+        scenario, [signal_entry(LEAD_S + 2, 0, TERMINATE),
+                   signal_entry(LEAD_S + 4, 1, TERMINATE)])
     assert report["violations"] == [] and status == 0, report["violations"]
     assert fleet.entries[0].process.returncode == 0
     stopped = [line for line in fleet.entries[0].log()
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -15,22 +15,18 @@
 import concurrent.futures
 import pathlib
 import random
-import signal
 import subprocess
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
                        "support"))
-from entry_fleet import (CONTINUE, STOP, STOP_GRACE_S, TERMINATE,  # noqa: E402
-                         EntryFleet, restart_entry, signal_entry,
+from entry_fleet import (RELOAD, STOP_GRACE_S, TERMINATE,  # noqa: E402
+                         EntryFleet, freeze_entry, restart_entry, signal_entry,
                          small_scenario)
 
 CI_SEEDS = range(1, 7)
 LEAD_S = 3
 LENGTH_S = 20
-# A process that starts again knows nothing of what targets said before, and one
-# that was frozen acts on it late.
-EXCUSED_AFTER_S = 2
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south",
          "south-b": "south"}
 STORE_FAULTS = ("store-silent", "store-busy", "store-lost-answers",
@@ -53,23 +49,17 @@
 
 
 def disturb_entry(rng, index):
-    """Returns the actions on one entry, and when what it was told does not bind
-    it."""
-    at_s = round(rng.uniform(1, LENGTH_S - 9), 2)
+    """Returns the actions of a random disturbance of one entry."""
+    at_s = LEAD_S + round(rng.uniform(1, LENGTH_S - 9), 2)
     kind = rng.choice(("stop", "freeze", "kill", "reload"))
     if kind == "reload":
-        return [(at_s, signal_entry(index, signal.SIGHUP))], []
+        return [signal_entry(at_s, index, RELOAD)]
     if kind == "stop":
-        gone_s = at_s + STOP_GRACE_S
-        return ([(at_s, signal_entry(index, TERMINATE)),
-                 (gone_s, restart_entry(index))],
-                [(gone_s, EXCUSED_AFTER_S)])
+        return [signal_entry(at_s, index, TERMINATE),
+                restart_entry(at_s + STOP_GRACE_S, index)]
     if kind == "kill":
-        return [(at_s, restart_entry(index))], [(at_s, EXCUSED_AFTER_S)]
-    for_s = round(rng.uniform(0.3, 6), 2)
-    return ([(at_s, signal_entry(index, STOP)),
-             (at_s + for_s, signal_entry(index, CONTINUE))],
-            [(at_s, for_s + EXCUSED_AFTER_S)])
+        return [restart_entry(at_s, index)]
+    return freeze_entry(at_s, index, for_s=round(rng.uniform(0.3, 6), 2))
 
 
 def run_seed(seed, large):
@@ -87,12 +77,7 @@
     rng.shuffle(indices)
     # One disturbance an entry, and one entry at least without.
     for index in indices[:rng.randint(1, max(1, len(indices) - 1))]:
-        entry_actions, excused = disturb_entry(rng, index)
-        actions += [(LEAD_S + at_s, action) for at_s, action in entry_actions]
-        # A little earlier, since actions are late by some milliseconds at most.
-        faults += [{"kind": "entry-disturbed", "entry": index,
-                    "at_s": round(at_s - 0.1, 2), "for_s": for_s + 0.2}
-                   for at_s, for_s in excused]
+        actions += disturb_entry(rng, index)
     scenario = small_scenario(fleet, length_s=LENGTH_S, faults=faults,
                               rate=rng.uniform(0.5, 2.5))
     for service in scenario["services"].values():
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -88,7 +88,8 @@
       target->Start();
     store_.Put("op/config", scenario_.desired_state.dump());
     ListenForEntries();
-    traffic_started_at_ = BootNow() + scenario_.startup_delay;
+    traffic_started_at_ =
+        scenario_.begins_at.value_or(BootNow()) + scenario_.startup_delay;
     for (std::size_t route = 0; route < scenario_.traffic.size(); ++route)
       ScheduleRequest(route, traffic_started_at_);
     ScheduleTick();
@@ -243,9 +244,12 @@
         store_.Compact();
       return;
     }
-    if (fault.kind == "entry-disturbed") {
+    if (fault.kind == "entry-frozen" || fault.kind == "entry-killed") {
+      const Instant until = BootNow() + fault.duration;
       if (starts)
-        notice_checker_.ExcuseEntry(fault.entry, BootNow() + fault.duration);
+        notice_checker_.ExcuseEntry(fault.entry, until);
+      if (starts && fault.kind == "entry-killed")
+        killed_until_[fault.entry] = until;
       return;
     }
     if (fault.kind.rfind("store-", 0) == 0) {
@@ -339,8 +343,8 @@
     const bool idempotent = traffic.idempotent;
     notice_checker_.OnRequestSent(id, entry, sent_at);
     channel->Call(std::move(request), [this, channel, id, sent_at, idempotent,
-                                       route](const auto& response) {
-      OnResponse(route, id, idempotent, sent_at, response);
+                                       route, entry](const auto& response) {
+      OnResponse(route, entry, id, idempotent, sent_at, response);
     });
   }
 
@@ -360,6 +364,7 @@
   }
 
   void OnResponse(std::size_t route,
+                  std::size_t entry,
                   const std::string& id,
                   bool idempotent,
                   Instant sent_at,
@@ -370,10 +375,10 @@
     const Instant now = BootNow();
     if (status == 200)
       notice_checker_.OnPassedOn(id, now);
-    // A planned stop cuts off no request that a target ran.
+    // Only the kill of an entry may cut off a request that a target ran.
     if (status == 0 && response.sent &&
         now < sent_at + scenario_.traffic[route].deadline &&
-        !notice_checker_.ExcusedAt(id, now))
+        now >= killed_until_[entry])
       checker_.OnCut(id);
     if (status == 200) {
       const std::string received_id =
@@ -398,6 +403,8 @@
   // Connections of callers by index of the entry.
   std::map<std::size_t, std::vector<std::shared_ptr<figstall::HttpChannel>>>
       kept_channels_;
+  // By index of the entry: end of the time in which it was killed.
+  std::map<std::size_t, Instant> killed_until_;
   std::vector<std::unique_ptr<EmulatedTarget>> targets_;
   std::vector<Instant> last_heartbeat_at_;
   std::set<std::shared_ptr<figstall::CallerConnection>> entry_connections_;
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -18,6 +18,7 @@
   "type": "object", "additionalProperties": false,
   "required": ["length_s", "store", "entries", "services", "routes"],
   "properties": {
+    "begins_at_s": {"type": "number", "minimum": 0},
     "lead_s": {"type": "number", "minimum": 0},
     "length_s": {"type": "number", "exclusiveMinimum": 0},
     "store": {"type": "string"},
@@ -57,8 +58,8 @@
         "kind": {"enum": ["target-crash", "target-leave", "target-silent",
                           "target-garble", "target-says-leaving",
                           "target-limit", "target-retry-after",
-                          "target-says-invalid", "entry-disturbed",
-                          "store-silent", "store-busy",
+                          "target-says-invalid", "entry-frozen",
+                          "entry-killed", "store-silent", "store-busy",
                           "store-lost-answers", "store-compact"]},
         "value": {"type": "number", "minimum": 0},
         "entry": {"type": "integer", "minimum": 0},
@@ -80,6 +81,8 @@
 
   Result<Scenario> Read() {
     Scenario scenario;
+    if (document_.contains("begins_at_s"))
+      scenario.begins_at = Instant(FromSeconds(document_.at("begins_at_s")));
     scenario.startup_delay = FromSeconds(document_.value("lead_s", 3.0));
     scenario.duration = FromSeconds(document_.at("length_s"));
     scenario.store = ParseEndpointAt("/store", document_.at("store"));
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,11 +37,13 @@
   double abort_ratio = 0;
   // Of target-limit: requests per second. Of target-retry-after: seconds.
   double value = 0;
-  // Index into Scenario::entries, for entry-disturbed.
+  // Index into Scenario::entries, for entry-frozen and entry-killed.
   std::size_t entry = 0;
 };
 
 struct Scenario {
+  // Boot clock; empty: when the emulator has started.
+  std::optional<Instant> begins_at;
   // From the start of the store and the targets to the start of the traffic.
   Duration startup_delay{0};
   // Of the traffic.
--- a/test/fakes/notice_checker.cc
+++ b/test/fakes/notice_checker.cc
@@ -143,10 +143,4 @@
   return found != excused_until_.end() && now < found->second;
 }
 
-bool NoticeChecker::ExcusedAt(const std::string& request_id,
-                              Instant now) const {
-  const auto found = requests_.find(request_id);
-  return found == requests_.end() || Excused(found->second.entry, now);
-}
-
 }  // namespace figstall::detail
--- a/test/fakes/notice_checker.h
+++ b/test/fakes/notice_checker.h
@@ -54,7 +54,6 @@
   // then does not bind it.
   void ExcuseEntry(std::size_t entry, Instant until);
   bool Excused(std::size_t entry, Instant now) const;
-  bool ExcusedAt(const std::string& request_id, Instant now) const;
 
   const std::vector<std::string>& violations() const { return violations_; }
   // Highest number of counted requests in 4 s, as a share of what the target's
