Copy of the store, and what is published of it, as a class without I/O

Log line relay-subscribed. Two small differences: store-read no longer counts items (it counted inferred deletions as items), and after a gap a member subscribes from the lower of its cursor and the known revision, where it took the known revision even if its cursor was lower.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -26,7 +26,7 @@
 #include "figstall/range_mover.h"
 #include "figstall/send_credits.h"
 #include "figstall/store_connectivity.h"
-#include "figstall/store_mirror.h"
+#include "figstall/store_copy.h"
 #include "figstall/store_relay.h"
 #include "figstall/target_absence.h"
 #include "figstall/target_notice_recorder.h"
@@ -140,19 +140,12 @@
     // All keys in their current state, after changes were missed.
     kFull,
   };
-  struct ReadSection {
-    std::string prefix;
-    bool allow_stale = false;
-    std::vector<StoreItem> items;
-    // Store revision of the section's first page.
-    Revision revision = 0;
-  };
   struct StoreRead {
     ReadScope scope;
     // Whether this process was already a member when the read started. Grants
     // require such a read.
     bool started_as_member = false;
-    std::vector<ReadSection> sections;
+    std::vector<StoreSection> sections;
     // Index of the section that is being read.
     std::size_t section_index = 0;
   };
@@ -179,25 +172,14 @@
     Duration relay_timeout{0};
   };
   RelaySource ChooseRelaySource() const;
-  // Returns the change of a long value as a delta from the mirrored value, or
-  // nullopt if the item is to be published in full.
-  std::optional<ItemDelta> MakeItemDelta(const StoreItem& item) const;
-  // Appends the item that results from `delta`, unless the mirror already has
-  // that revision or a newer one. Returns false if the mirror does not have the
-  // base revision of `delta`.
-  bool ExpandDelta(const ItemDelta& delta, std::vector<StoreItem>& items);
-  // Time since the mirror was last confirmed to be up to date; nullopt if it
+  void LogRelayGap(const ItemDelta& delta, Revision known);
+  // Time since the copy was last confirmed to be up to date; nullopt if it
   // never was.
   std::optional<Duration> Staleness(Instant now) const;
   void Watch();
   void OnWatchResponse(const StoreResponse& response);
   void CancelWatch();
   void OnRelayUpdate(const RelayUpdate& update);
-  // ApplySnapshot and ApplyUpdate apply the items that are newer than the
-  // mirror and publish them to subscribers. A snapshot holds every key of the
-  // store as of `revision`.
-  void ApplySnapshot(const std::vector<StoreItem>& items, Revision revision);
-  void ApplyUpdate(const std::vector<StoreItem>& items, Revision cursor);
   // Returns false if the item changes nothing that other members need.
   bool Apply(const StoreItem& item);
   void ApplyMover(const StoreItem& item);
@@ -297,9 +279,7 @@
   bool writing_member_ = false;
   std::optional<Instant> report_pending_since_;
 
-  // Copy of the store's items, with all changes up to `cursor_`.
-  StoreMirror mirror_;
-  Revision cursor_ = 0;
+  StoreCopy copy_;
   StoreConnectivity connectivity_;
   // Incremented by each watch and each cancellation, so that the response to a
   // cancelled watch is ignored.
@@ -308,9 +288,6 @@
   Instant relay_polled_at_{};
   std::unique_ptr<RelayPublisher> publisher_;
   RelaySubscriber subscriber_;
-  // Revision from which to subscribe again after a delta was received whose
-  // base revision the mirror does not have.
-  std::optional<Revision> resubscribe_from_;
   bool store_read_in_progress_ = false;
   bool initial_read_done_ = false;
   TargetAbsence absence_;
--- a/include/figstall/store_relay.h
+++ b/include/figstall/store_relay.h
@@ -18,38 +18,10 @@
 
 #include "figstall/clock.h"
 #include "figstall/records.h"
-#include "figstall/store_mirror.h"
-#include "figstall/text_delta.h"
+#include "figstall/store_copy.h"
 
 namespace figstall {
 
-// A change of a long value, for subscribers that hold it at revision `base`.
-struct ItemDelta {
-  std::string key;
-  Revision revision = 0;
-  Revision base = 0;
-  std::vector<DeltaPart> parts;
-
-  friend bool operator==(const ItemDelta&, const ItemDelta&) = default;
-};
-
-struct RelayUpdate {
-  std::vector<StoreItem> items;
-  std::vector<ItemDelta> deltas;
-  // All changes up to this revision have been published; zero makes no such
-  // statement.
-  Revision cursor = 0;
-  // Time since the publisher's copy was last confirmed as current; empty if it
-  // never was.
-  std::optional<Duration> age;
-  // The poll that this update answers; zero for an update that answers none.
-  std::uint32_t poll_id = 0;
-  // True for a snapshot: keys that are not among the items do not exist.
-  bool complete = false;
-
-  friend bool operator==(const RelayUpdate&, const RelayUpdate&) = default;
-};
-
 // Sends and receives messages, each preceded by its length, over one
 // connection.
 class MessageStream : public std::enable_shared_from_this<MessageStream> {
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -17,8 +17,6 @@
 using detail::kTablesPrefix;
 using platform::StoreStatus;
 
-// Changes of values of at least this size are published as deltas.
-constexpr std::size_t kMinDeltaValueBytes = 2048;
 // Prefix of all keys. A member uses everything in the store, so that one watch
 // is enough.
 constexpr char kAllKeysPrefix[] = "";
@@ -56,6 +54,12 @@
       metrics_(metrics),
       store_(io, settings.store, timing_.store_call_timeout),
       random_(std::hash<std::string>()(incarnation_ + settings.vm.value())),
+      copy_({[this](const StoreItem& item) { return Apply(item); },
+             [this] { return publisher_->subscribers() > 0; },
+             [this](const RelayUpdate& update) { publisher_->Publish(update); },
+             [this](const ItemDelta& delta, Revision known) {
+               LogRelayGap(delta, known);
+             }}),
       subscriber_(io,
                   settings.vm,
                   [this](const RelayUpdate& update) { OnRelayUpdate(update); }),
@@ -80,22 +84,20 @@
   peer_socket_.open(endpoint.protocol());
   peer_socket_.bind(endpoint);
   ReceiveDatagrams();
-  const auto current_state = [this] {
-    RelayUpdate update;
-    update.cursor = cursor_;
+  const auto with_age = [this](RelayUpdate update) {
     update.age = Staleness(BootNow());
     return update;
   };
   publisher_ = std::make_unique<RelayPublisher>(
       io_, settings_.peers,
-      [this, current_state](Revision revision) {
-        MirrorChanges changes = mirror_.ChangesSince(revision);
-        RelayUpdate update = current_state();
-        update.items = std::move(changes.items);
-        update.complete = changes.complete;
-        return update;
+      [this, with_age](Revision revision) {
+        return with_age(copy_.ChangesSince(revision));
       },
-      current_state);
+      [this, with_age] {
+        RelayUpdate update;
+        update.cursor = copy_.cursor();
+        return with_age(std::move(update));
+      });
   Join();
 }
 
@@ -161,7 +163,7 @@
 
 void EntryControl::ReadPage(const std::shared_ptr<StoreRead>& read,
                             const std::string& after) {
-  const ReadSection& requested = read->sections[read->section_index];
+  const StoreSection& requested = read->sections[read->section_index];
   store_.List(requested.prefix, after, requested.allow_stale,
               [this, read](const StoreResponse& response) {
                 RecordStoreCall(response, "list");
@@ -170,7 +172,7 @@
                   return RetryWhenStoreReachable(
                       [this, scope = read->scope] { StartRead(scope); });
                 }
-                ReadSection& section = read->sections[read->section_index];
+                StoreSection& section = read->sections[read->section_index];
                 if (section.revision == 0)
                   section.revision = response.revision;
                 section.items.insert(section.items.end(),
@@ -188,98 +190,25 @@
 void EntryControl::ApplyRead(const StoreRead& read) {
   if (!initial_read_done_)
     members_known_since_ = BootNow();
-  std::vector<StoreItem> items;
-  // Continues from the revision of the oldest section, so that no change is
-  // missed.
-  Revision cursor = read.sections.front().revision;
-  for (const ReadSection& section : read.sections) {
-    const auto deletions =
-        mirror_.InferDeletions(section.items, section.prefix, section.revision);
-    items.insert(items.end(), deletions.begin(), deletions.end());
-    items.insert(items.end(), section.items.begin(), section.items.end());
-    cursor = std::min(cursor, section.revision);
-  }
-  // Members' keys alone bring the copy up to no revision. Changes after the
-  // cursor follow one by one, also deletions.
-  const Revision complete_until =
-      read.scope == ReadScope::kMemberKeys ? 0 : cursor;
-  mirror_.OnSnapshot(complete_until);
-  ApplyUpdate(items, complete_until);
+  copy_.ApplyRead(read.sections, read.scope != ReadScope::kMemberKeys);
+  view_.last_update_at = BootNow();
   tables_up_to_date_ = read.started_as_member && member_written_;
   source_confirmed_at_ = BootNow();
   initial_read_done_ = true;
   log_.Write(LogLevel::kInfo, "store-read",
-             {{"items", std::to_string(items.size())},
-              {"targets", std::to_string(view_.targets.size())},
+             {{"targets", std::to_string(view_.targets.size())},
               {"members", std::to_string(view_.members.size())},
-              {"revision", std::to_string(cursor)}});
+              {"revision", std::to_string(copy_.cursor())}});
   if (member_written_ && !read.started_as_member)
     StartRead(ReadScope::kMemberKeys);
 }
 
-void EntryControl::ApplySnapshot(const std::vector<StoreItem>& items,
-                                 Revision revision) {
-  std::vector<StoreItem> changes =
-      mirror_.InferDeletions(items, kAllKeysPrefix, revision);
-  changes.insert(changes.end(), items.begin(), items.end());
-  mirror_.OnSnapshot(revision);
-  ApplyUpdate(changes, revision);
-}
-
-void EntryControl::ApplyUpdate(const std::vector<StoreItem>& items,
-                               Revision cursor) {
-  RelayUpdate update;
-  for (const StoreItem& item : NewestOfEachKey(items)) {
-    std::optional<ItemDelta> delta = MakeItemDelta(item);
-    if (!mirror_.Put(item) || !Apply(item))
-      continue;
-    if (delta)
-      update.deltas.push_back(std::move(*delta));
-    else
-      update.items.push_back(item);
-  }
-  view_.last_update_at = BootNow();
-  cursor_ = std::max(cursor_, cursor);
-  // An advanced cursor alone is not published; subscribers get it when they
-  // poll.
-  if (update.items.empty() && update.deltas.empty())
-    return;
-  update.cursor = cursor_;
-  publisher_->Publish(update);
-}
-
-std::optional<ItemDelta> EntryControl::MakeItemDelta(
-    const StoreItem& item) const {
-  if (item.deleted || item.value.size() < kMinDeltaValueBytes ||
-      publisher_->subscribers() == 0)
-    return std::nullopt;
-  const StoreItem* known = mirror_.Find(item.key);
-  if (!known || known->deleted || known->revision >= item.revision)
-    return std::nullopt;
-  return ItemDelta{item.key, item.revision, known->revision,
-                   MakeDelta(known->value, item.value)};
-}
-
-bool EntryControl::ExpandDelta(const ItemDelta& delta,
-                               std::vector<StoreItem>& items) {
-  const StoreItem* known = mirror_.Find(delta.key);
-  if (known && known->revision >= delta.revision)
-    return true;
-  std::optional<std::string> value;
-  if (known && known->revision == delta.base)
-    value = ApplyDelta(known->value, delta.parts);
-  if (value) {
-    items.push_back({delta.key, std::move(*value), delta.revision, false});
-    return true;
-  }
-  const Revision revision = known ? known->revision : 0;
+void EntryControl::LogRelayGap(const ItemDelta& delta, Revision known) {
   log_.Write(LogLevel::kWarning, "relay-gap",
              {{"key", delta.key},
               {"revision", std::to_string(delta.revision)},
               {"base", std::to_string(delta.base)},
-              {"known", std::to_string(revision)}});
-  resubscribe_from_ = std::min(resubscribe_from_.value_or(revision), revision);
-  return false;
+              {"known", std::to_string(known)}});
 }
 
 EntryControl::RelaySource EntryControl::ChooseRelaySource() const {
@@ -338,8 +267,12 @@
   const RelaySource source = ChooseRelaySource();
   if (source.member) {
     if (subscriber_.Subscribe(source.member->peer_endpoint,
-                              resubscribe_from_.value_or(cursor_)))
-      resubscribe_from_.reset();
+                              copy_.SubscribeFrom())) {
+      log_.Write(LogLevel::kInfo, "relay-subscribed",
+                 {{"source", source.member->vm.value()},
+                  {"from", std::to_string(copy_.SubscribeFrom())}});
+      copy_.OnSubscribed();
+    }
     if (now - relay_polled_at_ >= timing_.relay_poll_interval) {
       relay_polled_at_ = now;
       subscriber_.Poll(now);
@@ -365,7 +298,7 @@
   membership_renewal_due_at_ = std::min(
       membership_renewal_due_at_, BootNow() + timing_.watcher_renewal_interval);
   store_.Watch(
-      kAllKeysPrefix, cursor_, timing_.watch_timeout,
+      kAllKeysPrefix, copy_.cursor(), timing_.watch_timeout,
       [this, generation = ++watch_generation_](const StoreResponse& response) {
         if (generation == watch_generation_)
           OnWatchResponse(response);
@@ -374,7 +307,7 @@
 
 void EntryControl::CancelWatch() {
   log_.Write(LogLevel::kInfo, "watch-given-up",
-             {{"cursor", std::to_string(cursor_)}});
+             {{"cursor", std::to_string(copy_.cursor())}});
   ++watch_generation_;
   connectivity_.OnWatchEnded(/*answered=*/false);
   store_.CancelWatch();
@@ -386,7 +319,8 @@
   next_watch_at_ = BootNow() + timing_.watch_interval;
   connectivity_.OnWatchEnded(response.status == StoreStatus::kOk);
   if (response.status == StoreStatus::kOk) {
-    ApplyUpdate(response.items, response.revision);
+    copy_.ApplyChanges(response.items, response.revision);
+    view_.last_update_at = BootNow();
     return ProcessChanges();
   }
   if (response.status == StoreStatus::kCompacted) {
@@ -397,20 +331,9 @@
 }
 
 void EntryControl::OnRelayUpdate(const RelayUpdate& update) {
-  std::vector<StoreItem> items = update.items;
-  bool all_expanded = true;
-  for (const ItemDelta& delta : update.deltas)
-    all_expanded = ExpandDelta(delta, items) && all_expanded;
-  if (!all_expanded) {
-    // Subscribing again from an earlier revision makes the source send the
-    // missing items in full.
+  if (!copy_.ApplyRelayUpdate(update))
     subscriber_.Stop();
-    ApplyUpdate(items, 0);
-  } else if (update.complete) {
-    ApplySnapshot(items, update.cursor);
-  } else {
-    ApplyUpdate(items, update.cursor);
-  }
+  view_.last_update_at = BootNow();
   if (view_changed_)
     ProcessChanges();
 }
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -206,7 +206,7 @@
     input.now = now;
     input.directory = &view_.targets;
     input.members = &member_reports_;
-    input.members_up_to_date = cursor_ >= state.revision;
+    input.members_up_to_date = copy_.cursor() >= state.revision;
     input.members_known_since = members_known_since_;
     input.mover_since = mover_since_;
     input.capacity = &capacity;
@@ -254,8 +254,8 @@
                     {"entries", std::to_string(next.entries.size())},
                     {"outcome", ToString(response.status)}});
         if (response.status == StoreStatus::kOk) {
-          ApplyUpdate({{key, EncodeRangeTable(next), response.revision, false}},
-                      0);
+          copy_.ApplyChanges(
+              {{key, EncodeRangeTable(next), response.revision, false}}, 0);
           return ProcessChanges();
         }
         if (response.status == StoreStatus::kConflict &&
@@ -280,7 +280,7 @@
       return RunAfter(timing_.store_retry_interval,
                       [this, service] { ReadTable(service); });
     movers_[service].read_in_progress = false;
-    ApplyUpdate(response.items, 0);
+    copy_.ApplyChanges(response.items, 0);
   });
 }
 
