A copy of the store takes itself for current only if it has every change

Cause: a member publishes what changes its own copy, and its subscribers took that for all changes up to its cursor. That is wrong when their copies differed before. Class: a difference applied to another base than the one it was made from.

Change: a subscriber that may have had anything that its publisher lacked subscribes again instead of taking over the cursor; the answer is complete where deletions may be unknown, which updates now tell (deletionsFrom; older peers send zero, as before). A publisher states no cursor while it has some keys as of a later revision. Items older than the last reading are ignored. Weighed: closing all subscriptions at each reading (a whole copy to every member after each compaction of the store's history).

--- a/include/figstall/store_copy.h
+++ b/include/figstall/store_copy.h
@@ -32,6 +32,9 @@
   // All changes up to this revision have been published; zero makes no such
   // statement.
   Revision cursor = 0;
+  // The publisher knows the deletions after this revision. Keys that were
+  // deleted before may be missing from its copy without a trace.
+  Revision deletions_from = 0;
   // Time since the publisher's copy was last confirmed as current; empty if it
   // never was.
   std::optional<Duration> age;
@@ -85,15 +88,23 @@
   Revision SubscribeFrom() const { return resubscribe_from_.value_or(cursor_); }
   // This member has subscribed from SubscribeFrom(). The next update is the
   // publisher's answer.
-  void OnSubscribed() { resubscribe_from_.reset(); }
+  void OnSubscribed();
   // Returns false if updates are missing and this member has to subscribe
   // again.
   [[nodiscard]] bool ApplyRelayUpdate(const RelayUpdate& update);
 
+  // An update without changes, the answer to a poll.
+  RelayUpdate Position() const;
   // The answer to a subscription.
   RelayUpdate ChangesSince(Revision revision) const;
 
  private:
+  void Apply(const std::vector<StoreItem>& items, Revision cursor);
+  // A publisher publishes what changes its own copy. That brings this copy up
+  // to the update's cursor only if it had nothing that the publisher's copy
+  // lacked before: the publisher may not know that such a key was deleted
+  // since.
+  bool MayLackChanges(const RelayUpdate& update) const;
   // Returns the change of a long value as a delta from the copy's value, or
   // nullopt if the item is to be published in full.
   std::optional<ItemDelta> MakeItemDelta(const StoreItem& item) const;
@@ -105,7 +116,18 @@
   const Handlers handlers_;
   StoreMirror mirror_;
   Revision cursor_ = 0;
+  // Newest section of a reading of all keys. Keys that were deleted up to it
+  // may be missing from the copy without a trace.
+  Revision consistent_from_ = 0;
+  // Newest revision of any item, also beyond the cursor.
+  Revision newest_ = 0;
+  // Changes up to this revision may be in the copy that did not come from the
+  // publisher.
+  Revision ahead_through_ = 0;
   std::optional<Revision> resubscribe_from_;
+  // The publisher's cursor in its last update; empty until it has answered the
+  // subscription.
+  std::optional<Revision> publisher_cursor_;
 };
 
 }  // namespace figstall
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -26,8 +26,8 @@
 struct MirrorChanges {
   std::vector<StoreItem> items;
   // True if the items are a snapshot: keys that are not among them do not
-  // exist. It replaces changes when deletions since the revision may be
-  // missing, and when the revision is zero.
+  // exist at its cursor. It replaces changes when deletions since the revision
+  // may be missing, and when the revision is zero.
   bool complete = false;
 };
 
@@ -38,7 +38,7 @@
 class StoreMirror {
  public:
   // Stores the item. Returns false, and changes nothing, if the key is known at
-  // the same or a newer revision.
+  // the same or a newer revision, or a snapshot told what it was later.
   bool Put(const StoreItem& item);
   // Null if the key is unknown. Remembered deletions are found as items.
   const StoreItem* Find(const std::string& key) const;
@@ -48,10 +48,15 @@
   std::vector<StoreItem> InferDeletions(const std::vector<StoreItem>& items,
                                         const std::string& prefix,
                                         Revision revision) const;
-  // The copy was brought up to `revision` by a snapshot, which does not tell
-  // which keys were deleted before it.
+  // The items that were put, last those of a snapshot, are all that existed at
+  // `revision`. Which keys were deleted before it is not known.
   void OnSnapshot(Revision revision);
-  MirrorChanges ChangesSince(Revision revision) const;
+  // Deletions up to `revision` may be unknown.
+  void OnDeletionsMissed(Revision revision);
+  Revision deletions_from() const { return dropped_through_; }
+  // `cursor` is the revision up to which the mirror has all changes. It may
+  // have later ones.
+  MirrorChanges ChangesSince(Revision revision, Revision cursor) const;
 
  private:
   void DropOldDeletions();
@@ -59,6 +64,8 @@
   // Deleted items stay, marked as deleted, until they are dropped.
   std::map<std::string, StoreItem> items_;
   std::size_t deletion_count_ = 0;
+  // The items are those that existed at this revision, and later changes.
+  Revision snapshot_through_ = 0;
   // Deletions up to this revision may have been dropped or never known.
   Revision dropped_through_ = 0;
 };
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -93,11 +93,7 @@
       [this, with_age](Revision revision) {
         return with_age(copy_.ChangesSince(revision));
       },
-      [this, with_age] {
-        RelayUpdate update;
-        update.cursor = copy_.cursor();
-        return with_age(std::move(update));
-      });
+      [this, with_age] { return with_age(copy_.Position()); });
   Join();
 }
 
@@ -331,8 +327,12 @@
 }
 
 void EntryControl::OnRelayUpdate(const RelayUpdate& update) {
-  if (!copy_.ApplyRelayUpdate(update))
+  if (!copy_.ApplyRelayUpdate(update)) {
+    log_.Write(LogLevel::kInfo, "relay-renewed",
+               {{"cursor", std::to_string(copy_.cursor())},
+                {"publisher", std::to_string(update.cursor)}});
     subscriber_.Stop();
+  }
   view_.last_update_at = BootNow();
   if (view_changed_)
     ProcessChanges();
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -156,4 +156,7 @@
   # Number of the age query that this update responds to; zero for published
   # changes.
   question @5 :UInt32;
+  # Deletions up to this revision may be missing from the sender's copy without
+  # a trace.
+  deletionsFrom @6 :UInt64;
 }
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -265,7 +265,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82b77de53f4c3e7f, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(82b77de53f4c3e7f, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1820,6 +1820,8 @@
 
   inline  ::uint32_t getQuestion() const;
 
+  inline  ::uint64_t getDeletionsFrom() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1874,6 +1876,9 @@
   inline  ::uint32_t getQuestion();
   inline void setQuestion( ::uint32_t value);
 
+  inline  ::uint64_t getDeletionsFrom();
+  inline void setDeletionsFrom( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3802,6 +3807,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RelayUpdate::Reader::getDeletionsFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RelayUpdate::Builder::getDeletionsFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RelayUpdate::Builder::setDeletionsFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/store_copy.cc
+++ b/src/store_copy.cc
@@ -18,25 +18,38 @@
   // Continues from the revision of the oldest section, so that no change is
   // missed.
   Revision cursor = sections.front().revision;
+  Revision newest = 0;
   for (const StoreSection& section : sections) {
     const auto deletions =
         mirror_.InferDeletions(section.items, section.prefix, section.revision);
     items.insert(items.end(), deletions.begin(), deletions.end());
     items.insert(items.end(), section.items.begin(), section.items.end());
     cursor = std::min(cursor, section.revision);
+    newest = std::max(newest, section.revision);
   }
-  // A part of the keys brings the copy up to no revision. Changes after the
-  // cursor follow one by one, also deletions.
-  const Revision complete_until = covers_all_keys ? cursor : 0;
-  mirror_.OnSnapshot(complete_until);
-  ApplyChanges(items, complete_until);
+  ahead_through_ = std::max(ahead_through_, newest);
+  if (!covers_all_keys) {
+    // A part of the keys brings the copy up to no revision. Changes after the
+    // cursor follow one by one, also deletions.
+    return Apply(items, 0);
+  }
+  consistent_from_ = std::max(consistent_from_, newest);
+  mirror_.OnDeletionsMissed(cursor);
+  Apply(items, cursor);
+  mirror_.OnSnapshot(cursor);
 }
 
 void StoreCopy::ApplyChanges(const std::vector<StoreItem>& items,
                              Revision cursor) {
+  ahead_through_ = std::max(ahead_through_, cursor);
+  Apply(items, cursor);
+}
+
+void StoreCopy::Apply(const std::vector<StoreItem>& items, Revision cursor) {
   RelayUpdate update;
   for (const StoreItem& item : NewestOfEachKey(items)) {
     std::optional<ItemDelta> delta = MakeItemDelta(item);
+    newest_ = std::max(newest_, item.revision);
     if (!mirror_.Put(item) || !handlers_.apply(item))
       continue;
     if (delta)
@@ -45,11 +58,14 @@
       update.items.push_back(item);
   }
   cursor_ = std::max(cursor_, cursor);
+  newest_ = std::max(newest_, cursor);
   // An advanced cursor alone is not published; subscribers get it when they
   // poll.
   if (update.items.empty() && update.deltas.empty())
     return;
-  update.cursor = cursor_;
+  const RelayUpdate position = Position();
+  update.cursor = position.cursor;
+  update.deletions_from = position.deletions_from;
   handlers_.publish(update);
 }
 
@@ -82,31 +98,51 @@
   return false;
 }
 
+void StoreCopy::OnSubscribed() {
+  resubscribe_from_.reset();
+  publisher_cursor_.reset();
+  ahead_through_ = newest_;
+}
+
+bool StoreCopy::MayLackChanges(const RelayUpdate& update) const {
+  return publisher_cursor_ && *publisher_cursor_ < ahead_through_ &&
+         update.cursor > cursor_;
+}
+
 bool StoreCopy::ApplyRelayUpdate(const RelayUpdate& update) {
   std::vector<StoreItem> items = update.items;
   bool all_expanded = true;
   for (const ItemDelta& delta : update.deltas)
     all_expanded = ExpandDelta(delta, items) && all_expanded;
-  if (!all_expanded) {
-    // Subscribing again from an earlier revision makes the publisher send the
-    // missing items in full.
-    ApplyChanges(items, 0);
+  if (!all_expanded || MayLackChanges(update)) {
+    // The answer to a new subscription has the missing items in full.
+    Apply(items, 0);
     return false;
   }
+  publisher_cursor_ = update.cursor;
+  mirror_.OnDeletionsMissed(update.deletions_from);
   if (update.complete)
     ApplyRead({{"", false, items, update.cursor}}, /*covers_all_keys=*/true);
   else
-    ApplyChanges(items, update.cursor);
+    Apply(items, update.cursor);
   return true;
 }
 
 RelayUpdate StoreCopy::ChangesSince(Revision revision) const {
-  MirrorChanges changes = mirror_.ChangesSince(revision);
-  RelayUpdate update;
+  MirrorChanges changes = mirror_.ChangesSince(revision, cursor_);
+  RelayUpdate update = Position();
   update.items = std::move(changes.items);
   update.complete = changes.complete;
-  update.cursor = cursor_;
   return update;
 }
 
+RelayUpdate StoreCopy::Position() const {
+  RelayUpdate position;
+  // No cursor while the copy has some keys as of a later revision.
+  if (cursor_ >= consistent_from_)
+    position.cursor = cursor_;
+  position.deletions_from = mirror_.deletions_from();
+  return position;
+}
+
 }  // namespace figstall
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -31,6 +31,8 @@
 }
 
 bool StoreMirror::Put(const StoreItem& item) {
+  if (item.revision <= snapshot_through_)
+    return false;
   StoreItem& known = items_[item.key];
   if (item.revision <= known.revision)
     return false;
@@ -81,15 +83,22 @@
 }
 
 void StoreMirror::OnSnapshot(Revision revision) {
+  snapshot_through_ = std::max(snapshot_through_, revision);
+  OnDeletionsMissed(revision);
+}
+
+void StoreMirror::OnDeletionsMissed(Revision revision) {
   dropped_through_ = std::max(dropped_through_, revision);
 }
 
-MirrorChanges StoreMirror::ChangesSince(Revision revision) const {
+MirrorChanges StoreMirror::ChangesSince(Revision revision,
+                                        Revision cursor) const {
   MirrorChanges changes;
   changes.complete = revision < dropped_through_ || revision == 0;
   for (const auto& [key, item] : items_) {
-    const bool included =
-        changes.complete ? !item.deleted : item.revision > revision;
+    const bool included = changes.complete
+                              ? !item.deleted || item.revision > cursor
+                              : item.revision > revision;
     if (included)
       changes.items.push_back(item);
   }
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -94,6 +94,7 @@
                  : kNeverConfirmedMillis);
   root.setComplete(update.complete);
   root.setQuestion(update.poll_id);
+  root.setDeletionsFrom(update.deletions_from);
   auto items = root.initItems(static_cast<unsigned>(update.items.size()));
   unsigned index = 0;
   for (const StoreItem& item : update.items) {
@@ -118,6 +119,7 @@
     update.age = std::chrono::milliseconds(root.getAgeMillis());
   update.complete = root.getComplete();
   update.poll_id = root.getQuestion();
+  update.deletions_from = root.getDeletionsFrom();
   for (const auto item : root.getItems()) {
     update.items.push_back({item.getKey(), DataToString(item.getValue()),
                             item.getRevision(), item.getDeleted()});
