Credits of a lost response are granted again

Change: a request without a response is repeated under its serial number, and the issuer grants it what it granted it before, while those credits are valid. They expire from the first request on, and a second response is ignored, so nothing is sent twice for them. The test counts as use the requests that were sent for credits after the first seven seconds, no longer only those that the rule counts; requests of members without knowledge of the limit still do not count, nor does the bound of the rule change.

--- a/include/figstall/send_credits.h
+++ b/include/figstall/send_credits.h
@@ -81,10 +81,11 @@
 // Tokens of one target at its issuer.
 class CreditBucket {
  public:
-  // Returns how many of `wanted` credits are granted at this rate.
+  // Returns how many credits are granted at this rate. A request that is
+  // repeated, since its response may have been lost, is granted the same ones.
   std::uint32_t Take(Instant now,
                      double per_second,
-                     std::uint32_t wanted,
+                     const CreditRequest& request,
                      const CreditTiming& timing);
   // Time until a token is expected that no earlier refused request will take.
   Duration Backoff(double per_second, const CreditTiming& timing) const;
@@ -92,6 +93,13 @@
  private:
   std::optional<Instant> refilled_at_;
   double tokens_ = 0;
+  struct Grant {
+    std::uint64_t serial = 0;
+    std::uint32_t granted = 0;
+    Instant at;
+  };
+  // The last one of each member, as long as its credits are valid.
+  std::map<VmId, Grant> last_grants_;
   // Requests refused since the last grant.
   std::uint32_t refused_ = 0;
 };
@@ -156,9 +164,11 @@
   struct Account {
     // Expiry of each credit, ascending.
     std::deque<Instant> credits;
-    // When each request without a response was sent, by serial number.
-    std::map<std::uint64_t, Instant> requested_at;
-    std::optional<Instant> last_requested_at;
+    // The request without a response. It is repeated under its serial number.
+    std::uint64_t serial = 0;
+    std::uint32_t wanted = 0;
+    std::optional<Instant> requested_at;
+    std::optional<Instant> last_sent_at;
     Instant refused_until{};
     VmId issuer;
     std::uint32_t next_wanted = 1;
--- a/src/send_credits.cc
+++ b/src/send_credits.cc
@@ -21,8 +21,14 @@
 
 std::uint32_t CreditBucket::Take(Instant now,
                                  double per_second,
-                                 std::uint32_t wanted,
+                                 const CreditRequest& request,
                                  const CreditTiming& timing) {
+  std::erase_if(last_grants_, [&](const auto& each) {
+    return now - each.second.at >= timing.validity;
+  });
+  const auto last = last_grants_.find(request.from);
+  if (last != last_grants_.end() && last->second.serial == request.serial)
+    return last->second.granted;
   const double capacity =
       std::max(timing.min_burst, per_second * timing.burst_seconds);
   // A new issuer starts without tokens, since another one may have just issued
@@ -33,8 +39,10 @@
   refilled_at_ = now;
   tokens_ = std::min(capacity, tokens_ + per_second * elapsed);
   const auto granted = std::min<std::uint32_t>(
-      wanted, static_cast<std::uint32_t>(std::floor(tokens_)));
+      request.wanted, static_cast<std::uint32_t>(std::floor(tokens_)));
   tokens_ -= granted;
+  if (granted > 0)
+    last_grants_[request.from] = {request.serial, granted, now};
   refused_ = granted > 0 ? 0 : refused_ + 1;
   return granted;
 }
@@ -129,7 +137,6 @@
       peer.unanswered == 0)
     ++peer.unanswered;
   peer.last_sent_at = now;
-  request.from = self_;
   request.limit = notices_.StatementOf(now, request.target);
   handlers_.send(to, request);
 }
@@ -142,6 +149,7 @@
   if (peer != peers_.end() && now - peer->second.last_sent_at < interval)
     return;
   CreditRequest request;
+  request.from = self_;
   request.serial = ++last_serial_;
   request.target = target;
   SendRequest(now, member, request);
@@ -187,8 +195,8 @@
     return CreditState::kAvailable;
   if (now < account.refused_until)
     return CreditState::kRefused;
-  if (!account.last_requested_at || account.requested_at.empty() ||
-      now - *account.last_requested_at >= timing_.resend_interval)
+  if (!account.requested_at ||
+      now - *account.last_sent_at >= timing_.resend_interval)
     Request(now, target, target_zone, account);
   // This member may be the issuer, or have learned that the limit has ended.
   if (has_credit() || !IsLimited(target))
@@ -201,15 +209,18 @@
                           const TargetIncarnation& target,
                           const ZoneId& target_zone,
                           Account& account) {
-  std::erase_if(account.requested_at, [&](const auto& each) {
-    return now - each.second >= timing_.validity;
-  });
+  if (!account.requested_at ||
+      now - *account.requested_at >= timing_.validity) {
+    account.serial = ++last_serial_;
+    account.wanted = account.next_wanted;
+    account.requested_at = now;
+  }
+  account.last_sent_at = now;
   CreditRequest request;
-  request.serial = ++last_serial_;
+  request.from = self_;
+  request.serial = account.serial;
   request.target = target;
-  request.wanted = account.next_wanted;
-  account.requested_at[request.serial] = now;
-  account.last_requested_at = now;
+  request.wanted = account.wanted;
   const VmId issuer = FindIssuer(now, target, target_zone);
   if (issuer != account.issuer)
     handlers_.on_issuer(target, issuer);
@@ -233,8 +244,7 @@
     return;
   // More are requested at once only if all were used quickly; a credit that
   // expires unused is lost to the other members.
-  const bool quickly =
-      now - *account->second.last_requested_at < timing_.quick_use;
+  const bool quickly = now - *account->second.last_sent_at < timing_.quick_use;
   account->second.next_wanted =
       quickly ? std::min(2 * account->second.next_wanted, timing_.max_wanted)
               : 1;
@@ -252,7 +262,7 @@
   }
   const double rate = std::max(*response.limit->per_second, timing_.min_rate);
   CreditBucket& bucket = buckets_[request.target];
-  response.granted = bucket.Take(now, rate, request.wanted, timing_);
+  response.granted = bucket.Take(now, rate, request, timing_);
   if (response.granted == 0)
     response.backoff = bucket.Backoff(rate, timing_);
   return response;
@@ -290,11 +300,11 @@
   const auto account = accounts_.find(response.target);
   if (account == accounts_.end())
     return;
-  const auto requested = account->second.requested_at.find(response.serial);
-  if (requested == account->second.requested_at.end())
+  if (!account->second.requested_at ||
+      account->second.serial != response.serial)
     return;
-  const Instant expiry = requested->second + timing_.validity;
-  account->second.requested_at.erase(requested);
+  const Instant expiry = *account->second.requested_at + timing_.validity;
+  account->second.requested_at.reset();
   if (expiry <= now)
     return;
   const std::uint32_t granted = std::min(response.granted, timing_.max_wanted);
--- a/test/send_credits_test.cc
+++ b/test/send_credits_test.cc
@@ -50,7 +50,8 @@
 struct RunResult {
   // Most counted requests in one window.
   std::size_t most = 0;
-  // Counted requests after the first window, as a share of the limit.
+  // Requests sent for credits after the first window, as a share of the limit.
+  // A request of a member that knows no limit yet is no use of it.
   double use = 0;
   std::size_t requested = 0;
   std::size_t sent = 0;
@@ -213,6 +214,8 @@
     switch (member.credits->Check(now_, kTarget, kTargetZone)) {
       case CreditState::kAvailable:
         member.credits->Consume(now_, kTarget);
+        if (member.notices.LimitOf(kTarget) && now_ >= measured_from_)
+          ++used_credits_;
         return After(RandomDuration(milliseconds(1), milliseconds(14)),
                      [this, index] { Arrive(index); });
       case CreditState::kPending:
@@ -308,22 +311,18 @@
     RunResult result;
     std::deque<Instant> window;
     result.requested = requested_;
-    const Instant measured_from = Instant{} + kStability + kWindow;
-    std::size_t measured = 0;
     for (const auto& [at, counted] : arrivals_) {
       ++result.sent;
       if (!counted)
         continue;
-      if (at >= measured_from)
-        ++measured;
       window.push_back(at);
       while (at - window.front() > kWindow)
         window.pop_front();
       result.most = std::max(result.most, window.size());
     }
-    result.use = static_cast<double>(measured) /
+    result.use = static_cast<double>(used_credits_) /
                  (options_.limit *
-                  std::chrono::duration<double>(end_ - measured_from).count());
+                  std::chrono::duration<double>(end_ - measured_from_).count());
     return result;
   }
 
@@ -335,12 +334,14 @@
   const Options options_;
   std::mt19937_64 random_;
   Instant now_{};
+  const Instant measured_from_ = Instant{} + kStability + kWindow;
   const Instant end_ = Instant{} + options_.length;
   std::uint64_t order_ = 0;
   std::priority_queue<Event> events_;
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<Arrival> arrivals_;
   std::size_t requested_ = 0;
+  std::size_t used_credits_ = 0;
   std::optional<Instant> first_named_at_;
 };
 
@@ -437,6 +438,55 @@
         CreditState::kPending);
 }
 
+// Guards against a target that is used less than it allows, because the credits
+// of a lost response are lost with it.
+TEST_CASE("a repeated request is granted the credits of a lost response") {
+  TargetNotices notices;
+  notices.OnReportedLimit(kTarget, {0.5, Instant{}});
+  std::vector<CreditMessage> sent;
+  SendCredits::Handlers handlers;
+  handlers.send = [&](const VmId&, const CreditMessage& message) {
+    sent.push_back(message);
+  };
+  handlers.on_limit = [](const auto&...) {};
+  handlers.on_issuer = [](const auto&...) {};
+  const std::map<VmId, ZoneId> members = {{VmId("m-0"), kTargetZone},
+                                          {VmId("m-1"), ZoneId("zone-1")}};
+  SendCredits issuer(VmId("m-0"), notices, handlers);
+  issuer.SetMembers(members);
+  SendCredits member(VmId("m-1"), notices, handlers);
+  member.SetMembers(members);
+  const auto issue = [&](Instant now) {
+    return issuer.OnRequest(now, std::get<CreditRequest>(sent.back()),
+                            kTargetZone);
+  };
+  // The bucket fills from its first request on.
+  Instant now = Instant{} + seconds(10);
+  CreditRequest other;
+  other.from = VmId("m-2");
+  other.target = kTarget;
+  other.wanted = 1;
+  CHECK(issuer.OnRequest(now, other, kTargetZone).granted == 0);
+  now += seconds(2);
+  CHECK(member.Check(now, kTarget, kTargetZone) == CreditState::kPending);
+  CHECK(issue(now).granted == 1);
+  now += milliseconds(60);
+  CHECK(member.Check(now, kTarget, kTargetZone) == CreditState::kPending);
+  REQUIRE(sent.size() == 2);
+  const CreditResponse repeated = issue(now);
+  CHECK(repeated.granted == 1);
+  // Both responses arrive after all: one credit, valid from the first request.
+  member.OnResponse(now, repeated);
+  member.OnResponse(now, repeated);
+  CHECK(member.granted() == 1);
+  CHECK(member.HasCredit(now + milliseconds(639), kTarget));
+  CHECK_FALSE(member.HasCredit(now + milliseconds(640), kTarget));
+  // Nothing was taken twice.
+  now += seconds(2);
+  other.serial = 1;
+  CHECK(issuer.OnRequest(now, other, kTargetZone).granted == 1);
+}
+
 TEST_CASE("a statement that a limit has ended reaches those who ask") {
   TargetNotices notices;
   notices.OnReportedLimit(kTarget, {4.0, Instant{}});
