Log line relay-stale: an entry that watches the store since its source's copy is old

No line says which entries then watch the store for themselves, which over the link between regions is the suspected cause of the delay.

Change: the line, with the source and the age of its copy.

Measured: builds; no decision changed.

--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -285,8 +285,15 @@
   // before this member watches the store itself.
   if (!connectivity_.watching() && !connectivity_.lost() &&
       !store_read_in_progress_ && now >= next_watch_at_ &&
-      (!source.member || now - source_confirmed_at_ >= source.relay_timeout))
+      (!source.member || now - source_confirmed_at_ >= source.relay_timeout)) {
+    if (source.member)
+      log_.Write(
+          LogLevel::kInfo, "relay-stale",
+          {{"source", source.member->vm.value()},
+           {"age_ms",
+            std::to_string((now - source_confirmed_at_).count() / 1000)}});
     Watch();
+  }
 }
 
 void EntryControl::Watch() {
