Entries behind a restored relay source do not all watch the store

Cause: the root of the relay loses the store at 17.5 s, just before the desired state grows to 155 KB and changes thirty times. Each gets each version in full over one link of 64 Mbit/s. The delays between the levels, 150 ms, were meant to prevent that, but an entry learned of its source's age by polls each 250 ms, so that entries at the leaves could give up first; and an entry that began to watch confirmed its copy only 350 ms later. Class: a fallback that all take at once.

Change: the copy's age is polled each 50 ms while it is between 0.7 and 2 s old, an entry that begins to watch with an old copy renews its membership at once (which confirms the copy), levels are 200 ms apart and the first waits 1.0 s; the last still waits 1.4 s.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -66,11 +66,17 @@
   // to it, stay within the two seconds that the platform allows for a desired
   // state.
   Duration relay_poll_interval = std::chrono::milliseconds(250);
-  Duration relay_timeout = std::chrono::milliseconds(1100);
+  Duration relay_timeout = std::chrono::milliseconds(1000);
   // Added to `relay_timeout` per relay level. Members farther from the member
   // that watches the store wait longer, because members closer to it restore
-  // the relay for them.
-  Duration relay_timeout_per_level = std::chrono::milliseconds(150);
+  // the relay for them. All members watching at once would fill the links
+  // between regions.
+  Duration relay_timeout_per_level = std::chrono::milliseconds(200);
+  // From the first to the second age of its copy on, a member polls its source
+  // more often, so that it learns in time that the relay was restored.
+  Duration relay_alert_age = std::chrono::milliseconds(700);
+  Duration relay_alert_end_age = std::chrono::milliseconds(2000);
+  Duration relay_alert_poll_interval = std::chrono::milliseconds(50);
   // Interval between two reports that contain the targets' processing times.
   Duration processing_time_report_interval = std::chrono::seconds(3);
   Duration store_retry_interval = std::chrono::milliseconds(250);
@@ -176,6 +182,8 @@
   // Time since the copy was last confirmed to be up to date; nullopt if it
   // never was.
   std::optional<Duration> Staleness(Instant now) const;
+  // The interval at which to poll a source whose copy is so old.
+  Duration RelayPollInterval(Duration age) const;
   void Watch();
   void OnWatchResponse(const StoreResponse& response);
   void CancelWatch();
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -269,7 +269,8 @@
                   {"from", std::to_string(copy_.SubscribeFrom())}});
       copy_.OnSubscribed();
     }
-    if (now - relay_polled_at_ >= timing_.relay_poll_interval) {
+    if (now - relay_polled_at_ >=
+        RelayPollInterval(now - source_confirmed_at_)) {
       relay_polled_at_ = now;
       subscriber_.Poll(now);
     }
@@ -296,10 +297,22 @@
   }
 }
 
+Duration EntryControl::RelayPollInterval(Duration age) const {
+  return age >= timing_.relay_alert_age && age < timing_.relay_alert_end_age
+             ? timing_.relay_alert_poll_interval
+             : timing_.relay_poll_interval;
+}
+
 void EntryControl::Watch() {
-  connectivity_.OnWatchSent(BootNow());
-  membership_renewal_due_at_ = std::min(
-      membership_renewal_due_at_, BootNow() + timing_.watcher_renewal_interval);
+  const Instant now = BootNow();
+  connectivity_.OnWatchSent(now);
+  // A copy that is not confirmed is to be confirmed at once, for those that
+  // wait for it.
+  const auto age = Staleness(now);
+  const bool confirmed = age && *age < timing_.relay_timeout;
+  membership_renewal_due_at_ =
+      std::min(membership_renewal_due_at_,
+               confirmed ? now + timing_.watcher_renewal_interval : now);
   store_.Watch(
       kAllKeysPrefix, copy_.cursor(), timing_.watch_timeout,
       [this, generation = ++watch_generation_](const StoreResponse& response) {
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -79,6 +79,37 @@
     assert "store-lost" in events and "store-regained" in events, events
 
 
+# Guards against all entries watching the store at once when the entry that
+# watches it for them is lost: on umurage-auctions-grown that filled the link
+# between the regions, and desired states came seconds late (CONFIG, DRAIN).
+def a_lost_relay_root_is_replaced_by_few_watches():
+    fleet = EntryFleet(ZONES, 5)
+    root = fleet.entries[0]
+    settings = json.loads(root.settings_path.read_text())
+    settings["vm_size"] = {"cores": 4, "link_mbps": 4000}
+    root.settings_path.write_text(json.dumps(settings))
+    lines_before = {}
+
+    def count_lines(fleet):
+        lines_before.update(
+            {entry.name: len(entry.log()) for entry in fleet.entries})
+
+    report, status = fleet.run(
+        small_scenario(fleet, length_s=8),
+        [Action(LEAD_S + 1.9, count_lines),
+         *freeze_entry(LEAD_S + 2, 0, for_s=4)])
+    assert report["violations"] == [] and status == 0, report["violations"]
+    sources = {entry.name: [line["source"]
+                            for line in entry.log()[lines_before[entry.name]:]
+                            if line["event"] == "relay-stale"]
+               for entry in fleet.entries}
+    # Those that subscribe to the lost entry watch for themselves, and serve the
+    # others.
+    assert any(sources.values()), sources
+    assert all(source == root.name
+               for each in sources.values() for source in each), sources
+
+
 # Guards against ownership violations when the store's responses are lost while
 # a target leaves, so that an entry can't know whether its write took effect.
 def lost_answers_of_the_store_break_no_promise():
@@ -324,6 +355,7 @@
 
 TESTS = [a_quiet_run_serves_everything, crashed_targets_lose_no_promise,
          a_silent_store_stops_nothing,
+         a_lost_relay_root_is_replaced_by_few_watches,
          lost_answers_of_the_store_break_no_promise,
          a_dropped_history_is_read_anew, garbled_answers_reach_nobody,
          a_target_that_says_it_leaves_gets_nothing_later,
