One ToMillis; responses of an Exchange get a file of their own

Change: ToMillis() stands beside Duration and is used everywhere. Functions are moved, not changed; the lines differ in namespaces, includes and these calls only.

--- a/include/figstall/types.h
+++ b/include/figstall/types.h
@@ -19,6 +19,12 @@
       static_cast<double>(duration.count()) * factor));
 }
 
+// Whole milliseconds, rounded towards zero.
+inline std::int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 // A monotonic clock (CLOCK_BOOTTIME) that also advances while a VM is
 // suspended, so that a lease expires for a holder that was suspended past its
 // end. No decision depends on wall time.
--- a/src/caller_request.cc
+++ b/src/caller_request.cc
@@ -20,22 +20,18 @@
 std::int64_t ParseDeadline(const std::string& text,
                            const ServiceRecord& service,
                            Findings& findings) {
-  const auto millis = [](Duration duration) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-        .count();
-  };
   if (text.empty())
-    return millis(service.default_deadline);
+    return ToMillis(service.default_deadline);
   std::int64_t value = 0;
   const char* last = text.data() + text.size();
   const auto [end, error] = std::from_chars(text.data(), last, value);
   const bool fully_parsed = error == std::errc() && end == last;
-  if (!fully_parsed || value < 1 || value > millis(service.max_deadline)) {
+  if (!fully_parsed || value < 1 || value > ToMillis(service.max_deadline)) {
     findings.push_back(
         {kSource, kDeadlineHeader,
          fmt::format("\"{}\" is not a whole number of milliseconds from 1 to "
                      "{}",
-                     text, millis(service.max_deadline))});
+                     text, ToMillis(service.max_deadline))});
   }
   return value;
 }
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -291,8 +291,7 @@
       log_.Write(
           LogLevel::kInfo, "relay-stale",
           {{"source", source.member->vm.value()},
-           {"age_ms",
-            std::to_string((now - source_confirmed_at_).count() / 1000)}});
+           {"age_ms", std::to_string(ToMillis(now - source_confirmed_at_))}});
     Watch();
   }
 }
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -1,15 +1,13 @@
 // An asynchronous state machine with at most one attempt in progress. It is
 // driven by events of both connections, by the queue of waiting requests and by
-// Tick(), which enforces the timeouts.
+// Tick(), which enforces the timeouts. Responses are in exchange_response.cc.
 #include "figstall/exchange.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <charconv>
 
+#include "hop_by_hop.h"
 #include "platform/headers.h"
-#include "platform/target_notice.h"
 
 namespace figstall {
 namespace {
@@ -19,17 +17,8 @@
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 constexpr int kMisdirected = 421;
-constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-constexpr int kFirstServerError = 500;
 
-// A response body up to this size is buffered until it is complete, so that a
-// truncated response can be replaced; a longer one is streamed.
-constexpr std::size_t kMaxBufferedBytes = 262'144;
-// Reading from the target pauses while more bytes than this are unsent to the
-// caller.
-constexpr std::size_t kMaxUnsentBytes = 262'144;
 // A request with less time left than this fraction of the latency objective is
 // not sent, since a response in time is unlikely.
 constexpr double kMinTimeLeftShare = 0.1;
@@ -41,48 +30,8 @@
 // lost.
 constexpr double kKeyedAttemptTimeoutFactor = 4.0;
 constexpr Duration kMinKeyedAttemptTimeout = std::chrono::milliseconds(350);
-// Callers retry after at most a third of their remaining time (source: the
-// platform's protocol). Retry-After is limited to this fraction of it.
-constexpr double kRetryAfterShare = 0.3;
 // Retry-After while this process has no desired state.
 constexpr Duration kRetryAfterNoDesiredState = std::chrono::milliseconds(300);
-// One in this many requests is logged even if it was answered in time and
-// without a server error.
-constexpr std::uint64_t kLogSampleInterval = 16;
-
-// Hop-by-hop header fields, which apply to a single connection.
-bool IsHopByHopField(http::field field) {
-  switch (field) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::proxy_authenticate:
-    case http::field::proxy_authorization:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::expect:
-      return true;
-    default:
-      return false;
-  }
-}
-
-template <typename Message>
-void EraseHopByHopFields(Message& message) {
-  std::vector<std::string> named;
-  for (const auto& token : http::token_list(message[http::field::connection]))
-    named.emplace_back(token);
-  for (const std::string& name : named)
-    message.erase(name);
-  for (auto field = message.begin(); field != message.end();) {
-    if (IsHopByHopField(field->name()))
-      field = message.erase(field);
-    else
-      ++field;
-  }
-}
 
 template <typename Number>
 std::optional<Number> ParseNumber(std::string_view text) {
@@ -94,26 +43,8 @@
   return value;
 }
 
-std::int64_t ToMillis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 }  // namespace
 
-int LocalResponseStatus(ExecutionState state, bool deadline_passed) {
-  if (state == ExecutionState::kNotRun)
-    return kUnavailable;
-  return deadline_passed ? kGatewayTimeout : kBadGateway;
-}
-
-BodyHandling BodyHandlingFor(const ResponseHead& head, std::size_t bytes) {
-  if (head.count(platform::kNotRunHeader) > 0)
-    return BodyHandling::kDrop;
-  return bytes <= kMaxBufferedBytes ? BodyHandling::kBuffer
-                                    : BodyHandling::kStream;
-}
-
 Exchange::Exchange(EntryTraffic& traffic,
                    ResponseWriter caller,
                    CallerRequest request,
@@ -220,7 +151,7 @@
 std::shared_ptr<const HttpRequest> Exchange::MakeTargetRequest(
     const TargetClient& client) const {
   auto out = std::make_shared<HttpRequest>(request_);
-  EraseHopByHopFields(*out);
+  detail::EraseHopByHopFields(*out);
   out->version(11);
   out->set(platform::kTimeLeftHeader, std::to_string(std::max<std::int64_t>(
                                           1, ToMillis(TimeLeft(BootNow())))));
@@ -294,94 +225,6 @@
   attempt.connection->Send(MakeTargetRequest(*client), std::move(observer));
 }
 
-void Exchange::OnHead(const ResponseHead& head) {
-  if (!attempt_)
-    return;
-  attempt_->head = head;
-  attempt_->head_seen = true;
-  traffic_.notices_.OnAnswer(
-      BootNow(), attempt_->target,
-      platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head),
-      "response");
-}
-
-ResponseHead Exchange::MakeCallerHead() const {
-  ResponseHead head = attempt_->head;
-  EraseHopByHopFields(head);
-  return head;
-}
-
-void Exchange::OnBody(std::string_view bytes) {
-  if (!attempt_)
-    return;
-  Attempt& attempt = *attempt_;
-  if (attempt.streaming) {
-    caller_.SendBody(bytes, false);
-    if (caller_.unsent() > kMaxUnsentBytes)
-      attempt.connection->Pause();
-    return;
-  }
-  const BodyHandling handling =
-      BodyHandlingFor(attempt.head, attempt.body.size() + bytes.size());
-  if (handling == BodyHandling::kDrop)
-    return;
-  attempt.body += bytes;
-  if (handling == BodyHandling::kBuffer)
-    return;
-  attempt.streaming = true;
-  const std::weak_ptr<TargetConnection> connection = attempt.connection;
-  caller_.BeginResponse(MakeCallerHead(), [connection] {
-    if (const auto paused = connection.lock())
-      paused->Resume();
-  });
-  caller_.SendBody(attempt.body, false);
-  attempt.body.clear();
-}
-
-void Exchange::OnEnd() {
-  if (!attempt_)
-    return;
-  const int status = static_cast<int>(attempt_->head.result_int());
-  if (attempt_->head.count(platform::kNotRunHeader) > 0)
-    return OnRejected(status);
-  const bool failed = status >= kFirstServerError;
-  if (failed && !attempt_->streaming && MayRetry()) {
-    tried_targets_.insert(attempt_->target.id);
-    TargetClient* other = ChooseTarget();
-    if (other && TimeLeft(BootNow()) > traffic_.MeanLatency(service_) &&
-        traffic_.RetryBudgetFor(service_).TryRetry(
-            BootNow(), traffic_.targets_.RouterCount())) {
-      fallback_response_ = BufferedResponse();
-      execution_state_ = ExecutionState::kUnknown;
-      EndAttempt(AttemptOutcome::kFailed);
-      return Send(other);
-    }
-  }
-  Forward();
-}
-
-HttpResponse Exchange::BufferedResponse() {
-  HttpResponse response;
-  response.base() = MakeCallerHead();
-  response.version(11);
-  response.body() = std::move(attempt_->body);
-  if (request_.method() != http::verb::head)
-    response.erase(http::field::content_length);
-  return response;
-}
-
-void Exchange::Forward() {
-  const int status = static_cast<int>(attempt_->head.result_int());
-  if (attempt_->streaming) {
-    caller_.SendBody({}, true);
-  } else {
-    caller_.Reply(BufferedResponse());
-  }
-  EndAttempt(status >= kFirstServerError ? AttemptOutcome::kFailed
-                                         : AttemptOutcome::kAnswered);
-  Finish("answered", status, "");
-}
-
 void Exchange::OnRejected(int status) {
   --possible_executions_;
   const bool misdirected = status == kMisdirected;
@@ -531,93 +374,4 @@
   Send(other);
 }
 
-void Exchange::Refuse(const std::string& reason) {
-  const int status = LocalResponseStatus(execution_state_, false);
-  if (reason != "no-target-free")
-    return FinishWithLocalResponse(status, reason, waits_.retry_after);
-  const Instant now = BootNow();
-  Duration wait = keyed_ ? waits_.retry_after_moving : waits_.retry_after;
-  if (last_choice_.available_at)
-    wait = std::max(wait, *last_choice_.available_at - now);
-  FinishWithLocalResponse(
-      status,
-      reason + ": " +
-          traffic_.targets_.Explain(now, MakeTargetQuery(), last_choice_),
-      wait);
-}
-
-void Exchange::FinishWithLocalResponse(int status,
-                                       const std::string& reason,
-                                       std::optional<Duration> retry_after) {
-  if (ended_)
-    return;
-  if (fallback_response_) {
-    const ResponseWriter caller = caller_;
-    HttpResponse response = std::move(*fallback_response_);
-    Finish("answered", static_cast<int>(response.result_int()), reason);
-    return caller.Reply(std::move(response));
-  }
-  HttpResponse response;
-  response.result(static_cast<unsigned>(status));
-  response.version(11);
-  if (!id_.empty())
-    response.set(platform::kRequestIdHeader, id_);
-  if (status == kUnavailable && retry_after) {
-    const Duration max_wait = Scaled(TimeLeft(BootNow()), kRetryAfterShare);
-    const Duration wait =
-        std::max(Duration{0}, std::min(*retry_after, max_wait));
-    response.set(
-        http::field::retry_after,
-        fmt::format("{:.3f}", static_cast<double>(wait.count()) / 1e6));
-  }
-  response.set("Figstall-Reason", reason.substr(0, reason.find(':')));
-  const ResponseWriter caller = caller_;
-  Finish(execution_state_ == ExecutionState::kNotRun ? "not-run" : "unknown",
-         status, reason);
-  caller.Reply(std::move(response));
-}
-
-void Exchange::Finish(const std::string& outcome,
-                      int status,
-                      const std::string& reason) {
-  if (ended_)
-    return;
-  ended_ = true;
-  waiting_ = false;
-  caller_.SetCancelHandler(nullptr);
-  const Duration latency = BootNow() - arrived_at_;
-  const std::string labels =
-      fmt::format("route=\"{}\",outcome=\"{}\",reason=\"{}\"",
-                  route_ ? (route_->bulk         ? "bulk"
-                            : route_->idempotent ? "safe"
-                                                 : "once")
-                         : "none",
-                  outcome, reason.substr(0, reason.find(':')));
-  ++traffic_.metrics_.Counter("figstall_requests_total", labels);
-  traffic_.metrics_.Latency("figstall_request_seconds", "").Record(latency);
-  const bool late = route_ && latency > route_->latency_objective;
-  if (outcome != "answered" || status >= kFirstServerError || late ||
-      sequence_number_ % kLogSampleInterval == 0) {
-    traffic_.log_.Write(
-        LogLevel::kInfo, "request",
-        {{"id", id_},
-         {"route", route_ ? std::string_view(route_->name) : ""},
-         {"version", std::to_string(routes_ ? routes_->state().version : 0)},
-         {"service", service_.value()},
-         {"key", keyed_ ? std::to_string(key_) : ""},
-         {"outcome", outcome},
-         {"status", std::to_string(status)},
-         {"reason", reason},
-         {"target", last_target_.value()},
-         {"fence", std::to_string(last_fence_)},
-         {"in_flight", std::to_string(in_flight_when_sent_)},
-         {"sends", std::to_string(attempts_sent_)},
-         {"view_age_ms",
-          std::to_string(ToMillis(BootNow() - traffic_.view_.last_update_at))},
-         {"left_ms", std::to_string(ToMillis(TimeLeft(BootNow())))},
-         {"took_us", std::to_string(latency.count())}});
-  }
-  traffic_.RemoveExchange(this);
-}
-
 }  // namespace figstall
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -15,10 +15,9 @@
 constexpr std::size_t kSubmitQueueCapacity = 16'384;
 constexpr int kPollTimeoutMs = 1000;
 
-long Millis(Duration duration) {
-  const auto millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  return static_cast<long>(std::max<std::int64_t>(millis, 1));
+// Zero means no timeout to libcurl.
+long TimeoutMillis(Duration duration) {
+  return static_cast<long>(std::max<std::int64_t>(ToMillis(duration), 1));
 }
 
 void InitializeCurl() {
@@ -95,10 +94,10 @@
     curl_easy_setopt(easy_, CURLOPT_PROXY, "");
     curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, headers_);
     curl_easy_setopt(easy_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, Millis(request.timeout));
+    curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, TimeoutMillis(request.timeout));
     curl_easy_setopt(
         easy_, CURLOPT_CONNECTTIMEOUT_MS,
-        Millis(std::min(request.timeout, request.connect_timeout)));
+        TimeoutMillis(std::min(request.timeout, request.connect_timeout)));
     curl_easy_setopt(easy_, CURLOPT_WRITEFUNCTION, AppendBody);
     curl_easy_setopt(easy_, CURLOPT_WRITEDATA, &response_.body);
     curl_easy_setopt(easy_, CURLOPT_HEADERFUNCTION, AppendHeader);
--- a/src/router_node.cc
+++ b/src/router_node.cc
@@ -432,15 +432,11 @@
   sent.timeout = AttemptTimeout(request, begin);
   sent.fresh_connection = !request.idempotent;
   sent.expected_header = {"figstall-attempt", attempt};
-  sent.headers = {
-      fmt::format("Figstall-Attempt: {}", attempt),
-      fmt::format("Figstall-Service: {}", request.service.value()),
-      fmt::format("Figstall-Partition: {}", partition),
-      fmt::format("Figstall-Term: {}", term.ToString()),
-      fmt::format(
-          "Figstall-Deadline-Ms: {}",
-          std::chrono::duration_cast<std::chrono::milliseconds>(remaining)
-              .count())};
+  sent.headers = {fmt::format("Figstall-Attempt: {}", attempt),
+                  fmt::format("Figstall-Service: {}", request.service.value()),
+                  fmt::format("Figstall-Partition: {}", partition),
+                  fmt::format("Figstall-Term: {}", term.ToString()),
+                  fmt::format("Figstall-Deadline-Ms: {}", ToMillis(remaining))};
   if (request.id)
     sent.headers.push_back(
         fmt::format("Figstall-Request-Id: {}", request.id->ToString()));
--- a/src/store.cc
+++ b/src/store.cc
@@ -16,11 +16,6 @@
 constexpr int kConflictStatus = 409;
 constexpr int kNotFoundStatus = 404;
 
-std::int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 Result<json> ParseBody(const HttpClientResponse& response) {
   json value = json::parse(response.body, nullptr, /*allow_exceptions=*/false);
   if (value.is_discarded())
@@ -63,7 +58,7 @@
                                                     Duration wait) {
   constexpr Duration kResponseMargin = std::chrono::seconds(1);
   const std::string path = fmt::format("/v1/kv/{}?index={}&wait={}ms", key,
-                                       known_version, Millis(wait));
+                                       known_version, ToMillis(wait));
   return Get(path, wait + kResponseMargin);
 }
 
@@ -126,7 +121,7 @@
                                      Duration timeout) {
   if (session_.empty()) {
     const json session = {{"Name", holder},
-                          {"TTL", fmt::format("{}ms", Millis(time_to_live))},
+                          {"TTL", fmt::format("{}ms", ToMillis(time_to_live))},
                           {"Behavior", "delete"},
                           {"LockDelay", "0s"}};
     BOOST_LEAF_AUTO(created,
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -88,10 +88,10 @@
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::RelayUpdate>();
   root.setCursor(update.cursor);
-  root.setAgeMillis(
-      update.age ? static_cast<std::uint32_t>(std::min<std::int64_t>(
-                       update.age->count() / 1000, kNeverConfirmedMillis - 1))
-                 : kNeverConfirmedMillis);
+  root.setAgeMillis(update.age
+                        ? static_cast<std::uint32_t>(std::min<std::int64_t>(
+                              ToMillis(*update.age), kNeverConfirmedMillis - 1))
+                        : kNeverConfirmedMillis);
   root.setComplete(update.complete);
   root.setQuestion(update.poll_id);
   root.setDeletionsFrom(update.deletions_from);
--- a/src/target_notice_recorder.cc
+++ b/src/target_notice_recorder.cc
@@ -43,10 +43,7 @@
          {"born", std::to_string(target.started_at_ms)},
          {"notice", kind},
          {"value", invalid ? change.text : fmt::format("{:.3f}", change.value)},
-         {"lasted_ms",
-          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                             change.lasted)
-                             .count())},
+         {"lasted_ms", std::to_string(ToMillis(change.lasted))},
          {"source", source}});
   }
 }
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -158,10 +158,8 @@
 std::string TargetSelector::Explain(Instant now,
                                     const TargetQuery& query,
                                     const TargetChoice& choice) const {
-  const long pause_ms =
-      choice.available_at
-          ? static_cast<long>((*choice.available_at - now).count() / 1000)
-          : 0;
+  const std::int64_t pause_ms =
+      choice.available_at ? ToMillis(*choice.available_at - now) : 0;
   const char* limited_text =
       "limits its requests, and this router has no credit for another one";
   if (!query.key) {
--- a/test/fakes/notice_checker.cc
+++ b/test/fakes/notice_checker.cc
@@ -16,10 +16,6 @@
 constexpr double kLimitSlack = 5;
 constexpr int kMaxArrivalsInPause = 2;
 
-long ToMillis(Duration duration) {
-  return static_cast<long>(duration.count() / 1000);
-}
-
 }  // namespace
 
 void NoticeChecker::OnRequestSent(const std::string& request_id,
--- a/test/store_copy_test.cc
+++ b/test/store_copy_test.cc
@@ -2,6 +2,8 @@
 // started again, are cut off, read everything anew and change their publishers.
 #include "figstall/store_copy.h"
 
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <deque>
 #include <map>
@@ -163,7 +165,7 @@
         const StoreItem* known = member.copy->Find(key);
         const std::string relevant = known ? Relevant(*known) : "deleted";
         if (cursor > 0 && !store_.RelevantSince(key, cursor).contains(relevant))
-          return key + " is " + relevant + ", cursor " + std::to_string(cursor);
+          return fmt::format("{} is {}, cursor {}", key, relevant, cursor);
       }
     }
     return "";
