--- a/test/target_notices_test.cc
+++ b/test/target_notices_test.cc
@@ -120,7 +120,7 @@
   CHECK_FALSE(notices.LeavingSince(kTarget));
 }
 
-// Guards against a relay source that keeps the store's word from its
+// Guards against a relay source that does not publish a changed entry to its
 // subscribers because the target's own answers had said the same to it alone.
 TEST_CASE("a change of a target's entry is one whatever its answers said") {
   TargetNotices notices;
