Log lines retry-allowed and retry-refused, with the budget at that moment

Cause: nothing told why a request was repeated or not, so that the hypotheses about BUDGET could not be told apart: too few members seen, forgotten retries, requests counted elsewhere, or arrivals that no budget was asked for.

Change: each decision about a retry logs the requests and retries of the window, the limit and the members that it is divided by, and counts in figstall_retries_total. The four places that ask the budget call Exchange::TakeRetry.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -98,6 +98,8 @@
   // Retries the request if that is allowed; otherwise refuses it.
   void RetryOrRefuse(const std::string& reason);
   bool MayRetry() const;
+  // Takes one retry from the service's budget. Returns false if none is left.
+  bool TakeRetry(Instant now);
   void WaitForTarget();
   void Forward();
   ResponseHead MakeCallerHead() const;
--- a/include/figstall/shared_retry_budget.h
+++ b/include/figstall/shared_retry_budget.h
@@ -21,15 +21,24 @@
   double budget_share = 0.8;
 };
 
+// What a decision about a retry was based on, for the log.
+struct RetryDecisionBasis {
+  bool allowed = false;
+  // Requests and retries of the window, and the highest number of retries.
+  std::size_t requests = 0;
+  std::size_t used = 0;
+  double limit = 0;
+};
+
 // Retry budget of one service.
 class SharedRetryBudget {
  public:
   explicit SharedRetryBudget(RetryBudgetOptions options) : options_(options) {}
 
   void OnRequest(Instant now);
-  // Consumes one retry. Returns false if the share of this router, one of
-  // `routers`, is used up.
-  bool TryRetry(Instant now, std::uint32_t routers);
+  // Consumes one retry, unless the share of this router, one of `routers`, is
+  // used up.
+  RetryDecisionBasis TryRetry(Instant now, std::uint32_t routers);
 
  private:
   void DropExpired(Instant now);
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -3,6 +3,8 @@
 // Tick(), which enforces the timeouts. Responses are in exchange_response.cc.
 #include "figstall/exchange.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -237,22 +239,39 @@
   // A repeat that cannot be sent would only use up the budget.
   if (!ChooseTarget() && !MayWait(BootNow()))
     return Refuse("no-target-free");
-  if (!traffic_.RetryBudgetFor(service_).TryRetry(
-          BootNow(), traffic_.targets_.RouterCount()))
+  if (!TakeRetry(BootNow()))
     return Refuse("rejected-by-target");
   if (!TrySend())
     WaitForTarget();
 }
 
+bool Exchange::TakeRetry(Instant now) {
+  const std::uint32_t routers = traffic_.targets_.RouterCount();
+  const RetryDecisionBasis basis =
+      traffic_.RetryBudgetFor(service_).TryRetry(now, routers);
+  traffic_.log_.Write(LogLevel::kInfo,
+                      basis.allowed ? "retry-allowed" : "retry-refused",
+                      {{"id", id_},
+                       {"service", service_.value()},
+                       {"attempts", std::to_string(attempts_sent_)},
+                       {"requests", std::to_string(basis.requests)},
+                       {"used", std::to_string(basis.used)},
+                       {"limit", fmt::format("{:.1f}", basis.limit)},
+                       {"members", std::to_string(routers)}});
+  ++traffic_.metrics_.Counter(
+      "figstall_retries_total",
+      fmt::format("service=\"{}\",outcome=\"{}\"", service_.value(),
+                  basis.allowed ? "allowed" : "refused"));
+  return basis.allowed;
+}
+
 bool Exchange::MayRetry() const {
   return route_->idempotent && possible_executions_ < route_->attempts;
 }
 
 void Exchange::RetryOrRefuse(const std::string& reason) {
   if ((execution_state_ == ExecutionState::kNotRun || MayRetry()) &&
-      BootNow() < deadline_ &&
-      traffic_.RetryBudgetFor(service_).TryRetry(
-          BootNow(), traffic_.targets_.RouterCount())) {
+      BootNow() < deadline_ && TakeRetry(BootNow())) {
     if (!TrySend())
       WaitForTarget();
     return;
@@ -364,8 +383,7 @@
     return;
   tried_targets_.insert(attempt_->target.id);
   TargetClient* other = ChooseTarget();
-  if (!other || !traffic_.RetryBudgetFor(service_).TryRetry(
-                    now, traffic_.targets_.RouterCount()))
+  if (!other || !TakeRetry(now))
     return;
   execution_state_ = ExecutionState::kUnknown;
   const auto connection = attempt_->connection;
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -102,8 +102,7 @@
     tried_targets_.insert(attempt_->target.id);
     TargetClient* other = ChooseTarget();
     if (other && TimeLeft(BootNow()) > traffic_.MeanLatency(service_) &&
-        traffic_.RetryBudgetFor(service_).TryRetry(
-            BootNow(), traffic_.targets_.RouterCount())) {
+        TakeRetry(BootNow())) {
       fallback_response_ = BufferedResponse();
       execution_state_ = ExecutionState::kUnknown;
       EndAttempt(AttemptOutcome::kFailed);
--- a/src/shared_retry_budget.cc
+++ b/src/shared_retry_budget.cc
@@ -18,16 +18,19 @@
   requests_.push_back(now);
 }
 
-bool SharedRetryBudget::TryRetry(Instant now, std::uint32_t routers) {
+RetryDecisionBasis SharedRetryBudget::TryRetry(Instant now,
+                                               std::uint32_t routers) {
   DropExpired(now);
-  const double allowed =
-      options_.budget_share *
-      (options_.ratio * static_cast<double>(requests_.size()) +
-       options_.slack / std::max<std::uint32_t>(1, routers));
-  if (static_cast<double>(retries_.size()) + 1 > allowed)
-    return false;
-  retries_.push_back(now);
-  return true;
+  RetryDecisionBasis basis;
+  basis.requests = requests_.size();
+  basis.used = retries_.size();
+  basis.limit = options_.budget_share *
+                (options_.ratio * static_cast<double>(requests_.size()) +
+                 options_.slack / std::max<std::uint32_t>(1, routers));
+  basis.allowed = static_cast<double>(basis.used) + 1 <= basis.limit;
+  if (basis.allowed)
+    retries_.push_back(now);
+  return basis;
 }
 
 }  // namespace figstall
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -43,7 +43,7 @@
         process.budget->OnRequest(now);
         requests_.push_back(now);
       }
-      while (retrying && process.budget->TryRetry(now, process.seen))
+      while (retrying && process.budget->TryRetry(now, process.seen).allowed)
         retries_.push_back(now);
     }
   }
@@ -137,7 +137,7 @@
       budgets[router].OnRequest(At(millis));
       requests.push_back(At(millis));
     }
-    if (budgets[router].TryRetry(At(millis), kRouters))
+    if (budgets[router].TryRetry(At(millis), kRouters).allowed)
       retries.push_back(At(millis));
   }
   CHECK(retries.size() > 500);
@@ -161,10 +161,10 @@
 TEST_CASE("a router with few requests may still retry a few times") {
   SharedRetryBudget budget{RetryBudgetOptions{}};
   budget.OnRequest(At(0));
-  CHECK(budget.TryRetry(At(0), 10));
-  CHECK(budget.TryRetry(At(0), 10));
+  CHECK(budget.TryRetry(At(0), 10).allowed);
+  CHECK(budget.TryRetry(At(0), 10).allowed);
   int further_retries = 0;
-  while (budget.TryRetry(At(0), 10))
+  while (budget.TryRetry(At(0), 10).allowed)
     ++further_retries;
   CHECK(further_retries <= 2);
 }
