Each retry is paid for by requests that its own process received

What callers and targets saw: with several disruptions at once a service got more repeats than the operator allows (BUDGET), so that targets which shed were loaded further.

Cause: the budget of a process was a sliding window over its own requests and retries plus slack / members seen. A restart forgot the retries but not the right to them; the members seen are few while memberships lapse, at a start, or behind a cut, so that each of 67 processes took most of the slack for itself; and a window's retries could be counted against requests of two windows when callers changed members.

Change: a request pays for half of ratio retries within 0.9 windows, and pays once. The retries of any window are thus paid for by the requests of that window and the one before, of all members, whoever restarts or is cut off; the platform compares with ratio times the larger of both. The slack is divided by the highest number of members of the last 30 s, and only a process that has been a member for a whole window takes part. Requests in flight at a target are divided by the same number.

Why: nothing in the bound depends on what members know of each other, but for the slack. Weighed: a longer sliding window kept in the store (a write per retry, away in an outage), one member that issues retries as credits (a round trip before each retry, and no bound while members disagree on the issuer).

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -157,6 +157,7 @@
   };
 
   void Join();
+  void RecordMemberCounts(Instant now);
   void WriteMember(bool then_read);
   void RenewMembership(Instant now);
   void StartRead(ReadScope scope);
--- a/include/figstall/entry_view.h
+++ b/include/figstall/entry_view.h
@@ -13,6 +13,7 @@
 
 #include "figstall/desired_state.h"
 #include "figstall/hot_key_limits.h"
+#include "figstall/member_counts.h"
 #include "figstall/range_table.h"
 #include "figstall/target_entry.h"
 #include "figstall/types.h"
@@ -40,6 +41,8 @@
   TargetDirectory targets;
   std::map<ServiceId, RangeTable> tables;
   std::map<VmId, EntryMember> members;
+  // What bounds on sums over all members are divided by.
+  MemberCounts member_counts;
   // When an update was last received, from the store or from another member.
   Instant last_update_at{};
   // Limits on hot keys, and when they expire.
@@ -47,13 +50,6 @@
   Instant hot_key_limits_until{};
   // Region of each zone.
   std::map<ZoneId, RegionId> regions;
-
-  std::uint32_t MembersIn(const ZoneId& zone) const {
-    std::uint32_t count = 0;
-    for (const auto& [vm, member] : members)
-      count += member.zone == zone ? 1 : 0;
-    return count;
-  }
 };
 
 }  // namespace figstall
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -301,6 +301,7 @@
     for (const auto& [vm, member] : view_.members)
       members[vm] = member.zone;
     credits_.SetMembers(std::move(members));
+    RecordMemberCounts(BootNow());
     traffic_.OnViewChanged();
   }
   const Instant now = BootNow();
@@ -313,8 +314,17 @@
   SendGrants(now);
 }
 
+void EntryControl::RecordMemberCounts(Instant now) {
+  std::map<ZoneId, std::uint32_t> by_zone;
+  for (const auto& [vm, member] : view_.members)
+    ++by_zone[member.zone];
+  view_.member_counts.Record(
+      now, by_zone, member_written_ ? membership_valid_until_ : Instant{});
+}
+
 void EntryControl::Tick(Instant now) {
   RenewMembership(now);
+  RecordMemberCounts(now);
   MaintainSubscription(now);
   RemoveAbsentTargets(now);
   MarkLeavingTargets();
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -246,18 +246,19 @@
 }
 
 bool Exchange::TakeRetry(Instant now) {
-  const std::uint32_t routers = traffic_.targets_.RouterCount();
-  const RetryDecisionBasis basis =
-      traffic_.RetryBudgetFor(service_).TryRetry(now, routers);
+  const MemberCounts& members = traffic_.view_.member_counts;
+  const RetryDecisionBasis basis = traffic_.RetryBudgetFor(service_).TryRetry(
+      now, members.FractionOfFixedSum(now, traffic_.settings_.retries.window));
+  const auto number = [](double value) { return fmt::format("{:.1f}", value); };
   traffic_.log_.Write(LogLevel::kInfo,
                       basis.allowed ? "retry-allowed" : "retry-refused",
                       {{"id", id_},
                        {"service", service_.value()},
                        {"attempts", std::to_string(attempts_sent_)},
-                       {"requests", std::to_string(basis.requests)},
-                       {"used", std::to_string(basis.used)},
-                       {"limit", fmt::format("{:.1f}", basis.limit)},
-                       {"members", std::to_string(routers)}});
+                       {"paid", number(basis.paid)},
+                       {"slack_allowed", number(basis.slack_allowed)},
+                       {"slack_used", number(basis.slack_used)},
+                       {"members", std::to_string(members.total())}});
   ++traffic_.metrics_.Counter(
       "figstall_retries_total",
       fmt::format("service=\"{}\",outcome=\"{}\"", service_.value(),
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -48,15 +48,14 @@
 }
 
 std::uint32_t TargetSelector::RouterCount() const {
-  return std::max<std::uint32_t>(
-      1, static_cast<std::uint32_t>(view_.members.size()));
+  return view_.member_counts.total();
 }
 
 std::uint32_t TargetSelector::SharingRouters(const TargetEntry& entry,
                                              bool keyed) const {
   if (keyed)
     return RouterCount();
-  return std::max(1U, view_.MembersIn(entry.zone));
+  return view_.member_counts.InZone(entry.zone);
 }
 
 const RangeEntry* TargetSelector::OwnerEntry(const ServiceId& service,
--- a/test/retry_budget_test.cc
+++ b/test/retry_budget_test.cc
@@ -2,8 +2,10 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <random>
 #include <vector>
 
+#include "figstall/member_counts.h"
 #include "figstall/shared_retry_budget.h"
 
 namespace figstall {
@@ -29,6 +31,10 @@
   int count() const { return static_cast<int>(processes_.size()); }
   // The process sees this many members from now on.
   void SetSeen(int process, int members) { processes_[process].seen = members; }
+  // Whether the process's own membership is valid from now on.
+  void SetMember(int process, bool valid) {
+    processes_[process].is_member = valid;
+  }
   void Restart(int process) { Restart(processes_[process]); }
   void SetRequestsPerSecond(int process, double rate) {
     processes_[process].requests_per_second = rate;
@@ -38,12 +44,19 @@
     now_millis_ += kStepMillis;
     const Instant now = At(now_millis_);
     for (Process& process : processes_) {
+      process.members->Record(
+          now, {{ZoneId("z1"), process.seen}},
+          process.is_member ? now + std::chrono::seconds(6) : Instant{});
       process.due_requests += process.requests_per_second * kStepMillis / 1000;
       for (; process.due_requests >= 1; --process.due_requests) {
         process.budget->OnRequest(now);
         requests_.push_back(now);
       }
-      while (retrying && process.budget->TryRetry(now, process.seen).allowed)
+      while (retrying &&
+             process.budget
+                 ->TryRetry(now, process.members->FractionOfFixedSum(
+                                     now, options_.window))
+                 .allowed)
         retries_.push_back(now);
     }
   }
@@ -75,12 +88,17 @@
  private:
   struct Process {
     std::optional<SharedRetryBudget> budget;
-    int seen = 1;
+    std::optional<MemberCounts> members;
+    bool is_member = true;
+    std::uint32_t seen = 1;
     double requests_per_second = 20;
     double due_requests = 0;
   };
 
-  void Restart(Process& process) { process.budget.emplace(options_); }
+  void Restart(Process& process) {
+    process.budget.emplace(options_);
+    process.members.emplace();
+  }
   // `times` is sorted.
   static std::ptrdiff_t CountIn(const std::vector<Instant>& times,
                                 Instant from,
@@ -137,7 +155,7 @@
       budgets[router].OnRequest(At(millis));
       requests.push_back(At(millis));
     }
-    if (budgets[router].TryRetry(At(millis), kRouters).allowed)
+    if (budgets[router].TryRetry(At(millis), 1.0 / kRouters).allowed)
       retries.push_back(At(millis));
   }
   CHECK(retries.size() > 500);
@@ -161,10 +179,10 @@
 TEST_CASE("a router with few requests may still retry a few times") {
   SharedRetryBudget budget{RetryBudgetOptions{}};
   budget.OnRequest(At(0));
-  CHECK(budget.TryRetry(At(0), 10).allowed);
-  CHECK(budget.TryRetry(At(0), 10).allowed);
+  CHECK(budget.TryRetry(At(0), 1.0 / 10).allowed);
+  CHECK(budget.TryRetry(At(0), 1.0 / 10).allowed);
   int further_retries = 0;
-  while (budget.TryRetry(At(0), 10).allowed)
+  while (budget.TryRetry(At(0), 1.0 / 10).allowed)
     ++further_retries;
   CHECK(further_retries <= 2);
 }
@@ -177,8 +195,10 @@
       // They rejoin one after the other within two seconds.
       const int seen =
           std::clamp(processes.count() * millis / 2000, 1, processes.count());
-      for (int each = 0; each < processes.count(); ++each)
+      for (int each = 0; each < processes.count(); ++each) {
         processes.SetSeen(each, seen);
+        processes.SetMember(each, millis > 0);
+      }
     });
   }
 }
@@ -206,6 +226,7 @@
         if (millis == 0)
           processes.Restart(each);
         processes.SetSeen(each, millis < 3000 ? 1 : processes.count());
+        processes.SetMember(each, millis >= 1000);
       }
     });
   }
@@ -237,6 +258,8 @@
         const bool joins = each % 3 == 1;
         if (joins && millis == 3000)
           processes.Restart(each);
+        if (millis >= 6000)
+          processes.SetMember(each, millis > 12'000 || (!cut_off && !joins));
         processes.SetSeen(each, millis > 12'000 ? processes.count()
                                 : joins         ? 1
                                 : cut_off       ? processes.count()
@@ -247,4 +270,71 @@
   }
 }
 
+// Guards against BUDGET: members join, restart, lapse together and are cut off
+// in series that overlap, while the demand for retries comes and goes.
+TEST_CASE("retries stay within the budget under random disruptions") {
+  for (const int count : kMemberCounts) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(seed);
+      std::mt19937_64 random(seed);
+      std::vector<int> cut_off_until(count, 0);
+      int lapsed_until = 0;
+      CheckBudgetHolds(count, [&](RetryingProcesses& processes, int millis) {
+        if (random() % 300 == 0)
+          lapsed_until = millis + static_cast<int>(random() % 3000);
+        const bool mass_restart = random() % 400 == 0;
+        for (int each = 0; each < count; ++each) {
+          if (random() % 1500 == 0)
+            cut_off_until[each] = millis + static_cast<int>(random() % 15'000);
+          if (random() % 1500 == 0 || (mass_restart && random() % 3 > 0))
+            processes.Restart(each);
+          if (random() % 1500 == 0)
+            processes.SetRequestsPerSecond(each,
+                                           static_cast<double>(random() % 60));
+          const bool out =
+              millis < lapsed_until || millis < cut_off_until[each];
+          processes.SetMember(each, !out);
+          processes.SetSeen(
+              each, out ? 1 + static_cast<int>(random() % count) : count);
+        }
+      });
+    }
+  }
+}
+
+TEST_CASE("members that disappear still count for the retention") {
+  MemberCounts counts(std::chrono::seconds(30));
+  const ZoneId zone("z1");
+  CHECK(counts.total() == 1);
+  CHECK(counts.InZone(zone) == 1);
+  counts.Record(At(0), {{zone, 12}, {ZoneId("z2"), 5}}, At(6000));
+  counts.Record(At(1000), {{zone, 1}}, At(6000));
+  CHECK(counts.total() == 17);
+  CHECK(counts.InZone(zone) == 12);
+  CHECK(counts.InZone(ZoneId("z2")) == 5);
+  counts.Record(At(20'000), {{zone, 4}}, At(26'000));
+  CHECK(counts.total() == 17);
+  counts.Record(At(31'000), {{zone, 2}}, At(36'000));
+  CHECK(counts.total() == 4);
+  CHECK(counts.InZone(ZoneId("z2")) == 1);
+}
+
+TEST_CASE("a fraction of a fixed sum needs a whole window of membership") {
+  constexpr Duration kWindow = std::chrono::seconds(10);
+  MemberCounts counts;
+  const std::map<ZoneId, std::uint32_t> members = {{ZoneId("z1"), 4}};
+  counts.Record(At(0), members, At(6000));
+  counts.Record(At(5000), members, At(11'000));
+  CHECK(counts.FractionOfFixedSum(At(9999), kWindow) == 0);
+  CHECK(counts.FractionOfFixedSum(At(10'000), kWindow) == 0.25);
+  // The lease is over.
+  CHECK(counts.FractionOfFixedSum(At(11'000), kWindow) == 0);
+  // An interruption begins the window anew.
+  counts.Record(At(11'500), members, At(11'000));
+  counts.Record(At(12'000), members, At(18'000));
+  counts.Record(At(17'000), members, At(23'000));
+  CHECK(counts.FractionOfFixedSum(At(21'999), kWindow) == 0);
+  CHECK(counts.FractionOfFixedSum(At(22'000), kWindow) == 0.25);
+}
+
 }  // namespace figstall
