Revisions are ordered by the store's era first

What callers saw: after the store had come back from an older copy, requests were handled by a desired state that had been replaced: versions confirmed afterwards were not in force in time (CONFIG).

Cause: revisions go back and are given out again, and entries took what they name for old news.

Change: a revision is (era, number) in one value, so that every comparison is by both. An answer or an update of a newer era ends the membership, the mover's term and the watch at once. Keys written under conditions and fencing tokens carry the era. The mover of a new era continues the newest table that members know, once nobody can know a newer one. Entries of targets in the copy that are older than what is known are ignored; those missing in it are used for 3 s. The emulator's store plays the return from a copy, and the soak draws it.

Why this works: nothing of an earlier era compares as newer, is believed as a lease, or meets a condition of a key that anybody reads.

The process test fails with the entry of before, and passes.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -29,6 +29,7 @@
 #include "figstall/store_copy.h"
 #include "figstall/store_relay.h"
 #include "figstall/target_absence.h"
+#include "figstall/target_history.h"
 #include "figstall/target_notice_recorder.h"
 #include "platform/store_client.h"
 
@@ -152,6 +153,8 @@
     // require such a read.
     bool started_as_member = false;
     std::vector<StoreSection> sections;
+    // The store's era when it answered; empty before its first answer.
+    std::optional<std::uint64_t> era;
     // Index of the section that is being read.
     std::size_t section_index = 0;
   };
@@ -191,6 +194,8 @@
   void OnRelayUpdate(const RelayUpdate& update);
   // Returns false if the item changes nothing that other members need.
   bool Apply(const StoreItem& item);
+  // Applies a key of this era that members write under conditions.
+  void ApplyConditionalKey(const StoreItem& item);
   void ApplyMover(const StoreItem& item);
   void ApplyDesiredState(const StoreItem& item);
   void LogTarget(const TargetEntry& entry, bool joined, Revision revision);
@@ -202,6 +207,13 @@
   // the directory, so that the mover moves their ranges.
   void MarkLeavingTargets();
   void RecordStoreCall(const StoreResponse& response, const char* call);
+  // Takes the store's era from an answer, or from another member's copy. In a
+  // new era, the leases, the tables and the mover's key are lost.
+  void NoteEra(std::uint64_t era, const char* source);
+  void OnStoreRestored();
+  // Removes the members of the earlier era that have not joined in this one,
+  // once their leases have certainly expired.
+  void RemoveLapsedMembers(Instant now);
   // Runs `task` at once, or, if the store is unreachable, as soon as it
   // responds again. Until then the store is probed with its cheapest call.
   void WhenStoreReachable(std::function<void()> task);
@@ -209,6 +221,8 @@
   void RetryWhenStoreReachable(std::function<void()> task);
 
   void Campaign(Instant now);
+  // Whether another member has seen a newer table of a service than this one.
+  bool OthersKnowNewerTables() const;
   void RenewMoverLease(Instant now);
   void StepDownAsMover(const char* reason);
   bool IsMover(Instant now) const { return now < mover_lease_valid_until_; }
@@ -223,6 +237,14 @@
   std::map<TargetId, double> LimitedCapacities(Instant now,
                                                const ServiceId& service);
   void MoveRanges(Instant now);
+  RangeMover& MoverOf(const ServiceId& service);
+  // The table of `service` to write in place of that of an earlier era, which
+  // the store has lost; nullopt until other members can't know a newer one.
+  std::optional<RangeTable> ContinueTable(Instant now,
+                                          const ServiceId& service);
+  // Whether the grants of all processes by tables that nobody knows anymore
+  // have expired.
+  bool MayAssignAnew(Instant now) const;
   void LogMove(const ServiceId& service, const PlannedMove& move);
   void WriteTable(const ServiceId& service, const RangeTable& next);
   void ReadTable(const ServiceId& service);
@@ -288,6 +310,18 @@
   bool writing_member_ = false;
   std::optional<Instant> report_pending_since_;
 
+  // The store's era; empty until its first answer.
+  std::optional<std::uint64_t> era_;
+  // When this process noticed that the store came back from an older copy.
+  std::optional<Instant> restored_at_;
+  // Members of an earlier era that have not joined in this one.
+  std::set<VmId> lapsed_members_;
+  // When the last of them was taken for departed; empty if all joined.
+  std::optional<Instant> lapsed_members_departed_at_;
+  // Whether the store has a table of an earlier era.
+  bool earlier_tables_exist_ = false;
+  TargetHistory target_history_;
+
   StoreCopy copy_;
   StoreConnectivity connectivity_;
   // Incremented by each watch and each cancellation, so that the response to a
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -112,6 +112,8 @@
 };
 
 struct MoverOptions {
+  // All fencing tokens that this mover issues are above this one.
+  std::uint64_t fence_floor = 0;
   // Minimum time from one balancing change to the next. None starts while a
   // range is moving.
   Duration balance_interval = std::chrono::milliseconds(1000);
@@ -142,6 +144,11 @@
   // the range. `handover` is empty if the owner supplied none.
   void OnReleased(const ReleaseRequest& request, const std::string& handover);
 
+  // Returns the table that continues `earlier`, the newest one of an earlier
+  // era of the store, which has lost it. If another member may know a newer
+  // one, no grant by that may be valid anymore, and `renew_fences` is to be
+  // true: each range then gets a token above that of any release.
+  RangeTable Continue(const RangeTable& earlier, bool renew_fences) const;
   // Returns the next table if it is to change now. At most one write of the
   // table may be in flight.
   std::optional<RangeTable> Plan(const MoverInput& input);
@@ -170,6 +177,9 @@
   std::vector<const TargetEntry*> UsableTargets(const MoverInput& input) const;
   RangeTable FirstAssignment(const std::vector<const TargetEntry*>& usable,
                              const MoverInput& input) const;
+  std::uint64_t NextFence(const RangeTable& table) const {
+    return std::max(table.last_fence, options_.fence_floor) + 1;
+  }
   bool StartMoves(RangeTable& next, const MoverInput& input);
   // Asks members for reports through the store where an owner has not released
   // its range in time.
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-namespace figstall {
+#include "figstall/revision.h"
 
-using Revision = std::uint64_t;
+namespace figstall {
 
 struct StoreItem {
   std::string key;
--- a/include/figstall/target_absence.h
+++ b/include/figstall/target_absence.h
@@ -25,6 +25,10 @@
   // reconnection.
   Duration post_outage_removal_delay = std::chrono::milliseconds(1600);
   Duration post_outage_window = std::chrono::milliseconds(900);
+  // A removal that follows from the store's return from an older copy takes
+  // effect this long after the return was noticed. Targets write their entries
+  // again within about two seconds.
+  Duration post_restore_removal_delay = std::chrono::milliseconds(3000);
   // Shorter outages expire no entries, since targets report often enough that
   // their entries outlast them.
   Duration min_outage_duration = std::chrono::milliseconds(1000);
@@ -36,6 +40,8 @@
 
   // Records whether a call reached the store.
   void OnStoreCall(Instant now, bool reached);
+  // The store came back from an older copy, in which entries may be missing.
+  void OnStoreRestored(Instant now) { restored_at_ = now; }
   // Cancels a pending removal. Returns true if there was one.
   bool OnEntryPresent(const TargetId& target) {
     return removal_at_.erase(target) > 0;
@@ -54,6 +60,7 @@
   const AbsenceTiming timing_;
   std::optional<Instant> unreachable_since_;
   std::optional<Instant> outage_ended_at_;
+  std::optional<Instant> restored_at_;
   std::map<TargetId, Instant> removal_at_;
 };
 
--- a/include/figstall/target_entry.h
+++ b/include/figstall/target_entry.h
@@ -35,6 +35,8 @@
   bool leaving = false;
   // Remaining time for which the target is slow after its start.
   Duration warm_up_left{0};
+  // Counts the target's reports of its status since its start.
+  std::uint64_t status_number = 0;
 
   friend bool operator==(const TargetEntry&, const TargetEntry&) = default;
 };
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -12,9 +12,11 @@
 namespace figstall {
 namespace {
 
+using detail::ConditionalPrefix;
 using detail::kMembersPrefix;
-using detail::kMoverKey;
-using detail::kTablesPrefix;
+using detail::kOwnPrefix;
+using detail::MoverKey;
+using detail::TablesPrefix;
 using platform::StoreStatus;
 
 bool StartsWith(const std::string& text, std::string_view prefix) {
@@ -101,7 +103,7 @@
 void EntryControl::WhenStoreReachable(std::function<void()> task) {
   if (!connectivity_.lost())
     return task();
-  store_.List(kMoverKey, "", /*allow_stale=*/true,
+  store_.List(MoverKey(era_.value_or(0)), "", /*allow_stale=*/true,
               [this, task = std::move(task)](const StoreResponse& response) {
                 RecordStoreCall(response, "probe");
                 if (!connectivity_.lost())
@@ -118,6 +120,8 @@
   ++metrics_.Counter("figstall_store_calls_total",
                      fmt::format("call=\"{}\",outcome=\"{}\"", call,
                                  ToString(response.status)));
+  if (response.era)
+    NoteEra(*response.era, call);
   absence_.OnStoreCall(BootNow(), !lost);
   const bool changed =
       lost ? connectivity_.OnFailed(BootNow()) : connectivity_.OnAnswered();
@@ -133,6 +137,47 @@
               {"failure", response.failure}});
 }
 
+void EntryControl::NoteEra(std::uint64_t era, const char* source) {
+  if (era_ && era <= *era_)
+    return;
+  const auto earlier = era_;
+  era_ = era;
+  if (!earlier)
+    return;
+  log_.Write(
+      LogLevel::kWarning, "store-restored",
+      {{"era", std::to_string(era)},
+       {"earlier", std::to_string(*earlier)},
+       {"source", source},
+       {"cursor", RevisionText(copy_.cursor())},
+       {"version",
+        std::to_string(view_.routes ? view_.routes->state().version : 0)}});
+  ++metrics_.Counter("figstall_store_restored_total", "");
+  OnStoreRestored();
+}
+
+void EntryControl::OnStoreRestored() {
+  const Instant now = BootNow();
+  restored_at_ = now;
+  absence_.OnStoreRestored(now);
+  target_history_.ForgetRemovedBefore(*era_ - 1);
+  for (const auto& [vm, member] : view_.members) {
+    if (vm != settings_.vm)
+      lapsed_members_.insert(vm);
+  }
+  lapsed_members_departed_at_.reset();
+  earlier_tables_exist_ = true;
+  mover_key_exists_ = false;
+  campaign_at_.reset();
+  if (mover_lease_ != 0)
+    StepDownAsMover("store-restored");
+  movers_.clear();
+  if (connectivity_.watching())
+    CancelWatch();
+  member_lease_ = 0;
+  Join();
+}
+
 bool EntryControl::Apply(const StoreItem& item) {
   if (StartsWith(item.key, platform::kTargetsPrefix))
     return ApplyTarget(
@@ -143,15 +188,21 @@
   else if (StartsWith(item.key, kMembersPrefix))
     ApplyMember(VmId(item.key.substr(std::string_view(kMembersPrefix).size())),
                 item);
-  else if (StartsWith(item.key, kTablesPrefix))
-    ApplyTable(
-        ServiceId(item.key.substr(std::string_view(kTablesPrefix).size())),
-        item);
-  else if (item.key == kMoverKey)
-    ApplyMover(item);
+  else if (EraOf(item.revision) == era_)
+    ApplyConditionalKey(item);
   return true;
 }
 
+void EntryControl::ApplyConditionalKey(const StoreItem& item) {
+  const std::string tables_prefix = TablesPrefix(*era_);
+  if (item.key == MoverKey(*era_))
+    ApplyMover(item);
+  else if (StartsWith(item.key, tables_prefix))
+    ApplyTable(ServiceId(item.key.substr(tables_prefix.size())), item);
+  else if (!item.deleted && StartsWith(item.key, kOwnPrefix))
+    earlier_tables_exist_ = true;
+}
+
 void EntryControl::ApplyMover(const StoreItem& item) {
   mover_key_exists_ = !item.deleted;
   mover_vm_ = VmId(item.value.substr(0, item.value.find('#')));
@@ -172,7 +223,7 @@
         log_.Write(LogLevel::kInfo, "desired-state-in-force",
                    {{"version", std::to_string(state.version)},
                     {"earlier", std::to_string(known)},
-                    {"revision", std::to_string(item.revision)},
+                    {"revision", RevisionText(item.revision)},
                     {"routes", std::to_string(state.routes.size())}});
         view_.routes = std::make_shared<const RouteIndex>(std::move(state));
         MarkViewChanged();
@@ -180,7 +231,7 @@
       },
       [&](const Error& error) {
         log_.Write(LogLevel::kError, "desired-state-refused",
-                   {{"revision", std::to_string(item.revision)},
+                   {{"revision", RevisionText(item.revision)},
                     {"findings", Describe(error)}});
       });
 }
@@ -195,12 +246,13 @@
               {"address", entry.address.ToString()},
               {"state", entry.leaving ? "leaving" : "ready"},
               {"born", std::to_string(entry.incarnation.started_at_ms)},
-              {"revision", std::to_string(revision)}});
+              {"revision", RevisionText(revision)}});
 }
 
 bool EntryControl::ApplyTarget(const std::string& id, const StoreItem& item) {
   const TargetId target(id);
   if (item.deleted) {
+    target_history_.OnRemoved(target);
     const auto known = view_.targets.find(target);
     if (known != view_.targets.end())
       absence_.OnEntryRemoved(BootNow(), target, known->second.leaving);
@@ -209,6 +261,14 @@
   return HandleError(
       [&]() -> Result<bool> {
         BOOST_LEAF_AUTO(entry, platform::DecodeTargetEntry(id, item.value));
+        if (!target_history_.Accept(entry, EraOf(item.revision))) {
+          log_.Write(LogLevel::kInfo, "target-entry-outdated",
+                     {{"target", id},
+                      {"born", std::to_string(entry.incarnation.started_at_ms)},
+                      {"status", std::to_string(entry.status_number)},
+                      {"era", std::to_string(EraOf(item.revision))}});
+          return false;
+        }
         const bool was_absent = absence_.OnEntryPresent(target);
         const bool listed_otherwise = notices_.notices().OnListed(
             BootNow(), entry.incarnation, entry.leaving);
@@ -235,7 +295,7 @@
       [&](const Error& error) {
         log_.Write(LogLevel::kWarning, "target-entry-refused",
                    {{"target", id},
-                    {"revision", std::to_string(item.revision)},
+                    {"revision", RevisionText(item.revision)},
                     {"findings", Describe(error)}});
         return true;
       });
@@ -271,15 +331,12 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(table, state.reader.Read(item.value, item.key));
         state.revision = item.revision;
-        if (!state.mover)
-          state.mover =
-              std::make_unique<RangeMover>(service, settings_.grant_timing);
-        state.mover->OnTable(table, BootNow());
+        MoverOf(service).OnTable(table, BootNow());
         granter_.OnTable(service, table);
         ++table_change_count_;
         log_.Write(LogLevel::kInfo, "ranges-changed",
                    {{"service", service.value()},
-                    {"revision", std::to_string(item.revision)},
+                    {"revision", RevisionText(item.revision)},
                     {"fence", std::to_string(table.last_fence)},
                     {"entries", std::to_string(table.entries.size())}});
         view_.tables[service] = std::move(table);
@@ -324,6 +381,7 @@
 
 void EntryControl::Tick(Instant now) {
   RenewMembership(now);
+  RemoveLapsedMembers(now);
   RecordMemberCounts(now);
   MaintainSubscription(now);
   RemoveAbsentTargets(now);
--- a/src/entry_control_copy.cc
+++ b/src/entry_control_copy.cc
@@ -1,5 +1,7 @@
 // Implements for EntryControl how its copy of the store is kept current:
 // readings, watches, and updates of the member that it follows.
+#include <algorithm>
+
 #include "figstall/entry_control.h"
 #include "platform/decode.h"
 #include "store_keys.h"
@@ -42,7 +44,11 @@
   store_.List(requested.prefix, after, requested.allow_stale,
               [this, read](const StoreResponse& response) {
                 RecordStoreCall(response, "list");
-                if (response.status != StoreStatus::kOk) {
+                if (!read->era)
+                  read->era = response.era;
+                // All pages must be of the store's current era.
+                if (response.status != StoreStatus::kOk ||
+                    response.era != era_ || read->era != era_) {
                   store_read_in_progress_ = false;
                   return RetryWhenStoreReachable(
                       [this, scope = read->scope] { StartRead(scope); });
@@ -73,7 +79,7 @@
   log_.Write(LogLevel::kInfo, "store-read",
              {{"targets", std::to_string(view_.targets.size())},
               {"members", std::to_string(view_.members.size())},
-              {"revision", std::to_string(copy_.cursor())}});
+              {"revision", RevisionText(copy_.cursor())}});
   if (member_written_ && !read.started_as_member)
     StartRead(ReadScope::kMemberKeys);
 }
@@ -81,9 +87,9 @@
 void EntryControl::LogRelayGap(const ItemDelta& delta, Revision known) {
   log_.Write(LogLevel::kWarning, "relay-gap",
              {{"key", delta.key},
-              {"revision", std::to_string(delta.revision)},
-              {"base", std::to_string(delta.base)},
-              {"known", std::to_string(known)}});
+              {"revision", RevisionText(delta.revision)},
+              {"base", RevisionText(delta.base)},
+              {"known", RevisionText(known)}});
 }
 
 EntryControl::RelaySource EntryControl::ChooseRelaySource() const {
@@ -145,7 +151,7 @@
                               copy_.SubscribeFrom())) {
       log_.Write(LogLevel::kInfo, "relay-subscribed",
                  {{"source", source.member->vm.value()},
-                  {"from", std::to_string(copy_.SubscribeFrom())}});
+                  {"from", RevisionText(copy_.SubscribeFrom())}});
       copy_.OnSubscribed();
     }
     if (now - relay_polled_at_ >=
@@ -182,6 +188,9 @@
 }
 
 void EntryControl::Watch() {
+  // The store has no changes after a revision of an earlier era.
+  if (EraOf(copy_.cursor()) != era_)
+    return StartRead(ReadScope::kFull);
   const Instant now = BootNow();
   connectivity_.OnWatchSent(now);
   // A copy that is not confirmed is to be confirmed at once, for those that
@@ -201,7 +210,7 @@
 
 void EntryControl::CancelWatch() {
   log_.Write(LogLevel::kInfo, "watch-given-up",
-             {{"cursor", std::to_string(copy_.cursor())}});
+             {{"cursor", RevisionText(copy_.cursor())}});
   ++watch_generation_;
   connectivity_.OnWatchEnded(/*answered=*/false);
   store_.CancelWatch();
@@ -212,6 +221,8 @@
   RecordStoreCall(response, "watch");
   next_watch_at_ = BootNow() + timing_.watch_interval;
   connectivity_.OnWatchEnded(response.status == StoreStatus::kOk);
+  if (response.era && EraOf(copy_.cursor()) != *response.era)
+    return;
   if (response.status == StoreStatus::kOk) {
     copy_.ApplyChanges(response.items, response.revision);
     view_.last_update_at = BootNow();
@@ -225,10 +236,14 @@
 }
 
 void EntryControl::OnRelayUpdate(const RelayUpdate& update) {
+  Revision newest = update.cursor;
+  for (const StoreItem& item : update.items)
+    newest = std::max(newest, item.revision);
+  NoteEra(EraOf(newest), "relay");
   if (!copy_.ApplyRelayUpdate(update)) {
     log_.Write(LogLevel::kInfo, "relay-renewed",
-               {{"cursor", std::to_string(copy_.cursor())},
-                {"publisher", std::to_string(update.cursor)}});
+               {{"cursor", RevisionText(copy_.cursor())},
+                {"publisher", RevisionText(update.cursor)}});
     subscriber_.Stop();
   }
   view_.last_update_at = BootNow();
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "figstall/entry_control.h"
 #include "store_keys.h"
@@ -11,8 +12,8 @@
 namespace {
 
 using detail::kMembersPrefix;
-using detail::kMoverKey;
 using detail::MemberIncarnationId;
+using detail::MoverKey;
 using nlohmann::json;
 using platform::StoreStatus;
 
@@ -33,23 +34,23 @@
   tables_up_to_date_ = false;
   membership_valid_until_ = {};
   const Instant requested_at = BootNow();
-  store_.OpenLease(timing_.membership_lease_duration,
-                   [this, requested_at](const StoreResponse& response) {
-                     RecordStoreCall(response, "open-lease");
-                     joining_ = false;
-                     if (response.status != StoreStatus::kOk) {
-                       if (!initial_read_done_)
-                         StartRead(ReadScope::kInitial);
-                       return RetryWhenStoreReachable([this] { Join(); });
-                     }
-                     member_lease_ = response.lease;
-                     membership_valid_until_ = requested_at +
-                                               response.time_to_live -
-                                               timing_.lease_margin;
-                     membership_renewal_due_at_ =
-                         requested_at + timing_.membership_renewal_interval;
-                     WriteMember(/*then_read=*/true);
-                   });
+  store_.OpenLease(
+      timing_.membership_lease_duration,
+      [this, requested_at](const StoreResponse& response) {
+        RecordStoreCall(response, "open-lease");
+        joining_ = false;
+        if (response.status != StoreStatus::kOk || response.era != era_) {
+          if (!initial_read_done_)
+            StartRead(ReadScope::kInitial);
+          return RetryWhenStoreReachable([this] { Join(); });
+        }
+        member_lease_ = response.lease;
+        membership_valid_until_ =
+            requested_at + response.time_to_live - timing_.lease_margin;
+        membership_renewal_due_at_ =
+            requested_at + timing_.membership_renewal_interval;
+        WriteMember(/*then_read=*/true);
+      });
 }
 
 void EntryControl::WriteMember(bool then_read) {
@@ -61,21 +62,22 @@
   json seen = json::object();
   for (const auto& [service, fence] : report.seen_fence)
     seen[service.value()] = fence;
-  const json value = {{"zone", settings_.zone.value()},
-                      {"peers", settings_.peers.ToString()},
-                      {"incarnation", incarnation_},
-                      {"capacity", settings_.capacity_cores},
-                      {"seen_fence", seen},
-                      {"holds_for_us", holds}};
+  const json value = {
+      {"zone", settings_.zone.value()}, {"peers", settings_.peers.ToString()},
+      {"incarnation", incarnation_},    {"capacity", settings_.capacity_cores},
+      {"era", era_.value_or(0)},        {"seen_fence", seen},
+      {"holds_for_us", holds}};
   writing_member_ = true;
   store_.Write(
       {},
       {{kMembersPrefix + settings_.vm.value(), value.dump(), member_lease_}},
       {},
-      [this, then_read,
+      [this, then_read, lease = member_lease_,
        seen_fence = report.seen_fence](const StoreResponse& response) {
         RecordStoreCall(response, "write-member");
         writing_member_ = false;
+        if (lease != member_lease_)
+          return;
         if (response.status == StoreStatus::kOk) {
           seen_fences_in_store_ = seen_fence;
           if (then_read) {
@@ -91,7 +93,10 @@
         if (response.status == StoreStatus::kNotFound)
           return Join();
         if (then_read)
-          RetryWhenStoreReachable([this] { WriteMember(true); });
+          RetryWhenStoreReachable([this, lease] {
+            if (lease == member_lease_)
+              WriteMember(true);
+          });
       });
 }
 
@@ -148,15 +153,22 @@
         .departed_at = now;
   };
   if (item.deleted) {
-    if (known == view_.members.end())
+    // A member of an earlier era may grant until its own lease expires.
+    if (known == view_.members.end() || lapsed_members_.contains(vm))
       return;
     mark_departed();
     view_.members.erase(known);
     log_.Write(LogLevel::kInfo, "member-left", {{"vm", vm.value()}});
     return MarkViewChanged();
   }
+  // Late news of an earlier era.
+  if (EraOf(item.revision) != era_)
+    return;
   try {
     const json value = json::parse(item.value);
+    // A record in a restored copy is of an earlier era.
+    if (value.value("era", *era_) != *era_)
+      return;
     EntryMember member{vm,
                        ZoneId(value.at("zone")),
                        {},
@@ -179,6 +191,7 @@
     if (known != view_.members.end() &&
         known->second.incarnation != member.incarnation)
       mark_departed();
+    lapsed_members_.erase(vm);
     MemberReport& known_report =
         member_reports_[MemberIncarnationId(vm, member.incarnation)];
     known_report.zone = member.zone;
@@ -198,9 +211,41 @@
   }
 }
 
+void EntryControl::RemoveLapsedMembers(Instant now) {
+  if (lapsed_members_.empty() ||
+      now - *restored_at_ < timing_.membership_lease_duration)
+    return;
+  lapsed_members_departed_at_ = now;
+  for (const VmId& vm : std::exchange(lapsed_members_, {})) {
+    const auto known = view_.members.find(vm);
+    if (known == view_.members.end())
+      continue;
+    member_reports_[MemberIncarnationId(vm, known->second.incarnation)]
+        .departed_at = now;
+    view_.members.erase(known);
+    log_.Write(LogLevel::kInfo, "member-lapsed", {{"vm", vm.value()}});
+  }
+  MarkViewChanged();
+}
+
+bool EntryControl::OthersKnowNewerTables() const {
+  return std::any_of(
+      view_.members.begin(), view_.members.end(), [this](const auto& each) {
+        const auto report = member_reports_.find(
+            MemberIncarnationId(each.first, each.second.incarnation));
+        return report != member_reports_.end() &&
+               std::any_of(
+                   report->second.seen_fence.begin(),
+                   report->second.seen_fence.end(), [this](const auto& seen) {
+                     return seen.second > granter_.SeenFence(seen.first);
+                   });
+      });
+}
+
 void EntryControl::Campaign(Instant now) {
   if (mover_key_exists_ || campaigning_ || resigned_ || !tables_up_to_date_ ||
-      connectivity_.lost() || now >= membership_valid_until_) {
+      connectivity_.lost() || now >= membership_valid_until_ ||
+      (restored_at_ && OthersKnowNewerTables())) {
     campaign_at_.reset();
     return;
   }
@@ -222,36 +267,41 @@
       timing_.mover_lease_duration,
       [this, now](const StoreResponse& lease_response) {
         RecordStoreCall(lease_response, "open-lease");
-        if (lease_response.status != StoreStatus::kOk) {
+        if (lease_response.status != StoreStatus::kOk ||
+            lease_response.era != era_ || !tables_up_to_date_) {
           campaigning_ = false;
           return;
         }
         const platform::LeaseId lease = lease_response.lease;
         const Instant valid_until =
             now + lease_response.time_to_live - timing_.lease_margin;
-        store_.Write(
-            {{kMoverKey, 0}},
-            {{kMoverKey, MemberIncarnationId(settings_.vm, incarnation_),
-              lease}},
-            {}, [this, lease, valid_until](const StoreResponse& response) {
-              RecordStoreCall(response, "write-mover");
-              campaigning_ = false;
-              if (response.status == StoreStatus::kOk) {
-                mover_lease_ = lease;
-                mover_key_revision_ = response.revision;
-                mover_lease_valid_until_ = valid_until;
-                mover_since_ = BootNow();
-                mover_key_exists_ = true;
-                mover_renewal_due_at_ =
-                    BootNow() + timing_.mover_renewal_interval;
-                log_.Write(LogLevel::kInfo, "mover-elected",
-                           {{"revision", std::to_string(response.revision)}});
-                return;
-              }
-              if (response.status == StoreStatus::kConflict)
-                mover_key_exists_ = true;
-              store_.RevokeLease(lease, [](const StoreResponse&) {});
-            });
+        store_.Write({{MoverKey(*era_), 0}},
+                     {{MoverKey(*era_),
+                       MemberIncarnationId(settings_.vm, incarnation_), lease}},
+                     {},
+                     [this, lease, valid_until,
+                      era = era_](const StoreResponse& response) {
+                       RecordStoreCall(response, "write-mover");
+                       campaigning_ = false;
+                       if (era != era_)
+                         return;
+                       if (response.status == StoreStatus::kOk) {
+                         mover_lease_ = lease;
+                         mover_key_revision_ = response.revision;
+                         mover_lease_valid_until_ = valid_until;
+                         mover_since_ = BootNow();
+                         mover_key_exists_ = true;
+                         mover_renewal_due_at_ =
+                             BootNow() + timing_.mover_renewal_interval;
+                         log_.Write(
+                             LogLevel::kInfo, "mover-elected",
+                             {{"revision", RevisionText(response.revision)}});
+                         return;
+                       }
+                       if (response.status == StoreStatus::kConflict)
+                         mover_key_exists_ = true;
+                       store_.RevokeLease(lease, [](const StoreResponse&) {});
+                     });
       });
 }
 
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -10,8 +10,9 @@
 namespace figstall {
 namespace {
 
-using detail::kMoverKey;
-using detail::kTablesPrefix;
+using detail::FenceFloor;
+using detail::MoverKey;
+using detail::TablesPrefix;
 using platform::StoreStatus;
 
 constexpr std::size_t kMaxQueuedRequests = 256;
@@ -182,6 +183,41 @@
   }
 }
 
+RangeMover& EntryControl::MoverOf(const ServiceId& service) {
+  MoverState& state = movers_[service];
+  if (!state.mover) {
+    MoverOptions options;
+    options.fence_floor = FenceFloor(era_.value_or(0));
+    state.mover =
+        std::make_unique<RangeMover>(service, settings_.grant_timing, options);
+  }
+  return *state.mover;
+}
+
+std::optional<RangeTable> EntryControl::ContinueTable(
+    Instant now,
+    const ServiceId& service) {
+  const auto earlier = view_.tables.find(service);
+  if (earlier == view_.tables.end() || !lapsed_members_.empty())
+    return std::nullopt;
+  // A member that did not join may have seen a newer table and granted by it.
+  const bool others_departed = lapsed_members_departed_at_.has_value();
+  if (others_departed && now - *lapsed_members_departed_at_ <
+                             settings_.grant_timing.MaxHoldFromSend())
+    return std::nullopt;
+  log_.Write(LogLevel::kInfo, "ranges-continued",
+             {{"service", service.value()},
+              {"fence", std::to_string(earlier->second.last_fence)},
+              {"renewed", others_departed ? "yes" : "no"}});
+  return MoverOf(service).Continue(earlier->second, others_departed);
+}
+
+bool EntryControl::MayAssignAnew(Instant now) const {
+  return now - members_known_since_ >=
+         timing_.membership_lease_duration +
+             settings_.grant_timing.MaxHoldFromSend();
+}
+
 void EntryControl::MoveRanges(Instant now) {
   if (!IsMover(now) || !view_.routes)
     return;
@@ -194,12 +230,16 @@
     if (!each.keyed)
       continue;
     MoverState& state = movers_[service];
-    if (!state.mover)
-      state.mover =
-          std::make_unique<RangeMover>(service, settings_.grant_timing);
+    const RangeMover& mover = MoverOf(service);
     SendReleases(service, state);
     if (state.write_in_progress || state.read_in_progress)
       continue;
+    if (mover.table().entries.empty() && earlier_tables_exist_) {
+      if (const auto continued = ContinueTable(now, service))
+        WriteTable(service, *continued);
+      if (view_.tables.contains(service) || !MayAssignAnew(now))
+        continue;
+    }
     const RangeLoad& load = smoothed_load_[service].load();
     const auto capacity = LimitedCapacities(now, service);
     MoverInput input;
@@ -240,12 +280,14 @@
                               const RangeTable& next) {
   MoverState& state = movers_[service];
   state.write_in_progress = true;
-  const std::string key = kTablesPrefix + service.value();
+  const std::string key = TablesPrefix(*era_) + service.value();
   store_.Write(
-      {{kMoverKey, mover_key_revision_}, {key, state.revision}},
+      {{MoverKey(*era_), mover_key_revision_}, {key, state.revision}},
       {{key, EncodeRangeTable(next), 0}}, {},
-      [this, service, next, key](const StoreResponse& response) {
+      [this, service, next, key, era = era_](const StoreResponse& response) {
         RecordStoreCall(response, "write-ranges");
+        if (era != era_)
+          return;
         MoverState& current = movers_[service];
         current.write_in_progress = false;
         log_.Write(LogLevel::kInfo, "ranges-written",
@@ -261,7 +303,7 @@
         if (response.status == StoreStatus::kConflict &&
             std::none_of(response.items.begin(), response.items.end(),
                          [this](const StoreItem& item) {
-                           return item.key == kMoverKey &&
+                           return item.key == MoverKey(*era_) &&
                                   item.revision == mover_key_revision_;
                          }))
           StepDownAsMover("write-refused");
@@ -271,14 +313,18 @@
 
 void EntryControl::ReadTable(const ServiceId& service) {
   movers_[service].read_in_progress = true;
-  const std::string key = kTablesPrefix + service.value();
-  store_.Get(key, [this, service](const StoreResponse& response) {
+  const std::string key = TablesPrefix(*era_) + service.value();
+  store_.Get(key, [this, service, era = era_](const StoreResponse& response) {
     RecordStoreCall(response, "read-ranges");
+    if (era != era_)
+      return;
     const bool succeeded = response.status == StoreStatus::kOk ||
                            response.status == StoreStatus::kNotFound;
     if (!succeeded)
-      return RunAfter(timing_.store_retry_interval,
-                      [this, service] { ReadTable(service); });
+      return RunAfter(timing_.store_retry_interval, [this, service, era] {
+        if (era == era_)
+          ReadTable(service);
+      });
     movers_[service].read_in_progress = false;
     copy_.ApplyChanges(response.items, 0);
   });
@@ -310,7 +356,7 @@
             });
           }
           current.releases_in_flight.erase(request);
-          current.mover->OnReleased(request, handover);
+          MoverOf(service).OnReleased(request, handover);
           ProcessChanges();
         });
   }
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -64,7 +64,7 @@
     const std::vector<const TargetEntry*>& usable,
     const MoverInput& input) const {
   RangeTable first;
-  first.last_fence = 1;
+  first.last_fence = NextFence(first);
   double total = 0;
   for (const TargetEntry* target : usable)
     total += CapacityOf(*target, input.capacity);
@@ -82,7 +82,7 @@
     entry.range = {static_cast<ShardKey>(begin),
                    static_cast<ShardKey>(end - 1)};
     SetOwner(entry, *target);
-    entry.fence = 1;
+    entry.fence = first.last_fence;
     first.entries.push_back(std::move(entry));
     begin = end;
   }
@@ -106,7 +106,7 @@
     if (entry.phase != RangePhase::kSettled || !MustMove(entry, input))
       continue;
     if (!changed)
-      ++next.last_fence;
+      next.last_fence = NextFence(next);
     changed = true;
     entry.phase = RangePhase::kMoving;
     entry.fence = next.last_fence;
@@ -249,7 +249,7 @@
       PlanBalance(next, shares, *input.load, options_.balance);
   if (last_balance_moves_.empty())
     return false;
-  ++next.last_fence;
+  next.last_fence = NextFence(next);
   for (const PlannedMove& move : last_balance_moves_) {
     SplitAt(next, move.range.first);
     SplitAt(next, std::uint32_t{move.range.last} + 1);
@@ -266,6 +266,17 @@
   return true;
 }
 
+RangeTable RangeMover::Continue(const RangeTable& earlier,
+                                bool renew_fences) const {
+  RangeTable next = earlier;
+  next.last_fence = NextFence(earlier);
+  if (renew_fences) {
+    for (RangeEntry& entry : next.entries)
+      entry.fence = next.last_fence;
+  }
+  return next;
+}
+
 std::optional<RangeTable> RangeMover::Plan(const MoverInput& input) {
   const auto usable = UsableTargets(input);
   if (table_.entries.empty()) {
--- a/src/store_keys.h
+++ b/src/store_keys.h
@@ -2,6 +2,9 @@
 #ifndef FIGSTALL_SRC_STORE_KEYS_H_
 #define FIGSTALL_SRC_STORE_KEYS_H_
 
+#include <fmt/format.h>
+
+#include <cstdint>
 #include <string>
 
 #include "figstall/types.h"
@@ -12,10 +15,29 @@
 inline constexpr char kOwnPrefix[] = "figstall/";
 // Prefix of one key for each member, attached to its membership lease.
 inline constexpr char kMembersPrefix[] = "figstall/members/";
+// Keys that are written under conditions have the store's era in their name. A
+// condition that a member states before it knows of a new era can then hold
+// only for a key that nobody reads anymore. Eras up to kFirstEra share the
+// names that they had before names had an era.
+inline constexpr std::uint64_t kFirstEra = 1;
+
+inline std::string ConditionalPrefix(std::uint64_t era) {
+  return era <= kFirstEra ? kOwnPrefix
+                          : fmt::format("{}era-{}/", kOwnPrefix, era);
+}
 // Prefix of one table of key ranges for each service.
-inline constexpr char kTablesPrefix[] = "figstall/ranges/";
+inline std::string TablesPrefix(std::uint64_t era) {
+  return ConditionalPrefix(era) + "ranges/";
+}
 // Key that names the elected mover, attached to the mover's lease.
-inline constexpr char kMoverKey[] = "figstall/mover";
+inline std::string MoverKey(std::uint64_t era) {
+  return ConditionalPrefix(era) + "mover";
+}
+// Fencing tokens of an era are above this, and so above those of all earlier
+// eras, whoever issued them.
+inline std::uint64_t FenceFloor(std::uint64_t era) {
+  return era <= kFirstEra ? 0 : era << 32U;
+}
 
 // Identifies one run of the process on a VM.
 inline std::string MemberIncarnationId(const VmId& vm,
--- a/src/target_absence.cc
+++ b/src/target_absence.cc
@@ -20,10 +20,13 @@
                                    bool was_leaving) {
   const bool after_outage =
       outage_ended_at_ && now - *outage_ended_at_ < timing_.post_outage_window;
+  const bool after_restore =
+      restored_at_ && now - *restored_at_ < timing_.post_restore_removal_delay;
   const Instant removal_at =
-      was_leaving    ? now
-      : after_outage ? *outage_ended_at_ + timing_.post_outage_removal_delay
-                     : now + timing_.removal_delay;
+      was_leaving     ? now
+      : after_restore ? *restored_at_ + timing_.post_restore_removal_delay
+      : after_outage  ? *outage_ended_at_ + timing_.post_outage_removal_delay
+                      : now + timing_.removal_delay;
   removal_at_.try_emplace(target, removal_at);
 }
 
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -132,6 +132,27 @@
     assert history_losses, "no entry logged watch-history-gone"
 
 
+# Guards against CONFIG: after the store came back from an older copy, whose
+# revisions are given out again, newer desired states were taken for older ones.
+def a_restored_store_is_followed_in_its_new_era():
+    fleet, report = run(faults=[
+        {"at_s": 6, "kind": "store-restored", "for_s": 1, "value": 4},
+        {"at_s": 10, "kind": "store-restored", "for_s": 0.5, "value": 2}],
+        entries=2, length_s=18)
+    assert served_fraction(report) > 0.8, report["routes"]
+    for entry in fleet.entries:
+        lines = entry.log()
+        eras = [line["era"] for line in lines
+                if line["event"] == "store-restored"]
+        assert eras == ["2", "3"], eras
+        versions = [line["version"] for line in lines
+                    if line["event"] == "desired-state-in-force"]
+        assert versions == ["1", "2", "3"], versions
+    events = [line["event"] for entry in fleet.entries
+              for line in entry.log()]
+    assert events.count("ranges-continued") >= 2, events
+
+
 # Fails if a caller receives a corrupted response of a target instead of a 502.
 def garbled_answers_reach_nobody():
     _, report = run(faults=[
@@ -357,7 +378,8 @@
          a_silent_store_stops_nothing,
          a_lost_relay_root_is_replaced_by_few_watches,
          lost_answers_of_the_store_break_no_promise,
-         a_dropped_history_is_read_anew, garbled_answers_reach_nobody,
+         a_dropped_history_is_read_anew,
+         a_restored_store_is_followed_in_its_new_era, garbled_answers_reach_nobody,
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
          a_target_that_asks_for_a_pause_is_left_alone,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -72,6 +72,13 @@
         faults.append({"kind": rng.choice(STORE_FAULTS),
                        "at_s": round(rng.uniform(0.3, LENGTH_S - 6), 2),
                        "for_s": round(rng.uniform(0.3, 5), 2)})
+    # Drawn by itself, so that the rest of a seed's run stays as it was.
+    restore_rng = random.Random(f"restore {seed}")
+    for _ in range(restore_rng.choice((0, 1, 1, 2))):
+        faults.append({"kind": "store-restored",
+                       "at_s": round(restore_rng.uniform(1, LENGTH_S - 7), 2),
+                       "for_s": round(restore_rng.uniform(0.2, 3), 2),
+                       "value": round(restore_rng.uniform(0.5, 10), 2)})
     actions = []
     indices = list(range(len(fleet.entries)))
     rng.shuffle(indices)
--- a/test/fakes/emulated_store.cc
+++ b/test/fakes/emulated_store.cc
@@ -16,6 +16,8 @@
 constexpr int kForbidden = 403;
 constexpr std::size_t kMaxItemsPerPage = 500;
 constexpr std::size_t kMaxHistorySize = 100'000;
+constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxCopies = 60;
 
 bool StartsWith(const std::string& text, const std::string& prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
@@ -189,7 +191,8 @@
   if (method == "GET" && path == "/kv-range")
     return respond(Range(query));
   if (method == "GET" && path == "/kv-watch") {
-    if (QueryNumber(query, "after") < compacted_revision_)
+    if (QueryNumber(query, "after") < compacted_revision_ ||
+        QueryNumber(query, "after") > revision_)
       return respond({kGone, {}});
     watches_.push_back(
         {QueryValue(query, "prefix"), QueryNumber(query, "after"),
@@ -241,6 +244,24 @@
   for (const std::uint64_t id : expired)
     EndLease(id);
   CompleteWatches(now);
+  if (copies_.empty() || now - copies_.back().at >= kCopyInterval)
+    copies_.push_back({now, items_, revision_});
+  if (copies_.size() > kMaxCopies)
+    copies_.pop_front();
+}
+
+void EmulatedStore::Restore(Instant now, Duration age) {
+  while (copies_.size() > 1 && copies_.back().at > now - age)
+    copies_.pop_back();
+  if (!copies_.empty()) {
+    items_ = copies_.back().items;
+    revision_ = copies_.back().revision;
+  }
+  std::erase_if(items_,
+                [](const auto& each) { return each.second.lease != 0; });
+  leases_.clear();
+  ++era_;
+  Compact();
 }
 
 void EmulatedStore::Compact() {
--- a/test/fakes/emulated_store.h
+++ b/test/fakes/emulated_store.h
@@ -1,6 +1,7 @@
 // The platform's store as the emulator serves it: keys, leases, watches and
 // conditional writes. The history can be compacted on command, which fails
-// watches. The class holds only state and opens no sockets; the emulator
+// watches. On command the store returns to an older copy of itself. The class
+// holds only state and opens no sockets; the emulator
 // injects all other faults of the store.
 #ifndef FIGSTALL_TEST_FAKES_EMULATED_STORE_H_
 #define FIGSTALL_TEST_FAKES_EMULATED_STORE_H_
@@ -43,6 +44,12 @@
   // Drops the history of changes. Pending watches, and new ones that ask for
   // changes that were dropped, get status 410.
   void Compact();
+  // Returns to the copy of `age` ago, or to the oldest one: what was written
+  // since is lost, and so are all leases with their keys. Revisions are given
+  // out again, in a new era.
+  void Restore(Instant now, Duration age);
+  // Counts the restored copies, from 1.
+  std::uint64_t era() const { return era_; }
   // Put and Remove act for operators and targets, without a request.
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
@@ -65,6 +72,11 @@
     nlohmann::json event;
     std::string key;
   };
+  struct Copy {
+    Instant at;
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+  };
   struct PendingWatch {
     std::string prefix;
     std::uint64_t after_revision = 0;
@@ -91,6 +103,9 @@
   std::uint64_t revision_ = 1;
   std::uint64_t next_lease_id_ = 1;
   std::vector<PendingWatch> watches_;
+  std::uint64_t era_ = 1;
+  // Ascending by time.
+  std::deque<Copy> copies_;
 };
 
 }  // namespace figstall::detail
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -194,7 +194,7 @@
                 {"slots", options_.slots}}},
               {"status",
                {{"state", draining_ ? "draining" : "ready"},
-                {"seq", 1},
+                {"seq", draining_ ? 2 : 1},
                 {"warmupLeftS", 0}}}}
       .dump();
 }
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -146,7 +146,7 @@
   void OnStoreCall(const figstall::ResponseWriter& caller,
                    const HttpRequest& request) {
     ++report_.store_calls;
-    if (store_fault_ == "store-silent")
+    if (store_fault_ == "store-silent" || store_fault_ == "store-restored")
       return;
     if (store_fault_ == "store-busy")
       return SendResponse(caller, {503, {}});
@@ -172,12 +172,14 @@
         });
   }
 
-  static void SendResponse(const figstall::ResponseWriter& caller,
-                           const EmulatedResponse& store_response) {
+  void SendResponse(const figstall::ResponseWriter& caller,
+                    const EmulatedResponse& store_response) const {
     HttpResponse response;
     response.result(static_cast<unsigned>(store_response.status));
     response.version(11);
     response.set(boost::beast::http::field::content_type, "application/json");
+    response.set(figstall::platform::kStoreEraHeader,
+                 std::to_string(store_.era()));
     if (!store_response.body.is_null())
       response.body() = store_response.body.dump();
     caller.Reply(std::move(response));
@@ -252,6 +254,16 @@
         killed_until_[fault.entry] = until;
       return;
     }
+    if (fault.kind == "store-restored" && !starts) {
+      store_.Restore(BootNow(), FromSeconds(fault.value));
+      // The operator's next desired state follows a moment later.
+      const auto timer = std::make_shared<asio::steady_timer>(
+          io_, std::chrono::milliseconds(500));
+      timer->async_wait([this, timer](error_code error) {
+        if (!error)
+          PutNextDesiredState();
+      });
+    }
     if (fault.kind.rfind("store-", 0) == 0) {
       store_fault_ = starts ? fault.kind : "";
       return;
@@ -292,6 +304,12 @@
     }
   }
 
+  void PutNextDesiredState() {
+    json desired_state = scenario_.desired_state;
+    desired_state["version"] = ++desired_state_version_;
+    store_.Put(figstall::platform::kDesiredStateKey, desired_state.dump());
+  }
+
   static Duration FromSeconds(double seconds) {
     return Duration(static_cast<Duration::rep>(seconds * 1e6));
   }
@@ -409,6 +427,7 @@
   std::vector<Instant> last_heartbeat_at_;
   std::set<std::shared_ptr<figstall::CallerConnection>> entry_connections_;
   std::string store_fault_;
+  std::uint64_t desired_state_version_ = 1;
   std::size_t next_fault_ = 0;
   Instant traffic_started_at_{};
 };
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -338,4 +338,29 @@
   }
 }
 
+// Guards against OWNER: a store restored from an older copy has forgotten the
+// last fencing tokens, and a mover issues one of them again.
+TEST_CASE("a mover of a new era issues tokens above those of earlier ones") {
+  MoverFixture earlier({"t1", "t2"});
+  MoverOptions options;
+  options.fence_floor = std::uint64_t{2} << 32U;
+  RangeMover mover(kService, {}, options);
+  const RangeTable continued = mover.Continue(earlier.table(), false);
+  CHECK(continued.entries == earlier.table().entries);
+  CHECK(continued.last_fence > options.fence_floor);
+  const RangeTable renewed = mover.Continue(earlier.table(), true);
+  CHECK(std::all_of(renewed.entries.begin(), renewed.entries.end(),
+                    [&](const RangeEntry& entry) {
+                      return entry.fence > options.fence_floor;
+                    }));
+  // Nobody knows an earlier table.
+  MoverInput input = earlier.Input();
+  CHECK_FALSE(mover.Plan(input));
+  input.now += milliseconds(1500);
+  const auto first = mover.Plan(input);
+  REQUIRE(first);
+  CHECK(first->last_fence > options.fence_floor);
+  CHECK(first->entries.front().fence == first->last_fence);
+}
+
 }  // namespace figstall
--- a/test/store_copy_test.cc
+++ b/test/store_copy_test.cc
@@ -369,4 +369,35 @@
   }
 }
 
+// Guards against CONFIG: a store that was restored from an older copy gives out
+// its revisions again, and a copy took its changes for old ones.
+TEST_CASE("a copy follows a store whose revisions went back in a new era") {
+  RecordingCopy publisher;
+  publisher.copy.ApplyRead(
+      {{"",
+        false,
+        {{"op/config", "v9", MakeRevision(1, 90), false}, kTarget},
+        MakeRevision(1, 100)}},
+      true);
+  RecordingCopy subscriber;
+  subscriber.copy.OnSubscribed();
+  subscriber.Follow(publisher);
+  CHECK(subscriber.Has("targets/a"));
+  publisher.copy.ApplyRead({{"",
+                             false,
+                             {{"op/config", "v7", MakeRevision(2, 70), false}},
+                             MakeRevision(2, 80)}},
+                           true);
+  publisher.copy.ApplyChanges(
+      {{"op/config", "v10", MakeRevision(2, 81), false}}, MakeRevision(2, 81));
+  for (const RelayUpdate& update : publisher.published)
+    subscriber.Receive(publisher, update);
+  // Late news of the earlier era change nothing.
+  subscriber.copy.ApplyChanges(
+      {{"op/config", "v9", MakeRevision(1, 99), false}}, MakeRevision(1, 99));
+  CHECK(subscriber.copy.cursor() == MakeRevision(2, 81));
+  CHECK(subscriber.copy.Find("op/config")->value == "v10");
+  CHECK_FALSE(subscriber.Has("targets/a"));
+}
+
 }  // namespace figstall
--- a/test/target_absence_test.cc
+++ b/test/target_absence_test.cc
@@ -92,4 +92,25 @@
   CHECK(RemovedAt(absence, 910) <= At(1200));
 }
 
+// Guards against dropping targets that the restored copy of the store does not
+// have yet.
+TEST_CASE("an entry missing after the store was restored may reappear") {
+  TargetAbsence absence;
+  absence.OnStoreRestored(At(0));
+  absence.OnEntryRemoved(At(100), kTarget, false);
+  CHECK(absence.TakeRemovedTargets(At(2900)).empty());
+  absence.OnEntryPresent(kTarget);
+  CHECK(absence.TakeRemovedTargets(At(9000)).empty());
+}
+
+TEST_CASE("an entry that stays missing after the store was restored goes") {
+  TargetAbsence absence;
+  absence.OnStoreRestored(At(0));
+  absence.OnEntryRemoved(At(100), kTarget, false);
+  CHECK(RemovedAt(absence, 100) == At(3000));
+  // A target that was leaving does not come back.
+  absence.OnEntryRemoved(At(1000), kTarget, true);
+  CHECK(RemovedAt(absence, 1000) == At(1000));
+}
+
 }  // namespace figstall
