Odd target entries of another writer are rejected with their place

Cause: operators of similar systems reported that one entry, very deeply nested, with a number too large or a port out of range, ended the machines that read the list. Tried here: no process ended and the store was followed on, but of nine such entries three were taken: a start time or a number of slots out of range wrapped round (to zero slots), port 0 was used, and any depth was parsed, whose copies recurse.

The emulator leaves such entries (store-odd-entries).

--- a/src/schema_check.cc
+++ b/src/schema_check.cc
@@ -48,6 +48,34 @@
 
 }  // namespace
 
+namespace {
+
+// Whether arrays and objects are nested deeper than kMaxNesting. Copies and
+// comparisons of a parsed value recurse, so deeper ones could exhaust the
+// stack.
+bool IsNestedTooDeeply(const std::string& text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\')
+        ++i;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxNesting)
+        return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
 Result<nlohmann::json> ParseJson(const std::string& text,
                                  const std::string& source) {
   if (text.size() > kMaxDocumentBytes) {
@@ -56,11 +84,19 @@
                   fmt::format("{} bytes; at most {} are accepted", text.size(),
                               kMaxDocumentBytes)}});
   }
+  if (IsNestedTooDeeply(text)) {
+    return Fail(ErrorCode::kInvalidInput, "document nested too deeply",
+                {{source, "",
+                  fmt::format("at most {} levels are accepted", kMaxNesting)}});
+  }
   try {
     return nlohmann::json::parse(text);
   } catch (const nlohmann::json::parse_error& error) {
     return Fail(ErrorCode::kInvalidInput, "malformed JSON",
                 {{source, LineAndColumn(text, error.byte), error.what()}});
+  } catch (const nlohmann::json::out_of_range& error) {
+    return Fail(ErrorCode::kInvalidInput, "number out of range",
+                {{source, "", error.what()}});
   }
 }
 
--- a/test/desired_state_test.cc
+++ b/test/desired_state_test.cc
@@ -140,4 +140,61 @@
   CHECK(is_rejected("\xff\xfe"));
 }
 
+// Guards against processes that end, or stop following the store, since another
+// writer left an odd entry among those of the targets.
+TEST_CASE("odd target entries of another writer are rejected") {
+  const auto entry = [](const std::string& address, const std::string& born,
+                        const std::string& slots, const std::string& warm_up,
+                        const std::string& more) {
+    return R"({"addr":")" + address + R"(","born":)" + born +
+           R"(,"info":{"service":"s","zone":"z","slots":)" + slots +
+           R"(},"status":{"state":"ready","seq":1,"warmupLeftS":)" + warm_up +
+           "}" + more + "}";
+  };
+  const auto is_rejected = [](const std::string& text) {
+    return HandleError(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(platform::DecodeTargetEntry("i-1", text));
+          return false;
+        },
+        [](const Error&) { return true; });
+  };
+  const std::string address = "10.0.0.1:80";
+  REQUIRE_FALSE(is_rejected(entry(address, "5", "4", "0", "")));
+  SECTION("a number that no type holds") {
+    const char* const kNumbers[] = {"1e400", "-1e400", "1e300",
+                                    "18446744073709551615",
+                                    "99999999999999999999999999"};
+    for (const char* number : kNumbers) {
+      CAPTURE(number);
+      CHECK(is_rejected(entry(address, number, "4", "0", "")));
+      CHECK(is_rejected(entry(address, "5", number, "0", "")));
+      CHECK(is_rejected(entry(address, "5", "4", number, "")));
+    }
+    CHECK(is_rejected(entry(address, "5", "4294967296", "0", "")));
+    CHECK(is_rejected(
+        R"({"addr":"10.0.0.1:80","info":{"service":"s","zone":"z"},
+            "status":{"state":"ready","seq":1e400}})"));
+  }
+  SECTION("an address that names no port") {
+    for (const char* odd :
+         {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:99999999999",
+          "10.0.0.1:", "10.0.0.1", ":80", "somewhere:80", "10.0.0.1:8x"}) {
+      CAPTURE(odd);
+      CHECK(is_rejected(entry(odd, "5", "4", "0", "")));
+    }
+  }
+  SECTION("values nested deeply") {
+    constexpr int kLevels = 300'000;
+    const std::string nested =
+        std::string(kLevels, '[') + std::string(kLevels, ']');
+    CHECK(is_rejected(nested));
+    CHECK(is_rejected(entry(address, "5", "4", "0", R"(,"x":)" + nested)));
+    std::string objects;
+    for (int i = 0; i < kLevels; ++i)
+      objects += R"({"x":)";
+    CHECK(is_rejected(objects + "1" + std::string(kLevels, '}')));
+  }
+}
+
 }  // namespace figstall
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -132,6 +132,28 @@
     assert history_losses, "no entry logged watch-history-gone"
 
 
+# Guards against entries that end, or stop following the store, since another
+# writer left odd entries among those of the targets.
+def odd_target_entries_stop_no_entry():
+    fleet, report = run(faults=[
+        {"at_s": 1, "kind": "store-odd-entries"},
+        {"at_s": 2, "kind": "store-compact"},
+        {"at_s": 3, "kind": "target-crash", "service": "accounts", "count": 1,
+         "for_s": 1}])
+    assert served_fraction(report) > 0.8, report["routes"]
+    for entry in fleet.entries:
+        lines = entry.log()
+        refused = {line["target"] for line in lines
+                   if line["event"] == "target-entry-refused"}
+        assert len(refused) == 9, refused
+        last_refused = max(i for i, line in enumerate(lines)
+                           if line["event"] == "target-entry-refused")
+        assert any(line["event"] == "target-joined"
+                   for line in lines[last_refused:]), "no target joined later"
+        assert all(line["event"] != "unexpected-error" for line in lines)
+        assert sum(line["event"] == "started" for line in lines) == 1
+
+
 # Guards against CONFIG: after the store came back from an older copy, whose
 # revisions are given out again, newer desired states were taken for older ones.
 def a_restored_store_is_followed_in_its_new_era():
@@ -379,7 +401,8 @@
          a_lost_relay_root_is_replaced_by_few_watches,
          lost_answers_of_the_store_break_no_promise,
          a_dropped_history_is_read_anew,
-         a_restored_store_is_followed_in_its_new_era, garbled_answers_reach_nobody,
+         a_restored_store_is_followed_in_its_new_era,
+         odd_target_entries_stop_no_entry, garbled_answers_reach_nobody,
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
          a_target_that_asks_for_a_pause_is_left_alone,
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -246,6 +246,11 @@
         store_.Compact();
       return;
     }
+    if (fault.kind == "store-odd-entries") {
+      if (starts)
+        PutOddTargetEntries();
+      return;
+    }
     if (fault.kind == "entry-frozen" || fault.kind == "entry-killed") {
       const Instant until = BootNow() + fault.duration;
       if (starts)
@@ -304,6 +309,29 @@
     }
   }
 
+  // Entries that another writer left among those of the targets.
+  void PutOddTargetEntries() {
+    constexpr std::size_t kLevels = 100'000;
+    const std::string nested =
+        std::string(kLevels, '[') + std::string(kLevels, ']');
+    const std::string rest =
+        R"(,"info":{"service":"accounts","zone":"north-a","slots":4},)"
+        R"("status":{"state":"ready","seq":1}})";
+    const std::string values[] = {
+        nested,
+        R"({"addr":"127.0.0.1:9","x":)" + nested + rest,
+        R"({"addr":"127.0.0.1:9","born":1e400)" + rest,
+        R"({"addr":"127.0.0.1:9","born":1e300)" + rest,
+        R"({"addr":"127.0.0.1:9","born":18446744073709551615)" + rest,
+        R"({"addr":"127.0.0.1:65536")" + rest,
+        R"({"addr":"127.0.0.1:0")" + rest,
+        R"({"addr":"127.0.0.1:-1")" + rest,
+        "\xff\xfe"};
+    for (std::size_t i = 0; i < std::size(values); ++i)
+      store_.Put(fmt::format("{}odd-{}", figstall::platform::kTargetsPrefix, i),
+                 values[i]);
+  }
+
   void PutNextDesiredState() {
     json desired_state = scenario_.desired_state;
     desired_state["version"] = ++desired_state_version_;
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -61,7 +61,7 @@
                           "target-says-invalid", "entry-frozen",
                           "entry-killed", "store-silent", "store-busy",
                           "store-lost-answers", "store-compact",
-                          "store-restored"]},
+                          "store-restored", "store-odd-entries"]},
         "value": {"type": "number", "minimum": 0},
         "entry": {"type": "integer", "minimum": 0},
         "service": {"type": "string"},
