A process that starts in a restored store leaves the election to those that know the tables

Change: such a process stands for election after the others have had time to join, nobody stands who has seen an older table than another member, and a mover that learns of one resigns.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -81,6 +81,8 @@
   // Interval between two reports that contain the targets' processing times.
   Duration processing_time_report_interval = std::chrono::seconds(3);
   Duration store_retry_interval = std::chrono::milliseconds(250);
+  // Members join again within this time of a store's return.
+  Duration rejoin_time = std::chrono::milliseconds(2500);
   // Interval between two checks for due grants if nothing changed.
   Duration grant_check_interval = std::chrono::milliseconds(100);
   // Interval between two reports to the mover.
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -243,9 +243,14 @@
 }
 
 void EntryControl::Campaign(Instant now) {
+  // After a restore, those that lived through it know the tables; a process
+  // that started since leaves them time to join.
+  const bool started_after_restore =
+      earlier_tables_exist_ && view_.tables.empty() &&
+      now - members_known_since_ < timing_.rejoin_time;
   if (mover_key_exists_ || campaigning_ || resigned_ || !tables_up_to_date_ ||
       connectivity_.lost() || now >= membership_valid_until_ ||
-      (restored_at_ && OthersKnowNewerTables())) {
+      started_after_restore || OthersKnowNewerTables()) {
     campaign_at_.reset();
     return;
   }
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -235,6 +235,10 @@
     if (state.write_in_progress || state.read_in_progress)
       continue;
     if (mover.table().entries.empty() && earlier_tables_exist_) {
+      if (OthersKnowNewerTables()) {
+        store_.RevokeLease(mover_lease_, [](const StoreResponse&) {});
+        return StepDownAsMover("others-know-newer-tables");
+      }
       if (const auto continued = ContinueTable(now, service))
         WriteTable(service, *continued);
       if (view_.tables.contains(service) || !MayAssignAnew(now))
