--- a/test/desired_state_test.cc
+++ b/test/desired_state_test.cc
@@ -162,9 +162,9 @@
   const std::string address = "10.0.0.1:80";
   REQUIRE_FALSE(is_rejected(entry(address, "5", "4", "0", "")));
   SECTION("a number that no type holds") {
-    const char* const kNumbers[] = {"1e400", "-1e400", "1e300",
-                                    "18446744073709551615",
-                                    "99999999999999999999999999"};
+    constexpr const char* kNumbers[] = {"1e400", "-1e400", "1e300",
+                                        "18446744073709551615",
+                                        "99999999999999999999999999"};
     for (const char* number : kNumbers) {
       CAPTURE(number);
       CHECK(is_rejected(entry(address, number, "4", "0", "")));
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -257,6 +257,17 @@
     assert served_fraction(report) > 0.6, report["routes"]
 
 
+# Guards against LIMIT: members whose leases lapse together see no others and may
+# each issue credits by themselves.
+def a_named_limit_holds_while_memberships_lapse():
+    _, report = run(entries=4, rate=2.0, length_s=16, faults=[
+        {"at_s": 1, "kind": "target-limit", "service": "accounts",
+         "for_s": 14, "count": 3, "value": 1.0},
+        *[{"at_s": at_s, "kind": "store-lapse", "for_s": 0.3}
+          for at_s in (4, 6.5, 9, 11.5)]])
+    assert served_fraction(report) > 0.1, report["routes"]
+
+
 # Guards against an invalid notice that holds requests up or ends the process.
 def invalid_notices_hold_nobody_up():
     fleet, report = run(faults=[
@@ -408,6 +419,7 @@
          a_target_that_asks_for_a_pause_is_left_alone,
          a_named_limit_bounds_the_sum_over_entries,
          a_named_limit_holds_while_entries_fail,
+         a_named_limit_holds_while_memberships_lapse,
          invalid_notices_hold_nobody_up,
          a_repeated_refusal_is_not_believed,
          killed_entry_serves_after_restart,
--- a/test/fakes/emulated_store.cc
+++ b/test/fakes/emulated_store.cc
@@ -250,6 +250,11 @@
     copies_.pop_front();
 }
 
+void EmulatedStore::EndAllLeases() {
+  while (!leases_.empty())
+    EndLease(leases_.begin()->first);
+}
+
 void EmulatedStore::Restore(Instant now, Duration age) {
   while (copies_.size() > 1 && copies_.back().at > now - age)
     copies_.pop_back();
--- a/test/fakes/emulated_store.h
+++ b/test/fakes/emulated_store.h
@@ -48,6 +48,8 @@
   // since is lost, and so are all leases with their keys. Revisions are given
   // out again, in a new era.
   void Restore(Instant now, Duration age);
+  // Ends all leases, as an outage may.
+  void EndAllLeases();
   // Counts the restored copies, from 1.
   std::uint64_t era() const { return era_; }
   // Put and Remove act for operators and targets, without a request.
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -146,7 +146,8 @@
   void OnStoreCall(const figstall::ResponseWriter& caller,
                    const HttpRequest& request) {
     ++report_.store_calls;
-    if (store_fault_ == "store-silent" || store_fault_ == "store-restored")
+    if (store_fault_ == "store-silent" || store_fault_ == "store-restored" ||
+        store_fault_ == "store-lapse")
       return;
     if (store_fault_ == "store-busy")
       return SendResponse(caller, {503, {}});
@@ -246,6 +247,8 @@
         store_.Compact();
       return;
     }
+    if (fault.kind == "store-lapse" && !starts)
+      store_.EndAllLeases();
     if (fault.kind == "store-odd-entries") {
       if (starts)
         PutOddTargetEntries();
