A restored range table waits for the grants of processes that were replaced

Cause: found by reading. A process that was killed while the store was away, and whose VM has joined again, may have seen a newer table than all others and granted by it. It counted as joined, so the mover continued an older table at once and under old tokens: two owners for the rest of a hold, or an owner that refuses the old token for good.

Change: a member of before that joins as another process counts as departed; the mover then waits for the longest grant and renews the tokens. The soak's harness ends a line that a killed process left cut off.

Measured: process test of the restored store passes.

--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -188,10 +188,12 @@
     for (const auto& [owner, remaining] : value.at("holds_for_us").items())
       report.holds_for[TargetId(owner)] =
           Duration(remaining.get<Duration::rep>());
-    if (known != view_.members.end() &&
-        known->second.incarnation != member.incarnation)
+    const bool replaced = known != view_.members.end() &&
+                          known->second.incarnation != member.incarnation;
+    if (replaced)
       mark_departed();
-    lapsed_members_.erase(vm);
+    if (lapsed_members_.erase(vm) > 0 && replaced)
+      lapsed_members_departed_at_ = now;
     MemberReport& known_report =
         member_reports_[MemberIncarnationId(vm, member.incarnation)];
     known_report.zone = member.zone;
--- a/support/entry_fleet.py
+++ b/support/entry_fleet.py
@@ -69,11 +69,15 @@
         self.process = None
 
     def start(self):
+        log = open(self.log_path, "a", encoding="utf-8")
+        # Ends the last line of a process that was killed while writing it.
+        if log.tell() > 0 and not self.log_path.read_bytes().endswith(b"\n"):
+            log.write("\n")
+            log.flush()
         self.process = subprocess.Popen(
             [str(BIN / "figstall-entry"), "--settings",
              str(self.settings_path)],
-            stdout=open(self.log_path, "a", encoding="utf-8"),
-            stderr=subprocess.STDOUT)
+            stdout=log, stderr=subprocess.STDOUT)
 
     def send_signal(self, signal_number):
         self.process.send_signal(signal_number)
@@ -88,7 +92,9 @@
     def log(self):
         """Returns the JSON log lines written so far."""
         lines = self.log_path.read_text(encoding="utf-8").splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
+        # A process that is killed may leave its last line cut off.
+        return [json.loads(line) for line in lines
+                if line.startswith("{") and line.endswith("}")]
 
 
 # Seconds for which what targets said before does not bind an entry that was
