a_repeated_refusal_is_not_believed waits until its entry may use the slack

Cause: the test sends 20 requests that each need a retry to an entry that has been a member for one second.

Change: the requests come nine seconds after the lead instead of one. All checks stay: 15 requests refused first, one run each, no refusal of what ran, 15 answered.

--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -303,7 +303,7 @@
     port, = free_ports(1)
     target = RawTarget(port, answer)
     scenario = {
-        "lead_s": 3, "length_s": 6,
+        "lead_s": 3, "length_s": 14,
         "services": {"ledger": {"keyed": True, "targets": [
             {"address": address(port), "zone": "north-a", "external": True}]}},
         "routes": {"pay": {"host": "a.example", "prefix": "/pay/",
@@ -322,7 +322,9 @@
             caller.close()
 
     try:
-        fleet.run(scenario, actions=[Action(LEAD_S + 1, pay)])
+        # Each request needs a retry, and only a process that has been a member
+        # for a whole window of the retry budget uses its slack.
+        fleet.run(scenario, actions=[Action(LEAD_S + 9, pay)])
     finally:
         target.close()
     assert len(refused_on) >= 15, (statuses, refused_on)
