Review case 3: a backend's next life takes keys from an entry that the store turns away

Cause: HasNoHolder takes a released range for free without waiting for members that have not seen the move; the backend's next life does not know the higher fence, and a grant names the backend by its id only.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec python3 "$(dirname "$0")/late_second_answer.py"
+exec python3 "$(dirname "$0")/stale_granter.py"
--- /dev/null
+++ b/review/3/stale_granter.py
@@ -0,0 +1,151 @@
+"""The store turns one entry away, the one that leads. Meanwhile a backend is
+restarted as planned: it drains, its keys go to others, it exits and starts again
+under its id. Fails if a request begins on a key that two backends hold."""
+import asyncio
+import pathlib
+import random
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standin"))
+from standin import Entry, HeldBackend, Store, now, request, run_case  # noqa
+
+REGIONS = {"arima": "north", "couva": "north"}
+RATE = 120
+TURNED_AWAY_S = 7.0
+DRAIN_S = 2.0
+DOWN_S = 0.3
+
+
+class Backend(HeldBackend):
+    """Also records the requests that begin while two backends hold their key."""
+
+    doubly_run = []
+
+    def on_run(self, number, key):
+        super().on_run(number, key)
+        for other in self.all:
+            if other is not self and other.up and other.held(key):
+                self.doubly_run.append((key, self.name, other.name))
+                self.record("two-hold", key=key, runs=self.name,
+                            holds_too=other.name)
+
+    up = True
+
+
+async def main(record, directory, trouble):
+    store = Store()
+    await store.start()
+    backends = [Backend(store, f"b{i}", "accounts", list(REGIONS)[i % 2],
+                        record, slots=4, work_s=0.08 if i % 4 < 2 else 0.12)
+                for i in range(8)]
+    for backend in backends:
+        await backend.start()
+    await store.put("op/config", {
+        "version": 3,
+        "routes": {"balance": {
+            "host": "a.example", "prefix": "/a/", "kind": "safe",
+            "service": "accounts", "timeoutS": 1, "sloS": 0.4, "attempts": 2,
+            "priority": 1}},
+        "services": {"accounts": {"sharded": True, "maxConns": 120}},
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000,
+                   "headerTimeoutS": 5, "idleTimeoutS": 20}})
+    entries = {}
+    for zone in REGIONS:
+        for i in (1, 2):
+            name = f"{zone}-{i}"
+            entries[name] = Entry(directory, await store.own_address(name),
+                                  name, zone, REGIONS)
+    answers = []
+    sending = True
+    tasks = []
+
+    async def one(number, front):
+        rid = f"r{number:06d}"
+        key = random.randrange(65536)
+        record("sent", id=rid, key=key)
+        status, _, _ = await request(front, rid, headers=[("Shard-Key", key)],
+                                     deadline_ms=1000)
+        answers.append(status)
+        record("answered", id=rid, status=status)
+
+    async def traffic():
+        number = 0
+        began = now()
+        fronts = [entry.front for entry in entries.values()]
+        while sending:
+            number += 1
+            tasks.append(asyncio.create_task(one(number, fronts[number % 4])))
+            await asyncio.sleep(max(0, began + number / RATE - now()))
+
+    def leader():
+        for key, item in store.items.items():
+            if key.endswith("/mover"):
+                return item[0].decode().split("#")[0]
+        return None
+
+    try:
+        for entry in entries.values():
+            entry.start()
+        for entry in entries.values():
+            if not await entry.wait_ready():
+                return 2
+        until = now() + 10
+        while not all(b.holds for b in backends) and now() < until:
+            await asyncio.sleep(0.1)
+        if not all(b.holds for b in backends):
+            return 2
+        flow = asyncio.create_task(traffic())
+        await asyncio.sleep(5)
+        first = leader()
+        zone = entries[first].zone
+        record("leader", entry=first)
+        if trouble:
+            store.rejected.add(first)
+            record("turned-away", entry=first)
+        began = now()
+        # A backend of that entry's zone is restarted as planned: it drains,
+        # serves on for drainS and a little longer, until its keys are released,
+        # exits, and starts again under its id.
+        await asyncio.sleep(0.2)
+        owner = next(b for b in backends if b.zone == zone)
+        ranges = [each[:2] for each in owner.holds if each[3] > now()]
+        record("drain", backend=owner.name, ranges=ranges)
+        await owner.drain()
+        await asyncio.sleep(DRAIN_S)
+        while now() < began + 6 and not all(
+                any(row["what"] == "released" and row["backend"] == owner.name
+                    and row["first"] == first_key
+                    for row in record.rows) for first_key, _ in ranges):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
+        record("leader", entry=leader())
+        owner.up = False
+        await owner.crash()
+        await asyncio.sleep(DOWN_S)
+        owner.state = "ready"
+        await owner.restart()
+        owner.up = True
+        await asyncio.sleep(max(0, began + TURNED_AWAY_S - now()))
+        store.rejected.clear()
+        record("turned-away-no-more")
+        await asyncio.sleep(3)
+        sending = False
+        await flow
+        await asyncio.gather(*tasks)
+    finally:
+        for entry in entries.values():
+            entry.end()
+    served = sum(status == 200 for status in answers)
+    # The rule is broken if both of two holders begin requests.
+    runners = {(mine, other) for _, mine, other in Backend.doubly_run}
+    both = sorted(pair for pair in runners if pair[::-1] in runners)
+    record("result", violations=len(Backend.doubly_run), both_began=both,
+           at_work=len(HeldBackend.violations), requests=len(answers),
+           served=served)
+    if served < len(answers) / 2:
+        return 2
+    return 1 if both else 0
+
+
+run_case(main, FOLDER)
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -101,12 +101,24 @@
         self.changed = asyncio.Condition()
         self.on_call = None  # (method, path, body) -> None; for a case's use
         self.writers = set()
+        self.servers = []
+        self.rejected = set()
 
     async def start(self):
         host, port = self.address.split(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
         self.expiry = asyncio.create_task(self.expire())
 
+    async def own_address(self, name):
+        """Returns a further address of the store, for one machine alone; calls
+        there get 503 while the machine's name is in `rejected`."""
+        address = f"127.0.0.1:{free_port()}"
+        host, port = address.split(":")
+        self.servers.append(await asyncio.start_server(
+            lambda reader, writer: self.serve(reader, writer, name), host,
+            int(port)))
+        return address
+
     async def expire(self):
         while True:
             await asyncio.sleep(0.05)
@@ -145,7 +157,7 @@
         return {"key": key, "value": base64.b64encode(value).decode(),
                 "revision": revision, "created": created, "lease": lease}
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, machine=None):
         self.writers.add(writer)
         try:
             while True:
@@ -154,7 +166,11 @@
                     return
                 method, target, _ = head[0].split(" ")
                 body = await read_body(reader, head[1])
-                status, answer = await self.call(method, target, body)
+                status, answer = 503, {}
+                if machine not in self.rejected:
+                    status, answer = await self.call(method, target, body)
+                if machine in self.rejected:
+                    status, answer = 503, {}
                 writer.write(response(
                     status, [("Content-Type", "application/json"),
                              ("Store-Era", "1")], json.dumps(answer).encode()))
@@ -288,6 +304,21 @@
         self.state = "draining"
         await self.report()
 
+    async def crash(self):
+        """The process ends: connections break, nothing is known any more."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.holds = []
+        self.record("crashed", backend=self.name)
+
+    async def restart(self):
+        """Starts again under the same id, at the same address."""
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        await self.start()
+        self.record("restarted", backend=self.name)
+
     def held(self, key):
         return any(first <= key <= last and expiry > now()
                    for first, last, _, expiry in self.holds)
