The mover's own grants delay a move from the moment they are sent

In a zone without entries the next owner was granted a range 2 ms after its owner was asked to release it; the owner still worked, with 2.3 s of its hold left. Callers saw nothing wrong.

Cause: reports of members of other zones are not waited for, on the premise that only members of the owner's zone and the mover grant a range. The mover is itself a member of another zone for most ranges, and knew of its own grants only by the report that it merges at its next tick. If the store's watch brought the moving entry before that tick, nobody seemed to have granted the range. The mover's first grant of an entry of any zone had the same fault.

Change: RangeMover asks for the process's own grants whenever it decides whether a range is free. Weighed: merging the report before each plan (the same effect, but the rule would hang on a call elsewhere).

Test changes: mutations stop at the first run that breaks the rule (FindsViolation), which asks the same. kNoReportedHolds gets 2,000 runs instead of 100: what the mover granted itself is now known without reports, so that fewer runs show it.

--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -95,6 +95,9 @@
   bool NotYetGranted(const ServiceId& service, const RangeEntry& entry) const {
     return !next_grant_at_.contains({service, entry.range.first, entry.fence});
   }
+  // Returns the latest time until which the owner may hold ranges that this
+  // member granted; empty if all its grants have expired.
+  std::optional<Instant> HoldExpiry(Instant now, const TargetId& owner) const;
   // Returns for each owner the latest time until which it may hold ranges that
   // this member granted. Owners whose grants have all expired are left out.
   std::map<TargetId, Instant> HoldExpiries(Instant now) const;
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -11,12 +11,14 @@
 // granted the range has reported that it knows of the move and until when its
 // grants last, or has departed, and until all of those grants have expired.
 // Only members of the owner's zone and the mover grant a range, so that a lost
-// member delays no moves of other zones.
+// member delays no moves of other zones. The mover's own grants count from the
+// moment they are sent, in any zone.
 #ifndef FIGSTALL_RANGE_MOVER_H_
 #define FIGSTALL_RANGE_MOVER_H_
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -94,6 +96,10 @@
   Instant members_known_since{};
   // When this mover was elected.
   Instant mover_since{};
+  // Until when the owner may hold ranges by grants that this process sent,
+  // including those after its last report; empty if it holds none. May be null
+  // if this process grants nothing.
+  std::function<std::optional<Instant>(const TargetId& owner)> own_hold_until;
   // Relative capacity of targets; a target that is missing here counts by its
   // slots.
   const std::map<TargetId, double>* capacity = nullptr;
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -253,6 +253,9 @@
     input.members_up_to_date = copy_.cursor() >= state.revision;
     input.members_known_since = members_known_since_;
     input.mover_since = mover_since_;
+    input.own_hold_until = [this, now](const TargetId& owner) {
+      return granter_.HoldExpiry(now, owner);
+    };
     input.capacity = &capacity;
     input.load = &load;
     const auto next = state.mover->Plan(input);
--- a/src/range_granter.cc
+++ b/src/range_granter.cc
@@ -107,16 +107,24 @@
   owners_[owner].backoff_until = now + send_timing_.owner_backoff;
 }
 
+std::optional<Instant> RangeGranter::HoldExpiry(Instant now,
+                                                const TargetId& owner) const {
+  const auto found = owners_.find(owner);
+  if (found == owners_.end() || !found->second.latest_arrival)
+    return std::nullopt;
+  const OwnerState& state = found->second;
+  const Instant arrival = state.in_flight > 0
+                              ? std::max(now, *state.latest_arrival)
+                              : *state.latest_arrival;
+  const Instant expiry = arrival + timing_.MaxHoldFromArrival();
+  return now < expiry ? std::optional(expiry) : std::nullopt;
+}
+
 std::map<TargetId, Instant> RangeGranter::HoldExpiries(Instant now) const {
   std::map<TargetId, Instant> expiries;
   for (const auto& [id, owner] : owners_) {
-    if (!owner.latest_arrival)
-      continue;
-    const Instant arrival = owner.in_flight > 0
-                                ? std::max(now, *owner.latest_arrival)
-                                : *owner.latest_arrival;
-    if (now < arrival + timing_.MaxHoldFromArrival())
-      expiries[id] = arrival + timing_.MaxHoldFromArrival();
+    if (const auto expiry = HoldExpiry(now, id))
+      expiries[id] = *expiry;
   }
   return expiries;
 }
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -137,7 +137,8 @@
   if (member.departed_at &&
       input.now >= *member.departed_at + timing_.MaxHoldFromSend())
     return false;
-  // A member of another zone grants the range only while it is the mover.
+  // A member of another zone grants the range only while it is the mover. What
+  // this mover granted itself is checked by HasNoHolder().
   return member.zone.value().empty() || member.zone == entry.zone ||
          input.now < input.mover_since + timing_.mover_lease_duration +
                          timing_.MaxHoldFromSend();
@@ -153,6 +154,11 @@
   if (!input.members_up_to_date ||
       input.now < input.members_known_since + timing_.MaxHoldFromSend())
     return false;
+  if (input.own_hold_until) {
+    const auto until = input.own_hold_until(entry.owner.id);
+    if (until && input.now < *until)
+      return false;
+  }
   for (const auto& [incarnation_id, member] : *input.members) {
     const auto seen = member.seen_fence.find(service_);
     if (seen != member.seen_fence.end() && seen->second >= entry.fence) {
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -175,6 +175,24 @@
     assert events.count("ranges-continued") >= 2, events
 
 
+# Guards against OWNER: the mover grants the ranges of a zone whose entries are
+# all gone, and gave them on while their owner still worked.
+def a_zone_without_entries_keeps_one_owner_for_each_key():
+    fleet = EntryFleet({"north-a": "north", "north-b": "north"}, 2)
+    scenario = small_scenario(fleet, length_s=16, rate=0.5, faults=[
+        {"at_s": at_s, "kind": "target-leave", "service": "accounts",
+         "count": 4, "for_s": 2.2} for at_s in (7, 12)])
+    scenario["services"]["accounts"]["work_ms"] = 400
+    report, status = fleet.run(
+        scenario, [signal_entry(LEAD_S + 0.5, index, TERMINATE)
+                   for index, entry in enumerate(fleet.entries)
+                   if entry.name.startswith("north-b")])
+    assert report["violations"] == [] and status == 0, report["violations"]
+    # The emulator's callers keep sending requests to the ended entries.
+    assert served_fraction(report) > 0.3, report["routes"]
+    assert report["owner_changes"] > 0
+
+
 # Fails if a caller receives a corrupted response of a target instead of a 502.
 def garbled_answers_reach_nobody():
     _, report = run(faults=[
@@ -415,6 +433,7 @@
          lost_answers_of_the_store_break_no_promise,
          a_dropped_history_is_read_anew,
          a_restored_store_is_followed_in_its_new_era,
+         a_zone_without_entries_keeps_one_owner_for_each_key,
          odd_target_entries_stop_no_entry, garbled_answers_reach_nobody,
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -62,6 +62,22 @@
     return freeze_entry(at_s, index, for_s=round(rng.uniform(0.3, 6), 2))
 
 
+def empty_zone(rng, fleet):
+    """Returns the actions that stop all entries of one zone, for good or until
+    they start again."""
+    zone = rng.choice(sorted(fleet.zones))
+    at_s = LEAD_S + round(rng.uniform(0.5, 4), 2)
+    back_s = at_s + STOP_GRACE_S + round(rng.uniform(0, 4), 2)
+    returns = rng.random() < 0.5
+    actions = []
+    for index, entry in enumerate(fleet.entries):
+        if entry.name.startswith(zone):
+            actions.append(signal_entry(at_s, index, TERMINATE))
+            if returns:
+                actions.append(restart_entry(back_s, index))
+    return actions
+
+
 def run_seed(seed, large):
     """Returns the violations of a run and the folder with its logs."""
     rng = random.Random(seed)
@@ -85,6 +101,9 @@
     # One disturbance an entry, and one entry at least without.
     for index in indices[:rng.randint(1, max(1, len(indices) - 1))]:
         actions += disturb_entry(rng, index)
+    zone_rng = random.Random(f"zone {seed}")
+    if zone_rng.random() < 0.4:
+        actions += empty_zone(zone_rng, fleet)
     scenario = small_scenario(fleet, length_s=LENGTH_S, faults=faults,
                               rate=rng.uniform(0.5, 2.5))
     for service in scenario["services"].values():
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
@@ -33,6 +34,14 @@
   return {body.at("from").get<ShardKey>(), body.at("target").get<ShardKey>()};
 }
 
+// The key that a request names; empty if it names none.
+std::optional<ShardKey> KeyOf(const HttpRequest& request) {
+  const std::string key = ToString(request[platform::kShardKeyHeader]);
+  if (key.empty())
+    return std::nullopt;
+  return static_cast<ShardKey>(std::stoul(key));
+}
+
 bool Overlaps(const KeyRange& a, const KeyRange& b) {
   return a.first <= b.last && b.first <= a.last;
 }
@@ -81,28 +90,31 @@
     return lease.valid_until <= from ||
            (range.first <= lease.range.first && lease.range.last <= range.last);
   });
-  own.push_back({range, until});
+  own.push_back({range, from, until});
   std::string& last = last_holder_by_first_key_[range.first];
   if (!last.empty() && last != target)
     ++owner_changes_;
   last = target;
 }
 
-void EmulatorChecker::OnRelease(const std::string& target,
-                                const KeyRange& range) {
+void EmulatorChecker::OnReleased(const std::string& target,
+                                 const KeyRange& range,
+                                 Instant requested_at) {
   std::vector<RangeLease> remaining;
   for (const RangeLease& lease : range_leases_[target]) {
-    if (!Overlaps(lease.range, range)) {
+    if (!Overlaps(lease.range, range) || lease.granted_at > requested_at) {
       remaining.push_back(lease);
       continue;
     }
     if (lease.range.first < range.first)
       remaining.push_back(
           {{lease.range.first, static_cast<ShardKey>(range.first - 1)},
+           lease.granted_at,
            lease.valid_until});
     if (lease.range.last > range.last)
       remaining.push_back(
           {{static_cast<ShardKey>(range.last + 1), lease.range.last},
+           lease.granted_at,
            lease.valid_until});
   }
   range_leases_[target] = std::move(remaining);
@@ -128,10 +140,17 @@
   Caller caller;
   HttpRequest request;
   std::string id;
+  std::optional<ShardKey> key;
   bool cancelled = false;
   std::unique_ptr<boost::asio::steady_timer> timer;
 };
 
+struct EmulatedTarget::PendingRelease {
+  Caller caller;
+  KeyRange range;
+  Instant requested_at;
+};
+
 EmulatedTarget::EmulatedTarget(boost::asio::io_context& io,
                                EmulatedTargetOptions options,
                                EmulatorChecker& checker,
@@ -178,6 +197,7 @@
     work->timer->cancel();
   in_flight_.clear();
   queued_.clear();
+  pending_releases_.clear();
   const auto connections = std::move(connections_);
   connections_.clear();
   for (const Connection& connection : connections)
@@ -289,8 +309,8 @@
   if (path == "/healthz")
     return SendResponse(caller, draining_ ? kUnavailable : 200, false, "");
   if (options_.keyed) {
-    const std::string key = ToString(request[platform::kShardKeyHeader]);
-    if (key.empty() || !HoldsKey(static_cast<ShardKey>(std::stoul(key))))
+    const auto key = KeyOf(request);
+    if (!key || !HoldsKey(*key))
       return SendResponse(caller, kMisdirected, true, id);
   }
   notice_checker_.OnArrival(id_, id, BootNow());
@@ -335,20 +355,40 @@
     highest_token_[key] = std::max(highest_token_[key], token);
     held_until_[key] = {};
   }
-  checker_.OnRelease(id_, range);
-  SendResponse(caller, 200, false, "");
+  pending_releases_.push_back({caller, range, BootNow()});
+  AnswerReleases();
+}
+
+void EmulatedTarget::AnswerReleases() {
+  std::vector<PendingRelease> pending = std::move(pending_releases_);
+  pending_releases_.clear();
+  for (PendingRelease& release : pending) {
+    const bool at_work = std::any_of(
+        in_flight_.begin(), in_flight_.end(), [&](const auto& work) {
+          return work->key && release.range.Contains(*work->key);
+        });
+    if (at_work) {
+      pending_releases_.push_back(std::move(release));
+      continue;
+    }
+    checker_.OnReleased(id_, release.range, release.requested_at);
+    SendResponse(release.caller, 200, false, "");
+  }
 }
 
 void EmulatedTarget::Enqueue(const Caller& caller, const HttpRequest& request) {
   const auto work = std::make_shared<Work>(caller);
   work->request = request;
   work->id = ToString(request[platform::kRequestIdHeader]);
+  if (options_.keyed)
+    work->key = KeyOf(request);
   work->timer = std::make_unique<boost::asio::steady_timer>(io_);
   caller.SetCancelHandler([this, work, incarnation = incarnation_] {
     work->cancelled = true;
     if (incarnation != incarnation_ || in_flight_.erase(work) == 0)
       return;
     work->timer->cancel();
+    AnswerReleases();
     StartNext();
   });
   if (in_flight_.size() < options_.slots)
@@ -359,9 +399,11 @@
 }
 
 void EmulatedTarget::StartWork(const std::shared_ptr<Work>& work) {
-  if (work->cancelled) {
-    StartNext();
-    return;
+  if (work->cancelled)
+    return StartNext();
+  if (work->key && !HoldsKey(*work->key)) {
+    SendResponse(work->caller, kMisdirected, true, work->id);
+    return StartNext();
   }
   ++requests_run_;
   checker_.OnRun(work->id, work->request.method() == http::verb::get);
@@ -378,6 +420,7 @@
 
 void EmulatedTarget::FinishWork(const std::shared_ptr<Work>& work) {
   in_flight_.erase(work);
+  AnswerReleases();
   if (!work->cancelled) {
     const bool aborted =
         std::uniform_real_distribution<>()(random_) < abort_ratio_;
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -38,7 +39,10 @@
                       const KeyRange& range,
                       Instant from,
                       Instant until);
-  void OnRelease(const std::string& target, const KeyRange& range);
+  // The target, asked at `requested_at`, has ended its work on the range.
+  void OnReleased(const std::string& target,
+                  const KeyRange& range,
+                  Instant requested_at);
   void OnTargetCrash(const std::string& target) { range_leases_.erase(target); }
   void OnWrongResponse(const std::string& request_id,
                        const std::string& problem);
@@ -52,6 +56,7 @@
  private:
   struct RangeLease {
     KeyRange range;
+    Instant granted_at;
     Instant valid_until;
   };
 
@@ -116,6 +121,8 @@
 
  private:
   struct Work;
+  // A release that is answered once no more work on its range is running.
+  struct PendingRelease;
   using Caller = ResponseWriter;
   using Connection = std::shared_ptr<CallerConnection>;
 
@@ -127,6 +134,7 @@
   void StartWork(const std::shared_ptr<Work>& work);
   void StartNext();
   void FinishWork(const std::shared_ptr<Work>& work);
+  void AnswerReleases();
   void SendResponse(const Caller& caller,
                     int status,
                     bool not_run,
@@ -154,6 +162,7 @@
   std::set<Connection> connections_;
   std::set<std::shared_ptr<Work>> in_flight_;
   std::deque<std::shared_ptr<Work>> queued_;
+  std::vector<PendingRelease> pending_releases_;
   // By key: the highest fencing token received, and the end of the lease on the
   // key.
   std::vector<std::uint64_t> highest_token_ =
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -57,6 +57,11 @@
     input.members_up_to_date = true;
     input.members_known_since = Instant{};
     input.mover_since = mover_since;
+    input.own_hold_until = [this](const TargetId& owner) {
+      const auto found = own_holds.find(owner);
+      return found == own_holds.end() ? std::nullopt
+                                      : std::optional(found->second);
+    };
     input.capacity = &capacity;
     load_ = RangeLoad(parts);
     input.load = &load_;
@@ -75,6 +80,8 @@
   std::vector<double> parts;
   int writes = 0;
   Instant mover_since{};
+  // Until when owners may hold ranges by the mover's own grants.
+  std::map<TargetId, Instant> own_holds;
 
  private:
   mutable RangeLoad load_;
@@ -209,6 +216,25 @@
   CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
 }
 
+// Guards against OWNER: the mover grants the ranges of a zone without members,
+// and moved them before its own grants had expired.
+TEST_CASE("the mover's own grants are waited for, in any zone") {
+  MoverFixture fixture({"t1", "t2"});
+  const GrantTiming timing;
+  MemberReport& self = fixture.members["mover#a"];
+  self.zone = ZoneId("elsewhere");
+  const TargetId owner(fixture.OwnerOf(0));
+  fixture.LoseOwnerOf(0);
+  // Sent since the mover's last report, which names no grants.
+  fixture.own_holds[owner] = fixture.now + timing.MaxHoldFromArrival();
+  self.seen_fence[kService] = fixture.table().last_fence;
+  fixture.Advance(timing.MaxHoldFromArrival() - milliseconds(1));
+  CHECK(fixture.table().Find(0)->phase != RangePhase::kSettled);
+  fixture.Advance(milliseconds(1));
+  fixture.Advance(milliseconds(100));
+  CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
+}
+
 TEST_CASE("a silent member of the owner's zone is waited for") {
   MoverFixture fixture({"t1", "t2"});
   fixture.members["m1#a"].zone = ZoneId("z");
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -1,12 +1,15 @@
 // Random runs of RangeGranter and RangeMover in a simulation of several
-// members, targets and a store. Targets crash, restart and lose their
-// connection to members or only to the store; members freeze, restart and lose
-// the store; calls are delayed, are applied seconds after their arrival or lose
-// their responses. After each step at most one running target may hold a key.
+// members, targets and a store. Targets crash, restart, lose their connection
+// to members or only to the store, and finish running work before they respond
+// to a release; members freeze, restart and lose the store, and a zone loses
+// all its members; calls are delayed, are applied seconds after their arrival
+// or lose their responses. After each step at most one running target may hold
+// a key or work on it.
 // Mutations of the protocol check that the runs detect a violated rule.
 #include <catch2/catch.hpp>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <random>
 
 #include "figstall/range_granter.h"
@@ -43,6 +46,8 @@
   kNoEarlierMoverWait,
   // The mover takes each silent member for one of another zone.
   kNoZoneCheck,
+  // The mover ignores the grants that it sent itself after its last report.
+  kNoOwnHolds,
 };
 
 // Which members grant a range.
@@ -52,6 +57,14 @@
   kZoneMembers,
 };
 
+struct RunOptions {
+  // Share of the grants that are applied 2 to 12 s late.
+  double late_grant_share = 0;
+  Granters granters = Granters::kAllMembers;
+  // All members of one zone stop, and start again seconds later.
+  bool zone_loses_members = false;
+};
+
 constexpr int kMembers = 4;
 constexpr int kTargets = 3;
 constexpr Duration kStep = milliseconds(50);
@@ -65,14 +78,8 @@
 
 class RandomRun {
  public:
-  RandomRun(std::uint64_t seed,
-            Mutation mutation,
-            double late_grant_share = 0,
-            Granters granters = Granters::kAllMembers)
-      : random_(seed),
-        mutation_(mutation),
-        late_grant_share_(late_grant_share),
-        granters_(granters) {
+  RandomRun(std::uint64_t seed, Mutation mutation, RunOptions options = {})
+      : random_(seed), mutation_(mutation), options_(options) {
     for (int i = 0; i < kTargets; ++i)
       RestartTarget(i);
     for (int i = 0; i < kMembers; ++i)
@@ -107,6 +114,7 @@
   };
   struct Member {
     std::string id;
+    bool running = true;
     bool frozen = false;
     bool reaches_store = true;
     std::set<int> unreachable_targets;
@@ -131,7 +139,8 @@
 
   static ZoneId ZoneOf(int i) { return ZoneId(i % 2 == 0 ? "z0" : "z1"); }
   bool IsGranter(int i, const RangeEntry& entry) const {
-    return granters_ == Granters::kAllMembers || entry.zone == ZoneOf(i) ||
+    return options_.granters == Granters::kAllMembers ||
+           entry.zone == ZoneOf(i) ||
            now_ < members_[i].mover_lease_valid_until;
   }
 
@@ -186,7 +195,8 @@
       if (!member.unreachable_targets.erase(target))
         member.unreachable_targets.insert(target);
     }
-    if (Chance(0.03)) {
+    // A mover that lives long grants the ranges of the zone without members.
+    if (Chance(options_.zone_loses_members ? 0.003 : 0.03)) {
       Member& member = members_[RandomBelow(kMembers)];
       member.reaches_store = !member.reaches_store;
     }
@@ -198,8 +208,34 @@
           members_[i].frozen = false;
       });
     }
-    if (Chance(0.003))
-      StartMember(static_cast<int>(RandomBelow(kMembers)));
+    if (Chance(0.003)) {
+      const int i = static_cast<int>(RandomBelow(kMembers));
+      if (members_[i].running)
+        StartMember(i);
+    }
+    if (options_.zone_loses_members && !zone_without_members_ &&
+        Chance(0.004)) {
+      zone_without_members_ = ZoneOf(static_cast<int>(RandomBelow(2)));
+      for (int i = 0; i < kMembers; ++i) {
+        if (ZoneOf(i) == *zone_without_members_)
+          StopMember(i);
+      }
+      Schedule(milliseconds(2000 + RandomBelow(20'000)), [this] {
+        for (int i = 0; i < kMembers; ++i) {
+          if (ZoneOf(i) == *zone_without_members_)
+            members_[i].running = true;
+        }
+        zone_without_members_.reset();
+      });
+    }
+  }
+
+  // Some members end their memberships when they stop, others are killed.
+  void StopMember(int i) {
+    if (Chance(0.5))
+      membership_expiries_.erase(members_[i].id);
+    StartMember(i);
+    members_[i].running = false;
   }
 
   void RunCalls() {
@@ -241,7 +277,7 @@
 
   void RunMember(int i) {
     Member& member = members_[i];
-    if (member.frozen)
+    if (!member.running || member.frozen)
       return;
     if (member.reaches_store)
       CallStore(i);
@@ -305,7 +341,7 @@
     }
     for (const auto& [id, until] : membership_expiries_) {
       member.reports[id].departed_at.reset();
-      if (granters_ == Granters::kZoneMembers)
+      if (options_.granters == Granters::kZoneMembers)
         member.reports[id].zone = ZoneOf(id[1] - '0');
     }
     if (revision_ > member.revision) {
@@ -378,7 +414,7 @@
     }
     // Some targets accept a grant and apply it 2 to 12 seconds later; its hold
     // counts from its arrival.
-    if (late_grant_share_ > 0 && Chance(late_grant_share_)) {
+    if (options_.late_grant_share > 0 && Chance(options_.late_grant_share)) {
       const Duration arrival = RandomDelay();
       Schedule(arrival, [this, target, request] {
         Schedule(milliseconds(2000 + RandomBelow(10'000)),
@@ -440,6 +476,26 @@
     }
   }
 
+  // Returns after how long the target responds: when its running work on the
+  // released keys has ended. Returns nullopt if it does not respond.
+  std::optional<Duration> ApplyRelease(int i, const ReleaseRequest& request) {
+    Target& target = targets_[i];
+    if (!target.up || target.incarnation.id != request.owner.id)
+      return std::nullopt;
+    const Instant work_ends_at =
+        now_ + (Chance(0.3) ? milliseconds(RandomBelow(2000)) : Duration{0});
+    Instant responds_at = now_;
+    for (const ShardKey key : kKeys) {
+      if (!request.range.Contains(key))
+        continue;
+      target.seen_fence[key] = std::max(target.seen_fence[key], request.fence);
+      Instant& until = target.held_until[key];
+      until = std::min(until, work_ends_at);
+      responds_at = std::max(responds_at, until);
+    }
+    return responds_at - now_;
+  }
+
   void RunMover(int i) {
     Member& member = members_[i];
     for (ReleaseRequest request : member.mover->OutstandingReleases()) {
@@ -453,21 +509,17 @@
           target >= 0 && !member.unreachable_targets.contains(target);
       Schedule(RandomDelay(),
                [this, i, target, reachable, request, original, id = member.id] {
-                 if (reachable && targets_[target].up &&
-                     targets_[target].incarnation.id == request.owner.id) {
-                   for (const ShardKey key : kKeys) {
-                     if (!request.range.Contains(key))
-                       continue;
-                     Target& owner = targets_[target];
-                     owner.seen_fence[key] =
-                         std::max(owner.seen_fence[key], request.fence);
-                     owner.held_until.erase(key);
-                   }
-                   if (members_[i].id == id && Chance(0.9))
-                     members_[i].mover->OnReleased(original, "");
-                 }
-                 if (members_[i].id == id)
-                   members_[i].releases_in_flight.erase(original);
+                 const auto response_delay =
+                     reachable ? ApplyRelease(target, request) : std::nullopt;
+                 Schedule(response_delay.value_or(Duration{0}),
+                          [this, i, original, id,
+                           answered = response_delay && Chance(0.9)] {
+                            if (members_[i].id != id)
+                              return;
+                            if (answered)
+                              members_[i].mover->OnReleased(original, "");
+                            members_[i].releases_in_flight.erase(original);
+                          });
                });
     }
     if (member.write_in_flight)
@@ -501,6 +553,11 @@
     input.mover_since = mutation_ == Mutation::kNoEarlierMoverWait
                             ? Instant{}
                             : member.mover_since;
+    if (mutation_ != Mutation::kNoOwnHolds) {
+      input.own_hold_until = [this, &member](const TargetId& owner) {
+        return member.granter->HoldExpiry(now_, owner);
+      };
+    }
     if (mutation_ == Mutation::kNoZoneCheck) {
       for (auto& [id, report] : reports)
         report.zone = ZoneId("elsewhere");
@@ -573,14 +630,14 @@
 
   std::mt19937_64 random_;
   const Mutation mutation_;
-  const double late_grant_share_;
-  const Granters granters_;
+  const RunOptions options_;
   const GrantTiming timing_;
   Instant now_{std::chrono::seconds(100)};
   Target targets_[kTargets];
   std::string target_ids_[kTargets];
   Member members_[kMembers];
   std::vector<ScheduledCall> scheduled_calls_;
+  std::optional<ZoneId> zone_without_members_;
   std::map<std::pair<int, ShardKey>, std::int64_t> granted_started_at_ms_;
   int last_id_number_ = 0;
   int process_count_ = 0;
@@ -602,44 +659,59 @@
   return count * IterationFactor("FIGSTALL_WALKS");
 }
 
+bool KeepsOneHolder(int seed, Mutation mutation, RunOptions options) {
+  return RandomRun(static_cast<std::uint64_t>(seed), mutation, options)
+      .Run(kSteps);
+}
+
 // Returns the number of runs in which two targets held a key at once.
-int CountViolations(Mutation mutation,
-                    int run_count,
-                    double late_grant_share = 0,
-                    Granters granters = Granters::kAllMembers) {
+int CountViolations(int run_count, RunOptions options = {}) {
   int violations = 0;
   for (int seed = 1; seed <= run_count; ++seed) {
-    if (!RandomRun(static_cast<std::uint64_t>(seed), mutation, late_grant_share,
-                   granters)
-             .Run(kSteps)) {
-      if (mutation == Mutation::kNone)
-        std::cerr << "two targets held a key in the random run with seed "
-                  << seed << "\n";
-      ++violations;
-    }
+    if (KeepsOneHolder(seed, Mutation::kNone, options))
+      continue;
+    std::cerr << "two targets held a key in the random run with seed " << seed
+              << "\n";
+    ++violations;
   }
   return violations;
 }
 
+// Whether two targets hold a key at once in one of the runs with the mutation.
+bool FindsViolation(Mutation mutation, int run_count, RunOptions options = {}) {
+  for (int seed = 1; seed <= run_count; ++seed) {
+    if (!KeepsOneHolder(seed, mutation, options))
+      return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 TEST_CASE("no key has two holders in random runs") {
-  CHECK(CountViolations(Mutation::kNone, RunCount(400)) == 0);
+  CHECK(CountViolations(RunCount(400)) == 0);
 }
 
 TEST_CASE("no key has two holders when many grants are applied late") {
-  CHECK(CountViolations(Mutation::kNone, RunCount(200), 0.05) == 0);
-  CHECK(CountViolations(Mutation::kNone, RunCount(200), 0.4) == 0);
+  CHECK(CountViolations(RunCount(200), {.late_grant_share = 0.05}) == 0);
+  CHECK(CountViolations(RunCount(200), {.late_grant_share = 0.4}) == 0);
 }
 
 // Members of other zones that are silent do not delay a move.
 TEST_CASE("no key has two holders when only members of its zone grant it") {
-  CHECK(CountViolations(Mutation::kNone, RunCount(400), 0,
-                        Granters::kZoneMembers) == 0);
-  CHECK(CountViolations(Mutation::kNoZoneCheck, 400, 0,
-                        Granters::kZoneMembers) > 0);
-  CHECK(CountViolations(Mutation::kNoEarlierMoverWait, 4000, 0,
-                        Granters::kZoneMembers) > 0);
+  const RunOptions options{.granters = Granters::kZoneMembers};
+  CHECK(CountViolations(RunCount(400), options) == 0);
+  CHECK(FindsViolation(Mutation::kNoZoneCheck, 400, options));
+  CHECK(FindsViolation(Mutation::kNoEarlierMoverWait, 4000, options));
+}
+
+// Guards against OWNER: the mover alone grants the ranges of a zone that has
+// lost its members, and gave them on while their owner still worked.
+TEST_CASE("no key has two holders when a zone loses all its members") {
+  const RunOptions options{.granters = Granters::kZoneMembers,
+                           .zone_loses_members = true};
+  CHECK(CountViolations(RunCount(400), options) == 0);
+  CHECK(FindsViolation(Mutation::kNoOwnHolds, 400, options));
 }
 
 // Guards against runs that pass because hardly any range moves.
@@ -650,14 +722,15 @@
 }
 
 TEST_CASE("random runs detect each mutation of the move protocol") {
-  CHECK(CountViolations(Mutation::kNoHoldExpiryWait, 100) > 0);
-  CHECK(CountViolations(Mutation::kNoMemberReports, 100) > 0);
-  CHECK(CountViolations(Mutation::kNoClockCheckAfterFreeze, 100) > 0);
-  CHECK(CountViolations(Mutation::kReleaseAtOldToken, 100) > 0);
-  CHECK(CountViolations(Mutation::kNoDepartureWait, 400) > 0);
-  CHECK(CountViolations(Mutation::kAbsentOwnerReleased, 100) > 0);
-  CHECK(CountViolations(Mutation::kNoReportedHolds, 100) > 0);
-  CHECK(CountViolations(Mutation::kReleaseAtOldToken, 100, 0.4) > 0);
+  CHECK(FindsViolation(Mutation::kNoHoldExpiryWait, 100));
+  CHECK(FindsViolation(Mutation::kNoMemberReports, 100));
+  CHECK(FindsViolation(Mutation::kNoClockCheckAfterFreeze, 100));
+  CHECK(FindsViolation(Mutation::kReleaseAtOldToken, 100));
+  CHECK(FindsViolation(Mutation::kNoDepartureWait, 400));
+  CHECK(FindsViolation(Mutation::kAbsentOwnerReleased, 100));
+  CHECK(FindsViolation(Mutation::kNoReportedHolds, 2000));
+  CHECK(FindsViolation(Mutation::kReleaseAtOldToken, 100,
+                       {.late_grant_share = 0.4}));
 }
 
 }  // namespace figstall
