Grants travel on connections that are older than the known table

An entry that the store turned away, which had not seen a move, granted a target that had been restarted under its id the keys that it had before, under the old token.

Cause: the premise that an owner refuses every older grant once it has released a range. Only the incarnation that released does. A grant names its owner by id, and the next incarnation knows no token.

Change: a connection reaches one incarnation. A grant is sent only on a connection that was opened before the member asked the store for the table that it grants by (a reading, an answered watch, its own write). If the range moved later, the release reached the incarnation at the other end, or a later one. No member has to be waited for, so no key waits longer. A new connection costs one reading of the tables; grant-awaits-table shows the wait.

Test changes: the random runs no longer leave out grants that reach another incarnation than intended; that exclusion hid this fault.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -85,6 +85,8 @@
   Duration rejoin_time = std::chrono::milliseconds(2500);
   // Interval between two checks for due grants if nothing changed.
   Duration grant_check_interval = std::chrono::milliseconds(100);
+  // Least time between two readings of the tables that grants wait for.
+  Duration table_confirmation_interval = std::chrono::milliseconds(100);
   // Interval between two reports to the mover.
   Duration report_interval = std::chrono::milliseconds(300);
   // Interval at which the mover updates the load that it plans by.
@@ -154,6 +156,7 @@
     // Whether this process was already a member when the read started. Grants
     // require such a read.
     bool started_as_member = false;
+    Instant started_at{};
     std::vector<StoreSection> sections;
     // The store's era when it answered; empty before its first answer.
     std::optional<std::uint64_t> era;
@@ -191,7 +194,7 @@
   // The interval at which to poll a source whose copy is so old.
   Duration RelayPollInterval(Duration age) const;
   void Watch();
-  void OnWatchResponse(const StoreResponse& response);
+  void OnWatchResponse(const StoreResponse& response, Instant requested_at);
   void CancelWatch();
   void OnRelayUpdate(const RelayUpdate& update);
   // Returns false if the item changes nothing that other members need.
@@ -252,6 +255,15 @@
   void ReadTable(const ServiceId& service);
   void SendReleases(const ServiceId& service, MoverState& state);
   void SendGrants(Instant now);
+  void LogAwaitedConfirmation(Instant now,
+                              const GrantRequest& request,
+                              Instant connected_at);
+  // The tables in this copy contain all changes up to `requested_at`.
+  void OnTablesConfirmed(Instant requested_at);
+  // Reads the tables if grants wait for their confirmation.
+  void ConfirmTables(Instant now);
+  // Reads those whose key is after this one.
+  void ReadTables(const std::string& after);
   // Members in this VM's zone.
   std::vector<VmId> ZoneMembers() const;
   bool ShouldGrant(Instant now,
@@ -378,6 +390,8 @@
   std::uint64_t table_change_count_ = 0;
 
   RangeGranter granter_;
+  bool confirming_tables_ = false;
+  Instant next_table_confirmation_at_{};
   bool grants_check_due_ = false;
   Instant grants_checked_at_{};
   std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -30,14 +30,16 @@
   std::string body;
   // The timeout; it starts when all earlier requests are finished.
   Duration limit = std::chrono::seconds(1);
-  // If set, called right before the request is written; the request is dropped
-  // if this returns false.
-  std::function<bool()> may_send;
+  // If set, called right before the request is written, with the time at which
+  // the connection was opened. The request is withdrawn if this returns false.
+  std::function<bool(Instant connected_at)> may_send;
 };
 
 struct ChannelResponse {
   // False: no byte of the request left this process.
   bool sent = false;
+  // Whether `may_send` returned false.
+  bool withdrawn = false;
   // Empty if no complete response was received.
   std::optional<int> status;
   std::function<std::string(const char* name)> header;
@@ -102,6 +104,8 @@
   std::uint64_t generation_ = 0;
   std::optional<Tcp::socket> socket_;
   bool connected_ = false;
+  // When the current connection was opened.
+  Instant connected_at_{};
   bool busy_ = false;
   bool sent_ = false;
   boost::beast::flat_buffer buffer_;
--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -1,6 +1,13 @@
 // Decides which grants of key ranges a member sends, and when. A member grants
 // settled ranges, and only while its membership is known to be valid. Repeating
 // a grant renews the owner's hold of the range.
+//
+// A grant names its owner by id, which the owner's next incarnation may have
+// too, and that one refuses no earlier token. A connection reaches one
+// incarnation only. So a grant is sent only on a connection that was opened
+// before the table was last confirmed: before the member asked for the table
+// that is now known to have been in force. If the range has moved since, the
+// incarnation at the other end has been released or has ended.
 #ifndef FIGSTALL_RANGE_GRANTER_H_
 #define FIGSTALL_RANGE_GRANTER_H_
 
@@ -49,10 +56,21 @@
   kNotThere,
   // The connection could not be opened; nothing was sent.
   kNotSent,
+  // TryBeginSend() did not allow it; nothing was sent.
+  kWithdrawn,
   // The grant was sent, but no response arrived.
   kUnknown,
 };
 
+enum class SendDecision {
+  kSend,
+  // The entry has moved or is moving.
+  kWithdraw,
+  // The connection is newer than the last confirmation of the table. The grant
+  // is due again once the table is confirmed.
+  kAwaitConfirmation,
+};
+
 class RangeGranter {
  public:
   RangeGranter(GrantTiming timing, GrantSendTiming send_timing = {});
@@ -82,10 +100,19 @@
     }
     return due;
   }
-  // Call right before the bytes of a grant are written: the entry may have
-  // begun to move while the connection was opened. Returns false if the grant
-  // must not be sent; otherwise counts it as in flight.
-  bool TryBeginSend(Instant now, const GrantRequest& request);
+  // The service's table in the store, read without staleness and requested at
+  // `requested_at`, was not newer than the known one, or is the known one.
+  void OnTableConfirmed(const ServiceId& service, Instant requested_at);
+  // Whether a grant of the service waits for a confirmation of the table.
+  bool AwaitsConfirmation(const ServiceId& service) const;
+  // Time of the table's last confirmation; empty if there was none.
+  std::optional<Instant> ConfirmedAt(const ServiceId& service) const;
+  // Call right before the bytes of a grant are written on a connection that was
+  // opened at `connected_at`: the entry may have begun to move in the meantime.
+  // If the grant may be sent, counts it as in flight.
+  SendDecision TryBeginSend(Instant now,
+                            const GrantRequest& request,
+                            Instant connected_at);
   void OnOutcome(Instant now,
                  const GrantRequest& request,
                  GrantOutcome outcome);
@@ -112,6 +139,9 @@
     // flight, the bound is this or the current time, whichever is later.
     std::optional<Instant> latest_arrival;
     std::optional<Instant> backoff_until;
+    // When the connection was opened on which a grant was last withdrawn to
+    // await a confirmation of its table.
+    std::optional<Instant> unconfirmed_connection_at;
   };
 
   bool IsDue(Instant now,
@@ -129,6 +159,9 @@
   std::map<std::tuple<ServiceId, ShardKey, std::uint64_t>, Instant>
       next_grant_at_;
   std::map<TargetId, OwnerState> owners_;
+  std::map<ServiceId, Instant> confirmed_at_;
+  // A confirmation that was requested at this time or later is awaited.
+  std::map<ServiceId, Instant> awaited_since_;
 };
 
 }  // namespace figstall
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -388,6 +388,7 @@
   MarkLeavingTargets();
   RenewMoverLease(now);
   Campaign(now);
+  ConfirmTables(now);
   ProcessChanges();
   LimitHotKeys(now);
   SendReport(now);
--- a/src/entry_control_copy.cc
+++ b/src/entry_control_copy.cc
@@ -25,6 +25,7 @@
   const auto read = std::make_shared<StoreRead>();
   read->scope = scope;
   read->started_as_member = member_written_;
+  read->started_at = BootNow();
   if (scope == ReadScope::kFull) {
     read->sections = {{kAllKeysPrefix, false, {}, 0}};
   } else {
@@ -73,6 +74,7 @@
     members_known_since_ = BootNow();
   copy_.ApplyRead(read.sections, read.scope != ReadScope::kMemberKeys);
   view_.last_update_at = BootNow();
+  OnTablesConfirmed(read.started_at);
   tables_up_to_date_ = read.started_as_member && member_written_;
   source_confirmed_at_ = BootNow();
   initial_read_done_ = true;
@@ -200,12 +202,12 @@
   membership_renewal_due_at_ =
       std::min(membership_renewal_due_at_,
                confirmed ? now + timing_.watcher_renewal_interval : now);
-  store_.Watch(
-      kAllKeysPrefix, copy_.cursor(), timing_.watch_timeout,
-      [this, generation = ++watch_generation_](const StoreResponse& response) {
-        if (generation == watch_generation_)
-          OnWatchResponse(response);
-      });
+  store_.Watch(kAllKeysPrefix, copy_.cursor(), timing_.watch_timeout,
+               [this, now, generation = ++watch_generation_](
+                   const StoreResponse& response) {
+                 if (generation == watch_generation_)
+                   OnWatchResponse(response, now);
+               });
 }
 
 void EntryControl::CancelWatch() {
@@ -217,7 +219,8 @@
   next_watch_at_ = BootNow();
 }
 
-void EntryControl::OnWatchResponse(const StoreResponse& response) {
+void EntryControl::OnWatchResponse(const StoreResponse& response,
+                                   Instant requested_at) {
   RecordStoreCall(response, "watch");
   next_watch_at_ = BootNow() + timing_.watch_interval;
   connectivity_.OnWatchEnded(response.status == StoreStatus::kOk);
@@ -226,6 +229,7 @@
   if (response.status == StoreStatus::kOk) {
     copy_.ApplyChanges(response.items, response.revision);
     view_.last_update_at = BootNow();
+    OnTablesConfirmed(requested_at);
     return ProcessChanges();
   }
   if (response.status == StoreStatus::kCompacted) {
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -88,14 +88,20 @@
         return ShouldGrant(now, zone_members, service, entry);
       });
   for (const GrantRequest& request : due) {
-    const auto may_send = [this, request] {
+    const auto may_send = [this, request](Instant connected_at) {
       const Instant at = BootNow();
       const RangeEntry* entry =
           view_.tables.at(request.service).Find(request.range.first);
       const bool is_granter =
           entry && (entry->zone == settings_.zone || IsMover(at));
-      return !resigned_ && tables_up_to_date_ && at < membership_valid_until_ &&
-             is_granter && granter_.TryBeginSend(at, request);
+      if (resigned_ || !tables_up_to_date_ || at >= membership_valid_until_ ||
+          !is_granter)
+        return false;
+      const SendDecision decision =
+          granter_.TryBeginSend(at, request, connected_at);
+      if (decision == SendDecision::kAwaitConfirmation)
+        LogAwaitedConfirmation(at, request, connected_at);
+      return decision == SendDecision::kSend;
     };
     platform::SendGrant(
         *ChannelTo(request.owner.id, request.address), request,
@@ -103,12 +109,14 @@
         [this, request](GrantOutcome outcome, const TargetNotice& notice) {
           granter_.OnOutcome(BootNow(), request, outcome);
           notices_.OnAnswer(BootNow(), request.owner, notice, "grant");
-          static constexpr const char* kNames[] = {
-              "granted", "refused", "not-there", "not-sent", "unknown"};
+          static constexpr const char* kNames[] = {"granted",   "refused",
+                                                   "not-there", "not-sent",
+                                                   "withdrawn", "unknown"};
           const char* name = kNames[static_cast<int>(outcome)];
           ++metrics_.Counter("figstall_grants_total",
                              fmt::format("outcome=\"{}\"", name));
-          if (outcome == GrantOutcome::kGranted)
+          if (outcome == GrantOutcome::kGranted ||
+              outcome == GrantOutcome::kWithdrawn)
             return;
           log_.Write(LogLevel::kInfo, "grant-failed",
                      {{"service", request.service.value()},
@@ -121,6 +129,72 @@
   }
 }
 
+void EntryControl::LogAwaitedConfirmation(Instant now,
+                                          const GrantRequest& request,
+                                          Instant connected_at) {
+  const auto confirmed_at = granter_.ConfirmedAt(request.service);
+  log_.Write(
+      LogLevel::kInfo, "grant-awaits-table",
+      {{"service", request.service.value()},
+       {"target", request.owner.id.value()},
+       {"first", std::to_string(request.range.first)},
+       {"fence", std::to_string(request.fence)},
+       {"connected_ms_ago", std::to_string(ToMillis(now - connected_at))},
+       {"confirmed_ms_ago",
+        confirmed_at ? std::to_string(ToMillis(now - *confirmed_at)) : ""}});
+}
+
+void EntryControl::OnTablesConfirmed(Instant requested_at) {
+  for (const auto& [service, state] : movers_) {
+    // Tables of an earlier era are not in the store anymore.
+    if (state.revision != 0)
+      granter_.OnTableConfirmed(service, requested_at);
+  }
+}
+
+void EntryControl::ConfirmTables(Instant now) {
+  if (confirming_tables_ || connectivity_.lost() ||
+      now < next_table_confirmation_at_)
+    return;
+  // A table of an earlier era is not in the store; its grants wait until the
+  // mover has continued it.
+  const bool awaited =
+      std::any_of(movers_.begin(), movers_.end(), [this](const auto& each) {
+        return each.second.revision != 0 &&
+               granter_.AwaitsConfirmation(each.first);
+      });
+  if (!awaited)
+    return;
+  confirming_tables_ = true;
+  next_table_confirmation_at_ = now + timing_.table_confirmation_interval;
+  ReadTables("");
+}
+
+void EntryControl::ReadTables(const std::string& after) {
+  const std::string prefix = TablesPrefix(*era_);
+  store_.List(prefix, after, /*allow_stale=*/false,
+              [this, prefix, requested_at = BootNow(),
+               era = era_](const StoreResponse& response) {
+                RecordStoreCall(response, "confirm-ranges");
+                if (response.status != StoreStatus::kOk ||
+                    response.era != era_ || era != era_) {
+                  confirming_tables_ = false;
+                  return;
+                }
+                copy_.ApplyChanges(response.items, 0);
+                for (const StoreItem& item : response.items) {
+                  const ServiceId service(item.key.substr(prefix.size()));
+                  if (movers_[service].revision >= item.revision)
+                    granter_.OnTableConfirmed(service, requested_at);
+                }
+                if (response.more && !response.items.empty())
+                  return ReadTables(response.items.back().key);
+                confirming_tables_ = false;
+                grants_check_due_ = true;
+                ProcessChanges();
+              });
+}
+
 void EntryControl::ReportToStore(Instant now) {
   if (writing_member_ || resigned_ || !tables_up_to_date_ ||
       now >= membership_valid_until_)
@@ -291,7 +365,8 @@
   store_.Write(
       {{MoverKey(*era_), mover_key_revision_}, {key, state.revision}},
       {{key, EncodeRangeTable(next), 0}}, {},
-      [this, service, next, key, era = era_](const StoreResponse& response) {
+      [this, service, next, key, era = era_,
+       requested_at = BootNow()](const StoreResponse& response) {
         RecordStoreCall(response, "write-ranges");
         if (era != era_)
           return;
@@ -305,6 +380,7 @@
         if (response.status == StoreStatus::kOk) {
           copy_.ApplyChanges(
               {{key, EncodeRangeTable(next), response.revision, false}}, 0);
+          granter_.OnTableConfirmed(service, requested_at);
           return ProcessChanges();
         }
         if (response.status == StoreStatus::kConflict &&
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -97,6 +97,7 @@
                              return self->Fail(io_error.message());
                            TuneSocket(*self->socket_);
                            self->connected_ = true;
+                           self->connected_at_ = BootNow();
                            self->buffer_.clear();
                            self->Write();
                          });
@@ -104,8 +105,9 @@
 
 void HttpChannel::Write() {
   const ChannelRequest& call = calls_.front().call;
-  if (call.may_send && !call.may_send()) {
+  if (call.may_send && !call.may_send(connected_at_)) {
     ChannelResponse response;
+    response.withdrawn = true;
     response.failure = "request withdrawn before it was sent";
     return Finish(response);
   }
--- a/src/range_granter.cc
+++ b/src/range_granter.cc
@@ -48,6 +48,9 @@
   if (owner != owners_.end() && owner->second.backoff_until &&
       now < *owner->second.backoff_until)
     return false;
+  if (owner != owners_.end() && owner->second.unconfirmed_connection_at &&
+      ConfirmedAt(service) < owner->second.unconfirmed_connection_at)
+    return false;
   const auto next =
       next_grant_at_.find({service, entry.range.first, entry.fence});
   return next == next_grant_at_.end() || now >= next->second;
@@ -62,24 +65,56 @@
           entry.fence, timing_.hold_duration, entry.handover};
 }
 
-bool RangeGranter::TryBeginSend(Instant now, const GrantRequest& request) {
+void RangeGranter::OnTableConfirmed(const ServiceId& service,
+                                    Instant requested_at) {
+  Instant& confirmed_at = confirmed_at_[service];
+  confirmed_at = std::max(confirmed_at, requested_at);
+}
+
+bool RangeGranter::AwaitsConfirmation(const ServiceId& service) const {
+  const auto awaited = awaited_since_.find(service);
+  return awaited != awaited_since_.end() &&
+         ConfirmedAt(service) < awaited->second;
+}
+
+std::optional<Instant> RangeGranter::ConfirmedAt(
+    const ServiceId& service) const {
+  const auto found = confirmed_at_.find(service);
+  return found == confirmed_at_.end() ? std::nullopt
+                                      : std::optional(found->second);
+}
+
+SendDecision RangeGranter::TryBeginSend(Instant now,
+                                        const GrantRequest& request,
+                                        Instant connected_at) {
   const auto table = tables_.find(request.service);
   if (table == tables_.end())
-    return false;
+    return SendDecision::kWithdraw;
   const RangeEntry* entry = table->second.Find(request.range.first);
   if (!entry || entry->range != request.range ||
       entry->fence != request.fence || entry->owner != request.owner ||
       entry->phase != RangePhase::kSettled)
-    return false;
+    return SendDecision::kWithdraw;
   OwnerState& owner = owners_[request.owner.id];
+  if (ConfirmedAt(request.service) < connected_at) {
+    owner.unconfirmed_connection_at = connected_at;
+    Instant& awaited_since = awaited_since_[request.service];
+    awaited_since = std::max(awaited_since, connected_at);
+    return SendDecision::kAwaitConfirmation;
+  }
   ++owner.in_flight;
   owner.latest_arrival = now + timing_.call_timeout;
-  return true;
+  return SendDecision::kSend;
 }
 
 void RangeGranter::OnOutcome(Instant now,
                              const GrantRequest& request,
                              GrantOutcome outcome) {
+  const std::tuple key(request.service, request.range.first, request.fence);
+  if (outcome == GrantOutcome::kWithdrawn) {
+    next_grant_at_.erase(key);
+    return;
+  }
   OwnerState& owner = owners_[request.owner.id];
   if (outcome != GrantOutcome::kNotSent) {
     // The grant arrived before its response or, without a response, before its
@@ -88,10 +123,10 @@
     if (owner.in_flight > 0)
       --owner.in_flight;
   }
-  const std::tuple key(request.service, request.range.first, request.fence);
   switch (outcome) {
     case GrantOutcome::kGranted:
     case GrantOutcome::kRefused:
+    case GrantOutcome::kWithdrawn:
       break;
     case GrantOutcome::kNotThere:
     case GrantOutcome::kUnknown:
--- a/support/entry_fleet.py
+++ b/support/entry_fleet.py
@@ -55,6 +55,7 @@
     def __init__(self, directory, name, zone, regions, store):
         callers, ready, metrics, peers = free_ports(4)
         self.name = name
+        self.store = store
         self.callers = address(callers)
         self.ready_port = ready
         self.log_path = directory / f"{name}.log"
@@ -130,9 +131,11 @@
     def __init__(self, zones, entries):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="figstall-"))
         self.zones = zones
-        self.store = address(free_ports(1)[0])
+        # The store has an address of its own for each entry, so that it can
+        # reject single ones.
         self.entries = [
-            Entry(self.directory, f"{zone}-e{i + 1}", zone, zones, self.store)
+            Entry(self.directory, f"{zone}-e{i + 1}", zone, zones,
+                  address(free_ports(1)[0]))
             for zone in zones for i in range(entries)]
         self.plot_path = self.directory / "plot.svg"
         self.emulator = None
@@ -143,8 +146,18 @@
         return [{"address": address(port), "zone": zones[i % len(zones)]}
                 for i, port in enumerate(free_ports(count))]
 
-    def start(self, scenario, seed=1):
-        scenario = dict(scenario, store=self.store,
+    def start_mover(self, entry, timeout_s=2):
+        """Starts one entry and waits until it is the elected mover, so that the
+        others, started later, are not."""
+        entry.start()
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until and not any(
+                line["event"] == "mover-elected" for line in entry.log()):
+            time.sleep(0.05)
+
+    def start(self, scenario, seed=1, first_mover=None):
+        scenario = dict(scenario,
+                        stores=[entry.store for entry in self.entries],
                         entries=[entry.callers for entry in self.entries])
         path = self.directory / "scenario.json"
         path.write_text(json.dumps(scenario))
@@ -152,8 +165,11 @@
             [str(BIN / "figstall-emulator"), "--scenario", str(path),
              "--report", str(self.directory / "report.json"),
              "--plot", str(self.plot_path), "--seed", str(seed)])
-        for entry in self.entries:
-            entry.start()
+        if first_mover is not None:
+            self.start_mover(self.entries[first_mover])
+        for index, entry in enumerate(self.entries):
+            if index != first_mover:
+                entry.start()
 
     def report(self):
         """Waits for the emulator to exit; returns its report, or None if it
@@ -170,8 +186,9 @@
             self.emulator.kill()
             self.emulator.wait()
 
-    def run(self, scenario, actions=(), seed=1):
-        """Runs a scenario and the actions in the order of their times."""
+    def run(self, scenario, actions=(), seed=1, first_mover=None):
+        """Runs a scenario and the actions in the order of their times. The entry
+        with the index `first_mover`, if any, is the first elected mover."""
         # The emulator counts from the same moment, however long it takes to
         # start.
         begin_s = time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -180,7 +197,7 @@
         scenario = dict(scenario, begins_at_s=begin_s,
                         faults=scenario.get("faults", []) + faults)
         try:
-            self.start(scenario, seed)
+            self.start(scenario, seed, first_mover)
             for action in sorted(actions, key=lambda action: action.at_s):
                 time.sleep(max(0.0, begin_s + action.at_s -
                                time.clock_gettime(time.CLOCK_BOOTTIME)))
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -193,6 +193,23 @@
     assert report["owner_changes"] > 0
 
 
+# Guards against OWNER: an entry that the store rejects has not seen that a
+# target released its keys, and granted them to that target's next incarnation.
+def a_rejected_entry_grants_nothing_to_the_next_incarnation():
+    fleet = EntryFleet({"north-a": "north", "north-b": "north"}, 2)
+    # The first target is in the zone of the first entry. It is down for a
+    # moment after its keys were moved by the next mover.
+    report, status = fleet.run(small_scenario(fleet, length_s=14, faults=[
+        {"at_s": 4, "kind": "store-rejects-entry", "entry": 0, "for_s": 8},
+        {"at_s": 4, "kind": "target-restart", "service": "accounts",
+         "count": 1, "for_s": 3.6}]), first_mover=0)
+    for entries in (fleet.entries[:1], fleet.entries[1:]):
+        assert any(line["event"] == "mover-elected"
+                   for entry in entries for line in entry.log()), "no mover"
+    assert report["violations"] == [] and status == 0, report["violations"]
+    assert served_fraction(report) > 0.8, report["routes"]
+
+
 # Fails if a caller receives a corrupted response of a target instead of a 502.
 def garbled_answers_reach_nobody():
     _, report = run(faults=[
@@ -418,7 +435,8 @@
     assert "/listen/callers" in result.stderr, result.stderr
     assert "/regions" in result.stderr, result.stderr
     scenario = small_scenario(fleet)
-    scenario.update(store=fleet.store, entries=["nowhere"], extra=1)
+    scenario.update(stores=[fleet.entries[0].store], entries=["nowhere"],
+                    extra=1)
     path.write_text(json.dumps(scenario))
     result = subprocess.run([str(BIN / "figstall-emulator"), "--check",
                              "--scenario", str(path)], capture_output=True,
@@ -434,6 +452,7 @@
          a_dropped_history_is_read_anew,
          a_restored_store_is_followed_in_its_new_era,
          a_zone_without_entries_keeps_one_owner_for_each_key,
+         a_rejected_entry_grants_nothing_to_the_next_incarnation,
          odd_target_entries_stop_no_entry, garbled_answers_reach_nobody,
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -95,6 +95,18 @@
                        "at_s": round(restore_rng.uniform(1, LENGTH_S - 7), 2),
                        "for_s": round(restore_rng.uniform(0.2, 3), 2),
                        "value": round(restore_rng.uniform(0.5, 10), 2)})
+    reborn_rng = random.Random(f"reborn {seed}")
+    for _ in range(reborn_rng.choice((0, 1, 2, 3))):
+        faults.append({"kind": reborn_rng.choice(("target-reborn",
+                                                  "target-restart")),
+                       "service": "accounts", "count": reborn_rng.randint(1, 3),
+                       "at_s": round(reborn_rng.uniform(0.3, LENGTH_S - 6), 2),
+                       "for_s": round(reborn_rng.uniform(0.1, 4), 2)})
+    for _ in range(reborn_rng.choice((0, 0, 1, 2))):
+        faults.append({"kind": "store-rejects-entry",
+                       "entry": reborn_rng.randrange(len(fleet.entries)),
+                       "at_s": round(reborn_rng.uniform(0.3, LENGTH_S - 9), 2),
+                       "for_s": round(reborn_rng.uniform(0.5, 9), 2)})
     actions = []
     indices = list(range(len(fleet.entries)))
     rng.shuffle(indices)
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -164,10 +164,14 @@
 
 EmulatedTarget::~EmulatedTarget() = default;
 
-void EmulatedTarget::Start() {
+void EmulatedTarget::Start(bool keep_id) {
+  if (acceptor_)
+    Crash();
   ++incarnation_;
-  id_ = fmt::format("{}-{}-{}", options_.service, options_.address.port,
-                    incarnation_);
+  if (!keep_id)
+    id_ = fmt::format("{}-{}-{}", options_.service, options_.address.port,
+                      incarnation_);
+  notice_checker_.OnTargetStarted(id_);
   started_at_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
                        .count();
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -94,8 +94,8 @@
                  std::uint64_t seed);
   ~EmulatedTarget();
 
-  // Starts a new incarnation, under a new id.
-  void Start();
+  // Starts a new incarnation, under a new id or that of the previous one.
+  void Start(bool keep_id = false);
   // Stops the target and closes all its connections at once.
   void Crash();
   void SetDraining() { draining_ = true; }
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -9,10 +9,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cmath>
+#include <deque>
 #include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 
 #include "emulated_store.h"
 #include "emulated_target.h"
@@ -68,14 +70,13 @@
 // heartbeats.
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
 constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(1500);
+// From the end of a target that restarts to its next start.
+constexpr Duration kTargetRestartTime = std::chrono::milliseconds(300);
 
 class Emulator {
  public:
   Emulator(Scenario scenario, std::uint64_t seed)
-      : scenario_(std::move(scenario)),
-        random_(seed),
-        tick_timer_(io_),
-        store_acceptor_(io_) {
+      : scenario_(std::move(scenario)), random_(seed), tick_timer_(io_) {
     for (const auto& options : scenario_.targets) {
       targets_.push_back(std::make_unique<EmulatedTarget>(
           io_, options, checker_, notice_checker_, random_()));
@@ -107,49 +108,55 @@
 
  private:
   void ListenForEntries() {
-    const asio::ip::tcp::endpoint endpoint(
-        asio::ip::make_address(scenario_.store.address), scenario_.store.port);
-    store_acceptor_.open(endpoint.protocol());
-    store_acceptor_.set_option(asio::socket_base::reuse_address(true));
-    store_acceptor_.bind(endpoint);
-    store_acceptor_.listen();
-    AcceptEntry();
+    for (const Endpoint& store : scenario_.stores) {
+      const asio::ip::tcp::endpoint endpoint(
+          asio::ip::make_address(store.address), store.port);
+      auto& acceptor = store_acceptors_.emplace_back(io_);
+      acceptor.open(endpoint.protocol());
+      acceptor.set_option(asio::socket_base::reuse_address(true));
+      acceptor.bind(endpoint);
+      acceptor.listen();
+      AcceptEntry(store_acceptors_.size() - 1);
+    }
   }
 
-  void AcceptEntry() {
-    store_acceptor_.async_accept([this](error_code error,
-                                        asio::ip::tcp::socket socket) {
-      if (error)
-        return;
-      figstall::CallerConnection::Handlers handlers;
-      handlers.on_request = [this](const figstall::ResponseWriter& caller,
-                                   const figstall::CallerRequest& request) {
-        OnStoreCall(caller, request.message);
-      };
-      handlers.is_idempotent = [](const HttpRequest&) { return true; };
-      handlers.on_closed = [this](const figstall::CallerConnection* closed) {
-        std::erase_if(entry_connections_, [closed](const auto& connection) {
-          return connection.get() == closed;
+  void AcceptEntry(std::size_t entry) {
+    store_acceptors_[entry].async_accept(
+        [this, entry](error_code error, asio::ip::tcp::socket socket) {
+          if (error)
+            return;
+          figstall::CallerConnection::Handlers handlers;
+          handlers.on_request = [this, entry](
+                                    const figstall::ResponseWriter& caller,
+                                    const figstall::CallerRequest& request) {
+            OnStoreCall(entry, caller, request.message);
+          };
+          handlers.is_idempotent = [](const HttpRequest&) { return true; };
+          handlers.on_closed = [this](
+                                   const figstall::CallerConnection* closed) {
+            std::erase_if(entry_connections_, [closed](const auto& connection) {
+              return connection.get() == closed;
+            });
+          };
+          handlers.stopping = [] { return false; };
+          figstall::CallerLimits limits;
+          limits.idle_timeout = std::chrono::seconds(60);
+          const auto connection = std::make_shared<figstall::CallerConnection>(
+              std::move(socket), limits, std::move(handlers));
+          entry_connections_.insert(connection);
+          connection->Start();
+          AcceptEntry(entry);
         });
-      };
-      handlers.stopping = [] { return false; };
-      figstall::CallerLimits limits;
-      limits.idle_timeout = std::chrono::seconds(60);
-      const auto connection = std::make_shared<figstall::CallerConnection>(
-          std::move(socket), limits, std::move(handlers));
-      entry_connections_.insert(connection);
-      connection->Start();
-      AcceptEntry();
-    });
   }
 
-  void OnStoreCall(const figstall::ResponseWriter& caller,
+  void OnStoreCall(std::size_t entry,
+                   const figstall::ResponseWriter& caller,
                    const HttpRequest& request) {
     ++report_.store_calls;
     if (store_fault_ == "store-silent" || store_fault_ == "store-restored" ||
         store_fault_ == "store-lapse")
       return;
-    if (store_fault_ == "store-busy")
+    if (store_fault_ == "store-busy" || rejected_entries_.contains(entry))
       return SendResponse(caller, {503, {}});
     const std::string request_target(request.target().data(),
                                      request.target().size());
@@ -167,8 +174,12 @@
                 ? ""
                 : request_target.substr(query_begin + 1)),
         body,
-        [this, caller, response_lost](const EmulatedResponse& store_response) {
-          if (!response_lost)
+        [this, entry, caller, response_lost,
+         method](const EmulatedResponse& store_response) {
+          // A watch that was waiting when the entry began to be rejected.
+          if (method == "GET" && rejected_entries_.contains(entry))
+            SendResponse(caller, {503, {}});
+          else if (!response_lost)
             SendResponse(caller, store_response);
         });
   }
@@ -262,6 +273,13 @@
         killed_until_[fault.entry] = until;
       return;
     }
+    if (fault.kind == "store-rejects-entry") {
+      if (starts)
+        rejected_entries_.insert(fault.entry);
+      else
+        rejected_entries_.erase(fault.entry);
+      return;
+    }
     if (fault.kind == "store-restored" && !starts) {
       store_.Restore(BootNow(), FromSeconds(fault.value));
       // The operator's next desired state follows a moment later.
@@ -287,6 +305,16 @@
           store_.Remove(figstall::platform::kTargetsPrefix + target.id());
           target.Start();
         }
+      } else if (fault.kind == "target-reborn") {
+        if (starts)
+          target.Crash();
+        else
+          target.Start(/*keep_id=*/true);
+      } else if (fault.kind == "target-restart") {
+        if (starts)
+          target.SetDraining();
+        else
+          RestartTarget(target);
       } else if (fault.kind == "target-leave") {
         if (starts)
           target.SetDraining();
@@ -312,6 +340,17 @@
     }
   }
 
+  // Ends the target, which starts again under its id a moment later.
+  void RestartTarget(EmulatedTarget& target) {
+    target.Crash();
+    const auto timer =
+        std::make_shared<asio::steady_timer>(io_, kTargetRestartTime);
+    timer->async_wait([timer, &target](error_code error) {
+      if (!error && !target.running())
+        target.Start(/*keep_id=*/true);
+    });
+  }
+
   // Entries that another writer left among those of the targets.
   void PutOddTargetEntries() {
     constexpr std::size_t kLevels = 100'000;
@@ -444,7 +483,8 @@
   std::mt19937_64 random_;
   asio::io_context io_{1};
   asio::steady_timer tick_timer_;
-  asio::ip::tcp::acceptor store_acceptor_;
+  // By index of the entry.
+  std::deque<asio::ip::tcp::acceptor> store_acceptors_;
   EmulatedStore store_;
   EmulatorChecker checker_;
   figstall::detail::NoticeChecker notice_checker_;
@@ -458,6 +498,7 @@
   std::vector<Instant> last_heartbeat_at_;
   std::set<std::shared_ptr<figstall::CallerConnection>> entry_connections_;
   std::string store_fault_;
+  std::set<std::size_t> rejected_entries_;
   std::uint64_t desired_state_version_ = 1;
   std::size_t next_fault_ = 0;
   Instant traffic_started_at_{};
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -16,12 +16,12 @@
 
 constexpr const char* kSchema = R"json({
   "type": "object", "additionalProperties": false,
-  "required": ["length_s", "store", "entries", "services", "routes"],
+  "required": ["length_s", "stores", "entries", "services", "routes"],
   "properties": {
     "begins_at_s": {"type": "number", "minimum": 0},
     "lead_s": {"type": "number", "minimum": 0},
     "length_s": {"type": "number", "exclusiveMinimum": 0},
-    "store": {"type": "string"},
+    "stores": {"type": "array", "minItems": 1, "items": {"type": "string"}},
     "entries": {"type": "array", "minItems": 1, "items": {"type": "string"}},
     "services": {"type": "object", "minProperties": 1,
       "additionalProperties": {
@@ -55,11 +55,13 @@
       "properties": {
         "at_s": {"type": "number", "minimum": 0},
         "for_s": {"type": "number", "minimum": 0},
-        "kind": {"enum": ["target-crash", "target-leave", "target-silent",
+        "kind": {"enum": ["target-crash", "target-reborn", "target-leave",
+                          "target-restart", "target-silent",
                           "target-garble", "target-says-leaving",
                           "target-limit", "target-retry-after",
                           "target-says-invalid", "entry-frozen",
-                          "entry-killed", "store-silent", "store-busy",
+                          "entry-killed", "store-rejects-entry",
+                          "store-silent", "store-busy",
                           "store-lost-answers", "store-compact",
                           "store-restored", "store-odd-entries",
                           "store-lapse"]},
@@ -87,9 +89,15 @@
       scenario.begins_at = Instant(FromSeconds(document_.at("begins_at_s")));
     scenario.startup_delay = FromSeconds(document_.value("lead_s", 3.0));
     scenario.duration = FromSeconds(document_.at("length_s"));
-    scenario.store = ParseEndpointAt("/store", document_.at("store"));
+    for (const json& store : document_.at("stores"))
+      scenario.stores.push_back(ParseEndpointAt("/stores", store));
     for (const json& entry : document_.at("entries"))
       scenario.entries.push_back(ParseEndpointAt("/entries", entry));
+    if (scenario.stores.size() != scenario.entries.size())
+      findings_.push_back(
+          {file_path_, "/stores",
+           fmt::format("there are {} addresses for {} entries",
+                       scenario.stores.size(), scenario.entries.size())});
     scenario.desired_state = {{"version", 1},
                               {"routes", json::object()},
                               {"services", json::object()}};
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -37,7 +37,7 @@
   double abort_ratio = 0;
   // Of target-limit: requests per second. Of target-retry-after: seconds.
   double value = 0;
-  // Index into Scenario::entries, for entry-frozen and entry-killed.
+  // Index into Scenario::entries, for faults of an entry.
   std::size_t entry = 0;
 };
 
@@ -48,7 +48,8 @@
   Duration startup_delay{0};
   // Of the traffic.
   Duration duration{0};
-  Endpoint store;
+  // The store's address for each entry, so that it can tell them apart.
+  std::vector<Endpoint> stores;
   std::vector<Endpoint> entries;
   std::vector<EmulatedTargetOptions> targets;
   std::vector<ScenarioTraffic> traffic;
--- a/test/fakes/notice_checker.h
+++ b/test/fakes/notice_checker.h
@@ -39,6 +39,8 @@
   void OnRequestSent(const std::string& request_id,
                      std::size_t entry,
                      Instant now);
+  // A new incarnation under this id has said nothing yet.
+  void OnTargetStarted(const std::string& target) { targets_.erase(target); }
   // The request reaches a target.
   void OnArrival(const std::string& target,
                  const std::string& request_id,
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -1,10 +1,10 @@
 // Random runs of RangeGranter and RangeMover in a simulation of several
 // members, targets and a store. Targets crash, restart, lose their connection
-// to members or only to the store, and finish running work before they respond
-// to a release; members freeze, restart and lose the store, and a zone loses
-// all its members; calls are delayed, are applied seconds after their arrival
-// or lose their responses. After each step at most one running target may hold
-// a key or work on it.
+// to members or only to the store, finish running work before they respond to a
+// release, and start again under their id right after it; members freeze,
+// restart and lose the store, and a zone loses all its members; calls are
+// delayed, are applied seconds after their arrival or lose their responses.
+// After each step at most one running target may hold a key or work on it.
 // Mutations of the protocol check that the runs detect a violated rule.
 #include <catch2/catch.hpp>
 #include <functional>
@@ -48,6 +48,8 @@
   kNoZoneCheck,
   // The mover ignores the grants that it sent itself after its last report.
   kNoOwnHolds,
+  // A member grants on connections that it opened after it last read the table.
+  kNoConnectionCheck,
 };
 
 // Which members grant a range.
@@ -112,6 +114,11 @@
     std::map<ShardKey, std::uint64_t> seen_fence;
     std::map<ShardKey, Instant> held_until;
   };
+  // Reaches one incarnation of a target.
+  struct Connection {
+    TargetIncarnation peer;
+    Instant opened_at;
+  };
   struct Member {
     std::string id;
     bool running = true;
@@ -122,10 +129,13 @@
     Instant membership_valid_until{};
     Instant mover_lease_valid_until{};
     Instant mover_since{};
+    std::uint64_t elected_in_term = 0;
     Instant next_renewal_at{};
     Instant members_known_since{};
     std::uint64_t revision = 0;
     bool write_in_flight = false;
+    // Connections for grants.
+    std::map<TargetId, Connection> connections;
     std::unique_ptr<RangeGranter> granter;
     std::unique_ptr<RangeMover> mover;
     TargetDirectory directory;
@@ -156,11 +166,13 @@
   }
   Duration RandomDelay() { return milliseconds(RandomBelow(150)); }
 
-  void RestartTarget(int i) {
+  // Half of the restarts keep the id; each is a new incarnation.
+  void RestartTarget(int i) { RestartTarget(i, Chance(0.5)); }
+
+  void RestartTarget(int i, bool keep_id) {
     Target& target = targets_[i];
     target = Target{};
-    // Half of the restarts keep the id; each is a new incarnation.
-    if (target_ids_[i].empty() || Chance(0.5))
+    if (target_ids_[i].empty() || !keep_id)
       target_ids_[i] = "t" + std::to_string(++last_id_number_);
     target.incarnation = {TargetId(target_ids_[i]), ++incarnation_count_};
     target.last_heartbeat_at = now_;
@@ -321,11 +333,14 @@
       mover_id_ = member.id;
       mover_lease_until_ = now_ + kMoverLease;
       ++mover_term_;
+      // A member that does not receive the response is not the mover.
       if (Chance(0.9)) {
         member.mover_lease_valid_until = now_ + kMoverLease - kLeaseMargin;
         member.mover_since = now_;
+        member.elected_in_term = mover_term_;
       }
-    } else if (mover_id_ == member.id && Chance(0.1)) {
+    } else if (mover_id_ == member.id &&
+               member.elected_in_term == mover_term_ && Chance(0.1)) {
       mover_lease_until_ = now_ + kMoverLease;
       member.mover_lease_valid_until = now_ + kMoverLease - kLeaseMargin;
     }
@@ -349,6 +364,7 @@
       member.mover->OnTable(table_, now_);
       member.granter->OnTable(kService, table_);
     }
+    member.granter->OnTableConfirmed(kService, now_);
     member.write_in_flight = false;
   }
 
@@ -400,47 +416,70 @@
     Member& member = members_[i];
     const bool membership_valid =
         member.joined && now_ < member.membership_valid_until;
-    if (mutation_ != Mutation::kNoClockCheckAfterFreeze &&
-        (!membership_valid || !IsStillGranter(i, request) ||
-         !member.granter->TryBeginSend(now_, request)))
+    const bool checked = mutation_ != Mutation::kNoClockCheckAfterFreeze;
+    if (checked && (!membership_valid || !IsStillGranter(i, request)))
       return;
     const int target = FindTarget(request.owner.id);
-    if (target < 0 || member.unreachable_targets.contains(target)) {
-      Schedule(timing_.call_timeout, [this, i, request, id = member.id] {
-        if (members_[i].id == id)
-          members_[i].granter->OnOutcome(now_, request, GrantOutcome::kUnknown);
-      });
-      return;
+    const bool reachable =
+        target >= 0 && !member.unreachable_targets.contains(target);
+    const auto open = member.connections.find(request.owner.id);
+    const bool connected = open != member.connections.end() && target >= 0 &&
+                           open->second.peer == targets_[target].incarnation;
+    if (!connected) {
+      member.connections.erase(request.owner.id);
+      if (!reachable)
+        return ScheduleOutcome(i, timing_.call_timeout, request,
+                               GrantOutcome::kNotSent);
+      member.connections[request.owner.id] = {targets_[target].incarnation,
+                                              now_};
+    }
+    const Connection connection = member.connections.at(request.owner.id);
+    const Instant connected_at = mutation_ == Mutation::kNoConnectionCheck
+                                     ? Instant{}
+                                     : connection.opened_at;
+    if (checked && member.granter->TryBeginSend(now_, request, connected_at) !=
+                       SendDecision::kSend)
+      return member.granter->OnOutcome(now_, request, GrantOutcome::kWithdrawn);
+    if (!reachable) {
+      member.connections.erase(request.owner.id);
+      return ScheduleOutcome(i, timing_.call_timeout, request,
+                             GrantOutcome::kUnknown);
     }
     // Some targets accept a grant and apply it 2 to 12 seconds later; its hold
     // counts from its arrival.
     if (options_.late_grant_share > 0 && Chance(options_.late_grant_share)) {
-      const Duration arrival = RandomDelay();
-      Schedule(arrival, [this, target, request] {
+      Schedule(RandomDelay(), [this, target, request, connection] {
         Schedule(milliseconds(2000 + RandomBelow(10'000)),
-                 [this, target, request, arrived_at = now_] {
-                   ApplyGrant(target, request, arrived_at);
+                 [this, target, request, connection, arrived_at = now_] {
+                   ApplyGrant(target, connection, request, arrived_at);
                  });
       });
-      Schedule(timing_.call_timeout, [this, i, request, id = member.id] {
-        if (members_[i].id == id)
-          members_[i].granter->OnOutcome(now_, request, GrantOutcome::kUnknown);
-      });
-      return;
+      return ScheduleOutcome(i, timing_.call_timeout, request,
+                             GrantOutcome::kUnknown);
     }
     const Duration travel =
         Chance(0.1) ? timing_.call_timeout - kStep : RandomDelay();
     const bool answered = Chance(0.9) && travel < milliseconds(400);
-    Schedule(travel,
-             [this, target, request] { ApplyGrant(target, request, now_); });
-    Schedule(answered ? travel + RandomDelay() : timing_.call_timeout,
-             [this, i, request, answered, id = member.id] {
-               if (members_[i].id == id)
-                 members_[i].granter->OnOutcome(now_, request,
-                                                answered
-                                                    ? GrantOutcome::kGranted
-                                                    : GrantOutcome::kUnknown);
-             });
+    Schedule(travel, [this, target, request, connection] {
+      ApplyGrant(target, connection, request, now_);
+    });
+    ScheduleOutcome(i, answered ? travel + RandomDelay() : timing_.call_timeout,
+                    request,
+                    answered ? GrantOutcome::kGranted : GrantOutcome::kUnknown);
+  }
+
+  void ScheduleOutcome(int i,
+                       Duration delay,
+                       const GrantRequest& request,
+                       GrantOutcome outcome) {
+    Schedule(delay, [this, i, request, outcome, id = members_[i].id] {
+      Member& member = members_[i];
+      if (member.id != id)
+        return;
+      member.granter->OnOutcome(now_, request, outcome);
+      if (outcome == GrantOutcome::kUnknown)
+        member.connections.erase(request.owner.id);
+    });
   }
 
   int FindTarget(const TargetId& id) const {
@@ -451,9 +490,12 @@
     return -1;
   }
 
-  void ApplyGrant(int i, const GrantRequest& request, Instant arrived_at) {
+  void ApplyGrant(int i,
+                  const Connection& connection,
+                  const GrantRequest& request,
+                  Instant arrived_at) {
     Target& target = targets_[i];
-    if (!target.up || target.incarnation.id != request.owner.id)
+    if (!target.up || target.incarnation != connection.peer)
       return;
     for (const ShardKey key : kKeys) {
       if (request.range.Contains(key) && target.seen_fence[key] > request.fence)
@@ -468,14 +510,21 @@
       target.seen_fence[key] = request.fence;
       Instant& until = target.held_until[key];
       until = std::max(until, arrived_at + hold);
-      // After a restart under the same id, members know the new incarnation
-      // only once they have seen its entry. The incarnation that each grant is
-      // meant for is recorded so that HasOneHolder() can exclude grants to an
-      // earlier one.
-      granted_started_at_ms_[{i, key}] = request.owner.started_at_ms;
     }
   }
 
+  // The target exits soon after its response, and starts again under its id.
+  void RestartAfterRelease(int i, Duration response_delay) {
+    Schedule(response_delay + RandomDelay() + kStep,
+             [this, i, exiting = targets_[i].incarnation] {
+               if (!targets_[i].up || targets_[i].incarnation != exiting)
+                 return;
+               targets_[i].up = false;
+               Schedule(milliseconds(RandomBelow(500)),
+                        [this, i] { RestartTarget(i, /*keep_id=*/true); });
+             });
+  }
+
   // Returns after how long the target responds: when its running work on the
   // released keys has ended. Returns nullopt if it does not respond.
   std::optional<Duration> ApplyRelease(int i, const ReleaseRequest& request) {
@@ -493,6 +542,8 @@
       until = std::min(until, work_ends_at);
       responds_at = std::max(responds_at, until);
     }
+    if (Chance(0.1))
+      RestartAfterRelease(i, responds_at - now_);
     return responds_at - now_;
   }
 
@@ -610,14 +661,7 @@
       int holders = 0;
       for (int i = 0; i < kTargets; ++i) {
         const auto held = targets_[i].held_until.find(key);
-        // A grant to another incarnation of the same id is not counted: only
-        // that incarnation knows of it, and the platform's rules permit it.
-        const auto granted = granted_started_at_ms_.find({i, key});
-        const bool for_this_incarnation =
-            granted != granted_started_at_ms_.end() &&
-            granted->second == targets_[i].incarnation.started_at_ms;
-        holders += targets_[i].up && for_this_incarnation &&
-                           held != targets_[i].held_until.end() &&
+        holders += targets_[i].up && held != targets_[i].held_until.end() &&
                            now_ < held->second
                        ? 1
                        : 0;
@@ -638,7 +682,6 @@
   Member members_[kMembers];
   std::vector<ScheduledCall> scheduled_calls_;
   std::optional<ZoneId> zone_without_members_;
-  std::map<std::pair<int, ShardKey>, std::int64_t> granted_started_at_ms_;
   int last_id_number_ = 0;
   int process_count_ = 0;
   std::int64_t incarnation_count_ = 0;
@@ -722,13 +765,14 @@
 }
 
 TEST_CASE("random runs detect each mutation of the move protocol") {
-  CHECK(FindsViolation(Mutation::kNoHoldExpiryWait, 100));
+  CHECK(FindsViolation(Mutation::kNoHoldExpiryWait, 2000));
   CHECK(FindsViolation(Mutation::kNoMemberReports, 100));
   CHECK(FindsViolation(Mutation::kNoClockCheckAfterFreeze, 100));
   CHECK(FindsViolation(Mutation::kReleaseAtOldToken, 100));
   CHECK(FindsViolation(Mutation::kNoDepartureWait, 400));
   CHECK(FindsViolation(Mutation::kAbsentOwnerReleased, 100));
   CHECK(FindsViolation(Mutation::kNoReportedHolds, 2000));
+  CHECK(FindsViolation(Mutation::kNoConnectionCheck, 100));
   CHECK(FindsViolation(Mutation::kReleaseAtOldToken, 100,
                        {.late_grant_share = 0.4}));
 }
