Streamed responses keep their Content-Length, and cut ones look cut

Found beside it: on a kept connection the end of a whole download never came.

Cause: CallerSession called Beast's message::chunked(false) for responses with a length, which removes the Content-Length. Nothing marked the end of the body then but the end of the connection.

Evidence: the request is logged as cut, so the break was noticed; the head that the caller got has neither a length nor chunks.

Change: BodyFraming names what marks the end: no body (HEAD, 204, 304), the length, chunks, or, for HTTP/1.0 callers, which know no chunks and got them before, the end of the connection, which is reset if the response is cut. A HEAD response without a length gets no Content-Length: 0 anymore.

--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -41,6 +41,17 @@
   HttpRequest message;
 };
 
+// What tells the caller where the body of a response ends.
+enum class BodyFraming {
+  // There is no body: the response to a HEAD request, 204 or 304.
+  kNone,
+  kContentLength,
+  kChunks,
+  // The end of the connection, for HTTP/1.0 callers, which know no chunks. A
+  // truncated response then ends with a reset.
+  kConnectionEnd,
+};
+
 enum class SessionState {
   kOpen,
   // The connection must be closed once the output is written.
@@ -95,8 +106,9 @@
                      std::function<void()> on_drained);
   void SendBody(RequestNumber number, std::string_view bytes, bool last);
   // Abandons a response that cannot be completed. Earlier responses are
-  // written, then the connection closes in the middle of this one. Later
-  // requests are cancelled.
+  // written, then the connection closes in the middle of this one, or is reset
+  // if the close would make the response look complete. Later requests are
+  // cancelled.
   void Truncate(RequestNumber number);
   // Bytes of the response that are not yet written to the socket.
   std::size_t unsent(RequestNumber number) const;
@@ -127,8 +139,12 @@
   struct PendingRequest {
     bool keep_alive = true;
     bool non_idempotent = false;
+    // Of the request.
+    bool http_1_0 = false;
+    bool head_only = false;
     bool streaming = false;
-    bool chunked = false;
+    // Set when the head of a streamed response is written.
+    BodyFraming framing = BodyFraming::kContentLength;
     bool body_complete = false;
     bool truncated = false;
     // A response that was given as a whole.
@@ -148,6 +164,10 @@
   void Parse(Instant now);
   void OnRequestParsed(Instant now, HttpRequest request);
   void Enqueue(Instant now, HttpRequest request, bool non_idempotent);
+  static BodyFraming FramingFor(
+      const PendingRequest& pending,
+      const boost::beast::http::response<boost::beast::http::empty_body>&
+          message);
   void RefuseInput(int status);
   // Queues all available output of the responses whose turn it is.
   void WriteReadyResponses();
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -32,8 +32,8 @@
   // Buffered until it is complete, so that a truncated response can be replaced
   // by that of another attempt.
   kBuffer,
-  // Forwarded while it is received. A body without a Content-Length is sent in
-  // chunks, so that the caller detects a truncated one.
+  // Forwarded while it is received. CallerSession marks its end so that the
+  // caller detects a truncated one.
   kStream,
   // Discarded.
   kDrop,
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -33,6 +33,11 @@
   return kBadRequest;
 }
 
+bool HasNoBody(http::status status) {
+  return status == http::status::no_content ||
+         status == http::status::not_modified;
+}
+
 template <typename Buffers>
 void Append(std::string& out, const Buffers& buffers) {
   for (auto each = boost::asio::buffer_sequence_begin(buffers);
@@ -158,6 +163,8 @@
   PendingRequest pending;
   pending.keep_alive = request.keep_alive();
   pending.non_idempotent = non_idempotent;
+  pending.http_1_0 = request.version() < 11;
+  pending.head_only = request.method() == http::verb::head;
   pending_requests_.push_back(std::move(pending));
   ready_requests_.push_back(
       {first_number_ + pending_requests_.size() - 1, now, std::move(request)});
@@ -266,8 +273,12 @@
     if (!WriteFront(front))
       return;
     const bool closes = front.truncated || !front.keep_alive;
+    const bool must_reset =
+        front.truncated && front.framing == BodyFraming::kConnectionEnd;
     pending_requests_.pop_front();
     ++first_number_;
+    if (must_reset)
+      return Reset();
     if (closes)
       return End(SessionState::kCloseAfterOutput);
     if (pending_requests_.empty() && deferred_request_) {
@@ -306,33 +317,49 @@
 void CallerSession::WriteFullResponse(PendingRequest& front) {
   HttpResponse& response = *front.full_response;
   response.keep_alive(front.keep_alive);
-  if (response.result() != http::status::no_content &&
-      response.result() != http::status::not_modified &&
+  if (!front.head_only && !HasNoBody(response.result()) &&
       !response.has_content_length())
     response.content_length(response.body().size());
   Serialize(output_, response, /*head=*/false);
 }
 
+BodyFraming CallerSession::FramingFor(
+    const PendingRequest& pending,
+    const http::response<http::empty_body>& message) {
+  if (pending.head_only || HasNoBody(message.result()))
+    return BodyFraming::kNone;
+  if (message.has_content_length())
+    return BodyFraming::kContentLength;
+  return pending.http_1_0 ? BodyFraming::kConnectionEnd : BodyFraming::kChunks;
+}
+
 void CallerSession::WriteHead(PendingRequest& front) {
   http::response<http::empty_body> message(std::move(*front.head));
   front.head.reset();
   message.version(11);
+  front.framing = FramingFor(front, message);
+  if (front.framing == BodyFraming::kConnectionEnd) {
+    front.keep_alive = false;
+    closing_ = true;
+  }
   message.keep_alive(front.keep_alive);
-  front.chunked = !message.has_content_length();
-  message.chunked(front.chunked);
+  // chunked(false) would remove the Content-Length.
+  if (front.framing == BodyFraming::kChunks)
+    message.chunked(true);
   Serialize(output_, message, /*head=*/true);
 }
 
 void CallerSession::WriteBody(PendingRequest& front) {
-  if (!front.body.empty()) {
-    if (front.chunked)
+  const bool chunks = front.framing == BodyFraming::kChunks;
+  if (!front.body.empty() && front.framing != BodyFraming::kNone) {
+    if (chunks)
       Append(output_, http::make_chunk(boost::asio::const_buffer(
                           front.body.data(), front.body.size())));
     else
       output_ += front.body;
-    front.body.clear();
   }
-  if (front.body_complete && front.chunked)
+  front.body.clear();
+  if (front.body_complete && chunks)
     Append(output_, http::make_chunk_last());
 }
 
--- a/test/caller_session_test.cc
+++ b/test/caller_session_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -44,6 +45,21 @@
   return response;
 }
 
+// Whether a caller may take these bytes, followed by the end of the connection,
+// for one complete response.
+bool LooksComplete(const std::string& bytes, bool to_head_request) {
+  http::response_parser<http::string_body> parser;
+  parser.eager(true);
+  parser.skip(to_head_request);
+  boost::system::error_code error;
+  parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  if (error && error != http::error::need_more)
+    return false;
+  if (!parser.is_done())
+    parser.put_eof(error);
+  return !error && parser.is_done();
+}
+
 // A session, the requests that it passed on and the output that it wrote.
 class SessionHarness {
  public:
@@ -78,9 +94,13 @@
     session_.Reply(numbers_.at(request), MakeResponse(body));
     Drain();
   }
-  void Begin(const std::string& request, std::function<void()> drained) {
+  void Begin(const std::string& request,
+             std::function<void()> drained,
+             std::optional<std::size_t> length = std::nullopt) {
     ResponseHead head;
     head.result(http::status::ok);
+    if (length)
+      head.set(http::field::content_length, std::to_string(*length));
     session_.BeginResponse(numbers_.at(request), std::move(head),
                            std::move(drained));
     Drain();
@@ -315,6 +335,94 @@
   CHECK(harness.session().state() == SessionState::kCloseAfterOutput);
 }
 
+// Guards against MIXED: streamed responses lost their Content-Length, so that
+// one that broke off looked complete, and the end of a complete one could not
+// be told on a connection that is kept.
+TEST_CASE("a streamed response keeps its length, and a cut one looks cut") {
+  SessionHarness whole;
+  whole.Send(Get("a") + Get("b"));
+  whole.Begin("/a", nullptr, 6);
+  whole.Body("/a", "abc", false);
+  whole.Body("/a", "def", true);
+  whole.Respond("/b", "B");
+  CHECK(whole.out().find("Content-Length: 6") != std::string::npos);
+  CHECK(whole.out().find("Transfer-Encoding") == std::string::npos);
+  CHECK(whole.Responses() == Texts{"200 abcdef", "200 B"});
+
+  SessionHarness cut;
+  cut.Send(Get("a"));
+  cut.Begin("/a", nullptr, 6);
+  cut.Body("/a", "abc", false);
+  cut.session().Truncate(cut.number("/a"));
+  cut.Drain();
+  CHECK(cut.session().state() == SessionState::kCloseAfterOutput);
+  CHECK_FALSE(LooksComplete(cut.out(), false));
+}
+
+// The same for all that marks the end of a body. HTTP/1.0 callers know no
+// chunks, so a body without a length ends with the connection, and is reset if
+// it is cut.
+TEST_CASE("the end of a streamed body is marked for each kind of request") {
+  const bool both[] = {false, true};
+  for (const char* method : {"GET", "HEAD"}) {
+    for (const char* version : {"1.0", "1.1"}) {
+      for (const http::status status :
+           {http::status::ok, http::status::no_content,
+            http::status::not_modified}) {
+        for (const bool has_length : both) {
+          for (const bool cut : both) {
+            const bool head = std::string(method) == "HEAD";
+            const bool no_body = head || status != http::status::ok;
+            CAPTURE(method, version, static_cast<int>(status), has_length, cut);
+            CallerSession session(
+                {}, [](const HttpRequest&) { return true; }, kStart);
+            session.OnBytes(
+                kStart, fmt::format("{} /a HTTP/{}\r\nHost: h\r\n\r\n", method,
+                                    version));
+            const auto request = session.NextRequest();
+            REQUIRE(request);
+            ResponseHead response;
+            response.result(status);
+            if (has_length)
+              response.set(http::field::content_length, "6");
+            session.BeginResponse(request->number, std::move(response),
+                                  nullptr);
+            if (!no_body)
+              session.SendBody(request->number, "abc", false);
+            std::string out = session.TakeOutput(kStart);
+            session.OnWritten(kStart);
+            if (cut)
+              session.Truncate(request->number);
+            else
+              session.SendBody(request->number, no_body ? "" : "def", true);
+            out += session.TakeOutput(kStart);
+            CHECK(View(request->message.target()) == "/a");
+            CHECK((out.find("Content-Length: 6") != std::string::npos) ==
+                  has_length);
+            CHECK((out.find("chunked") != std::string::npos) ==
+                  (!no_body && !has_length && std::string(version) == "1.1"));
+            if (!cut)
+              CHECK(LooksComplete(out, head));
+            else if (!no_body)
+              CHECK((session.state() == SessionState::kReset ||
+                     !LooksComplete(out, head)));
+            if (!cut && !no_body)
+              CHECK(out.find("def") != std::string::npos);
+          }
+        }
+      }
+    }
+  }
+}
+
+// Guards against a Content-Length that is not that of the body.
+TEST_CASE("a response to a HEAD request gets no length of its own") {
+  SessionHarness harness;
+  harness.Send("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  harness.Respond("/a", "");
+  CHECK(harness.out().find("Content-Length") == std::string::npos);
+}
+
 TEST_CASE("a caller's close cancels all requests without a response") {
   SessionHarness harness;
   harness.Send(Get("a") + Get("b") + Get("c") + Get("d") + Get("e"));
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -221,6 +221,84 @@
     assert count(report, "drawing", 200) > 0
 
 
+# Guards against MIXED: a streamed response left without its Content-Length, so
+# that one which its target broke off looked complete, and nobody could tell the
+# end of a whole one on a kept connection.
+def a_download_that_breaks_off_looks_broken_off():
+    size, broken_at = 600_000, 450_000
+    broken_off = []
+
+    def answer(_, request_id, send):
+        body = (request_id * size)[:size].encode()
+        fields = (f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
+                  "Backend-Signature: s\r\nKeep-Alive: timeout=10\r\n")
+        if "chunked" in request_id:
+            half = size // 2
+            head = fields + "Transfer-Encoding: chunked\r\n\r\n"
+            whole = (b"%x\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n" % (
+                half, body[:half], size - half, body[half:]))
+        else:
+            head = fields + f"Content-Length: {size}\r\n\r\n"
+            whole = body
+        if "broken" not in request_id:
+            return send(head.encode() + whole)
+        send(head.encode() + whole[:broken_at])
+        broken_off.append(request_id)
+        raise ConnectionError
+
+    def get(connection, request_id):
+        """Returns the body if it looks complete, None if it does not, and
+        "hung" if its end does not come."""
+        connection.request("GET", "/drawing/1", headers={
+            "Host": "a.example", "Request-Id": request_id,
+            "Deadline-Ms": "4000"})
+        try:
+            reply = connection.getresponse()
+            body = reply.read()
+            return body if reply.status == 200 else None
+        except TimeoutError:
+            connection.close()
+            return "hung"
+        except (http.client.IncompleteRead, ConnectionError):
+            connection.close()
+            return None
+
+    wrong = []
+
+    def download(fleet):
+        host, port = fleet.entries[0].callers.split(":")
+        for version in (11, 10):
+            for kind in ("sized", "chunked"):
+                kept = http.client.HTTPConnection(host, int(port), timeout=2)
+                kept._http_vsn = version
+                kept._http_vsn_str = f"HTTP/{version / 10}"
+                for number, end in enumerate(("whole", "whole", "broken")):
+                    request_id = f"{kind}-{version}-{end}-{number}-"
+                    body = get(kept, request_id)
+                    expected = (request_id * size)[:size].encode()
+                    if body != (expected if end == "whole" else None):
+                        wrong.append((request_id, body if body in (None, "hung")
+                                      else len(body)))
+                kept.close()
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    port, = free_ports(1)
+    target = RawTarget(port, answer)
+    scenario = {
+        "lead_s": 3, "length_s": 6,
+        "services": {"archive": {"targets": [
+            {"address": address(port), "zone": "north-a", "external": True}]}},
+        "routes": {"drawing": {"host": "a.example", "prefix": "/drawing/",
+                               "kind": "download", "service": "archive",
+                               "per_second": 0.01, "deadline_ms": 4000}}}
+    try:
+        fleet.run(scenario, actions=[Action(LEAD_S + 1, download)])
+    finally:
+        target.close()
+    assert wrong == [], wrong
+    assert len(broken_off) >= 4, broken_off
+
+
 # Guards against requests to a target that said in its answers that it leaves,
 # later than the drain time, while its entry in the store says otherwise.
 def a_target_that_says_it_leaves_gets_nothing_later():
@@ -454,6 +532,7 @@
          a_zone_without_entries_keeps_one_owner_for_each_key,
          a_rejected_entry_grants_nothing_to_the_next_incarnation,
          odd_target_entries_stop_no_entry, garbled_answers_reach_nobody,
+         a_download_that_breaks_off_looks_broken_off,
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
          a_target_that_asks_for_a_pause_is_left_alone,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -120,6 +120,9 @@
                               rate=rng.uniform(0.5, 2.5))
     for service in scenario["services"].values():
         service["work_ms"] = rng.choice((10, 25, 80, 200))
+    # The larger of the two is streamed.
+    scenario["services"]["archive"]["answer_bytes"] = reborn_rng.choice(
+        (90_000, 400_000))
     for route in scenario["routes"].values():
         route["keep_connections"] = rng.random() < 0.7
         route["deadline_ms"] = rng.choice((600, 1000, 2500))
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -428,24 +428,34 @@
   if (!work->cancelled) {
     const bool aborted =
         std::uniform_real_distribution<>()(random_) < abort_ratio_;
-    if (aborted) {
-      work->caller.Abort();
-    } else {
-      HttpResponse response;
-      response.result(http::status::ok);
-      response.version(11);
-      response.set(platform::kRequestIdHeader, work->id);
-      response.set(platform::kProofHeader, id_);
-      response.set(http::field::keep_alive, "timeout=10");
-      response.body() = work->id + ":";
-      response.body().resize(options_.response_bytes, 'x');
-      AddNotices(response, work->id);
+    HttpResponse response;
+    response.result(http::status::ok);
+    response.version(11);
+    response.set(platform::kRequestIdHeader, work->id);
+    response.set(platform::kProofHeader, id_);
+    response.set(http::field::keep_alive, "timeout=10");
+    response.body() = work->id + ":";
+    response.body().resize(options_.response_bytes, 'x');
+    AddNotices(response, work->id);
+    if (aborted)
+      BreakOff(work->caller, std::move(response));
+    else
       work->caller.Reply(std::move(response));
-    }
   }
   StartNext();
 }
 
+void EmulatedTarget::BreakOff(const Caller& caller, HttpResponse response) {
+  if (std::bernoulli_distribution()(random_))
+    return caller.Abort();
+  const std::string body = std::move(response.body());
+  response.content_length(body.size());
+  caller.BeginResponse(std::move(response.base()), nullptr);
+  caller.SendBody(std::string_view(body).substr(0, random_() % body.size()),
+                  false);
+  caller.Truncate();
+}
+
 void EmulatedTarget::StartNext() {
   if (queued_.empty())
     return;
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -101,7 +101,8 @@
   void SetDraining() { draining_ = true; }
   // While silent, the target accepts requests and sends no response.
   void SetSilent(bool silent) { silent_ = silent; }
-  // Closes the connection instead of responding to this share of the requests.
+  // Closes the connection instead of responding, or within the response, for
+  // this share of the requests.
   void SetAbortRatio(double ratio) { abort_ratio_ = ratio; }
   // The target's answers say that it leaves. Its entry in the store does not.
   void SayLeaving() { said_.leaving = true; }
@@ -135,6 +136,7 @@
   void StartNext();
   void FinishWork(const std::shared_ptr<Work>& work);
   void AnswerReleases();
+  void BreakOff(const Caller& caller, HttpResponse response);
   void SendResponse(const Caller& caller,
                     int status,
                     bool not_run,
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -473,6 +473,11 @@
           response.header(figstall::platform::kRequestIdHeader);
       if (received_id != id || response.body.rfind(id + ":", 0) != 0)
         checker_.OnWrongResponse(id, "it carries request id " + received_id);
+      // The end of the connection passes for the end of a body without framing.
+      else if (response.body.size() != scenario_.traffic[route].response_bytes)
+        checker_.OnWrongResponse(
+            id, fmt::format("its body has {} of {} bytes", response.body.size(),
+                            scenario_.traffic[route].response_bytes));
     }
     report_.Add(scenario_.traffic[route].name,
                 ToSeconds(sent_at - traffic_started_at_), status,
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -169,6 +169,10 @@
     traffic.keyed = document_.at("services")
                         .value(service, json::object())
                         .value("keyed", false);
+    traffic.response_bytes =
+        document_.at("services")
+            .value(service, json::object())
+            .value("answer_bytes", EmulatedTargetOptions().response_bytes);
     traffic.requests_per_second = route.at("per_second");
     traffic.keeps_connections = route.value("keep_connections", false);
     traffic.deadline = FromSeconds(deadline_s);
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -23,6 +23,8 @@
   // Callers send requests on connections that they keep open.
   bool keeps_connections = false;
   double requests_per_second = 1;
+  // Body size of each response with status 200.
+  std::size_t response_bytes = 0;
   Duration deadline{0};
 };
 
