--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -251,6 +251,7 @@
   // have expired.
   bool MayAssignAnew(Instant now) const;
   void LogMove(const ServiceId& service, const PlannedMove& move);
+  void LogSettled(const ServiceId& service, const SettledRange& range);
   void WriteTable(const ServiceId& service, const RangeTable& next);
   void ReadTable(const ServiceId& service);
   void SendReleases(const ServiceId& service, MoverState& state);
@@ -262,10 +263,13 @@
   void OnTablesConfirmed(Instant requested_at);
   // Reads the tables if grants wait for their confirmation.
   void ConfirmTables(Instant now);
-  // Reads those whose key is after this one.
+  // Reads those whose key is after this one, and confirms them.
   void ReadTables(const std::string& after);
   // Members in this VM's zone.
   std::vector<VmId> ZoneMembers() const;
+  // Whether this member may send grants of the entry at this moment.
+  bool MayGrant(Instant now, const RangeEntry& entry) const;
+  // Whether it is this member that sends them.
   bool ShouldGrant(Instant now,
                    const std::vector<VmId>& zone_members,
                    const ServiceId& service,
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -107,6 +107,20 @@
   const RangeLoad* load = nullptr;
 };
 
+// A range that the last plan gave to its next owner.
+struct SettledRange {
+  KeyRange range;
+  TargetId from;
+  TargetId to;
+  std::uint64_t fence = 0;
+  // Whether the previous owner released it; otherwise all grants had expired.
+  bool released = false;
+  // Since this mover first saw the range moving.
+  Duration moving_for{0};
+
+  friend auto operator<=>(const SettledRange&, const SettledRange&) = default;
+};
+
 struct ReleaseRequest {
   KeyRange range;
   TargetIncarnation owner;
@@ -166,6 +180,10 @@
   const std::vector<PlannedMove>& last_balance_moves() const {
     return last_balance_moves_;
   }
+  // Ranges that the last plan settled, for the log.
+  const std::vector<SettledRange>& last_settled() const {
+    return last_settled_;
+  }
   // How often the load of all targets was evaluated.
   std::uint64_t balance_evaluations() const { return balance_evaluations_; }
 
@@ -219,6 +237,7 @@
   std::optional<Instant> last_balance_evaluation_at_;
   std::uint64_t balance_evaluations_ = 0;
   std::vector<PlannedMove> last_balance_moves_;
+  std::vector<SettledRange> last_settled_;
   // Owners of hot parts when balance moves were last planned.
   std::set<TargetId> hot_owners_;
   // The usable targets before the first assignment, and since when this set has
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -1,7 +1,8 @@
 // Starts EntryControl and applies what the store says. How its copy of the
 // store is kept current is in entry_control_copy.cc, membership and the
-// election in entry_control_members.cc, grants and moves of key ranges in
-// entry_control_ranges.cc, datagrams between members in entry_control_peers.cc.
+// election in entry_control_members.cc, grants of key ranges in
+// entry_control_grants.cc, moves in entry_control_ranges.cc, datagrams between
+// members in entry_control_peers.cc.
 #include "figstall/entry_control.h"
 
 #include <fmt/format.h>
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -215,10 +215,15 @@
     const auto planned = planned_owner_.find(entry.range.first);
     if (planned != planned_owner_.end() && shares.contains(planned->second))
       share = &shares.at(planned->second);
+    const Progress& progress = progress_.at({entry.range.first, entry.fence});
+    last_settled_.push_back({entry.range, entry.owner.id,
+                             share->target->incarnation.id, entry.fence,
+                             progress.released,
+                             input.now - progress.moving_since});
     SetOwner(entry, *share->target);
     share->load += load;
     entry.phase = RangePhase::kSettled;
-    entry.handover = progress_.at({entry.range.first, entry.fence}).handover;
+    entry.handover = progress.handover;
     changed = true;
   }
   return changed;
@@ -291,6 +296,7 @@
     return FirstAssignment(usable, input);
   }
   last_balance_moves_.clear();
+  last_settled_.clear();
   RangeTable next = table_;
   bool changed = AssignUnheldRanges(next, input);
   if (!usable.empty())
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -35,8 +35,11 @@
   // Advances the time and applies the mover's plans until it has none left.
   void Advance(Duration time) {
     now += time;
-    while (const auto next = mover_.Plan(Input()))
-      mover_.OnTable(*next, now), ++writes;
+    while (const auto next = mover_.Plan(Input())) {
+      last_settled = mover_.last_settled();
+      mover_.OnTable(*next, now);
+      ++writes;
+    }
   }
   void ReleaseAll(const std::string& handover) {
     for (const ReleaseRequest& request : mover_.OutstandingReleases())
@@ -79,6 +82,8 @@
   std::map<TargetId, double> capacity;
   std::vector<double> parts;
   int writes = 0;
+  // Ranges that the last written plan settled.
+  std::vector<SettledRange> last_settled;
   Instant mover_since{};
   // Until when owners may hold ranges by the mover's own grants.
   std::map<TargetId, Instant> own_holds;
@@ -135,6 +140,9 @@
   CHECK(fixture.OwnerOf(0) == old_owner);
   fixture.ReleaseAll("warm");
   fixture.Advance(milliseconds(200));
+  CHECK(fixture.last_settled.size() == 1);
+  CHECK(fixture.last_settled.front().from.value() == old_owner);
+  CHECK(fixture.last_settled.front().released);
   CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
   CHECK(fixture.OwnerOf(0) != old_owner);
   CHECK(fixture.table().Find(0)->fence > before);
