--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -100,8 +100,8 @@
     }
     return due;
   }
-  // The service's table in the store, read without staleness and requested at
-  // `requested_at`, was not newer than the known one, or is the known one.
+  // The store was asked for the service's table at `requested_at`, and the known
+  // table is the one that it returned, or a newer one.
   void OnTableConfirmed(const ServiceId& service, Instant requested_at);
   // Whether a grant of the service waits for a confirmation of the table.
   bool AwaitsConfirmation(const ServiceId& service) const;
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -24,7 +24,8 @@
                          EntryFleet, freeze_entry, restart_entry, signal_entry,
                          small_scenario)
 
-CI_SEEDS = range(1, 7)
+# Seed 51 fails for a known fault (KNOWN-RED.txt).
+CI_SEEDS = (*range(1, 7), 51)
 LEAD_S = 3
 LENGTH_S = 20
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south",
