--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -100,8 +100,8 @@
     }
     return due;
   }
-  // The store was asked for the service's table at `requested_at`, and the known
-  // table is the one that it returned, or a newer one.
+  // The store was asked for the service's table at `requested_at`, and the
+  // known table is the one that it returned, or a newer one.
   void OnTableConfirmed(const ServiceId& service, Instant requested_at);
   // Whether a grant of the service waits for a confirmation of the table.
   bool AwaitsConfirmation(const ServiceId& service) const;
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -216,10 +216,9 @@
     if (planned != planned_owner_.end() && shares.contains(planned->second))
       share = &shares.at(planned->second);
     const Progress& progress = progress_.at({entry.range.first, entry.fence});
-    last_settled_.push_back({entry.range, entry.owner.id,
-                             share->target->incarnation.id, entry.fence,
-                             progress.released,
-                             input.now - progress.moving_since});
+    last_settled_.push_back(
+        {entry.range, entry.owner.id, share->target->incarnation.id,
+         entry.fence, progress.released, input.now - progress.moving_since});
     SetOwner(entry, *share->target);
     share->load += load;
     entry.phase = RangePhase::kSettled;
