--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -6,21 +6,18 @@
 #include <fmt/format.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cmath>
-#include <deque>
 #include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
-#include <set>
 
 #include "emulated_store.h"
+#include "emulated_store_server.h"
 #include "emulated_target.h"
 #include "emulator_report.h"
 #include "emulator_scenario.h"
-#include "figstall/caller_connection.h"
 #include "figstall/http_channel.h"
 #include "platform/decode.h"
 #include "platform/headers.h"
@@ -36,8 +33,8 @@
 using figstall::HttpRequest;
 using figstall::HttpResponse;
 using figstall::Instant;
-using figstall::detail::EmulatedResponse;
 using figstall::detail::EmulatedStore;
+using figstall::detail::EmulatedStoreServer;
 using figstall::detail::EmulatedTarget;
 using figstall::detail::EmulatorChecker;
 using figstall::detail::EmulatorReport;
@@ -76,7 +73,10 @@
 class Emulator {
  public:
   Emulator(Scenario scenario, std::uint64_t seed)
-      : scenario_(std::move(scenario)), random_(seed), tick_timer_(io_) {
+      : scenario_(std::move(scenario)),
+        random_(seed),
+        tick_timer_(io_),
+        store_server_(io_, store_, seed) {
     for (const auto& options : scenario_.targets) {
       targets_.push_back(std::make_unique<EmulatedTarget>(
           io_, options, checker_, notice_checker_, random_()));
@@ -88,7 +88,7 @@
     for (const auto& target : targets_)
       target->Start();
     store_.Put("op/config", scenario_.desired_state.dump());
-    ListenForEntries();
+    store_server_.Listen(scenario_.stores);
     traffic_started_at_ =
         scenario_.begins_at.value_or(BootNow()) + scenario_.startup_delay;
     for (std::size_t route = 0; route < scenario_.traffic.size(); ++route)
@@ -99,6 +99,7 @@
     report_.violations.insert(report_.violations.end(),
                               notice_checker_.violations().begin(),
                               notice_checker_.violations().end());
+    report_.store_calls = store_server_.calls();
     report_.highest_limit_use = notice_checker_.highest_limit_use();
     report_.owner_changes = checker_.owner_changes();
     for (const auto& target : targets_)
@@ -107,96 +108,6 @@
   }
 
  private:
-  void ListenForEntries() {
-    for (const Endpoint& store : scenario_.stores) {
-      const asio::ip::tcp::endpoint endpoint(
-          asio::ip::make_address(store.address), store.port);
-      auto& acceptor = store_acceptors_.emplace_back(io_);
-      acceptor.open(endpoint.protocol());
-      acceptor.set_option(asio::socket_base::reuse_address(true));
-      acceptor.bind(endpoint);
-      acceptor.listen();
-      AcceptEntry(store_acceptors_.size() - 1);
-    }
-  }
-
-  void AcceptEntry(std::size_t entry) {
-    store_acceptors_[entry].async_accept(
-        [this, entry](error_code error, asio::ip::tcp::socket socket) {
-          if (error)
-            return;
-          figstall::CallerConnection::Handlers handlers;
-          handlers.on_request = [this, entry](
-                                    const figstall::ResponseWriter& caller,
-                                    const figstall::CallerRequest& request) {
-            OnStoreCall(entry, caller, request.message);
-          };
-          handlers.is_idempotent = [](const HttpRequest&) { return true; };
-          handlers.on_closed = [this](
-                                   const figstall::CallerConnection* closed) {
-            std::erase_if(entry_connections_, [closed](const auto& connection) {
-              return connection.get() == closed;
-            });
-          };
-          handlers.stopping = [] { return false; };
-          figstall::CallerLimits limits;
-          limits.idle_timeout = std::chrono::seconds(60);
-          const auto connection = std::make_shared<figstall::CallerConnection>(
-              std::move(socket), limits, std::move(handlers));
-          entry_connections_.insert(connection);
-          connection->Start();
-          AcceptEntry(entry);
-        });
-  }
-
-  void OnStoreCall(std::size_t entry,
-                   const figstall::ResponseWriter& caller,
-                   const HttpRequest& request) {
-    ++report_.store_calls;
-    if (store_fault_ == "store-silent" || store_fault_ == "store-restored" ||
-        store_fault_ == "store-lapse")
-      return;
-    if (store_fault_ == "store-busy" || rejected_entries_.contains(entry))
-      return SendResponse(caller, {503, {}});
-    const std::string request_target(request.target().data(),
-                                     request.target().size());
-    const std::size_t query_begin = request_target.find('?');
-    json body = json::parse(request.body(), nullptr, false);
-    const std::string method(request.method_string().data(),
-                             request.method_string().size());
-    // The request takes effect, but its response is not sent.
-    const bool response_lost = store_fault_ == "store-lost-answers" &&
-                               method == "POST" && RandomFraction() < 0.5;
-    store_.HandleRequest(
-        BootNow(), method, request_target.substr(0, query_begin),
-        figstall::detail::ParseQuery(
-            query_begin == std::string::npos
-                ? ""
-                : request_target.substr(query_begin + 1)),
-        body,
-        [this, entry, caller, response_lost,
-         method](const EmulatedResponse& store_response) {
-          // A watch that was waiting when the entry began to be rejected.
-          if (method == "GET" && rejected_entries_.contains(entry))
-            SendResponse(caller, {503, {}});
-          else if (!response_lost)
-            SendResponse(caller, store_response);
-        });
-  }
-
-  void SendResponse(const figstall::ResponseWriter& caller,
-                    const EmulatedResponse& store_response) const {
-    HttpResponse response;
-    response.result(static_cast<unsigned>(store_response.status));
-    response.version(11);
-    response.set(boost::beast::http::field::content_type, "application/json");
-    response.set(figstall::platform::kStoreEraHeader,
-                 std::to_string(store_.era()));
-    if (!store_response.body.is_null())
-      response.body() = store_response.body.dump();
-    caller.Reply(std::move(response));
-  }
-
   double RandomFraction() {
     return std::uniform_real_distribution<>()(random_);
   }
@@ -273,13 +184,8 @@
         killed_until_[fault.entry] = until;
       return;
     }
-    if (fault.kind == "store-rejects-entry") {
-      if (starts)
-        rejected_entries_.insert(fault.entry);
-      else
-        rejected_entries_.erase(fault.entry);
-      return;
-    }
+    if (fault.kind == "store-rejects-entry")
+      return store_server_.Reject(fault.entry, starts);
     if (fault.kind == "store-restored" && !starts) {
       store_.Restore(BootNow(), FromSeconds(fault.value));
       // The operator's next desired state follows a moment later.
@@ -291,7 +197,7 @@
       });
     }
     if (fault.kind.rfind("store-", 0) == 0) {
-      store_fault_ = starts ? fault.kind : "";
+      store_server_.SetFault(starts ? fault.kind : "");
       return;
     }
     for (const std::size_t index : fault.targets) {
@@ -488,9 +394,8 @@
   std::mt19937_64 random_;
   asio::io_context io_{1};
   asio::steady_timer tick_timer_;
-  // By index of the entry.
-  std::deque<asio::ip::tcp::acceptor> store_acceptors_;
   EmulatedStore store_;
+  EmulatedStoreServer store_server_;
   EmulatorChecker checker_;
   figstall::detail::NoticeChecker notice_checker_;
   EmulatorReport report_;
@@ -501,9 +406,6 @@
   std::map<std::size_t, Instant> killed_until_;
   std::vector<std::unique_ptr<EmulatedTarget>> targets_;
   std::vector<Instant> last_heartbeat_at_;
-  std::set<std::shared_ptr<figstall::CallerConnection>> entry_connections_;
-  std::string store_fault_;
-  std::set<std::size_t> rejected_entries_;
   std::uint64_t desired_state_version_ = 1;
   std::size_t next_fault_ = 0;
   Instant traffic_started_at_{};
