--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -56,7 +56,7 @@
   kNotThere,
   // The connection could not be opened; nothing was sent.
   kNotSent,
-  // TryBeginSend() did not allow it; nothing was sent.
+  // It may not be sent anymore, or not yet; nothing was sent.
   kWithdrawn,
   // The grant was sent, but no response arrived.
   kUnknown,
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -5,14 +5,15 @@
 // Protocol: an entry of the table is settled or moving. Any member grants
 // settled entries; no member grants a moving one. The mover marks an entry as
 // moving under a new fencing token and asks the old owner to release the range
-// at that token, after which the owner refuses every older grant. The mover
-// then settles the entry at the new owner under the same token. If the old
-// owner does not respond, the mover first waits until each member that may have
-// granted the range has reported that it knows of the move and until when its
-// grants last, or has departed, and until all of those grants have expired.
-// Only members of the owner's zone and the mover grant a range, so that a lost
-// member delays no moves of other zones. The mover's own grants count from the
-// moment they are sent, in any zone.
+// at that token, after which this incarnation of the owner refuses every older
+// grant; RangeGranter sends none to a later one. The mover then settles the
+// entry at the new owner under the same token. If the old owner does not
+// respond, the mover first waits until each member that may have granted the
+// range has reported that it knows of the move and until when its grants last,
+// or has departed, and until all of those grants have expired. Only members of
+// the owner's zone and the mover grant a range, so that a lost member delays no
+// moves of other zones. The mover's own grants count from the moment they are
+// sent, in any zone.
 #ifndef FIGSTALL_RANGE_MOVER_H_
 #define FIGSTALL_RANGE_MOVER_H_
 
