--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -256,9 +256,25 @@
   void ReadTable(const ServiceId& service);
   void SendReleases(const ServiceId& service, MoverState& state);
   void SendGrants(Instant now);
+  void OnGrantOutcome(const GrantRequest& request,
+                      Instant queued_at,
+                      GrantOutcome outcome,
+                      const TargetNotice& notice);
+  // How long the owner may go on holding ranges by this member's grants.
+  std::int64_t HoldLeftMillis(Instant now, const TargetId& owner) const;
   void LogAwaitedConfirmation(Instant now,
                               const GrantRequest& request,
                               Instant connected_at);
+  // Logs the first grant of a range under its token, not its renewals.
+  void LogFirstGrant(Instant now,
+                     const GrantRequest& request,
+                     Instant connected_at);
+  // Logs which granted ranges begin to move with the service's next table.
+  void LogStoppedGrants(Instant now,
+                        const ServiceId& service,
+                        const RangeTable& next);
+  // Logs when this member begins and ends to grant by its membership.
+  void LogGrantingState(Instant now);
   // The tables in this copy contain all changes up to `requested_at`.
   void OnTablesConfirmed(Instant requested_at);
   // Reads the tables if grants wait for their confirmation.
@@ -398,6 +414,9 @@
   Instant next_table_confirmation_at_{};
   bool grants_check_due_ = false;
   Instant grants_checked_at_{};
+  // Token of the last grant that was logged, by service and first key.
+  std::map<std::pair<ServiceId, ShardKey>, std::uint64_t> logged_grants_;
+  bool granting_ = false;
   std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
       channels_;
 };
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -333,6 +333,7 @@
         BOOST_LEAF_AUTO(table, state.reader.Read(item.value, item.key));
         state.revision = item.revision;
         MoverOf(service).OnTable(table, BootNow());
+        LogStoppedGrants(BootNow(), service, table);
         granter_.OnTable(service, table);
         ++table_change_count_;
         log_.Write(LogLevel::kInfo, "ranges-changed",
@@ -382,6 +383,7 @@
 
 void EntryControl::Tick(Instant now) {
   RenewMembership(now);
+  LogGrantingState(now);
   RemoveLapsedMembers(now);
   RecordMemberCounts(now);
   MaintainSubscription(now);
--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -92,34 +92,108 @@
           granter_.TryBeginSend(at, request, connected_at);
       if (decision == SendDecision::kAwaitConfirmation)
         LogAwaitedConfirmation(at, request, connected_at);
+      if (decision == SendDecision::kSend)
+        LogFirstGrant(at, request, connected_at);
       return decision == SendDecision::kSend;
     };
-    platform::SendGrant(
-        *ChannelTo(request.owner.id, request.address), request,
-        settings_.grant_timing.call_timeout, may_send,
-        [this, request](GrantOutcome outcome, const TargetNotice& notice) {
-          granter_.OnOutcome(BootNow(), request, outcome);
-          notices_.OnAnswer(BootNow(), request.owner, notice, "grant");
-          static constexpr const char* kNames[] = {"granted",   "refused",
-                                                   "not-there", "not-sent",
-                                                   "withdrawn", "unknown"};
-          const char* name = kNames[static_cast<int>(outcome)];
-          ++metrics_.Counter("figstall_grants_total",
-                             fmt::format("outcome=\"{}\"", name));
-          if (outcome == GrantOutcome::kGranted ||
-              outcome == GrantOutcome::kWithdrawn)
-            return;
-          log_.Write(LogLevel::kInfo, "grant-failed",
-                     {{"service", request.service.value()},
-                      {"target", request.owner.id.value()},
-                      {"first", std::to_string(request.range.first)},
-                      {"last", std::to_string(request.range.last)},
-                      {"fence", std::to_string(request.fence)},
-                      {"outcome", name}});
-        });
+    platform::SendGrant(*ChannelTo(request.owner.id, request.address), request,
+                        settings_.grant_timing.call_timeout, may_send,
+                        [this, request, queued_at = now](
+                            GrantOutcome outcome, const TargetNotice& notice) {
+                          OnGrantOutcome(request, queued_at, outcome, notice);
+                        });
   }
 }
 
+void EntryControl::OnGrantOutcome(const GrantRequest& request,
+                                  Instant queued_at,
+                                  GrantOutcome outcome,
+                                  const TargetNotice& notice) {
+  const Instant now = BootNow();
+  granter_.OnOutcome(now, request, outcome);
+  notices_.OnAnswer(now, request.owner, notice, "grant");
+  static constexpr const char* kNames[] = {"granted",  "refused",   "not-there",
+                                           "not-sent", "withdrawn", "unknown"};
+  const char* name = kNames[static_cast<int>(outcome)];
+  ++metrics_.Counter("figstall_grants_total",
+                     fmt::format("outcome=\"{}\"", name));
+  if (outcome == GrantOutcome::kGranted || outcome == GrantOutcome::kWithdrawn)
+    return;
+  log_.Write(LogLevel::kInfo, "grant-failed",
+             {{"service", request.service.value()},
+              {"target", request.owner.id.value()},
+              {"first", std::to_string(request.range.first)},
+              {"last", std::to_string(request.range.last)},
+              {"fence", std::to_string(request.fence)},
+              {"outcome", name},
+              {"took_ms", std::to_string(ToMillis(now - queued_at))},
+              {"hold_left_ms",
+               std::to_string(HoldLeftMillis(now, request.owner.id))}});
+}
+
+std::int64_t EntryControl::HoldLeftMillis(Instant now,
+                                          const TargetId& owner) const {
+  return ToMillis(granter_.HoldExpiry(now, owner).value_or(now) - now);
+}
+
+void EntryControl::LogFirstGrant(Instant now,
+                                 const GrantRequest& request,
+                                 Instant connected_at) {
+  std::uint64_t& logged =
+      logged_grants_[{request.service, request.range.first}];
+  if (logged == request.fence)
+    return;
+  logged = request.fence;
+  log_.Write(
+      LogLevel::kInfo, "range-granted",
+      {{"service", request.service.value()},
+       {"target", request.owner.id.value()},
+       {"born", std::to_string(request.owner.started_at_ms)},
+       {"first", std::to_string(request.range.first)},
+       {"last", std::to_string(request.range.last)},
+       {"fence", std::to_string(request.fence)},
+       {"hold_ms", std::to_string(ToMillis(request.hold_duration))},
+       {"connected_ms_ago", std::to_string(ToMillis(now - connected_at))}});
+}
+
+void EntryControl::LogStoppedGrants(Instant now,
+                                    const ServiceId& service,
+                                    const RangeTable& next) {
+  const auto known = view_.tables.find(service);
+  if (known == view_.tables.end())
+    return;
+  for (const RangeEntry& entry : next.entries) {
+    const RangeEntry* earlier = known->second.Find(entry.range.first);
+    if (entry.phase == RangePhase::kSettled || !earlier ||
+        earlier->phase != RangePhase::kSettled ||
+        !granter_.HoldExpiry(now, earlier->owner.id))
+      continue;
+    log_.Write(LogLevel::kInfo, "grants-stopped",
+               {{"service", service.value()},
+                {"target", earlier->owner.id.value()},
+                {"first", std::to_string(entry.range.first)},
+                {"last", std::to_string(entry.range.last)},
+                {"fence", std::to_string(earlier->fence)},
+                {"moving_fence", std::to_string(entry.fence)},
+                {"hold_left_ms",
+                 std::to_string(HoldLeftMillis(now, earlier->owner.id))}});
+  }
+}
+
+void EntryControl::LogGrantingState(Instant now) {
+  const bool granting =
+      !resigned_ && tables_up_to_date_ && now < membership_valid_until_;
+  if (granting == granting_)
+    return;
+  granting_ = granting;
+  Instant held_until = now;
+  for (const auto& [owner, until] : granter_.HoldExpiries(now))
+    held_until = std::max(held_until, until);
+  log_.Write(LogLevel::kInfo, granting ? "granting-began" : "granting-ended",
+             {{"lease", std::to_string(member_lease_)},
+              {"hold_left_ms", std::to_string(ToMillis(held_until - now))}});
+}
+
 void EntryControl::LogAwaitedConfirmation(Instant now,
                                           const GrantRequest& request,
                                           Instant connected_at) {
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -175,6 +175,9 @@
 
 void EntryControl::LogSettled(const ServiceId& service,
                               const SettledRange& range) {
+  const char* freed_by = range.released ? "release" : "expired-grants";
+  ++metrics_.Counter("figstall_ranges_settled_total",
+                     fmt::format("freed_by=\"{}\"", freed_by));
   log_.Write(LogLevel::kInfo, "range-settled",
              {{"service", service.value()},
               {"first", std::to_string(range.range.first)},
@@ -182,7 +185,7 @@
               {"from", range.from.value()},
               {"to", range.to.value()},
               {"fence", std::to_string(range.fence)},
-              {"freed_by", range.released ? "release" : "expired-grants"},
+              {"freed_by", freed_by},
               {"moving_ms", std::to_string(ToMillis(range.moving_for))}});
 }
 
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -102,7 +102,9 @@
     log_.Write(LogLevel::kInfo, "started",
                {{"callers", settings_.callers.ToString()},
                 {"store", settings_.store.ToString()},
-                {"zone", settings_.zone.value()}});
+                {"zone", settings_.zone.value()},
+                {"hold_ms", std::to_string(figstall::ToMillis(
+                                settings_.grant_timing.hold_duration))}});
     Serve();
     log_.Write(LogLevel::kInfo, "stopped",
                {{"in_flight", std::to_string(traffic_.in_flight())}});
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -22,6 +22,8 @@
 
 ZONES = {"north-a": "north", "south-a": "south"}
 LEAD_S = 3
+OWNER_TIMELINE = (pathlib.Path(__file__).resolve().parent.parent / "support" /
+                  "owner_timeline.py")
 
 
 # Runs a scenario and checks that the emulator reported no violation.
@@ -69,6 +71,37 @@
     assert report["owner_changes"] > 0
 
 
+# Guards against logs from which nobody can tell who may have held a key: a report
+# of two holders came without any record that did.
+def the_owner_timeline_tells_who_may_have_held_a_key():
+    fleet, _ = run(faults=[{"at_s": 1, "kind": "target-crash",
+                            "service": "accounts", "count": 2, "for_s": 6}])
+    logs = [str(entry.log_path) for entry in fleet.entries]
+
+    def timeline(paths):
+        return subprocess.run(
+            [sys.executable, str(OWNER_TIMELINE), *paths, "--service",
+             "accounts"], capture_output=True, text=True, check=False)
+
+    result = timeline(logs)
+    assert result.returncode == 0, result.stdout
+    for event in ("started", "granting-began", "range-granted",
+                  "grants-stopped", "range-settled"):
+        assert f" {event} " in result.stdout, (event, result.stdout)
+    lines = [line for entry in fleet.entries for line in entry.log()]
+    settled = next(line for line in lines if line["event"] == "range-settled"
+                   and line["freed_by"] == "expired-grants")
+    # A member that counts a hold for longer than the mover waited.
+    disagreeing = fleet.directory / "disagreeing.log"
+    disagreeing.write_text(json.dumps(
+        {**settled, "event": "grants-stopped", "process": "other",
+         "target": settled["from"], "hold_left_ms": "60000",
+         "time": min(line["time"] for line in lines)}) + "\n")
+    result = timeline([*logs, str(disagreeing)])
+    assert result.returncode == 1, result.stdout
+    assert "other counts a hold of" in result.stdout, result.stdout
+
+
 # Fails if entries stop serving, or don't log the loss and return of the store,
 # while the store doesn't respond for 4 s.
 def a_silent_store_stops_nothing():
@@ -530,6 +563,7 @@
 
 TESTS = [a_quiet_run_serves_everything, crashed_targets_lose_no_promise,
          a_silent_store_stops_nothing,
+         the_owner_timeline_tells_who_may_have_held_a_key,
          a_lost_relay_root_is_replaced_by_few_watches,
          lost_answers_of_the_store_break_no_promise,
          a_dropped_history_is_read_anew,
