Test: a target that sends bytes without end fills the entry's memory (known red)

Callers saw: a faulty backend sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory, and the requests of its other callers ended with it.

The test's target sends up to 300 MB at 100 MB/s at fourteen places of a response, beside sound requests every 20 ms.

--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -9,8 +9,10 @@
 import http.client
 import json
 import pathlib
+import re
 import subprocess
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
@@ -485,6 +487,121 @@
     assert list(statuses.values()).count(200) >= 15, statuses
 
 
+# Guards against an entry that keeps all bytes of a target that sends without
+# end, runs out of memory and leaves the requests of other callers unanswered.
+def bytes_without_end_fill_no_memory():
+    max_resident_kb = 100_000
+    bytes_per_s, piece_bytes, max_sent_bytes = 100_000_000, 1 << 20, 300_000_000
+    # What precedes the repeated bytes, and the bytes, 64 of them.
+    head = "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+    chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+    line = b"X-More: " + b"x" * 54 + b"\r\n"
+    places = {
+        "status-line": ("HTTP/1.1 200 ", b"x" * 64),
+        "header-line": (head + "X-More: ", b"x" * 64),
+        # Pads the head to a multiple of the length of a line.
+        "header-lines": ("HTTP/1.1 200 " + "x" * 49 + "\r\n", line),
+        "interim": ("", b"HTTP/1.1 100 " + b"x" * 47 + b"\r\n\r\n"),
+        "chunk-line": (chunked, b"0" * 64),
+        "chunk-extension": (chunked + "5;a=", b"x" * 64),
+        "chunk-extensions": (chunked, b"1;a=" + b"x" * 55 + b"\r\nx\r\n"),
+        "trailers": (chunked + "0\r\n", line),
+        "other-response": ("HTTP/1.1 200 OK\r\nRequest-Id: x\r\n\r\n",
+                           b"x" * 64),
+        "refusal": (head + "Not-Executed: 1\r\n\r\n", b"x" * 64),
+        "sized-body": (head + "Content-Length: 99999999999\r\n\r\n",
+                       b"x" * 64),
+        "chunked-body": (chunked, b"3a\r\n" + b"x" * 58 + b"\r\n"),
+        "body-until-close": (head + "\r\n", b"x" * 64),
+        "surplus": (head + "Content-Length: 0\r\n\r\n", b"x" * 64)}
+
+    def answer(_, request_id, send):
+        if request_id not in places:
+            return send(response(200, request_id, "paid",
+                                 Backend_Signature="s"))
+        before, repeated = places[request_id]
+        send(before.format(request_id).encode())
+        piece = repeated * (piece_bytes // len(repeated))
+        begin_s = time.monotonic()
+        for sent in range(0, max_sent_bytes, piece_bytes):
+            time.sleep(max(0, begin_s + sent / bytes_per_s - time.monotonic()))
+            send(piece)
+
+    # The entry may pass these bodies on while they come, and what follows a
+    # complete response makes it no less valid.
+    passed_on = {"sized-body", "chunked-body", "body-until-close", "surplus"}
+    statuses, resident_kb, sound, stop = {}, {}, [], threading.Event()
+
+    def post(entry, path, request_id):
+        """Returns the status, or 0 without an answer. Reads no body, and leaves
+        one that is passed on unread for a second."""
+        host, port = entry.callers.split(":")
+        caller = http.client.HTTPConnection(host, int(port), timeout=6)
+        try:
+            caller.request("POST", path, body="10", headers={
+                "Host": "a.example", "Request-Id": request_id,
+                "Deadline-Ms": "4000"})
+            status = caller.getresponse().status
+            time.sleep(request_id in passed_on)
+            return status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            caller.close()
+
+    def post_sound_requests(entry):
+        while not stop.wait(0.02):
+            begin_s = time.monotonic()
+            status = post(entry, "/sound/1", f"sound-{len(sound)}")
+            sound.append((status, time.monotonic() - begin_s))
+
+    def post_all(fleet):
+        entry = fleet.entries[0]
+        thread = threading.Thread(target=post_sound_requests, args=(entry,))
+        thread.start()
+        process = pathlib.Path(f"/proc/{entry.process.pid}")
+        for place in places:
+            # Resets VmHWM.
+            (process / "clear_refs").write_text("5")
+            statuses[place] = post(entry, "/pay/1", place)
+            resident_kb[place] = int(re.search(
+                r"VmHWM:\s+(\d+)",
+                (process / "status").read_text()).group(1))
+        stop.set()
+        thread.join()
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    ports = free_ports(2)
+    targets = [RawTarget(port, answer) for port in ports]
+    services = {name: {"targets": [{"address": address(port),
+                                    "zone": "north-a", "external": True}]}
+                for name, port in zip(("ledger", "sound"), ports)}
+    routes = {name: {"host": "a.example", "prefix": f"/{name}/",
+                     "kind": "unsafe", "service": service,
+                     "per_second": 0.01, "deadline_ms": 4000}
+              for name, service in (("pay", "ledger"), ("sound", "sound"))}
+    try:
+        report, _ = fleet.run(
+            {"lead_s": 3, "length_s": 10, "services": services,
+             "routes": routes}, [Action(LEAD_S + 1, post_all)])
+    finally:
+        stop.set()
+        for target in targets:
+            target.close()
+    times = sorted(time_s for _, time_s in sound)
+    print(f"resident {resident_kb} kB, statuses {statuses}, {len(sound)} sound "
+          f"requests, median {times[len(times) // 2]:.4f} s, "
+          f"longest {times[-1]:.4f} s")
+    assert max(resident_kb.values()) < max_resident_kb, resident_kb
+    assert statuses == {place: 200 if place in passed_on else 502
+                        for place in places}, statuses
+    assert sound and all(status == 200 for status, _ in sound), sound
+    assert report and report["violations"] == [], report
+    logged = [line["id"] for line in fleet.entries[0].log()
+              if line["event"] == "response-over-limit"]
+    assert sorted(logged) == sorted(places.keys() - passed_on), logged
+
+
 # Fails if killed entries don't serve again, or break connections at other times
 # than their end.
 def killed_entry_serves_after_restart():
@@ -580,6 +697,7 @@
          a_named_limit_holds_while_memberships_lapse,
          invalid_notices_hold_nobody_up,
          a_repeated_refusal_is_not_believed,
+         bytes_without_end_fill_no_memory,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
