A call ends at a bound when its answer has bytes without end

What would have been seen: a target that answered a grant or a release, or a store that answered a call, with a chunk line, chunk extension or trailers without end had all of it kept until the call's timeout, since the channel's buffer had no bound; the body of an answer to an order could take 8 MB.

What exceeds a bound fails that call as a broken connection does and resets the connection; for orders a log line names target, place and limit. The matching of answers to calls is as before.

--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "figstall/clock.h"
+#include "figstall/exceeded_limit.h"
 #include "figstall/http_message.h"
 #include "figstall/records.h"
 
@@ -28,6 +29,8 @@
   std::vector<std::pair<std::string, std::string>> headers;
   // JSON, or empty.
   std::string body;
+  // A response with a longer body fails the request.
+  std::size_t max_response_bytes = 8'000'000;
   // The timeout; it starts when all earlier requests are finished.
   Duration limit = std::chrono::seconds(1);
   // If set, called right before the request is written, with the time at which
@@ -69,6 +72,11 @@
   void SetDisconnectHandler(std::function<void()> handler) {
     disconnect_handler_ = std::move(handler);
   }
+  // `handler` is called before a request fails because the peer sent more than
+  // is accepted.
+  void SetLimitHandler(std::function<void(const ExceededLimit&)> handler) {
+    limit_handler_ = std::move(handler);
+  }
   std::size_t queued() const { return calls_.size(); }
 
  private:
@@ -81,14 +89,16 @@
     Instant queued_at;
   };
 
-  HttpChannel(boost::asio::io_context& io, Endpoint peer, std::size_t max_queue)
-      : io_(io), peer_(std::move(peer)), max_queue_(max_queue), timer_(io) {}
+  HttpChannel(boost::asio::io_context& io,
+              Endpoint peer,
+              std::size_t max_queue);
 
   void Start();
   void Connect();
   void Write();
   void Read();
   void Finish(const ChannelResponse& response);
+  void FailRead(const boost::system::error_code& error);
   void Fail(const std::string& failure);
   void Drop();
   void WatchIdle();
@@ -99,6 +109,7 @@
   boost::asio::steady_timer timer_;
   std::deque<Pending> calls_;
   std::function<void()> disconnect_handler_;
+  std::function<void(const ExceededLimit&)> limit_handler_;
   // Number of the current connection. An asynchronous handler of an earlier
   // connection finds another number and does nothing.
   std::uint64_t generation_ = 0;
--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -28,6 +28,15 @@
     channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
     channel->SetDisconnectHandler(
         [this, owner] { granter_.OnConnectionLost(BootNow(), owner); });
+    channel->SetLimitHandler([this, owner](const ExceededLimit& limit) {
+      log_.Write(LogLevel::kWarning, "response-over-limit",
+                 {{"target", owner.value()},
+                  {"source", "order"},
+                  {"place", limit.place},
+                  {"limit", limit.bound()}});
+      ++metrics_.Counter("figstall_responses_over_limit_total",
+                         fmt::format("place=\"{}\"", limit.place));
+    });
   }
   return channel;
 }
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -12,7 +12,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint64_t kMaxResponseBytes = 8'000'000;
+constexpr std::uint32_t kMaxHeadBytes = 8'192;
+// A chunk line with its extensions, or the trailers. The parser leaves them in
+// the buffer until they are complete.
+constexpr std::size_t kMaxChunkLineBytes = 65'536;
 // A connection to an unresponsive peer fails after about the sum of these
 // times: keep-alive probes start after the idle time and repeat at the
 // probe interval, and the connection fails when this many are unacknowledged.
@@ -52,6 +55,15 @@
       new HttpChannel(io, std::move(peer), max_queue));
 }
 
+HttpChannel::HttpChannel(boost::asio::io_context& io,
+                         Endpoint peer,
+                         std::size_t max_queue)
+    : io_(io),
+      peer_(std::move(peer)),
+      max_queue_(max_queue),
+      timer_(io),
+      buffer_(kMaxChunkLineBytes) {}
+
 void HttpChannel::Call(ChannelRequest call, Handler handler) {
   if (calls_.size() >= max_queue_) {
     ChannelResponse response;
@@ -138,14 +150,15 @@
 
 void HttpChannel::Read() {
   parser_.emplace();
-  parser_->body_limit(kMaxResponseBytes);
+  parser_->header_limit(kMaxHeadBytes);
+  parser_->body_limit(calls_.front().call.max_response_bytes);
   http::async_read(*socket_, buffer_, *parser_,
                    [self = shared_from_this(), generation = generation_](
                        error_code io_error, std::size_t) {
                      if (generation != self->generation_)
                        return;
                      if (io_error)
-                       return self->Fail(io_error.message());
+                       return self->FailRead(io_error);
                      auto message =
                          std::make_shared<Response>(self->parser_->release());
                      ChannelResponse response;
@@ -191,6 +204,24 @@
       });
 }
 
+void HttpChannel::FailRead(const error_code& error) {
+  std::optional<ExceededLimit> limit;
+  if (error == http::error::header_limit)
+    limit = {"head", kMaxHeadBytes};
+  else if (error == http::error::body_limit)
+    limit = {"body", calls_.front().call.max_response_bytes};
+  else if (error == http::error::buffer_overflow)
+    limit = {PlaceOfChunkLine({static_cast<const char*>(buffer_.data().data()),
+                               buffer_.size()}),
+             kMaxChunkLineBytes};
+  if (!limit)
+    return Fail(error.message());
+  const auto self = shared_from_this();
+  if (limit_handler_)
+    limit_handler_(*limit);
+  Fail(limit->ToString());
+}
+
 void HttpChannel::Fail(const std::string& failure) {
   const auto self = shared_from_this();
   const bool was_open = connected_;
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -48,17 +48,6 @@
   return std::chrono::seconds(seconds);
 }
 
-// The place of a chunk line or trailers that the parser keeps. A chunk line but
-// the first one begins with the end of the line before it.
-const char* PlaceOf(boost::asio::const_buffer unparsed) {
-  constexpr std::size_t kLineEndBytes = 2;
-  const std::string_view bytes(static_cast<const char*>(unparsed.data()),
-                               unparsed.size());
-  return bytes.find('\n', kLineEndBytes) == std::string_view::npos
-             ? "chunk line"
-             : "trailers";
-}
-
 }  // namespace
 
 TargetConnection::TargetConnection(boost::asio::io_context& io,
@@ -229,7 +218,10 @@
   if (!head_seen_)
     return std::nullopt;
   if (needs_more && buffer_.size() > kMaxChunkLineBytes)
-    return ExceededLimit{PlaceOf(buffer_.data()), kMaxChunkLineBytes};
+    return ExceededLimit{
+        PlaceOfChunkLine(
+            {static_cast<const char*>(buffer_.data().data()), buffer_.size()}),
+        kMaxChunkLineBytes};
   const std::size_t max_framing_bytes =
       kMaxHeadBytes + kMaxChunkLineBytes + kMaxFramingPerBodyByte * body_bytes_;
   if (framing_bytes_ > max_framing_bytes)
