A caller that sends without end, or reads nothing, is held at a bound in bytes

What would have been seen: a caller that pipelined requests for long responses and read none of them made the entry keep every response: a request left the sixteen of its connection as soon as its response was queued, not when it was written, so that further ones were parsed and served. A chunk line or trailers without end were not refused but left waiting until the idle timeout of 15 s, and chunk extensions without end were read for as long as the caller sent them.

CallerSession parses no request while more than 256 KiB are unsent to the caller and goes on when they are written; a chunk line or trailers over 16 KiB, and framing out of proportion to the body, are refused with 400 and a close.

Unit tests: of ten places of a request six failed before; of 1,001 requests of a caller that reads nothing more than 40 were passed on before; all pass after. (The second test sent 1,001 requests when it failed and 201 now, so that it can check that all are served once the caller reads on.)

--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -161,6 +161,9 @@
   const PendingRequest* Find(RequestNumber number) const;
   void ResetParser();
   bool CanParse() const;
+  // Whether the request being read has more bytes outside of its body than any
+  // valid request needs.
+  bool ExceedsFramingLimit() const;
   void Parse(Instant now);
   void OnRequestParsed(Instant now, HttpRequest request);
   void Enqueue(Instant now, HttpRequest request, bool non_idempotent);
@@ -197,6 +200,8 @@
   // after it is parsed while it waits.
   std::optional<CallerRequest> deferred_request_;
   bool reading_request_ = false;
+  // Bytes of the request being read that were parsed.
+  std::size_t parsed_bytes_ = 0;
   // A `100 Continue` response must be sent.
   bool continue_pending_ = false;
   // No further request is accepted, since the connection closes after a
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -18,6 +18,14 @@
 constexpr int kHeadersTooLarge = 431;
 // Largest number of bytes that one write passes to the socket.
 constexpr std::size_t kMaxWriteBytes = 65'536;
+// Requests wait unparsed while more bytes than this are unsent to the caller.
+constexpr std::size_t kMaxUnsentBytes = 262'144;
+// A chunk line with its extensions, or the trailers, of a request. The parser
+// leaves them in the input until they are complete.
+constexpr std::size_t kMaxChunkLineBytes = 16'384;
+// Chunk lines may have this many bytes for each byte of the body, beside
+// kMaxChunkLineBytes and the limit of the head.
+constexpr std::size_t kMaxFramingPerBodyByte = 16;
 // The connection is reset if one write to the caller takes longer than this.
 constexpr Duration kWriteTimeout = std::chrono::seconds(15);
 // A stopping process keeps a new connection open for this long if no request
@@ -94,6 +102,7 @@
   parser_->body_limit(limits_.caller.max_body_bytes);
   parser_->eager(true);
   reading_request_ = false;
+  parsed_bytes_ = 0;
 }
 
 void CallerSession::OnBytes(Instant now, std::string_view bytes) {
@@ -106,7 +115,7 @@
 
 bool CallerSession::CanParse() const {
   if (state_ != SessionState::kOpen || closing_ || deferred_request_ ||
-      input_.empty())
+      input_.empty() || output_.size() > kMaxUnsentBytes)
     return false;
   // A stopping process parses one request at a time, since the last response
   // must announce that the connection closes.
@@ -125,12 +134,15 @@
     const std::size_t parsed = parser_->put(
         boost::asio::const_buffer(input_.data(), input_.size()), error);
     input_.erase(0, parsed);
+    parsed_bytes_ += parsed;
     if (error && error != http::error::need_more)
       return RefuseInput(StatusOf(error));
     if (parser_->is_done()) {
       OnRequestParsed(now, parser_->release());
       continue;
     }
+    if (parser_->is_header_done() && ExceedsFramingLimit())
+      return RefuseInput(kBadRequest);
     if (parser_->is_header_done() && input_.empty() &&
         parser_->get()[http::field::expect] == "100-continue") {
       continue_pending_ = true;
@@ -141,6 +153,14 @@
   }
 }
 
+bool CallerSession::ExceedsFramingLimit() const {
+  const std::size_t body_bytes = parser_->get().body().size();
+  return input_.size() > kMaxChunkLineBytes ||
+         parsed_bytes_ - body_bytes > limits_.caller.max_header_bytes +
+                                          kMaxChunkLineBytes +
+                                          kMaxFramingPerBodyByte * body_bytes;
+}
+
 void CallerSession::OnRequestParsed(Instant now, HttpRequest request) {
   ResetParser();
   received_request_ = true;
--- a/test/caller_session_test.cc
+++ b/test/caller_session_test.cc
@@ -463,6 +463,82 @@
   CHECK(harness.passed().size() == 11);
 }
 
+// Guards against a connection that is kept until its idle timeout, or longer,
+// for a request that never ends.
+TEST_CASE("bytes without end at any place of a request are refused") {
+  constexpr std::size_t kMaxEndlessBytes = 4'000'000;
+  const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string x(1000, 'x');
+  struct Case {
+    std::string before;
+    std::string repeated;
+    const char* status;
+  };
+  const Case cases[] = {{"GET /", x, "431"},
+                        {head + "X-More: ", x, "431"},
+                        {head, "X-More: " + x + "\r\n", "431"},
+                        {head, "X-More: x\r\n", "431"},
+                        {chunked, std::string(1000, '0'), "400"},
+                        {chunked + "5;a=", x, "400"},
+                        {chunked + "1\r\nx\r\n5;a=", x, "400"},
+                        {chunked, "1;a=" + x + "\r\nx\r\n", "400"},
+                        {chunked + "0\r\nX-More: ", x, "400"},
+                        {chunked + "0\r\n", "X-More: " + x + "\r\n", "400"}};
+  for (const Case& each : cases) {
+    CAPTURE(each.before, each.repeated.substr(0, 20));
+    SessionHarness harness;
+    harness.Send(each.before);
+    std::size_t sent = 0;
+    while (harness.session().WantsBytes() && sent < kMaxEndlessBytes) {
+      harness.Send(each.repeated);
+      sent += each.repeated.size();
+    }
+    CHECK(sent < 300'000);
+    CHECK(harness.passed().empty());
+    CHECK_THAT(harness.out(), Catch::Matchers::StartsWith(
+                                  std::string("HTTP/1.1 ") + each.status));
+    CHECK(harness.session().state() == SessionState::kCloseAfterOutput);
+  }
+}
+
+// Guards against responses that pile up for a caller that sends requests
+// without end and reads nothing.
+TEST_CASE("requests without end of a caller that reads nothing wait unread") {
+  constexpr std::size_t kResponseBytes = 100'000;
+  constexpr int kRequests = 200;
+  constexpr int kMaxWrites = 1000;
+  CallerSession session({}, IsGet, kStart);
+  int passed_on = 0;
+  const auto respond_all = [&] {
+    while (auto request = session.NextRequest()) {
+      ++passed_on;
+      session.Reply(request->number,
+                    MakeResponse(std::string(kResponseBytes, 'x')));
+    }
+  };
+  // One write is in progress.
+  session.OnBytes(kStart, Get("first"));
+  respond_all();
+  REQUIRE_FALSE(session.TakeOutput(kStart).empty());
+  for (int i = 0; i < kRequests && session.WantsBytes(); ++i) {
+    session.OnBytes(kStart, Get(std::to_string(i)));
+    respond_all();
+  }
+  CHECK(passed_on < 40);
+  // They are served when the caller reads on.
+  const int passed_on_unread = passed_on;
+  for (int i = 0; i < kMaxWrites && session.writing(); ++i) {
+    session.OnWritten(kStart);
+    respond_all();
+    session.TakeOutput(kStart);
+  }
+  CHECK(passed_on > passed_on_unread);
+  CHECK_FALSE(session.writing());
+  CHECK(session.WantsBytes());
+  CHECK(session.idle());
+}
+
 TEST_CASE("responses given twice, late or to no request have no effect") {
   SessionHarness harness;
   harness.Send(Get("a"));
