A member's message without end, or one that unpacks to many times its size, is refused

What would have been seen: a peer that announced a message of 31 MB on the relay port made the entry allocate it at once, for each connection, whatever followed; a datagram of 55 KB of packed zeros was unpacked to 56 MB, and an update could be unpacked to 256 MB.

A publisher accepts 64 KB from a subscriber, which sends its name and a cursor; a subscriber accepts the 16 MB that a publisher may queue; unpacked, a datagram and a subscription are limited to 1 MB and an update to 32 MB. What exceeds them is refused as damaged messages are: the stream is closed, the datagram counted.

--- a/include/figstall/store_relay.h
+++ b/include/figstall/store_relay.h
@@ -31,7 +31,11 @@
     std::function<void()> on_closed;
   };
 
-  MessageStream(boost::asio::ip::tcp::socket socket, Handlers handlers);
+  // A peer that announces a longer message than `max_message_bytes` is
+  // disconnected.
+  MessageStream(boost::asio::ip::tcp::socket socket,
+                std::size_t max_message_bytes,
+                Handlers handlers);
 
   void Start();
   // Queues the message. The connection is closed if too many bytes wait for a
@@ -47,6 +51,7 @@
   void Fail();
 
   boost::asio::ip::tcp::socket socket_;
+  const std::size_t max_message_bytes_;
   Handlers handlers_;
   bool closed_ = false;
   std::array<unsigned char, 4> length_prefix_{};
--- a/src/peer_datagram.cc
+++ b/src/peer_datagram.cc
@@ -17,6 +17,10 @@
 // Older statements are taken for damaged ones.
 constexpr std::uint64_t kMaxLimitAgeMicros = 24ULL * 3600 * 1'000'000;
 
+// Words of eight bytes of a datagram when it is unpacked, sixteen times its
+// longest packed form.
+constexpr std::uint64_t kMaxDatagramWords = 131'072;
+
 void Write(const GrantReport& report, wire::GrantReport::Builder out) {
   const auto services = static_cast<unsigned>(report.seen_fence.size());
   auto names = out.initServices(services);
@@ -228,7 +232,9 @@
   try {
     kj::ArrayInputStream stream(kj::arrayPtr(
         reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-    capnp::PackedMessageReader message(stream);
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxDatagramWords;
+    capnp::PackedMessageReader message(stream, options);
     const auto root = message.getRoot<wire::PeerDatagram>();
     if (root.isReport())
       return PeerDatagram(Read(root.getReport()));
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -20,9 +20,14 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-// Larger than any snapshot of the store that is sent in one message.
-constexpr std::size_t kMaxMessageBytes = 32'000'000;
+// More bytes than these are never queued for a peer, so no update is larger.
 constexpr std::size_t kMaxOutgoingBytes = 16'000'000;
+constexpr std::size_t kMaxUpdateBytes = kMaxOutgoingBytes;
+// Of what a subscriber sends: its name and a cursor.
+constexpr std::size_t kMaxSubscribeBytes = 65'536;
+// Words of eight bytes of a message when it is unpacked.
+constexpr std::uint64_t kMaxUpdateWords = 4'000'000;
+constexpr std::uint64_t kMaxSubscribeWords = 131'072;
 // Minimum interval between attempts to connect to the same publisher.
 constexpr Duration kReconnectInterval = std::chrono::milliseconds(500);
 
@@ -41,11 +46,9 @@
                       text.size());
 }
 
-// Raises the limit of words that may be read from one message, so that the
-// largest list of items fits.
-capnp::ReaderOptions LargeMessageOptions() {
+capnp::ReaderOptions LimitedTo(std::uint64_t words) {
   capnp::ReaderOptions options;
-  options.traversalLimitInWords = kMaxMessageBytes;
+  options.traversalLimitInWords = words;
   return options;
 }
 
@@ -111,7 +114,7 @@
 
 RelayUpdate DecodeUpdate(const std::string& bytes) {
   kj::ArrayInputStream stream(AsBytes(bytes));
-  capnp::PackedMessageReader message(stream, LargeMessageOptions());
+  capnp::PackedMessageReader message(stream, LimitedTo(kMaxUpdateWords));
   const auto root = message.getRoot<wire::RelayUpdate>();
   RelayUpdate update;
   update.cursor = root.getCursor();
@@ -130,8 +133,12 @@
 
 }  // namespace
 
-MessageStream::MessageStream(asio::ip::tcp::socket socket, Handlers handlers)
-    : socket_(std::move(socket)), handlers_(std::move(handlers)) {}
+MessageStream::MessageStream(asio::ip::tcp::socket socket,
+                             std::size_t max_message_bytes,
+                             Handlers handlers)
+    : socket_(std::move(socket)),
+      max_message_bytes_(max_message_bytes),
+      handlers_(std::move(handlers)) {}
 
 void MessageStream::Start() {
   TuneSocket(socket_);
@@ -149,7 +156,7 @@
                      for (std::size_t i = self->length_prefix_.size(); i > 0;
                           --i)
                        size = size << 8U | self->length_prefix_[i - 1];
-                     if (size > kMaxMessageBytes)
+                     if (size > self->max_message_bytes_)
                        return self->Fail();
                      self->body_.resize(size);
                      self->ReadBody();
@@ -247,8 +254,8 @@
         streams_.erase(stream);
         subscribers_.erase(stream);
       };
-      const auto stream = std::make_shared<MessageStream>(std::move(socket),
-                                                          std::move(handlers));
+      const auto stream = std::make_shared<MessageStream>(
+          std::move(socket), kMaxSubscribeBytes, std::move(handlers));
       *stream_ref = stream;
       streams_.insert(stream);
       stream->Start();
@@ -264,7 +271,7 @@
     return;
   try {
     kj::ArrayInputStream bytes(AsBytes(message));
-    capnp::PackedMessageReader reader(bytes);
+    capnp::PackedMessageReader reader(bytes, LimitedTo(kMaxSubscribeWords));
     const auto root = reader.getRoot<wire::RelaySubscribe>();
     RelayUpdate update = root.getQuestion() != 0
                              ? freshness_()
@@ -323,8 +330,8 @@
           stream_.reset();
           poll_sent_at_.reset();
         };
-        stream_ = std::make_shared<MessageStream>(std::move(*socket),
-                                                  std::move(handlers));
+        stream_ = std::make_shared<MessageStream>(
+            std::move(*socket), kMaxUpdateBytes, std::move(handlers));
         stream_->Start();
         Send(cursor, 0);
       });
--- a/test/peer_datagram_test.cc
+++ b/test/peer_datagram_test.cc
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "packed_zeros.h"
+
 namespace figstall {
 namespace {
 
@@ -42,6 +44,20 @@
   CHECK(Decoded(report) == report);
 }
 
+// Guards against a datagram that takes a thousand times its length of memory.
+TEST_CASE("a datagram that is unpacked without end is rejected") {
+  constexpr std::uint32_t kWords = 1'000'000;
+  const std::string bytes = PackedZeros(kWords);
+  REQUIRE(bytes.size() < 10'000);
+  const bool rejected = HandleError(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(DecodePeerDatagram(bytes));
+        return false;
+      },
+      [](const Error&) { return true; });
+  CHECK(rejected);
+}
+
 TEST_CASE("bytes that are not a report are rejected or name no member") {
   for (const std::string& bytes :
        {std::string(), std::string("GET / HTTP/1.1"), std::string(64, '\xff'),
--- a/test/store_relay_test.cc
+++ b/test/store_relay_test.cc
@@ -2,9 +2,12 @@
 // subscriber's copy is confirmed, and the encoding of updates.
 #include "figstall/store_relay.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "figstall/clock.h"
+#include "packed_zeros.h"
 
 namespace figstall {
 namespace {
@@ -48,8 +51,73 @@
   std::unique_ptr<RelaySubscriber> subscriber;
 };
 
+// A message with its length.
+std::string Framed(const std::string& message, std::size_t length) {
+  std::string framed;
+  for (unsigned shift = 0; shift < 32; shift += 8)
+    framed += static_cast<char>(length >> shift & 0xFFU);
+  return framed + message;
+}
+
+// Writes the bytes and returns whether the other side closes the connection
+// without a byte in return.
+bool IsClosedOn(boost::asio::io_context& io,
+                boost::asio::ip::tcp::socket& socket,
+                const std::string& bytes) {
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  char byte = 0;
+  bool closed = false;
+  socket.async_read_some(
+      boost::asio::buffer(&byte, 1),
+      [&](boost::system::error_code error, std::size_t) {
+        closed = error && error != boost::asio::error::operation_aborted;
+      });
+  io.restart();
+  io.run_for(std::chrono::milliseconds(200));
+  boost::system::error_code ignored;
+  socket.close(ignored);
+  io.run_for(std::chrono::milliseconds(10));
+  return closed;
+}
+
 }  // namespace
 
+// Guards against a publisher that reserves megabytes for each peer that
+// announces, or packs, a message without end.
+TEST_CASE("a subscriber that sends bytes without end is disconnected") {
+  RelayFixture fixture;
+  const std::string messages[] = {
+      Framed("", 20'000'000), Framed("", 0xFFFFFFFF),
+      Framed(PackedZeros(4'000'000), PackedZeros(4'000'000).size())};
+  for (const std::string& message : messages) {
+    CAPTURE(message.size());
+    boost::asio::ip::tcp::socket peer(fixture.io);
+    peer.connect({boost::asio::ip::make_address(fixture.address.address),
+                  fixture.address.port});
+    CHECK(IsClosedOn(fixture.io, peer, message));
+  }
+}
+
+TEST_CASE("a publisher that sends bytes without end is disconnected") {
+  const std::string messages[] = {
+      Framed("", 20'000'000), Framed("", 0xFFFFFFFF),
+      Framed(PackedZeros(8'000'000), PackedZeros(8'000'000).size())};
+  for (const std::string& message : messages) {
+    CAPTURE(message.size());
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(
+        io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    RelaySubscriber subscriber(io, VmId("m1"), [](const RelayUpdate&) {});
+    subscriber.Subscribe({"127.0.0.1", acceptor.local_endpoint().port()}, 0);
+    boost::asio::ip::tcp::socket peer = acceptor.accept();
+    io.run_for(std::chrono::milliseconds(50));
+    // What the subscriber asked.
+    std::array<char, 1000> question;
+    REQUIRE(peer.read_some(boost::asio::buffer(question)) > 0);
+    CHECK(IsClosedOn(io, peer, message));
+  }
+}
+
 // Guards against a copy that is taken to be more current than it is. In the
 // recorded day caroni trouble-3 --seed 238191892675 the head of a zone ran
 // eight times slower and published a desired state two seconds late, with the
