A late second answer no longer passes for the answer to an order

Targets may answer twice, and the second answer may come where the next one is expected. HttpChannel took whatever response came next, and kept bytes behind a response for the next call. Orders had no id. So a second answer to a grant released a range, and an answer to an earlier grant ended the count of one still under way.

Now a response says whether it is the first on a connection on which nothing else was sent or received. Orders carry a Request-Id; answers with another id, with a handover (grants) or with a target's proof are discarded. A release goes on a connection of its own and counts only if its answer is proved, also for owner-gone. A grant's answer without proof counts for the time of the next grant only; it counts as arriving until its call timeout. Bytes before a call is written or behind its response close the connection, also to the store, and interim responses are skipped. A connection that the peer has closed is noticed before a call is written.

Grants in flight are kept one by one, not as a count.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -259,7 +259,8 @@
   void OnGrantOutcome(const GrantRequest& request,
                       Instant queued_at,
                       GrantOutcome outcome,
-                      const TargetNotice& notice);
+                      const TargetNotice& notice,
+                      AnswerProof proof);
   // How long the owner may go on holding ranges by this member's grants.
   std::int64_t HoldLeftMillis(Instant now, const TargetId& owner) const;
   void LogAwaitedConfirmation(Instant now,
@@ -309,6 +310,12 @@
   void ReceiveDatagrams();
   std::shared_ptr<HttpChannel> ChannelTo(const TargetId& owner,
                                          const Endpoint& address);
+  // Releases have channels of their own, so that none waits for a grant or ends
+  // the connection for grants.
+  std::shared_ptr<HttpChannel> ReleaseChannelTo(const TargetId& owner,
+                                                const Endpoint& address);
+  // `target` is empty for the store.
+  void OnStrayBytes(const std::string& target, StrayBytes where);
   void RunAfter(Duration delay, std::function<void()> task);
   void MarkViewChanged() { view_changed_ = true; }
 
@@ -419,6 +426,8 @@
   bool granting_ = false;
   std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
       channels_;
+  std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
+      release_channels_;
 };
 
 }  // namespace figstall
--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -1,6 +1,8 @@
 // An HTTP client over one persistent connection, on an Asio loop. Requests are
 // sent one at a time, and each has a timeout. A request that fails or times out
-// resets the connection, so that no late response can arrive on it.
+// resets the connection, so that no late response can arrive on it. Bytes that
+// belong to no request spoil a connection: it is closed before the next request
+// is sent.
 #ifndef FIGSTALL_HTTP_CHANNEL_H_
 #define FIGSTALL_HTTP_CHANNEL_H_
 
@@ -36,8 +38,24 @@
   // If set, called right before the request is written, with the time at which
   // the connection was opened. The request is withdrawn if this returns false.
   std::function<bool(Instant connected_at)> may_send;
+  // Sends the request on a new connection that serves no other request.
+  bool on_own_connection = false;
+  // Whether a response with this status and header can be one to the request.
+  // Others are discarded. If not set, every response can be.
+  std::function<bool(int status, const HttpFields& fields)> is_response;
 };
 
+// Where a channel received bytes that belong to no request.
+enum class StrayBytes {
+  kIdleConnection,
+  kBeforeRequest,
+  kBehindResponse,
+  // A response for which `is_response` returned false.
+  kOtherResponse,
+};
+
+const char* ToString(StrayBytes where);
+
 struct ChannelResponse {
   // False: no byte of the request left this process.
   bool sent = false;
@@ -45,6 +63,12 @@
   bool withdrawn = false;
   // Empty if no complete response was received.
   std::optional<int> status;
+  // Whether this is the first response on a connection on which no earlier
+  // request was sent, and no byte was received before this request was written.
+  // Any other response may be a late or second one to an earlier request.
+  bool first_on_connection = false;
+  // Whether more bytes followed the response.
+  bool bytes_followed = false;
   std::function<std::string(const char* name)> header;
   // All header fields; null if no complete response was received. Valid while
   // the handler runs.
@@ -68,7 +92,8 @@
   // Resets the connection and drops all requests; their handlers are called.
   void Close();
   // `handler` is called when an open connection is lost, for any reason but a
-  // call of Close or an end that the peer announced in a response.
+  // call of Close, an end that the peer announced in a response, or bytes that
+  // belong to no request.
   void SetDisconnectHandler(std::function<void()> handler) {
     disconnect_handler_ = std::move(handler);
   }
@@ -77,6 +102,10 @@
   void SetLimitHandler(std::function<void(const ExceededLimit&)> handler) {
     limit_handler_ = std::move(handler);
   }
+  // `handler` is called when bytes that belong to no request were received.
+  void SetStrayBytesHandler(std::function<void(StrayBytes)> handler) {
+    stray_bytes_handler_ = std::move(handler);
+  }
   std::size_t queued() const { return calls_.size(); }
 
  private:
@@ -93,10 +122,19 @@
               Endpoint peer,
               std::size_t max_queue);
 
+  enum class Readiness { kQuiet, kBytes, kClosed };
+
   void Start();
   void Connect();
+  // What an idle connection has to read.
+  Readiness CheckReadiness();
+  void ReportStrayBytes(StrayBytes where);
+  // Closes a spoiled connection and opens another, if that can help. Returns
+  // whether the request may be written on the current one.
+  bool PrepareConnection();
   void Write();
   void Read();
+  void OnResponse();
   void Finish(const ChannelResponse& response);
   void FailRead(const boost::system::error_code& error);
   void Fail(const std::string& failure);
@@ -110,15 +148,23 @@
   std::deque<Pending> calls_;
   std::function<void()> disconnect_handler_;
   std::function<void(const ExceededLimit&)> limit_handler_;
+  std::function<void(StrayBytes)> stray_bytes_handler_;
   // Number of the current connection. An asynchronous handler of an earlier
   // connection finds another number and does nothing.
   std::uint64_t generation_ = 0;
   std::optional<Tcp::socket> socket_;
   bool connected_ = false;
+  std::uint32_t requests_on_connection_ = 0;
   // When the current connection was opened.
   Instant connected_at_{};
   bool busy_ = false;
+  // Number of the current call, for its timeout.
+  std::uint64_t call_number_ = 0;
   bool sent_ = false;
+  // Number of responses to the current call that were discarded.
+  std::uint32_t discarded_responses_ = 0;
+  // Whether one of them was not an interim response.
+  bool saw_other_response_ = false;
   boost::beast::flat_buffer buffer_;
   boost::beast::http::request<boost::beast::http::string_body> request_;
   std::optional<
--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -62,6 +62,20 @@
   kUnknown,
 };
 
+// Why the outcome of an order to a target is that of this order.
+enum class AnswerProof {
+  // The answer may be a late or second one to an earlier order.
+  kNone,
+  // The answer is the first one on a connection that served no other order.
+  kFirstOnConnection,
+  // The answer bears the order's id.
+  kRequestId,
+  // There is no answer; the connection was reset.
+  kConnectionReset,
+};
+
+const char* ToString(AnswerProof proof);
+
 enum class SendDecision {
   kSend,
   // The entry has moved or is moving.
@@ -113,9 +127,12 @@
   SendDecision TryBeginSend(Instant now,
                             const GrantRequest& request,
                             Instant connected_at);
+  // An outcome without proof counts for the times of the next grants only: the
+  // grant may still be under way.
   void OnOutcome(Instant now,
                  const GrantRequest& request,
-                 GrantOutcome outcome);
+                 GrantOutcome outcome,
+                 AnswerProof proof);
   // A connection to this owner broke while no call was using it.
   void OnConnectionLost(Instant now, const TargetId& owner);
   // Whether this member has not yet granted the entry under its current token.
@@ -133,10 +150,11 @@
 
  private:
   struct OwnerState {
-    // Grants that were sent and whose outcome is not known yet.
-    std::uint32_t in_flight = 0;
-    // Upper bound on the arrival of the grants sent so far. While grants are in
-    // flight, the bound is this or the current time, whichever is later.
+    // Grants that were sent and have no outcome yet, with the time of their
+    // call timeout. Each arrives by then or the current time, whichever is
+    // later. One grant may be in flight twice.
+    std::multimap<GrantRequest, Instant> in_flight;
+    // Upper bound on the arrival of all other grants.
     std::optional<Instant> latest_arrival;
     std::optional<Instant> backoff_until;
     // When the connection was opened on which a grant was last withdrawn to
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -65,6 +65,8 @@
       peer_socket_(io),
       granter_(settings.grant_timing) {
   view_.regions = settings.regions;
+  store_.SetStrayBytesHandler(
+      [this](StrayBytes where) { OnStrayBytes("", where); });
 }
 
 void EntryControl::RunAfter(Duration delay, std::function<void()> task) {
--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -37,10 +37,35 @@
       ++metrics_.Counter("figstall_responses_over_limit_total",
                          fmt::format("place=\"{}\"", limit.place));
     });
+    channel->SetStrayBytesHandler([this, owner](StrayBytes where) {
+      OnStrayBytes(owner.value(), where);
+    });
+  }
+  return channel;
+}
+
+std::shared_ptr<HttpChannel> EntryControl::ReleaseChannelTo(
+    const TargetId& owner,
+    const Endpoint& address) {
+  auto& channel = release_channels_[{owner, address}];
+  if (!channel) {
+    channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
+    channel->SetStrayBytesHandler([this, owner](StrayBytes where) {
+      OnStrayBytes(owner.value(), where);
+    });
   }
   return channel;
 }
 
+void EntryControl::OnStrayBytes(const std::string& target, StrayBytes where) {
+  const char* peer = target.empty() ? "store" : "target";
+  ++metrics_.Counter(
+      "figstall_stray_bytes_total",
+      fmt::format("peer=\"{}\",where=\"{}\"", peer, ToString(where)));
+  log_.Write(LogLevel::kInfo, "stray-bytes",
+             {{"peer", peer}, {"target", target}, {"where", ToString(where)}});
+}
+
 std::vector<VmId> EntryControl::ZoneMembers() const {
   std::vector<VmId> members;
   for (const auto& [vm, member] : view_.members) {
@@ -105,21 +130,24 @@
         LogFirstGrant(at, request, connected_at);
       return decision == SendDecision::kSend;
     };
-    platform::SendGrant(*ChannelTo(request.owner.id, request.address), request,
-                        settings_.grant_timing.call_timeout, may_send,
-                        [this, request, queued_at = now](
-                            GrantOutcome outcome, const TargetNotice& notice) {
-                          OnGrantOutcome(request, queued_at, outcome, notice);
-                        });
+    platform::SendGrant(
+        *ChannelTo(request.owner.id, request.address), request,
+        settings_.grant_timing.call_timeout, may_send,
+        [this, request, queued_at = now](GrantOutcome outcome,
+                                         const TargetNotice& notice,
+                                         AnswerProof proof) {
+          OnGrantOutcome(request, queued_at, outcome, notice, proof);
+        });
   }
 }
 
 void EntryControl::OnGrantOutcome(const GrantRequest& request,
                                   Instant queued_at,
                                   GrantOutcome outcome,
-                                  const TargetNotice& notice) {
+                                  const TargetNotice& notice,
+                                  AnswerProof proof) {
   const Instant now = BootNow();
-  granter_.OnOutcome(now, request, outcome);
+  granter_.OnOutcome(now, request, outcome, proof);
   notices_.OnAnswer(now, request.owner, notice, "grant");
   static constexpr const char* kNames[] = {"granted",  "refused",   "not-there",
                                            "not-sent", "withdrawn", "unknown"};
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -250,10 +250,11 @@
     if (!state.releases_in_flight.insert(request).second)
       continue;
     platform::SendRelease(
-        *ChannelTo(request.owner.id, request.address), request, kReleaseTimeout,
-        [this, service, request](platform::ReleaseOutcome outcome,
-                                 const std::string& handover,
-                                 const TargetNotice& notice) {
+        *ReleaseChannelTo(request.owner.id, request.address), request,
+        kReleaseTimeout,
+        [this, service, request, requested_at = BootNow()](
+            platform::ReleaseOutcome outcome, const std::string& handover,
+            const TargetNotice& notice, AnswerProof proof) {
           notices_.OnAnswer(BootNow(), request.owner, notice, "release");
           MoverState& current = movers_[service];
           static constexpr const char* kNames[] = {"released", "owner-gone",
@@ -264,7 +265,10 @@
                       {"first", std::to_string(request.range.first)},
                       {"last", std::to_string(request.range.last)},
                       {"fence", std::to_string(request.fence)},
-                      {"outcome", kNames[static_cast<int>(outcome)]}});
+                      {"outcome", kNames[static_cast<int>(outcome)]},
+                      {"proof", ToString(proof)},
+                      {"took_ms",
+                       std::to_string(ToMillis(BootNow() - requested_at))}});
           if (outcome == platform::ReleaseOutcome::kUnknown) {
             return RunAfter(kReleaseRetryInterval, [this, service, request] {
               movers_[service].releases_in_flight.erase(request);
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -3,8 +3,10 @@
 #include "figstall/http_channel.h"
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <boost/asio/connect.hpp>
+#include <cerrno>
 
 namespace figstall {
 namespace {
@@ -16,6 +18,9 @@
 // A chunk line with its extensions, or the trailers. The parser leaves them in
 // the buffer until they are complete.
 constexpr std::size_t kMaxChunkLineBytes = 65'536;
+// Number of interim responses and of responses to other requests that are
+// discarded while one request waits for its own.
+constexpr std::uint32_t kMaxDiscardedResponses = 16;
 // A connection to an unresponsive peer fails after about the sum of these
 // times: keep-alive probes start after the idle time and repeat at the
 // probe interval, and the connection fails when this many are unacknowledged.
@@ -48,6 +53,20 @@
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 }
 
+const char* ToString(StrayBytes where) {
+  switch (where) {
+    case StrayBytes::kIdleConnection:
+      return "idle-connection";
+    case StrayBytes::kBeforeRequest:
+      return "before-request";
+    case StrayBytes::kBehindResponse:
+      return "behind-response";
+    case StrayBytes::kOtherResponse:
+      return "other-response";
+  }
+  return "";
+}
+
 std::shared_ptr<HttpChannel> HttpChannel::Make(boost::asio::io_context& io,
                                                Endpoint peer,
                                                std::size_t max_queue) {
@@ -82,12 +101,16 @@
     return;
   busy_ = true;
   sent_ = false;
+  discarded_responses_ = 0;
+  saw_other_response_ = false;
   timer_.expires_after(calls_.front().call.limit);
   timer_.async_wait(
-      [self = shared_from_this(), generation = generation_](error_code error) {
-        if (!error && generation == self->generation_ && self->busy_)
+      [self = shared_from_this(), number = ++call_number_](error_code error) {
+        if (!error && number == self->call_number_ && self->busy_)
           self->Fail("response timeout");
       });
+  if (calls_.front().call.on_own_connection)
+    Drop();
   if (connected_)
     Write();
   else
@@ -110,12 +133,49 @@
                            TuneSocket(*self->socket_);
                            self->connected_ = true;
                            self->connected_at_ = BootNow();
+                           self->requests_on_connection_ = 0;
                            self->buffer_.clear();
                            self->Write();
                          });
 }
 
+HttpChannel::Readiness HttpChannel::CheckReadiness() {
+  char byte = 0;
+  const ssize_t size = recv(socket_->native_handle(), &byte, sizeof byte,
+                            MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0)
+    return Readiness::kBytes;
+  const bool nothing_to_read =
+      size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return nothing_to_read ? Readiness::kQuiet : Readiness::kClosed;
+}
+
+void HttpChannel::ReportStrayBytes(StrayBytes where) {
+  if (stray_bytes_handler_)
+    stray_bytes_handler_(where);
+}
+
+bool HttpChannel::PrepareConnection() {
+  const Readiness readiness = CheckReadiness();
+  if (readiness == Readiness::kQuiet)
+    return true;
+  if (readiness == Readiness::kBytes)
+    ReportStrayBytes(StrayBytes::kBeforeRequest);
+  // A peer that does this on a new connection would do it on each.
+  if (requests_on_connection_ == 0) {
+    Fail("bytes or a close before the request");
+    return false;
+  }
+  Drop();
+  if (readiness == Readiness::kClosed && disconnect_handler_)
+    disconnect_handler_();
+  Connect();
+  return false;
+}
+
 void HttpChannel::Write() {
+  if (!PrepareConnection())
+    return;
   const ChannelRequest& call = calls_.front().call;
   if (call.may_send && !call.may_send(connected_at_)) {
     ChannelResponse response;
@@ -137,6 +197,7 @@
   }
   request_.prepare_payload();
   sent_ = true;
+  ++requests_on_connection_;
   http::async_write(*socket_, request_,
                     [self = shared_from_this(), generation = generation_](
                         error_code io_error, std::size_t) {
@@ -159,22 +220,43 @@
                        return;
                      if (io_error)
                        return self->FailRead(io_error);
-                     auto message =
-                         std::make_shared<Response>(self->parser_->release());
-                     ChannelResponse response;
-                     response.sent = true;
-                     response.status = static_cast<int>(message->result_int());
-                     response.header = [message](const char* name) {
-                       return std::string((*message)[name]);
-                     };
-                     response.fields = &*message;
-                     response.body = std::move(message->body());
-                     if (!message->keep_alive())
-                       self->Drop();
-                     self->Finish(response);
+                     self->OnResponse();
                    });
 }
 
+void HttpChannel::OnResponse() {
+  const auto message = std::make_shared<Response>(parser_->release());
+  const ChannelRequest& call = calls_.front().call;
+  const int status = static_cast<int>(message->result_int());
+  const bool interim = status / 100 == 1;
+  if (interim || (call.is_response && !call.is_response(status, *message))) {
+    if (!interim) {
+      saw_other_response_ = true;
+      ReportStrayBytes(StrayBytes::kOtherResponse);
+    }
+    if (++discarded_responses_ > kMaxDiscardedResponses)
+      return Fail("too many responses to other requests");
+    return Read();
+  }
+  ChannelResponse response;
+  response.sent = true;
+  response.status = status;
+  response.first_on_connection =
+      requests_on_connection_ == 1 && !saw_other_response_;
+  response.bytes_followed = buffer_.size() > 0;
+  response.header = [message](const char* name) {
+    return std::string((*message)[name]);
+  };
+  response.fields = &*message;
+  response.body = std::move(message->body());
+  if (response.bytes_followed)
+    ReportStrayBytes(StrayBytes::kBehindResponse);
+  if (!message->keep_alive() || call.on_own_connection || saw_other_response_ ||
+      response.bytes_followed)
+    Drop();
+  Finish(response);
+}
+
 void HttpChannel::Finish(const ChannelResponse& response) {
   const auto self = shared_from_this();
   timer_.cancel();
@@ -198,8 +280,14 @@
       [self = shared_from_this(), generation = generation_](error_code error) {
         if (error || generation != self->generation_ || self->busy_)
           return;
+        const Readiness readiness = self->CheckReadiness();
+        // The bytes that woke this up were read by a call since.
+        if (readiness == Readiness::kQuiet)
+          return self->WatchIdle();
         self->Drop();
-        if (self->disconnect_handler_)
+        if (readiness == Readiness::kBytes)
+          self->ReportStrayBytes(StrayBytes::kIdleConnection);
+        else if (self->disconnect_handler_)
           self->disconnect_handler_();
       });
 }
--- a/src/range_granter.cc
+++ b/src/range_granter.cc
@@ -7,6 +7,20 @@
 
 namespace figstall {
 
+const char* ToString(AnswerProof proof) {
+  switch (proof) {
+    case AnswerProof::kNone:
+      return "none";
+    case AnswerProof::kFirstOnConnection:
+      return "first-on-connection";
+    case AnswerProof::kRequestId:
+      return "request-id";
+    case AnswerProof::kConnectionReset:
+      return "connection-reset";
+  }
+  return "";
+}
+
 RangeGranter::RangeGranter(GrantTiming timing, GrantSendTiming send_timing)
     : timing_(timing), send_timing_(send_timing) {}
 
@@ -102,26 +116,29 @@
     awaited_since = std::max(awaited_since, connected_at);
     return SendDecision::kAwaitConfirmation;
   }
-  ++owner.in_flight;
-  owner.latest_arrival = now + timing_.call_timeout;
+  owner.in_flight.emplace(request, now + timing_.call_timeout);
   return SendDecision::kSend;
 }
 
 void RangeGranter::OnOutcome(Instant now,
                              const GrantRequest& request,
-                             GrantOutcome outcome) {
+                             GrantOutcome outcome,
+                             AnswerProof proof) {
   const std::tuple key(request.service, request.range.first, request.fence);
   if (outcome == GrantOutcome::kWithdrawn) {
     next_grant_at_.erase(key);
     return;
   }
   OwnerState& owner = owners_[request.owner.id];
-  if (outcome != GrantOutcome::kNotSent) {
+  const auto [sent, last_sent] = owner.in_flight.equal_range(request);
+  if (sent != last_sent) {
     // The grant arrived before its response or, without a response, before its
     // connection was reset.
-    owner.latest_arrival = now;
-    if (owner.in_flight > 0)
-      --owner.in_flight;
+    const Instant arrival =
+        proof == AnswerProof::kNone ? std::max(now, sent->second) : now;
+    owner.latest_arrival =
+        std::max(owner.latest_arrival.value_or(arrival), arrival);
+    owner.in_flight.erase(sent);
   }
   switch (outcome) {
     case GrantOutcome::kGranted:
@@ -145,13 +162,16 @@
 std::optional<Instant> RangeGranter::HoldExpiry(Instant now,
                                                 const TargetId& owner) const {
   const auto found = owners_.find(owner);
-  if (found == owners_.end() || !found->second.latest_arrival)
+  if (found == owners_.end())
+    return std::nullopt;
+  std::optional<Instant> arrival = found->second.latest_arrival;
+  for (const auto& [request, timeout_at] : found->second.in_flight) {
+    const Instant bound = std::max(now, timeout_at);
+    arrival = std::max(arrival.value_or(bound), bound);
+  }
+  if (!arrival)
     return std::nullopt;
-  const OwnerState& state = found->second;
-  const Instant arrival = state.in_flight > 0
-                              ? std::max(now, *state.latest_arrival)
-                              : *state.latest_arrival;
-  const Instant expiry = arrival + timing_.MaxHoldFromArrival();
+  const Instant expiry = *arrival + timing_.MaxHoldFromArrival();
   return now < expiry ? std::optional(expiry) : std::nullopt;
 }
 
--- /dev/null
+++ b/test/http_channel_test.cc
@@ -0,0 +1,351 @@
+// Tests which response HttpChannel takes for the response to a call, and which
+// answers count for grants and releases. The peer is a loopback server that
+// writes bytes given by the test.
+#include "figstall/http_channel.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "platform/target_orders.h"
+
+namespace figstall {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using platform::ReleaseOutcome;
+using std::chrono::milliseconds;
+
+constexpr Duration kCallTimeout = milliseconds(400);
+// Long enough for bytes to pass over loopback.
+constexpr Duration kLoopbackDelay = milliseconds(5);
+
+// A request as the peer received it: the index of its connection, its index
+// there, both from 0, and its head.
+struct ReceivedRequest {
+  std::size_t connection = 0;
+  std::size_t index = 0;
+  std::string head;
+
+  std::string Header(const std::string& name) const {
+    const std::size_t found = head.find("\r\n" + name + ": ");
+    if (found == std::string::npos)
+      return "";
+    const std::size_t first = found + name.size() + 4;
+    return head.substr(first, head.find("\r\n", first) - first);
+  }
+};
+
+// Accepts any number of connections and writes what `respond` returns.
+class RawServer {
+ public:
+  using Respond = std::function<std::string(const ReceivedRequest&)>;
+
+  RawServer(boost::asio::io_context& io, Respond respond)
+      : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}),
+        respond_(std::move(respond)) {
+    Accept();
+  }
+
+  Endpoint address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+  std::size_t connection_count() const { return connections_.size(); }
+  void Write(std::size_t connection, const std::string& bytes) {
+    error_code ignored;
+    boost::asio::write(connections_.at(connection)->socket,
+                       boost::asio::buffer(bytes), ignored);
+  }
+
+ private:
+  struct Connection {
+    explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
+
+    tcp::socket socket;
+    boost::asio::streambuf buffer;
+    std::size_t request_count = 0;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+      if (error)
+        return;
+      connections_.push_back(std::make_unique<Connection>(std::move(socket)));
+      Read(connections_.size() - 1);
+      Accept();
+    });
+  }
+
+  // The bodies of requests are small JSON objects, which end with a brace.
+  void Read(std::size_t i) {
+    Connection& connection = *connections_[i];
+    boost::asio::async_read_until(
+        connection.socket, connection.buffer, "\r\n\r\n",
+        [this, i](error_code error, std::size_t size) {
+          if (error)
+            return;
+          Connection& ready = *connections_[i];
+          const std::string head(
+              boost::asio::buffers_begin(ready.buffer.data()),
+              boost::asio::buffers_begin(ready.buffer.data()) +
+                  static_cast<std::ptrdiff_t>(size));
+          ready.buffer.consume(size);
+          if (head.rfind("POST", 0) != 0)
+            return Answer(i, head);
+          boost::asio::async_read_until(
+              ready.socket, ready.buffer, '}',
+              [this, i, head](error_code failed, std::size_t body_size) {
+                if (failed)
+                  return;
+                connections_[i]->buffer.consume(body_size);
+                Answer(i, head);
+              });
+        });
+  }
+
+  void Answer(std::size_t i, const std::string& head) {
+    const std::size_t index = connections_[i]->request_count++;
+    Write(i, respond_({i, index, head}));
+    Read(i);
+  }
+
+  tcp::acceptor acceptor_;
+  const Respond respond_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+};
+
+std::string ResponseText(const std::string& body,
+                         const std::string& fields = "",
+                         const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+GrantRequest MakeGrant(const Endpoint& address) {
+  return {ServiceId("accounts"), {0, 65'535}, {TargetId("t1"), 1}, address, 7,
+          milliseconds(2500),    ""};
+}
+
+ReleaseRequest MakeRelease(const Endpoint& address) {
+  ReleaseRequest request;
+  request.range = {0, 65'535};
+  request.owner = {TargetId("t1"), 1};
+  request.address = address;
+  request.fence = 8;
+  return request;
+}
+
+class ChannelFixture {
+ public:
+  explicit ChannelFixture(RawServer::Respond respond)
+      : server(io, std::move(respond)),
+        channel(HttpChannel::Make(io, server.address(), 16)) {}
+  ~ChannelFixture() { channel->Close(); }
+
+  // Runs both sides until `count` outcomes are there.
+  void RunUntilCount(const std::vector<std::string>& outcomes,
+                     std::size_t count) {
+    const Instant until = BootNow() + std::chrono::seconds(5);
+    while (outcomes.size() < count && BootNow() < until) {
+      io.run_for(milliseconds(1));
+      io.restart();
+    }
+    REQUIRE(outcomes.size() == count);
+  }
+  void Call(
+      std::vector<std::string>& bodies,
+      const std::function<void()>& then = [] {}) {
+    ChannelRequest call;
+    call.target = "/a";
+    call.limit = kCallTimeout;
+    channel->Call(call, [&bodies, then](const ChannelResponse& response) {
+      bodies.push_back(response.status ? response.body : "none");
+      then();
+    });
+  }
+  void Grant(std::vector<std::string>& outcomes) {
+    platform::SendGrant(
+        *channel, MakeGrant(server.address()), kCallTimeout,
+        [](Instant) { return true; },
+        [&outcomes](GrantOutcome outcome, auto&&...) {
+          outcomes.push_back(outcome == GrantOutcome::kGranted   ? "granted"
+                             : outcome == GrantOutcome::kRefused ? "refused"
+                                                                 : "unknown");
+        });
+  }
+  void Release(std::vector<std::string>& outcomes) {
+    platform::SendRelease(
+        *channel, MakeRelease(server.address()), kCallTimeout,
+        [&outcomes](ReleaseOutcome outcome, const std::string& handover,
+                    auto&&...) {
+          outcomes.push_back(
+              outcome == ReleaseOutcome::kReleased    ? "released " + handover
+              : outcome == ReleaseOutcome::kOwnerGone ? "owner-gone"
+                                                      : "unknown");
+        });
+  }
+
+  boost::asio::io_context io;
+  RawServer server;
+  std::shared_ptr<HttpChannel> channel;
+};
+
+}  // namespace
+
+// Guards against OWNER: a second answer to one call was read as the answer to
+// the next one, although it had come before that was sent.
+TEST_CASE("an answer that came before its call was sent answers nothing") {
+  ChannelFixture fixture([](const ReceivedRequest& request) {
+    return ResponseText(std::to_string(request.connection) + "/" +
+                        std::to_string(request.index));
+  });
+  std::vector<std::string> bodies;
+  fixture.Call(bodies, [&] {
+    fixture.server.Write(0, ResponseText("second"));
+    std::this_thread::sleep_for(kLoopbackDelay);
+    fixture.Call(bodies);
+  });
+  fixture.RunUntilCount(bodies, 2);
+  CHECK(bodies == std::vector<std::string>{"0/0", "1/0"});
+}
+
+TEST_CASE("an answer that comes as a connection opens answers nothing") {
+  boost::asio::io_context server_io;
+  tcp::acceptor acceptor(server_io,
+                         {boost::asio::ip::address_v4::loopback(), 0});
+  boost::asio::io_context io;
+  const auto channel =
+      HttpChannel::Make(io, {"127.0.0.1", acceptor.local_endpoint().port()}, 1);
+  std::vector<std::string> bodies;
+  ChannelRequest call;
+  call.target = "/a";
+  call.limit = kCallTimeout;
+  channel->Call(call, [&](const ChannelResponse& response) {
+    bodies.push_back(response.status ? response.body : "none");
+    CHECK_FALSE(response.sent);
+  });
+  // The kernel opens the connection; the channel learns of it when it runs.
+  tcp::socket socket = acceptor.accept();
+  boost::asio::write(socket, boost::asio::buffer(ResponseText("early")));
+  std::this_thread::sleep_for(kLoopbackDelay);
+  io.run_for(kCallTimeout);
+  CHECK(bodies == std::vector<std::string>{"none"});
+  channel->Close();
+}
+
+// Guards against OWNER: bytes behind a complete response stayed in the buffer
+// and were read as the response to the next call.
+TEST_CASE("an answer behind a complete response answers nothing") {
+  ChannelFixture fixture([](const ReceivedRequest& request) {
+    const std::string body = std::to_string(request.connection) + "/" +
+                             std::to_string(request.index);
+    return request.connection == 0 ? ResponseText(body) + ResponseText("second")
+                                   : ResponseText(body);
+  });
+  std::vector<std::string> bodies;
+  fixture.Call(bodies);
+  fixture.Call(bodies);
+  fixture.RunUntilCount(bodies, 2);
+  CHECK(bodies == std::vector<std::string>{"0/0", "1/0"});
+}
+
+TEST_CASE("an interim response is not the response to a call") {
+  ChannelFixture fixture([](const ReceivedRequest& request) {
+    return "HTTP/1.1 100 Continue\r\n\r\n" +
+           ResponseText(std::to_string(request.index));
+  });
+  std::vector<std::string> bodies;
+  fixture.Call(bodies);
+  fixture.Call(bodies);
+  fixture.RunUntilCount(bodies, 2);
+  CHECK(bodies == std::vector<std::string>{"0", "1"});
+}
+
+// Guards against OWNER (review/4): the late second answer to a grant was taken
+// for the answer to a release, and the range moved while its owner worked.
+TEST_CASE("a late second answer to a grant is no answer to a release") {
+  // The first connection answers each request with one more answer to a grant.
+  ChannelFixture fixture([](const ReceivedRequest& request) {
+    return request.head.rfind("POST /grant", 0) == 0 || request.index > 0
+               ? ResponseText("")
+               : ResponseText("", "Handover: h1\r\n");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Grant(outcomes);
+  fixture.RunUntilCount(outcomes, 1);
+  fixture.Release(outcomes);
+  fixture.RunUntilCount(outcomes, 2);
+  CHECK(outcomes == std::vector<std::string>{"granted", "released h1"});
+}
+
+// Guards against OWNER: a misdirected answer to an earlier grant was taken for
+// the sign that the owner no longer runs.
+TEST_CASE("a late 421 to a grant says nothing about a release") {
+  ChannelFixture fixture([](const ReceivedRequest& request) {
+    return request.head.rfind("POST /grant", 0) == 0 ? ResponseText("")
+           : request.index > 0 ? ResponseText("", "", "421 Misdirected Request")
+                               : ResponseText("", "Handover: h1\r\n");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Grant(outcomes);
+  fixture.RunUntilCount(outcomes, 1);
+  fixture.Release(outcomes);
+  fixture.RunUntilCount(outcomes, 2);
+  CHECK(outcomes == std::vector<std::string>{"granted", "released h1"});
+}
+
+// Guards against OWNER: an answer with content that this order cannot have was
+// taken for its answer.
+TEST_CASE("an answer with a handover is no answer to a grant") {
+  ChannelFixture fixture([](const ReceivedRequest&) {
+    return ResponseText("", "Handover: h1\r\n") +
+           ResponseText("", "", "409 Conflict");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Grant(outcomes);
+  fixture.RunUntilCount(outcomes, 1);
+  CHECK(outcomes == std::vector<std::string>{"refused"});
+}
+
+TEST_CASE("an answer with a target's proof is no answer to an order") {
+  ChannelFixture fixture([](const ReceivedRequest&) {
+    return ResponseText("payload", "Backend-Signature: s\r\n");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Grant(outcomes);
+  fixture.RunUntilCount(outcomes, 1);
+  fixture.Release(outcomes);
+  fixture.RunUntilCount(outcomes, 2);
+  CHECK(outcomes == std::vector<std::string>{"unknown", "unknown"});
+}
+
+TEST_CASE("an answer with another call's id is no answer to an order") {
+  ChannelFixture fixture([](const ReceivedRequest&) {
+    return ResponseText("", "Request-Id: other\r\n");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Grant(outcomes);
+  fixture.RunUntilCount(outcomes, 1);
+  fixture.Release(outcomes);
+  fixture.RunUntilCount(outcomes, 2);
+  CHECK(outcomes == std::vector<std::string>{"unknown", "unknown"});
+}
+
+TEST_CASE("an answer with the id of its order counts behind other answers") {
+  ChannelFixture fixture([](const ReceivedRequest& request) {
+    return ResponseText("", "Request-Id: other\r\n") +
+           ResponseText("", "Handover: h1\r\nRequest-Id: " +
+                                request.Header("Request-Id") + "\r\n");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Release(outcomes);
+  fixture.RunUntilCount(outcomes, 1);
+  CHECK(outcomes == std::vector<std::string>{"released h1"});
+}
+
+}  // namespace figstall
--- a/test/range_granter_test.cc
+++ b/test/range_granter_test.cc
@@ -43,7 +43,8 @@
     granter.OnOutcome(now, due.front(),
                       decision == SendDecision::kSend
                           ? GrantOutcome::kGranted
-                          : GrantOutcome::kWithdrawn);
+                          : GrantOutcome::kWithdrawn,
+                      AnswerProof::kFirstOnConnection);
     return decision;
   }
 
@@ -106,6 +107,58 @@
         SendDecision::kWithdraw);
 }
 
+// Guards against OWNER: an answer to an earlier grant ended the count of one
+// that was still under way, and the mover did not wait for that one's hold.
+TEST_CASE("an answer without proof does not shorten a grant's arrival") {
+  const GrantTiming timing;
+  for (const auto& [proof, latest_arrival] :
+       {std::pair(AnswerProof::kNone, kStart + timing.call_timeout),
+        std::pair(AnswerProof::kFirstOnConnection, kStart + milliseconds(2)),
+        std::pair(AnswerProof::kRequestId, kStart + milliseconds(2)),
+        std::pair(AnswerProof::kConnectionReset, kStart + milliseconds(2))}) {
+    CAPTURE(ToString(proof));
+    GranterFixture fixture;
+    fixture.granter.OnTableConfirmed(kService, kStart);
+    const auto due = fixture.TakeDueGrants(kStart);
+    REQUIRE(due.size() == 1);
+    REQUIRE(fixture.granter.TryBeginSend(kStart, due.front(), kStart) ==
+            SendDecision::kSend);
+    const Instant answered_at = kStart + milliseconds(2);
+    fixture.granter.OnOutcome(answered_at, due.front(), GrantOutcome::kGranted,
+                              proof);
+    CHECK(fixture.granter.HoldExpiry(answered_at, kOwner.id) ==
+          latest_arrival + timing.MaxHoldFromArrival());
+    // It counts as granted for the time of the next grant.
+    CHECK(fixture.TakeDueGrants(kStart + milliseconds(799)).empty());
+    CHECK(fixture.TakeDueGrants(kStart + milliseconds(800)).size() == 1);
+  }
+}
+
+TEST_CASE("the outcome of one grant does not end the count of another") {
+  const GrantTiming timing;
+  GranterFixture fixture;
+  fixture.granter.OnTableConfirmed(kService, kStart);
+  const auto first = fixture.TakeDueGrants(kStart);
+  REQUIRE(first.size() == 1);
+  GrantRequest second = first.front();
+  SECTION("that was sent to another address") {
+    second.address = {"10.0.0.2", 80};
+  }
+  SECTION("that is the same") {}
+  for (const GrantRequest& request : {first.front(), second})
+    REQUIRE(fixture.granter.TryBeginSend(kStart, request, kStart) ==
+            SendDecision::kSend);
+  fixture.granter.OnOutcome(kStart, second, GrantOutcome::kGranted,
+                            AnswerProof::kRequestId);
+  const Instant later = kStart + milliseconds(1000);
+  CHECK(fixture.granter.HoldExpiry(later, kOwner.id) ==
+        later + timing.MaxHoldFromArrival());
+  fixture.granter.OnOutcome(later, first.front(), GrantOutcome::kUnknown,
+                            AnswerProof::kConnectionReset);
+  CHECK(fixture.granter.HoldExpiry(later, kOwner.id) ==
+        later + timing.MaxHoldFromArrival());
+}
+
 // The mover sends the first grant of an entry, and stays the one to send it.
 TEST_CASE("a withdrawn first grant is still the first") {
   GranterFixture fixture;
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -50,6 +50,12 @@
   kNoOwnHolds,
   // A member grants on connections that it opened after it last read the table.
   kNoConnectionCheck,
+  // Releases are sent on connections on which grants were sent, where a late
+  // answer to a grant is taken for the answer to a release.
+  kReleaseOnKeptConnection,
+  // An answer that may be one to an earlier grant counts as proof that a grant
+  // has arrived.
+  kUnprovedAnswersCount,
 };
 
 // Which members grant a range.
@@ -63,6 +69,9 @@
   // Share of the grants that are applied 2 to 12 s late.
   double late_grant_share = 0;
   Granters granters = Granters::kAllMembers;
+  // Share of the orders on kept connections before whose answer a second answer
+  // to an earlier one arrives.
+  double second_answer_share = 0;
   // All members of one zone stop, and start again seconds later.
   bool zone_loses_members = false;
 };
@@ -118,6 +127,7 @@
   struct Connection {
     TargetIncarnation peer;
     Instant opened_at;
+    bool served_orders = false;
   };
   struct Member {
     std::string id;
@@ -433,13 +443,16 @@
       member.connections[request.owner.id] = {targets_[target].incarnation,
                                               now_};
     }
-    const Connection connection = member.connections.at(request.owner.id);
+    Connection& open_connection = member.connections.at(request.owner.id);
+    const Connection connection = open_connection;
     const Instant connected_at = mutation_ == Mutation::kNoConnectionCheck
                                      ? Instant{}
                                      : connection.opened_at;
     if (checked && member.granter->TryBeginSend(now_, request, connected_at) !=
                        SendDecision::kSend)
-      return member.granter->OnOutcome(now_, request, GrantOutcome::kWithdrawn);
+      return member.granter->OnOutcome(now_, request, GrantOutcome::kWithdrawn,
+                                       AnswerProof::kNone);
+    open_connection.served_orders = true;
     if (!reachable) {
       member.connections.erase(request.owner.id);
       return ScheduleOutcome(i, timing_.call_timeout, request,
@@ -463,20 +476,30 @@
     Schedule(travel, [this, target, request, connection] {
       ApplyGrant(target, connection, request, now_);
     });
+    const bool proved = !connection.served_orders ||
+                        mutation_ == Mutation::kUnprovedAnswersCount;
+    const AnswerProof proof =
+        proved ? AnswerProof::kFirstOnConnection : AnswerProof::kNone;
+    if (connection.served_orders && options_.second_answer_share > 0 &&
+        Chance(options_.second_answer_share))
+      return ScheduleOutcome(i, RandomDelay(), request, GrantOutcome::kGranted,
+                             proof);
     ScheduleOutcome(i, answered ? travel + RandomDelay() : timing_.call_timeout,
                     request,
-                    answered ? GrantOutcome::kGranted : GrantOutcome::kUnknown);
+                    answered ? GrantOutcome::kGranted : GrantOutcome::kUnknown,
+                    answered ? proof : AnswerProof::kConnectionReset);
   }
 
   void ScheduleOutcome(int i,
                        Duration delay,
                        const GrantRequest& request,
-                       GrantOutcome outcome) {
-    Schedule(delay, [this, i, request, outcome, id = members_[i].id] {
+                       GrantOutcome outcome,
+                       AnswerProof proof = AnswerProof::kConnectionReset) {
+    Schedule(delay, [this, i, request, outcome, proof, id = members_[i].id] {
       Member& member = members_[i];
       if (member.id != id)
         return;
-      member.granter->OnOutcome(now_, request, outcome);
+      member.granter->OnOutcome(now_, request, outcome, proof);
       if (outcome == GrantOutcome::kUnknown)
         member.connections.erase(request.owner.id);
     });
@@ -558,6 +581,14 @@
       const int target = FindTarget(request.owner.id);
       const bool reachable =
           target >= 0 && !member.unreachable_targets.contains(target);
+      if (mutation_ == Mutation::kReleaseOnKeptConnection &&
+          member.connections.contains(request.owner.id) &&
+          Chance(options_.second_answer_share)) {
+        Schedule(RandomDelay(), [this, i, original, id = member.id] {
+          if (members_[i].id == id)
+            members_[i].mover->OnReleased(original, "");
+        });
+      }
       Schedule(RandomDelay(),
                [this, i, target, reachable, request, original, id = member.id] {
                  const auto response_delay =
@@ -757,6 +788,15 @@
   CHECK(FindsViolation(Mutation::kNoOwnHolds, 400, options));
 }
 
+// Guards against OWNER: a late second answer to a grant passed for the answer
+// to a later grant that was still under way, or to a release.
+TEST_CASE("no key has two holders when answers come twice") {
+  const RunOptions options{.second_answer_share = 0.2};
+  CHECK(CountViolations(RunCount(400), options) == 0);
+  CHECK(FindsViolation(Mutation::kReleaseOnKeptConnection, 400, options));
+  CHECK(FindsViolation(Mutation::kUnprovedAnswersCount, 4000, options));
+}
+
 // Guards against runs that pass because hardly any range moves.
 TEST_CASE("random runs move ranges often enough") {
   RandomRun run(1, Mutation::kNone);
