The kernel ends connections for orders that the process cannot end in time

Seen (in tests; a suspect for the report of two holders): a grant reaches its target after the time from which the mover takes it for expired. The mover counts a grant without an answer as arriving until its call timeout, since the sender resets the connection then. A process that is killed does not, and its kernel delivers what was written; one that is stopped does it late.

Channels for orders now set linger 0 before they connect, so that the end of the process resets them, and TCP_USER_TIMEOUT to the call's timeout, so that the kernel ends a connection whose bytes are not acknowledged by then. Others keep the common options: a process that stops ends its membership at the store.

Evidence: three tests with a sender process and a peer that reads nothing. Without the limit, as before this commit, the peer gets 64 KB and more of a request once it reads, 1.2 s after the sender was killed or stopped (timeout 0.3 s); with it, the connection is reset. Not shown: packets lost on the way, which needs a firewall rule. Not covered: what the target's kernel has acknowledged and the target reads later; a proxy on the way; and while the peer's window is closed the kernel counts from its first probe, so that it may end the connection somewhat after the call timeout.

--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -106,6 +106,11 @@
   void SetStrayBytesHandler(std::function<void(StrayBytes)> handler) {
     stray_bytes_handler_ = std::move(handler);
   }
+  // For requests that must not arrive after their timeout, also if this process
+  // is stopped or killed: the kernel discards what was not sent when the
+  // process ends, and resets a connection whose bytes are not acknowledged in
+  // time. Call before the first request.
+  void LimitDelivery() { delivery_limited_ = true; }
   std::size_t queued() const { return calls_.size(); }
 
  private:
@@ -154,6 +159,7 @@
   std::uint64_t generation_ = 0;
   std::optional<Tcp::socket> socket_;
   bool connected_ = false;
+  bool delivery_limited_ = false;
   std::uint32_t requests_on_connection_ = 0;
   // When the current connection was opened.
   Instant connected_at_{};
--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -26,6 +26,7 @@
   auto& channel = channels_[{owner, address}];
   if (!channel) {
     channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
+    channel->LimitDelivery();
     channel->SetDisconnectHandler(
         [this, owner] { granter_.OnConnectionLost(BootNow(), owner); });
     channel->SetLimitHandler([this, owner](const ExceededLimit& limit) {
@@ -50,6 +51,7 @@
   auto& channel = release_channels_[{owner, address}];
   if (!channel) {
     channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
+    channel->LimitDelivery();
     channel->SetStrayBytesHandler([this, owner](StrayBytes where) {
       OnStrayBytes(owner.value(), where);
     });
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <cerrno>
 
@@ -123,20 +124,27 @@
   const auto address = boost::asio::ip::make_address(peer_.address, error);
   if (error)
     return Fail(error.message());
-  socket_->async_connect(Tcp::endpoint(address, peer_.port),
-                         [self = shared_from_this(),
-                          generation = generation_](error_code io_error) {
-                           if (generation != self->generation_)
-                             return;
-                           if (io_error)
-                             return self->Fail(io_error.message());
-                           TuneSocket(*self->socket_);
-                           self->connected_ = true;
-                           self->connected_at_ = BootNow();
-                           self->requests_on_connection_ = 0;
-                           self->buffer_.clear();
-                           self->Write();
-                         });
+  const Tcp::endpoint peer(address, peer_.port);
+  if (delivery_limited_) {
+    socket_->open(peer.protocol(), error);
+    if (error)
+      return Fail(error.message());
+    // Applies to the close at the end of the process too.
+    ResetOnClose(*socket_);
+  }
+  socket_->async_connect(peer, [self = shared_from_this(),
+                                generation = generation_](error_code io_error) {
+    if (generation != self->generation_)
+      return;
+    if (io_error)
+      return self->Fail(io_error.message());
+    TuneSocket(*self->socket_);
+    self->connected_ = true;
+    self->connected_at_ = BootNow();
+    self->requests_on_connection_ = 0;
+    self->buffer_.clear();
+    self->Write();
+  });
 }
 
 HttpChannel::Readiness HttpChannel::CheckReadiness() {
@@ -196,6 +204,10 @@
     request_.body() = call.body;
   }
   request_.prepare_payload();
+  if (delivery_limited_)
+    SetTcpOption(
+        *socket_, TCP_USER_TIMEOUT,
+        static_cast<unsigned>(std::max(ToMillis(call.limit), std::int64_t{1})));
   sent_ = true;
   ++requests_on_connection_;
   http::async_write(*socket_, request_,
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -3,12 +3,17 @@
 // writes bytes given by the test.
 #include "figstall/http_channel.h"
 
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <thread>
 
 #include "platform/target_orders.h"
@@ -195,6 +200,90 @@
   std::shared_ptr<HttpChannel> channel;
 };
 
+// A process of its own that sends a long request to a peer that reads nothing,
+// so that most of the request stays in the sender's kernel.
+class BlockedSender {
+ public:
+  explicit BlockedSender(bool delivery_limited) : acceptor_(io_), socket_(io_) {
+    const tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
+    acceptor_.open(any.protocol());
+    acceptor_.set_option(
+        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+    acceptor_.bind(any);
+    acceptor_.listen();
+    const Endpoint address{"127.0.0.1", acceptor_.local_endpoint().port()};
+    process_ = fork();
+    REQUIRE(process_ >= 0);
+    if (process_ == 0)
+      Send(address, delivery_limited);
+    acceptor_.accept(socket_);
+    socket_.wait(tcp::socket::wait_read);
+    std::this_thread::sleep_for(kSendTime);
+  }
+  ~BlockedSender() {
+    kill(process_, SIGKILL);
+    waitpid(process_, nullptr, 0);
+  }
+  BlockedSender(const BlockedSender&) = delete;
+  BlockedSender& operator=(const BlockedSender&) = delete;
+
+  void Signal(int signal) {
+    kill(process_, signal);
+    if (signal == SIGKILL) {
+      siginfo_t info;
+      waitid(P_PID, static_cast<id_t>(process_), &info, WEXITED | WNOWAIT);
+    }
+  }
+  // Reads until the connection ends or pauses, and returns why.
+  error_code ReadAll() {
+    std::string bytes;
+    error_code result = boost::asio::error::would_block;
+    boost::asio::async_read(
+        socket_, boost::asio::dynamic_buffer(bytes),
+        [&](error_code error, std::size_t) { result = error; });
+    io_.run_for(kReadTime);
+    received_ = bytes.size();
+    socket_.close();
+    io_.restart();
+    const error_code seen = result;
+    io_.run();
+    return seen;
+  }
+  std::size_t received() const { return received_; }
+
+  static constexpr Duration kCallLimit = milliseconds(300);
+  static constexpr int kReceiveBufferBytes = 4096;
+  // More than the receive buffer takes, less than the request has.
+  static constexpr std::size_t kMaxReceivedBytes = 65'536;
+
+ private:
+  static constexpr Duration kSendTime = milliseconds(50);
+  static constexpr Duration kReadTime = milliseconds(1000);
+  static constexpr std::size_t kRequestBytes = 1'000'000;
+
+  [[noreturn]] static void Send(const Endpoint& address,
+                                bool delivery_limited) {
+    boost::asio::io_context io;
+    const auto channel = HttpChannel::Make(io, address, 1);
+    if (delivery_limited)
+      channel->LimitDelivery();
+    ChannelRequest call;
+    call.method = "POST";
+    call.target = "/grant";
+    call.body.assign(kRequestBytes, 'x');
+    call.limit = kCallLimit;
+    channel->Call(call, [](const ChannelResponse&) {});
+    io.run();
+    _exit(0);
+  }
+
+  boost::asio::io_context io_;
+  tcp::acceptor acceptor_;
+  tcp::socket socket_;
+  pid_t process_ = -1;
+  std::size_t received_ = 0;
+};
+
 }  // namespace
 
 // Guards against OWNER: a second answer to one call was read as the answer to
@@ -348,4 +437,35 @@
   CHECK(outcomes == std::vector<std::string>{"released h1"});
 }
 
+// Guards against OWNER: the kernel of a member that was killed delivered its
+// grants after the time from which the mover took them for expired.
+TEST_CASE("bytes not sent yet are discarded when the process is killed") {
+  BlockedSender sender(/*delivery_limited=*/true);
+  sender.Signal(SIGKILL);
+  CHECK(sender.ReadAll() == boost::asio::error::connection_reset);
+  CHECK(sender.received() < BlockedSender::kMaxReceivedBytes);
+}
+
+// Guards against OWNER: a member that was stopped, or got no processor, reset
+// its connection too late, and its grants arrived meanwhile.
+TEST_CASE("bytes are not delivered after the timeout of a stopped process") {
+  BlockedSender sender(/*delivery_limited=*/true);
+  sender.Signal(SIGSTOP);
+  std::this_thread::sleep_for(4 * BlockedSender::kCallLimit);
+  CHECK(sender.ReadAll() == boost::asio::error::connection_reset);
+  CHECK(sender.received() < BlockedSender::kMaxReceivedBytes);
+}
+
+// Shows that the two tests above fail without the limit.
+TEST_CASE("without a limit the kernel delivers what a process left") {
+  for (const int signal : {SIGKILL, SIGSTOP}) {
+    CAPTURE(signal);
+    BlockedSender sender(/*delivery_limited=*/false);
+    sender.Signal(signal);
+    std::this_thread::sleep_for(4 * BlockedSender::kCallLimit);
+    CHECK(sender.ReadAll() != boost::asio::error::connection_reset);
+    CHECK(sender.received() >= BlockedSender::kMaxReceivedBytes);
+  }
+}
+
 }  // namespace figstall
