A member that hears that its key is gone stops granting at once

Seen: an entry whose key the store removed before its lease had ended went on granting by its own count, also when a watch or the relay had told it.

Cause: EntryControl::ApplyMember took the change for one of any member.

Fix: a removal, or another process's write, that is newer than this process's own last write of the record ends the membership at once. Revisions are compared, so the late end of an earlier process's record is no news. A removed member joins again; one that was replaced does not fight over the key and joins once the other's record is gone. membership-lost says why, and by whom; member-left names the incarnation and whether it was removed or replaced.

Evidence: the emulator plays store-revokes-entry (an entry is turned away, its leases end at once) and target-ignores-releases. The soak draws store-revokes-entry by a generator of its own.

Open: an entry that takes itself for the root of the relay hears nothing while the store turns it away, so it grants until its lease ends; the mover waits for that. That a replaced process leaves the record to the other has no test.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -168,6 +168,19 @@
   void RecordMemberCounts(Instant now);
   void WriteMember(bool then_read);
   void RenewMembership(Instant now);
+  // Takes a change of this member's record that the store or a relay reports.
+  // `incarnation` is empty if the record was removed.
+  void NoteOwnRecord(Revision revision, const std::string& incarnation);
+  // Ends the membership if the record was removed, or replaced by another
+  // process, after this one wrote it.
+  void CheckOwnRecord();
+  // Whether another process under this VM's name has written the record since.
+  bool IsReplaced() const {
+    return own_record_revision_ != 0 &&
+           foreign_record_.revision > own_record_revision_ &&
+           !foreign_record_.incarnation.empty();
+  }
+  void LoseMembership(const char* reason);
   void StartRead(ReadScope scope);
   void ReadPage(const std::shared_ptr<StoreRead>& read,
                 const std::string& after);
@@ -343,6 +356,16 @@
   bool renewing_membership_ = false;
   // Whether this member's record was written under the current lease.
   bool member_written_ = false;
+  // Revision of this process's last write of the record in this era; 0 if none
+  // is known.
+  Revision own_record_revision_ = 0;
+  // The newest change of the record that this process did not make: its
+  // removal, if the incarnation is empty, or another process's write.
+  struct ForeignRecord {
+    Revision revision = 0;
+    std::string incarnation;
+  };
+  ForeignRecord foreign_record_;
   // Whether the tables were read after that write. Grants require it.
   bool tables_up_to_date_ = false;
   // Last fencing token of each service's table according to this member's
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -178,6 +178,8 @@
   if (connectivity_.watching())
     CancelWatch();
   member_lease_ = 0;
+  own_record_revision_ = 0;
+  foreign_record_ = {};
   Join();
 }
 
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -27,7 +27,7 @@
 }  // namespace
 
 void EntryControl::Join() {
-  if (joining_ || resigned_)
+  if (joining_ || resigned_ || IsReplaced())
     return;
   joining_ = true;
   member_written_ = false;
@@ -44,6 +44,9 @@
             StartRead(ReadScope::kInitial);
           return RetryWhenStoreReachable([this] { Join(); });
         }
+        if (IsReplaced())
+          return store_.RevokeLease(response.lease,
+                                    [](const StoreResponse&) {});
         member_lease_ = response.lease;
         membership_valid_until_ =
             requested_at + response.time_to_live - timing_.lease_margin;
@@ -80,6 +83,8 @@
           return;
         if (response.status == StoreStatus::kOk) {
           seen_fences_in_store_ = seen_fence;
+          own_record_revision_ =
+              std::max(own_record_revision_, response.revision);
           if (then_read) {
             member_written_ = true;
             log_.Write(LogLevel::kInfo, "joined",
@@ -88,7 +93,7 @@
             StartRead(initial_read_done_ ? ReadScope::kMemberKeys
                                          : ReadScope::kInitial);
           }
-          return;
+          return CheckOwnRecord();
         }
         if (response.status == StoreStatus::kNotFound)
           return Join();
@@ -125,13 +130,49 @@
     membership_renewal_due_at_ = BootNow() + connectivity_.ProbeDelay();
     if (response.status != StoreStatus::kNotFound)
       return;
-    log_.Write(LogLevel::kWarning, "membership-lost",
-               {{"lease", std::to_string(lease)}});
-    member_lease_ = 0;
-    Join();
+    LoseMembership("lease-ended");
   });
 }
 
+void EntryControl::LoseMembership(const char* reason) {
+  log_.Write(LogLevel::kWarning, "membership-lost",
+             {{"lease", std::to_string(member_lease_)},
+              {"incarnation", incarnation_},
+              {"why", reason},
+              {"other", foreign_record_.incarnation}});
+  member_lease_ = 0;
+  member_written_ = false;
+  tables_up_to_date_ = false;
+  membership_valid_until_ = {};
+  Join();
+}
+
+void EntryControl::NoteOwnRecord(Revision revision,
+                                 const std::string& incarnation) {
+  if (EraOf(revision) != era_)
+    return;
+  if (incarnation == incarnation_) {
+    own_record_revision_ = std::max(own_record_revision_, revision);
+    return;
+  }
+  if (revision <= foreign_record_.revision)
+    return;
+  const bool was_replaced = IsReplaced();
+  foreign_record_ = {revision, incarnation};
+  CheckOwnRecord();
+  if (was_replaced && !IsReplaced())
+    Join();
+}
+
+void EntryControl::CheckOwnRecord() {
+  // Before this process's write is known, the change may be the end of an
+  // earlier process's record.
+  if (!member_written_ || resigned_ || own_record_revision_ == 0 ||
+      foreign_record_.revision <= own_record_revision_)
+    return;
+  LoseMembership(IsReplaced() ? "replaced" : "removed");
+}
+
 void EntryControl::Resign() {
   resigned_ = true;
   credits_.StopIssuing();
@@ -148,17 +189,21 @@
 void EntryControl::ApplyMember(const VmId& vm, const StoreItem& item) {
   const auto known = view_.members.find(vm);
   const Instant now = BootNow();
-  const auto mark_departed = [&] {
-    member_reports_[MemberIncarnationId(vm, known->second.incarnation)]
-        .departed_at = now;
+  const auto mark_departed = [&](const char* reason) {
+    const std::string& incarnation = known->second.incarnation;
+    member_reports_[MemberIncarnationId(vm, incarnation)].departed_at = now;
+    log_.Write(
+        LogLevel::kInfo, "member-left",
+        {{"vm", vm.value()}, {"incarnation", incarnation}, {"why", reason}});
   };
   if (item.deleted) {
+    if (vm == settings_.vm)
+      NoteOwnRecord(item.revision, "");
     // A member of an earlier era may grant until its own lease expires.
     if (known == view_.members.end() || lapsed_members_.contains(vm))
       return;
-    mark_departed();
+    mark_departed("removed");
     view_.members.erase(known);
-    log_.Write(LogLevel::kInfo, "member-left", {{"vm", vm.value()}});
     return MarkViewChanged();
   }
   // Late news of an earlier era.
@@ -182,6 +227,8 @@
                      {{"vm", vm.value()}, {"findings", error.message}});
           return Endpoint{};
         });
+    if (vm == settings_.vm)
+      NoteOwnRecord(item.revision, member.incarnation);
     GrantReport report;
     for (const auto& [service, fence] : value.at("seen_fence").items())
       report.seen_fence[ServiceId(service)] = fence;
@@ -191,7 +238,7 @@
     const bool replaced = known != view_.members.end() &&
                           known->second.incarnation != member.incarnation;
     if (replaced)
-      mark_departed();
+      mark_departed("replaced");
     if (lapsed_members_.erase(vm) > 0 && replaced)
       lapsed_members_departed_at_ = now;
     MemberReport& known_report =
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -250,6 +250,44 @@
     assert served_fraction(report) > 0.8, report["routes"]
 
 
+# Returns the reasons for which the entry whose keys are taken lost its
+# membership. The entry is the first mover, and the root of the relay, or not.
+def run_with_keys_taken_early(entry):
+    fleet = EntryFleet({"north-a": "north", "north-b": "north"}, 2)
+    # The first target is in the zone of the first entry. It leaves, and serves
+    # on without an answer to releases.
+    report, status = fleet.run(small_scenario(fleet, length_s=18, faults=[
+        {"at_s": 4, "kind": "store-revokes-entry", "entry": entry, "for_s": 7},
+        {"at_s": 4, "kind": "target-ignores-releases", "service": "accounts",
+         "count": 1, "for_s": 13},
+        {"at_s": 4, "kind": "target-leave", "service": "accounts",
+         "count": 1, "for_s": 13}]), first_mover=0)
+    assert report["violations"] == [] and status == 0, report["violations"]
+    assert served_fraction(report) > 0.6, report["routes"]
+    log = fleet.entries[entry].log()
+    assert len([line for line in log if line["event"] == "joined"]) == 2, log
+    lost = [line for line in log if line["event"] == "membership-lost"]
+    left = [line for each in fleet.entries for line in each.log()
+            if line["event"] == "member-left"]
+    assert {line["why"] for line in left} == {"removed"}, left
+    assert {line["incarnation"] for line in left} == {
+        line["incarnation"] for line in lost}, (left, lost)
+    return [line["why"] for line in lost]
+
+
+# Guards against OWNER: an entry that the store turns away, and whose keys it
+# removes before their leases have ended, granted on by its own count while the
+# next mover took it for departed and gave the keys of a silent target away.
+def a_mover_whose_keys_are_taken_early_is_waited_for():
+    assert run_with_keys_taken_early(0) in (["removed"], ["lease-ended"])
+
+
+# Guards against OWNER: an entry granted on after the relay told it that the
+# store had removed its key.
+def an_entry_that_hears_that_its_key_is_gone_stops_granting():
+    assert run_with_keys_taken_early(1) == ["removed"]
+
+
 # Fails if a caller receives a corrupted response of a target instead of a 502.
 def garbled_answers_reach_nobody():
     _, report = run(faults=[
@@ -685,6 +723,8 @@
          a_restored_store_is_followed_in_its_new_era,
          a_zone_without_entries_keeps_one_owner_for_each_key,
          a_rejected_entry_grants_nothing_to_the_next_incarnation,
+         a_mover_whose_keys_are_taken_early_is_waited_for,
+         an_entry_that_hears_that_its_key_is_gone_stops_granting,
          odd_target_entries_stop_no_entry, garbled_answers_reach_nobody,
          a_download_that_breaks_off_looks_broken_off,
          a_target_that_says_it_leaves_gets_nothing_later,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -108,6 +108,12 @@
                        "entry": reborn_rng.randrange(len(fleet.entries)),
                        "at_s": round(reborn_rng.uniform(0.3, LENGTH_S - 9), 2),
                        "for_s": round(reborn_rng.uniform(0.5, 9), 2)})
+    revoke_rng = random.Random(f"revoke {seed}")
+    for _ in range(revoke_rng.choice((0, 0, 1, 2))):
+        faults.append({"kind": "store-revokes-entry",
+                       "entry": revoke_rng.randrange(len(fleet.entries)),
+                       "at_s": round(revoke_rng.uniform(0.3, LENGTH_S - 9), 2),
+                       "for_s": round(revoke_rng.uniform(0.5, 9), 2)})
     actions = []
     indices = list(range(len(fleet.entries)))
     rng.shuffle(indices)
--- a/test/fakes/emulated_store.cc
+++ b/test/fakes/emulated_store.cc
@@ -72,6 +72,11 @@
        key});
 }
 
+void EmulatedStore::RevokeLease(Instant now, std::uint64_t lease) {
+  EndLease(lease);
+  CompleteWatches(now);
+}
+
 void EmulatedStore::Put(const std::string& key, const std::string& value) {
   ++revision_;
   SetItem(key, value, 0);
--- a/test/fakes/emulated_store.h
+++ b/test/fakes/emulated_store.h
@@ -48,6 +48,8 @@
   // since is lost, and so are all leases with their keys. Revisions are given
   // out again, in a new era.
   void Restore(Instant now, Duration age);
+  // Ends a lease at once, with the keys under it.
+  void RevokeLease(Instant now, std::uint64_t lease);
   // Ends all leases, as an outage may.
   void EndAllLeases();
   // Counts the restored copies, from 1.
--- a/test/fakes/emulated_store_server.cc
+++ b/test/fakes/emulated_store_server.cc
@@ -1,6 +1,8 @@
 // The store's connections, and the faults of its answers.
 #include "emulated_store_server.h"
 
+#include <utility>
+
 #include "emulator_scenario.h"
 #include "platform/headers.h"
 
@@ -37,6 +39,11 @@
     rejected_entries_.erase(entry);
 }
 
+void EmulatedStoreServer::RevokeLeasesOf(std::size_t entry) {
+  for (const std::uint64_t lease : std::exchange(opened_leases_[entry], {}))
+    store_.RevokeLease(BootNow(), lease);
+}
+
 void EmulatedStoreServer::Accept(std::size_t entry) {
   acceptors_[entry].async_accept(
       [this, entry](error_code error, boost::asio::ip::tcp::socket socket) {
@@ -88,6 +95,11 @@
       json::parse(request.body(), nullptr, false),
       [this, entry, caller, response_lost,
        method](const EmulatedResponse& store_response) {
+        // Only the answer to a lease's opening names both.
+        const json& body = store_response.body;
+        if (body.is_object() && body.contains("lease") &&
+            body.contains("ttlS_time"))
+          opened_leases_[entry].push_back(body.at("lease"));
         // A watch that was waiting when the entry began to be rejected.
         if (method == "GET" && rejected_entries_.contains(entry))
           SendResponse(caller, {kUnavailable, {}});
--- a/test/fakes/emulated_store_server.h
+++ b/test/fakes/emulated_store_server.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -32,6 +33,8 @@
   void SetFault(const std::string& kind) { fault_ = kind; }
   // Whether the entry's calls get 503 and are not carried out.
   void Reject(std::size_t entry, bool rejected);
+  // Ends the leases that the entry has opened, before their time.
+  void RevokeLeasesOf(std::size_t entry);
   // Number of the calls received.
   std::uint64_t calls() const { return calls_; }
 
@@ -51,6 +54,8 @@
   std::set<std::shared_ptr<CallerConnection>> connections_;
   std::string fault_;
   std::set<std::size_t> rejected_entries_;
+  // Leases that each entry has opened, also those that have ended.
+  std::map<std::size_t, std::vector<std::uint64_t>> opened_leases_;
   std::uint64_t calls_ = 0;
 };
 
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -194,7 +194,7 @@
   started_at_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
                        .count();
-  draining_ = silent_ = says_invalid_ = false;
+  draining_ = silent_ = says_invalid_ = ignores_releases_ = false;
   abort_ratio_ = 0;
   said_ = {};
   rejects_for_.reset();
@@ -327,6 +327,8 @@
     return SendResponse(caller, kMisdirected, true, id);
   if (path == "/grant")
     return OnGrant(caller, request);
+  if (path == "/release" && ignores_releases_)
+    return;
   if (path == "/release")
     return OnRelease(caller, request);
   if (path == "/healthz")
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -115,6 +115,8 @@
   // Stops the target and closes all its connections at once.
   void Crash();
   void SetDraining() { draining_ = true; }
+  // Whether releases are neither carried out nor answered.
+  void SetIgnoresReleases(bool ignores) { ignores_releases_ = ignores; }
   // While silent, the target accepts requests and sends no response.
   void SetSilent(bool silent) { silent_ = silent; }
   // Closes the connection instead of responding, or within the response, for
@@ -172,6 +174,7 @@
   std::uint64_t incarnation_ = 0;
   bool draining_ = false;
   bool silent_ = false;
+  bool ignores_releases_ = false;
   double abort_ratio_ = 0;
   SaidNotices said_;
   std::optional<Duration> rejects_for_;
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -186,6 +186,12 @@
     }
     if (fault.kind == "store-rejects-entry")
       return store_server_.Reject(fault.entry, starts);
+    if (fault.kind == "store-revokes-entry") {
+      store_server_.Reject(fault.entry, starts);
+      if (starts)
+        store_server_.RevokeLeasesOf(fault.entry);
+      return;
+    }
     if (fault.kind == "store-restored" && !starts) {
       store_.Restore(BootNow(), FromSeconds(fault.value));
       // The operator's next desired state follows a moment later.
@@ -228,6 +234,8 @@
           target.Crash();
       } else if (fault.kind == "target-silent") {
         target.SetSilent(starts);
+      } else if (fault.kind == "target-ignores-releases") {
+        target.SetIgnoresReleases(starts);
       } else if (fault.kind == "target-garble") {
         target.SetAbortRatio(starts ? fault.abort_ratio : 0);
       } else if (fault.kind == "target-says-leaving") {
