A member that resigns says that it grants no more

Seen: a member that resigned revoked its lease and sent no report after that, so with the wait for the lease of a departed member, a range of a silent owner waits for 6 s more after each planned stop of a member of its zone.

Cause: EntryControl::SendReport returned once the member had resigned.

Fix: the grant report says that the member sends no more grants, and the member sends it three times, a report interval apart, to all members: it does not follow the store anymore and may not hear which one becomes the mover. Holds count from the report as for a member that has seen the move. The report holds nothing else and is not taken for one of load. Members of an earlier version ignore the field. The receiver logs member-resigned.

Evidence: the unit test of the mover, the encoding, and a process test in which the other entry logs the stopped one's resignation (there is no such line before). How much sooner ranges are free in a rolling update was not measured.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -312,6 +312,9 @@
                         const std::string& incarnation,
                         const GrantReport& report);
   void SendReport(Instant now);
+  // Tells all members that this process sends no more grants, as it may not
+  // hear which one becomes the mover.
+  void SendResignation(Instant now);
   void SendDatagram(const Endpoint& peer,
                     const std::shared_ptr<std::string>& datagram);
   // On the mover: sends all members the limits for keys whose load exceeds
@@ -345,6 +348,8 @@
   platform::StoreClient store_;
   std::mt19937_64 random_;
   bool resigned_ = false;
+  // How often the resignation is still to be sent, as datagrams may be lost.
+  int resignations_left_ = 0;
   bool view_changed_ = false;
 
   // Membership. By this process's clock it is valid until
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -57,6 +57,8 @@
   // How long each owner may still hold keys by the member's grants, counted
   // from the sending of the report.
   std::map<TargetId, Duration> holds_for;
+  // Whether the member has resigned and sends no more grants.
+  bool grants_ended = false;
 
   friend bool operator==(const GrantReport&, const GrantReport&) = default;
 };
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -81,6 +81,8 @@
   // Until when each owner may hold ranges by this member's grants, by the
   // mover's clock.
   std::map<TargetId, Instant> holds_until;
+  // Whether the member has reported that it sends no more grants.
+  bool grants_ended = false;
   // When the mover saw that the membership had ended. The store may have
   // removed it before its lease ended, so the member may grant for up to a
   // lease after that.
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -24,6 +24,8 @@
 // the other one writes the key first.
 constexpr Duration kOutrankedCampaignDelay = std::chrono::milliseconds(500);
 
+constexpr int kResignationCount = 3;
+
 }  // namespace
 
 void EntryControl::Join() {
@@ -175,6 +177,7 @@
 
 void EntryControl::Resign() {
   resigned_ = true;
+  resignations_left_ = kResignationCount;
   credits_.StopIssuing();
   log_.Write(LogLevel::kInfo, "resigning",
              {{"mover", IsMover(BootNow()) ? "yes" : "no"}});
--- a/src/entry_control_peers.cc
+++ b/src/entry_control_peers.cc
@@ -16,6 +16,7 @@
     report.seen_fence[service] = table.last_fence;
   for (const auto& [owner, until] : granter_.HoldExpiries(now))
     report.holds_for[owner] = until - now;
+  report.grants_ended = resigned_;
   return report;
 }
 
@@ -39,6 +40,11 @@
   if (found == member_reports_.end())
     return;
   MemberReport& known = found->second;
+  if (report.grants_ended && !known.grants_ended) {
+    known.grants_ended = true;
+    log_.Write(LogLevel::kInfo, "member-resigned",
+               {{"vm", vm.value()}, {"incarnation", incarnation}});
+  }
   for (const auto& [service, fence] : report.seen_fence) {
     std::uint64_t& seen = known.seen_fence[service];
     seen = std::max(seen, fence);
@@ -53,11 +59,31 @@
   }
 }
 
+void EntryControl::SendResignation(Instant now) {
+  if (resignations_left_ == 0 ||
+      now - load_reported_at_ < timing_.report_interval)
+    return;
+  --resignations_left_;
+  load_reported_at_ = now;
+  LoadReport report;
+  report.vm = settings_.vm;
+  report.incarnation = incarnation_;
+  report.grants = MakeGrantReport(now);
+  const auto datagram =
+      std::make_shared<std::string>(EncodePeerDatagram(std::move(report)));
+  for (const auto& [vm, member] : view_.members) {
+    if (vm != settings_.vm && member.peer_endpoint.port != 0)
+      SendDatagram(member.peer_endpoint, datagram);
+  }
+}
+
 void EntryControl::SendReport(Instant now) {
+  if (resigned_)
+    return SendResignation(now);
   const bool due = now - load_reported_at_ >= timing_.report_interval ||
                    reported_table_changes_ != table_change_count_ ||
                    reported_notices_ != notices_.notices().changes();
-  if (!due || resigned_ || !initial_read_done_)
+  if (!due || !initial_read_done_)
     return;
   load_reported_at_ = now;
   reported_table_changes_ = table_change_count_;
@@ -167,6 +193,9 @@
                 if (auto* report = std::get_if<LoadReport>(&datagram)) {
                   MergeGrantReport(now, report->vm, report->incarnation,
                                    report->grants);
+                  // It carries nothing but the grants.
+                  if (report->grants.grants_ended)
+                    return {};
                   for (const ReportedNotice& notice : report->notices)
                     notices_.OnReport(now, report->vm, notice);
                   load_aggregator_.OnReport(now, std::move(*report));
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -87,6 +87,8 @@
   owners @2 :List(Text);
   # Microseconds from the sending of the report.
   holdsFor @3 :List(UInt64);
+  # Whether the process has resigned: it sends no more grants.
+  grantsEnded @4 :Bool;
 }
 
 struct ServiceHeat {
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -5,9 +5,6 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
-#if !CAPNP_LITE
-#include <capnp/capability.h>
-#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
@@ -160,7 +157,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c740a834351a2a83, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c740a834351a2a83, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1098,6 +1095,8 @@
   inline bool hasHoldsFor() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getHoldsFor() const;
 
+  inline bool getGrantsEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1158,6 +1157,9 @@
   inline void adoptHoldsFor(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownHoldsFor();
 
+  inline bool getGrantsEnded();
+  inline void setGrantsEnded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3105,6 +3107,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool GrantReport::Reader::getGrantsEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantReport::Builder::getGrantsEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GrantReport::Builder::setGrantsEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServiceHeat::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peer_datagram.cc
+++ b/src/peer_datagram.cc
@@ -38,6 +38,7 @@
     ids.set(index, owner.value());
     times.set(index++, static_cast<std::uint64_t>(time.count()));
   }
+  out.setGrantsEnded(report.grants_ended);
 }
 
 GrantReport Read(wire::GrantReport::Reader in) {
@@ -51,6 +52,7 @@
   for (unsigned i = 0; i < std::min(ids.size(), times.size()); ++i)
     report.holds_for[TargetId(std::string(ids[i]))] =
         Duration(static_cast<Duration::rep>(times[i]));
+  report.grants_ended = in.getGrantsEnded();
   return report;
 }
 
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -177,7 +177,8 @@
   }
   for (const auto& [incarnation_id, member] : *input.members) {
     const auto seen = member.seen_fence.find(service_);
-    if (seen != member.seen_fence.end() && seen->second >= entry.fence) {
+    if (member.grants_ended ||
+        (seen != member.seen_fence.end() && seen->second >= entry.fence)) {
       const auto until = member.holds_until.find(entry.owner.id);
       if (until != member.holds_until.end() && input.now < until->second)
         return false;
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -288,6 +288,18 @@
     assert run_with_keys_taken_early(1) == ["removed"]
 
 
+# Guards against a move that waits for the lease of an entry that has stopped:
+# it tells the others that it sends no more grants.
+def an_entry_that_stops_says_that_it_grants_no_more():
+    fleet, _ = run(length_s=8, entries=1,
+                   actions=[signal_entry(LEAD_S + 3, 0, TERMINATE)])
+    stopped = [line["incarnation"] for line in fleet.entries[0].log()
+               if line["event"] == "joined"]
+    resigned = [line["incarnation"] for line in fleet.entries[1].log()
+                if line["event"] == "member-resigned"]
+    assert resigned == stopped, (resigned, stopped)
+
+
 # Fails if a caller receives a corrupted response of a target instead of a 502.
 def garbled_answers_reach_nobody():
     _, report = run(faults=[
@@ -725,6 +737,7 @@
          a_rejected_entry_grants_nothing_to_the_next_incarnation,
          a_mover_whose_keys_are_taken_early_is_waited_for,
          an_entry_that_hears_that_its_key_is_gone_stops_granting,
+         an_entry_that_stops_says_that_it_grants_no_more,
          odd_target_entries_stop_no_entry, garbled_answers_reach_nobody,
          a_download_that_breaks_off_looks_broken_off,
          a_target_that_says_it_leaves_gets_nothing_later,
--- a/test/peer_datagram_test.cc
+++ b/test/peer_datagram_test.cc
@@ -37,6 +37,7 @@
   report.targets[TargetId("t1")] = {milliseconds(80), 12};
   report.grants.seen_fence[kService] = 12;
   report.grants.holds_for[TargetId("t2")] = milliseconds(1500);
+  report.grants.grants_ended = true;
   report.notices = {
       {{TargetId("t1"), 1786139964622}, true, {}},
       {{TargetId("t2"), 5}, false, LimitStatement{3.8, milliseconds(70)}},
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -218,6 +218,23 @@
   CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
 }
 
+// Guards against a wait for the lease of a member that has resigned, and has
+// not seen the move.
+TEST_CASE("of a member that has resigned only the holds are waited for") {
+  MoverFixture fixture({"t1", "t2"});
+  MemberReport& member = fixture.members["m1#a"];
+  member.departed_at = fixture.now;
+  member.grants_ended = true;
+  member.holds_until[TargetId(fixture.OwnerOf(0))] =
+      fixture.now + milliseconds(1401);
+  fixture.LoseOwnerOf(0);
+  fixture.Advance(milliseconds(999));
+  CHECK(fixture.table().Find(0)->phase != RangePhase::kSettled);
+  fixture.Advance(milliseconds(1));
+  fixture.Advance(milliseconds(100));
+  CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
+}
+
 // Guards against a wait for the lease of a process whose VM has started another
 // one in its place.
 TEST_CASE("a process whose endpoint another one has taken grants no more") {
