The first table of an era is refused if its writer missed a join

A member that was cut off from the store while it came back from a copy joins again with a table of the earlier era and grants by it. The mover, which knows no table and has waited, may write the first table of the era before its copy contains that join, and the grants outlast it.

A member that joins with tables of an earlier era now writes a key with its record, in one transaction (`RejoinKey`), and the write of an era's first table, assigned anew or continued, names that key's revision as a condition. Either the mover's copy contains the join (then it steps down for a newer table, or waits for the member's grants once it has left), or the store refuses the table, or the member reads the table before it grants. A member that joined and left between two updates of the copy leaves the key behind: ranges are assigned anew only once grants sent until then have expired. That replaces the condition on the copy's age. A refused write is not repeated before the copy contains the join.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -138,6 +138,9 @@
     bool write_in_progress = false;
     bool read_in_progress = false;
     std::set<ReleaseRequest> releases_in_flight;
+    // Revision of the join for which the store refused the first table of the
+    // era. The next write waits until this copy contains it.
+    Revision unseen_rejoin = 0;
   };
   // Which keys one read operation covers.
   enum class ReadScope {
@@ -168,6 +171,8 @@
   void Join();
   void RecordMemberCounts(Instant now);
   void WriteMember(bool then_read);
+  // Whether this member has a table that the store lost in an earlier era.
+  bool HasEarlierTables() const;
   void RenewMembership(Instant now);
   // Takes a change of this member's record that the store or a relay reports.
   // `incarnation` is empty if the record was removed.
@@ -216,6 +221,7 @@
   // Applies a key of this era that members write under conditions.
   void ApplyConditionalKey(const StoreItem& item);
   void ApplyMover(const StoreItem& item);
+  void ApplyRejoin(const StoreItem& item);
   void ApplyDesiredState(const StoreItem& item);
   void LogTarget(const TargetEntry& entry, bool joined, Revision revision);
   bool ApplyTarget(const std::string& id, const StoreItem& item);
@@ -396,6 +402,10 @@
   // Whether the store has a table of an earlier era, or may have lost one while
   // this process ran.
   bool earlier_tables_exist_ = false;
+  // Revision of the era's last join of a member with earlier tables, and when
+  // this process saw it.
+  Revision rejoin_revision_ = 0;
+  std::optional<Instant> rejoin_seen_at_;
   TargetHistory target_history_;
 
   StoreCopy copy_;
--- a/include/figstall/first_assignment.h
+++ b/include/figstall/first_assignment.h
@@ -7,6 +7,9 @@
 // the table, and a process that this one doesn't know may grant by it: until
 // the membership of the earlier era ends, which was last renewed before the
 // store came back. The mover waits until the last of those grants has expired.
+// A member that joins again with an earlier table grants on by it, under any
+// later membership. The store refuses the write of a table whose writer has not
+// seen the last of them join.
 #ifndef FIGSTALL_FIRST_ASSIGNMENT_H_
 #define FIGSTALL_FIRST_ASSIGNMENT_H_
 
@@ -41,9 +44,9 @@
   // When this process noticed that the store came back from a copy; empty if it
   // never did.
   std::optional<Instant> restored_at;
-  // The last moment whose members this process is known to have seen; empty if
-  // its copy was never confirmed.
-  std::optional<Instant> copy_confirmed_at;
+  // When this process last saw that a member had joined with an earlier table;
+  // empty if none did. One that it did not see join had departed by then.
+  std::optional<Instant> rejoin_seen_at;
   // All members that this process has known, also the departed ones.
   const MemberReports* members = nullptr;
 };
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -17,6 +17,7 @@
 using detail::kMembersPrefix;
 using detail::kOwnPrefix;
 using detail::MoverKey;
+using detail::RejoinKey;
 using detail::TablesPrefix;
 using platform::StoreStatus;
 
@@ -170,6 +171,8 @@
   }
   lapsed_members_departed_at_.reset();
   earlier_tables_exist_ = true;
+  rejoin_revision_ = 0;
+  rejoin_seen_at_.reset();
   mover_key_exists_ = false;
   campaign_at_.reset();
   if (mover_lease_ != 0)
@@ -202,6 +205,8 @@
   const std::string tables_prefix = TablesPrefix(*era_);
   if (item.key == MoverKey(*era_))
     ApplyMover(item);
+  else if (item.key == RejoinKey(*era_))
+    ApplyRejoin(item);
   else if (StartsWith(item.key, tables_prefix))
     ApplyTable(ServiceId(item.key.substr(tables_prefix.size())), item);
   else if (!item.deleted && StartsWith(item.key, kOwnPrefix))
@@ -215,6 +220,13 @@
     StepDownAsMover("key-removed");
 }
 
+void EntryControl::ApplyRejoin(const StoreItem& item) {
+  if (item.revision <= rejoin_revision_)
+    return;
+  rejoin_revision_ = item.revision;
+  rejoin_seen_at_ = BootNow();
+}
+
 void EntryControl::ApplyDesiredState(const StoreItem& item) {
   if (item.deleted)
     return;
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -14,6 +14,7 @@
 using detail::kMembersPrefix;
 using detail::MemberIncarnationId;
 using detail::MoverKey;
+using detail::RejoinKey;
 using nlohmann::json;
 using platform::StoreStatus;
 
@@ -58,6 +59,14 @@
       });
 }
 
+bool EntryControl::HasEarlierTables() const {
+  const auto& tables = granter_.tables();
+  return std::any_of(tables.begin(), tables.end(), [this](const auto& each) {
+    const auto state = movers_.find(each.first);
+    return state == movers_.end() || state->second.revision == 0;
+  });
+}
+
 void EntryControl::WriteMember(bool then_read) {
   const Instant now = BootNow();
   const GrantReport report = MakeGrantReport(now);
@@ -72,12 +81,16 @@
       {"incarnation", incarnation_},    {"capacity", settings_.capacity_cores},
       {"era", era_.value_or(0)},        {"seen_fence", seen},
       {"holds_for_us", holds}};
+  std::vector<platform::StoreWrite> writes = {
+      {kMembersPrefix + settings_.vm.value(), value.dump(), member_lease_}};
+  const bool has_earlier_tables = HasEarlierTables();
+  if (then_read && has_earlier_tables)
+    writes.push_back(
+        {RejoinKey(*era_), MemberIncarnationId(settings_.vm, incarnation_), 0});
   writing_member_ = true;
   store_.Write(
-      {},
-      {{kMembersPrefix + settings_.vm.value(), value.dump(), member_lease_}},
-      {},
-      [this, then_read, lease = member_lease_,
+      {}, writes, {},
+      [this, then_read, has_earlier_tables, lease = member_lease_,
        seen_fence = report.seen_fence](const StoreResponse& response) {
         RecordStoreCall(response, "write-member");
         writing_member_ = false;
@@ -91,7 +104,8 @@
             member_written_ = true;
             log_.Write(LogLevel::kInfo, "joined",
                        {{"lease", std::to_string(member_lease_)},
-                        {"incarnation", incarnation_}});
+                        {"incarnation", incarnation_},
+                        {"earlier_tables", has_earlier_tables ? "yes" : "no"}});
             StartRead(initial_read_done_ ? ReadScope::kMemberKeys
                                          : ReadScope::kInitial);
           }
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -13,6 +13,7 @@
 using detail::FenceFloor;
 using detail::kFirstEra;
 using detail::MoverKey;
+using detail::RejoinKey;
 using detail::TablesPrefix;
 using platform::StoreStatus;
 
@@ -113,8 +114,7 @@
   input.earlier_table_exists = earlier_tables_exist_;
   input.members_known_since = members_known_since_;
   input.restored_at = restored_at_;
-  if (const auto staleness = Staleness(now))
-    input.copy_confirmed_at = now - *staleness;
+  input.rejoin_seen_at = rejoin_seen_at_;
   input.members = &member_reports_;
   return input;
 }
@@ -144,7 +144,8 @@
     MoverState& state = movers_[service];
     const RangeMover& mover = MoverOf(service);
     SendReleases(service, state);
-    if (state.write_in_progress || state.read_in_progress)
+    if (state.write_in_progress || state.read_in_progress ||
+        state.unseen_rejoin > rejoin_revision_)
       continue;
     std::optional<FirstAssignmentBasis> first_assignment;
     if (mover.table().entries.empty()) {
@@ -226,9 +227,12 @@
   MoverState& state = movers_[service];
   state.write_in_progress = true;
   const std::string key = TablesPrefix(*era_) + service.value();
+  std::vector<platform::StoreCondition> conditions = {
+      {MoverKey(*era_), mover_key_revision_}, {key, state.revision}};
+  if (state.revision == 0)
+    conditions.push_back({RejoinKey(*era_), rejoin_revision_});
   store_.Write(
-      {{MoverKey(*era_), mover_key_revision_}, {key, state.revision}},
-      {{key, EncodeRangeTable(next), 0}}, {},
+      conditions, {{key, EncodeRangeTable(next), 0}}, {},
       [this, service, next, key, era = era_,
        requested_at = BootNow()](const StoreResponse& response) {
         RecordStoreCall(response, "write-ranges");
@@ -247,6 +251,10 @@
           granter_.OnTableConfirmed(service, requested_at);
           return ProcessChanges();
         }
+        for (const StoreItem& item : response.items) {
+          if (item.key == RejoinKey(*era_))
+            current.unseen_rejoin = item.revision;
+        }
         if (response.status == StoreStatus::kConflict &&
             std::none_of(response.items.begin(), response.items.end(),
                          [this](const StoreItem& item) {
--- a/src/first_assignment.cc
+++ b/src/first_assignment.cc
@@ -32,14 +32,13 @@
   }
   if (input.first_start)
     return FirstAssignmentBasis::kFirstStart;
-  const Instant memberships_end =
-      std::max(input.members_known_since,
-               input.restored_at.value_or(input.members_known_since)) +
-      timing.membership_lease_duration;
-  // A member that joined again in time grants on, and is waited for as one that
-  // is known.
-  if (input.copy_confirmed_at < memberships_end ||
-      input.now < memberships_end + timing.MaxHoldFromSend())
+  Instant last_unknown_member_at = input.members_known_since;
+  for (const auto& event : {input.restored_at, input.rejoin_seen_at}) {
+    if (event)
+      last_unknown_member_at = std::max(last_unknown_member_at, *event);
+  }
+  if (input.now < last_unknown_member_at + timing.membership_lease_duration +
+                      timing.MaxHoldFromSend())
     return std::nullopt;
   return table_known ? FirstAssignmentBasis::kWaited
                      : FirstAssignmentBasis::kKnownToNone;
--- a/src/store_keys.h
+++ b/src/store_keys.h
@@ -33,6 +33,12 @@
 inline std::string MoverKey(std::uint64_t era) {
   return ConditionalPrefix(era) + "mover";
 }
+// Key that each member writes together with its record when it joins with
+// tables of an earlier era, by which it grants from then on. The write of an
+// era's first table has its revision as a condition.
+inline std::string RejoinKey(std::uint64_t era) {
+  return ConditionalPrefix(era) + "rejoined";
+}
 // Fencing tokens of an era are above this, and so above those of all earlier
 // eras, whoever issued them.
 inline std::uint64_t FenceFloor(std::uint64_t era) {
--- a/test/first_assignment_test.cc
+++ b/test/first_assignment_test.cc
@@ -13,8 +13,8 @@
 const ServiceId kService("accounts");
 const Instant kStart{seconds(1000)};
 
-// A process that started after the system did, knows the members since
-// `kStart` and whose copy of the store is current.
+// A process that started after the system did and knows the members since
+// `kStart`.
 struct Mover {
   FirstAssignmentInput input;
   MemberReports members;
@@ -23,8 +23,6 @@
   Mover() { input.members_known_since = kStart; }
   std::optional<FirstAssignmentBasis> At(Instant now) {
     input.now = now;
-    if (!copy_ends_at || now < *copy_ends_at)
-      input.copy_confirmed_at = now;
     input.members = &members;
     return MayAssignAnew(kService, input, timing);
   }
@@ -32,8 +30,6 @@
   Instant GrantsEnd(Instant since) const {
     return since + timing.membership_lease_duration + timing.MaxHoldFromSend();
   }
-  // From then on, the copy is not confirmed.
-  std::optional<Instant> copy_ends_at;
 };
 
 }  // namespace
@@ -93,18 +89,16 @@
   CHECK(mover.At(kStart + seconds(600)) == FirstAssignmentBasis::kKnownToNone);
 }
 
-// Guards against OWNER: the mover's copy of the store lacked a member that had
-// joined again and granted by an earlier table.
-TEST_CASE("ranges are assigned anew by a copy that has all who joined again") {
+// Guards against OWNER: a member joined again, granted by an earlier table and
+// left between two updates of the mover's copy of the store.
+TEST_CASE("a member that joined again and left unseen is waited for") {
   Mover mover;
-  mover.copy_ends_at = kStart + mover.timing.membership_lease_duration;
-  CHECK_FALSE(mover.At(mover.GrantsEnd(kStart) - milliseconds(1)));
-  CHECK_FALSE(mover.At(kStart + seconds(600)));
-  mover.copy_ends_at.reset();
-  CHECK(mover.At(kStart + seconds(601)) == FirstAssignmentBasis::kKnownToNone);
-  mover.input.copy_confirmed_at.reset();
-  mover.copy_ends_at = kStart;
-  CHECK_FALSE(mover.At(kStart + seconds(602)));
+  const Instant seen_at = kStart + seconds(9);
+  mover.input.rejoin_seen_at = seen_at;
+  const Instant grants_end = mover.GrantsEnd(seen_at);
+  CHECK(grants_end > mover.GrantsEnd(kStart));
+  CHECK_FALSE(mover.At(grants_end - milliseconds(1)));
+  CHECK(mover.At(grants_end) == FirstAssignmentBasis::kKnownToNone);
 }
 
 }  // namespace figstall
