Each release has a connection of its own, beside the others

Since an answer to a release counts only if it is proved, each release opens a connection. They took turns on one channel for each owner, so that a move of twelve ranges waited for twelve connections and for the running work of each range in turn. Each release has a channel now; channels for orders are made in one place.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -335,12 +335,10 @@
                            const CreditRequest& request,
                            const boost::asio::ip::udp::endpoint& sender);
   void ReceiveDatagrams();
-  std::shared_ptr<HttpChannel> ChannelTo(const TargetId& owner,
-                                         const Endpoint& address);
-  // Releases have channels of their own, so that none waits for a grant or ends
-  // the connection for grants.
-  std::shared_ptr<HttpChannel> ReleaseChannelTo(const TargetId& owner,
+  // Returns a channel for grants or releases.
+  std::shared_ptr<HttpChannel> MakeOrderChannel(const TargetId& target,
                                                 const Endpoint& address);
+  HttpChannel& GrantChannelTo(const TargetId& owner, const Endpoint& address);
   // `target` is empty for the store.
   void OnStrayBytes(const std::string& target, StrayBytes where);
   void RunAfter(Duration delay, std::function<void()> task);
@@ -469,9 +467,7 @@
   std::map<std::pair<ServiceId, ShardKey>, std::uint64_t> logged_grants_;
   bool granting_ = false;
   std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
-      channels_;
-  std::map<std::pair<TargetId, Endpoint>, std::shared_ptr<HttpChannel>>
-      release_channels_;
+      grant_channels_;
 };
 
 }  // namespace figstall
--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -21,42 +21,35 @@
 
 }  // namespace
 
-std::shared_ptr<HttpChannel> EntryControl::ChannelTo(const TargetId& owner,
-                                                     const Endpoint& address) {
-  auto& channel = channels_[{owner, address}];
-  if (!channel) {
-    channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
-    channel->LimitDelivery();
-    channel->SetDisconnectHandler(
-        [this, owner] { granter_.OnConnectionLost(BootNow(), owner); });
-    channel->SetLimitHandler([this, owner](const ExceededLimit& limit) {
-      log_.Write(LogLevel::kWarning, "response-over-limit",
-                 {{"target", owner.value()},
-                  {"source", "order"},
-                  {"place", limit.place},
-                  {"limit", limit.bound()}});
-      ++metrics_.Counter("figstall_responses_over_limit_total",
-                         fmt::format("place=\"{}\"", limit.place));
-    });
-    channel->SetStrayBytesHandler([this, owner](StrayBytes where) {
-      OnStrayBytes(owner.value(), where);
-    });
-  }
+std::shared_ptr<HttpChannel> EntryControl::MakeOrderChannel(
+    const TargetId& target,
+    const Endpoint& address) {
+  const auto channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
+  channel->LimitDelivery();
+  channel->SetLimitHandler([this, target](const ExceededLimit& limit) {
+    log_.Write(LogLevel::kWarning, "response-over-limit",
+               {{"target", target.value()},
+                {"source", "order"},
+                {"place", limit.place},
+                {"limit", limit.bound()}});
+    ++metrics_.Counter("figstall_responses_over_limit_total",
+                       fmt::format("place=\"{}\"", limit.place));
+  });
+  channel->SetStrayBytesHandler([this, target](StrayBytes where) {
+    OnStrayBytes(target.value(), where);
+  });
   return channel;
 }
 
-std::shared_ptr<HttpChannel> EntryControl::ReleaseChannelTo(
-    const TargetId& owner,
-    const Endpoint& address) {
-  auto& channel = release_channels_[{owner, address}];
+HttpChannel& EntryControl::GrantChannelTo(const TargetId& owner,
+                                          const Endpoint& address) {
+  auto& channel = grant_channels_[{owner, address}];
   if (!channel) {
-    channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
-    channel->LimitDelivery();
-    channel->SetStrayBytesHandler([this, owner](StrayBytes where) {
-      OnStrayBytes(owner.value(), where);
-    });
+    channel = MakeOrderChannel(owner, address);
+    channel->SetDisconnectHandler(
+        [this, owner] { granter_.OnConnectionLost(BootNow(), owner); });
   }
-  return channel;
+  return *channel;
 }
 
 void EntryControl::OnStrayBytes(const std::string& target, StrayBytes where) {
@@ -133,7 +126,7 @@
       return decision == SendDecision::kSend;
     };
     platform::SendGrant(
-        *ChannelTo(request.owner.id, request.address), request,
+        GrantChannelTo(request.owner.id, request.address), request,
         settings_.grant_timing.call_timeout, may_send,
         [this, request, queued_at = now](GrantOutcome outcome,
                                          const TargetNotice& notice,
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -290,7 +290,7 @@
     if (!state.releases_in_flight.insert(request).second)
       continue;
     platform::SendRelease(
-        *ReleaseChannelTo(request.owner.id, request.address), request,
+        *MakeOrderChannel(request.owner.id, request.address), request,
         kReleaseTimeout,
         [this, service, request, requested_at = BootNow()](
             platform::ReleaseOutcome outcome, const std::string& handover,
