--- a/test/http_channel_bounds_test.cc
+++ b/test/http_channel_bounds_test.cc
@@ -1,5 +1,6 @@
 // Tests that a peer which sends bytes without end exceeds a limit of the
 // channel that called it, wherever in a response these bytes are.
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -17,7 +18,8 @@
 // the test.
 constexpr std::size_t kMaxEndlessBytes = 64 * 1024 * 1024;
 
-// Writes `before`, then `repeated` again and again until the other side closes.
+// Answers a request with `before`, then `repeated` again and again until the
+// other side closes.
 class EndlessPeer {
  public:
   EndlessPeer(boost::asio::io_context& io,
@@ -27,8 +29,11 @@
         socket_(io),
         next_(std::move(before)),
         repeated_(std::move(repeated)) {
-    acceptor_.async_accept(socket_,
-                           [this](boost::system::error_code) { WriteMore(); });
+    acceptor_.async_accept(socket_, [this](boost::system::error_code) {
+      socket_.async_read_some(
+          boost::asio::buffer(request_),
+          [this](boost::system::error_code, std::size_t) { WriteMore(); });
+    });
   }
 
   Endpoint address() const {
@@ -51,6 +56,7 @@
 
   tcp::acceptor acceptor_;
   tcp::socket socket_;
+  std::array<char, 4096> request_;
   std::string next_;
   const std::string repeated_;
   std::size_t written_ = 0;
