A grant that was not sent does not end the count of one under way

Since grants in flight are kept one by one, the outcome of a grant that never left took the bound of an equal one that was still under way, and the mover would not have waited for it. Orders to one address go one at a time, so it is not known to have happened.

Evidence: the new case of range_granter_test.cc fails without the condition (1 of 8 cases) and passes with it.

--- a/src/range_granter.cc
+++ b/src/range_granter.cc
@@ -131,7 +131,7 @@
   }
   OwnerState& owner = owners_[request.owner.id];
   const auto [sent, last_sent] = owner.in_flight.equal_range(request);
-  if (sent != last_sent) {
+  if (outcome != GrantOutcome::kNotSent && sent != last_sent) {
     // The grant arrived before its response or, without a response, before its
     // connection was reset.
     const Instant arrival =
--- a/test/range_granter_test.cc
+++ b/test/range_granter_test.cc
@@ -159,6 +159,23 @@
         later + timing.MaxHoldFromArrival());
 }
 
+// Guards against OWNER: a grant that never left ended the count of an equal one
+// that was still under way.
+TEST_CASE("a grant that was not sent does not end the count of another") {
+  const GrantTiming timing;
+  GranterFixture fixture;
+  fixture.granter.OnTableConfirmed(kService, kStart);
+  const auto due = fixture.TakeDueGrants(kStart);
+  REQUIRE(due.size() == 1);
+  REQUIRE(fixture.granter.TryBeginSend(kStart, due.front(), kStart) ==
+          SendDecision::kSend);
+  fixture.granter.OnOutcome(kStart, due.front(), GrantOutcome::kNotSent,
+                            AnswerProof::kConnectionReset);
+  const Instant later = kStart + milliseconds(1000);
+  CHECK(fixture.granter.HoldExpiry(later, kOwner.id) ==
+        later + timing.MaxHoldFromArrival());
+}
+
 // The mover sends the first grant of an entry, and stays the one to send it.
 TEST_CASE("a withdrawn first grant is still the first") {
   GranterFixture fixture;
