Random runs isolate targets while answers come twice or keys are taken early

Two mutations were not found anymore once the fixes for late answers and for departed members were together (kUnprovedAnswersCount in 4,000 runs, kNoLeaseWait with zones in 400): each fix adds a wait that hides what the other mutation removes. In those runs a target is now reached by one member alone for some seconds while its ranges move, and a grant whose place a second answer takes is on its way for longer. Both mutations are found again, in the same number of runs; no run's check changed.

--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -247,6 +247,8 @@
     }
     if (options_.keys_taken_early && Chance(0.01))
       TakeKeysEarly();
+    if (options_.second_answer_share > 0 && Chance(0.01))
+      IsolateTarget(static_cast<int>(RandomBelow(kMembers)));
     if (options_.zone_loses_members && !zone_without_members_ &&
         Chance(0.004)) {
       zone_without_members_ = ZoneOf(static_cast<int>(RandomBelow(2)));
@@ -264,10 +266,30 @@
     }
   }
 
+  // The ranges of one target move, and for some seconds only member `i` reaches
+  // it.
+  void IsolateTarget(int i) {
+    const int target = static_cast<int>(RandomBelow(kTargets));
+    targets_[target].reaches_store = false;
+    for (int other = 0; other < kMembers; ++other) {
+      if (other == i)
+        members_[other].unreachable_targets.erase(target);
+      else
+        members_[other].unreachable_targets.insert(target);
+    }
+    Schedule(milliseconds(3000 + RandomBelow(9000)), [this, target] {
+      targets_[target].reaches_store = true;
+      for (Member& member : members_)
+        member.unreachable_targets.erase(target);
+    });
+  }
+
   void TakeKeysEarly() {
     const int i = static_cast<int>(RandomBelow(kMembers));
     if (!members_[i].running)
       return;
+    if (Chance(0.5))
+      IsolateTarget(i);
     members_[i].reaches_store = false;
     membership_expiries_.erase(members_[i].id);
     if (mover_id_ == members_[i].id)
@@ -497,8 +519,12 @@
       return ScheduleOutcome(i, timing_.call_timeout, request,
                              GrantOutcome::kUnknown);
     }
-    const Duration travel =
-        Chance(0.1) ? timing_.call_timeout - kStep : RandomDelay();
+    const bool second_answer = connection.served_orders &&
+                               options_.second_answer_share > 0 &&
+                               Chance(options_.second_answer_share);
+    const Duration travel = Chance(second_answer ? 0.5 : 0.1)
+                                ? timing_.call_timeout - kStep
+                                : RandomDelay();
     const bool answered = Chance(0.9) && travel < milliseconds(400);
     Schedule(travel, [this, target, request, connection] {
       ApplyGrant(target, connection, request, now_);
@@ -507,8 +533,7 @@
                         mutation_ == Mutation::kUnprovedAnswersCount;
     const AnswerProof proof =
         proved ? AnswerProof::kFirstOnConnection : AnswerProof::kNone;
-    if (connection.served_orders && options_.second_answer_share > 0 &&
-        Chance(options_.second_answer_share))
+    if (second_answer)
       return ScheduleOutcome(i, RandomDelay(), request, GrantOutcome::kGranted,
                              proof);
     ScheduleOutcome(i, answered ? travel + RandomDelay() : timing_.call_timeout,
