A record that is written late ends no later process

What targets could see: two holders (OWNER). A process counts as ended once another one of its VM uses its endpoint. Which of the two is the later one was taken from the order of their records, but a call without an answer may be carried out seconds later: the record of a process that was killed then ended the one that runs in its place, for good, and no move waited for its grants. The record names the start of its process now, and ends only those that started earlier. A time of day that steps back only makes the mover wait longer, unless a late write comes too.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -347,6 +347,7 @@
   boost::asio::io_context& io_;
   const EntrySettings& settings_;
   const std::string incarnation_;
+  const std::int64_t started_at_ms_;
   const ControlTiming timing_;
   EntryView& view_;
   EntryTraffic& traffic_;
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -89,6 +89,9 @@
   std::optional<Instant> departed_at;
   // Where the process receives datagrams.
   Endpoint peer_endpoint;
+  // When the process started, by its VM's time of day, in Unix milliseconds; 0
+  // if that is not known.
+  std::int64_t started_at_ms = 0;
   // When the mover knew that the process had ended.
   std::optional<Instant> ended_at;
 
@@ -104,14 +107,13 @@
 using MemberReports = std::map<std::string, MemberReport>;
 
 // Records which earlier processes have ended, given that the VM's process
-// `incarnation` listens at its endpoint. Another process there has ended; one
-// at another endpoint may run on, as two VMs bear one name while one replaces
-// the other. `prefix` is the part of the keys that all processes of the VM
-// share.
+// `incarnation_id` listens at its endpoint. One that started there earlier has
+// ended; one at another endpoint may run on, as two VMs bear one name while one
+// replaces the other. A record may be written late, so its order proves
+// nothing. `prefix` is the part of the keys that all processes of the VM share.
 void MarkEndedProcesses(Instant now,
                         const std::string& prefix,
                         const std::string& incarnation_id,
-                        const Endpoint& peer_endpoint,
                         MemberReports& reports);
 
 struct MoverInput {
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -46,6 +46,9 @@
     : io_(io),
       settings_(settings),
       incarnation_(std::move(incarnation)),
+      started_at_ms_(std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count()),
       view_(view),
       traffic_(traffic),
       notices_(notices),
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -76,11 +76,14 @@
   json seen = json::object();
   for (const auto& [service, fence] : report.seen_fence)
     seen[service.value()] = fence;
-  const json value = {
-      {"zone", settings_.zone.value()}, {"peers", settings_.peers.ToString()},
-      {"incarnation", incarnation_},    {"capacity", settings_.capacity_cores},
-      {"era", era_.value_or(0)},        {"seen_fence", seen},
-      {"holds_for_us", holds}};
+  const json value = {{"zone", settings_.zone.value()},
+                      {"peers", settings_.peers.ToString()},
+                      {"incarnation", incarnation_},
+                      {"started_at_ms", started_at_ms_},
+                      {"capacity", settings_.capacity_cores},
+                      {"era", era_.value_or(0)},
+                      {"seen_fence", seen},
+                      {"holds_for_us", holds}};
   std::vector<platform::StoreWrite> writes = {
       {kMembersPrefix + settings_.vm.value(), value.dump(), member_lease_}};
   const bool has_earlier_tables = HasEarlierTables();
@@ -263,12 +266,10 @@
     known_report.zone = member.zone;
     known_report.departed_at.reset();
     known_report.peer_endpoint = member.peer_endpoint;
-    // Port 0 stands for an address that could not be read.
-    if (member.peer_endpoint.port != 0) {
-      MarkEndedProcesses(now, MemberIncarnationId(vm, ""),
-                         MemberIncarnationId(vm, member.incarnation),
-                         member.peer_endpoint, member_reports_);
-    }
+    known_report.started_at_ms = value.value("started_at_ms", std::int64_t{0});
+    MarkEndedProcesses(now, MemberIncarnationId(vm, ""),
+                       MemberIncarnationId(vm, member.incarnation),
+                       member_reports_);
     MergeGrantReport(now, vm, member.incarnation, report);
     if (known != view_.members.end() && known->second == member)
       return;
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -25,13 +25,16 @@
 void MarkEndedProcesses(Instant now,
                         const std::string& prefix,
                         const std::string& incarnation_id,
-                        const Endpoint& peer_endpoint,
                         MemberReports& reports) {
+  const auto found = reports.find(incarnation_id);
+  if (found == reports.end() || found->second.peer_endpoint.port == 0)
+    return;
   for (auto each = reports.lower_bound(prefix);
        each != reports.end() && each->first.starts_with(prefix); ++each) {
     MemberReport& earlier = each->second;
-    if (each->first != incarnation_id && !earlier.ended_at &&
-        earlier.peer_endpoint == peer_endpoint)
+    if (!earlier.ended_at &&
+        earlier.started_at_ms < found->second.started_at_ms &&
+        earlier.peer_endpoint == found->second.peer_endpoint)
       earlier.ended_at = now;
   }
 }
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -244,8 +244,12 @@
   MemberReport& earlier = fixture.members["m1#a"];
   earlier.departed_at = fixture.now;
   earlier.peer_endpoint = endpoint;
-  fixture.members["m1#b"].zone = ZoneId("elsewhere");
-  MarkEndedProcesses(fixture.now, "m1#", "m1#b", endpoint, fixture.members);
+  earlier.started_at_ms = 1;
+  MemberReport& later = fixture.members["m1#b"];
+  later.zone = ZoneId("elsewhere");
+  later.peer_endpoint = endpoint;
+  later.started_at_ms = 2;
+  MarkEndedProcesses(fixture.now, "m1#", "m1#b", fixture.members);
   fixture.LoseOwnerOf(0);
   fixture.Advance(timing.MaxHoldFromSend() - milliseconds(402));
   CHECK(fixture.table().Find(0)->phase != RangePhase::kSettled);
@@ -263,8 +267,12 @@
   MemberReport& earlier = fixture.members["m1#a"];
   earlier.departed_at = fixture.now;
   earlier.peer_endpoint = {"10.1.0.1", 7000};
-  fixture.members["m1#b"].zone = ZoneId("elsewhere");
-  MarkEndedProcesses(fixture.now, "m1#", "m1#b", endpoint, fixture.members);
+  earlier.started_at_ms = 1;
+  MemberReport& later = fixture.members["m1#b"];
+  later.zone = ZoneId("elsewhere");
+  later.peer_endpoint = endpoint;
+  later.started_at_ms = 2;
+  MarkEndedProcesses(fixture.now, "m1#", "m1#b", fixture.members);
   fixture.LoseOwnerOf(0);
   fixture.Advance(timing.membership_lease_duration + timing.MaxHoldFromSend() -
                   milliseconds(402));
@@ -274,6 +282,36 @@
   CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
 }
 
+// Guards against OWNER: a call of a process that has ended may be carried out
+// late, so that its record comes after that of the process in its place.
+TEST_CASE("a record that is written late ends no later process") {
+  MoverFixture fixture({"t1", "t2"});
+  for (const char* id : {"m1#a", "m1#b"}) {
+    fixture.members[id].peer_endpoint = {"10.1.0.1", 7000};
+    fixture.members[id].started_at_ms = id[3];
+  }
+  MarkEndedProcesses(fixture.now, "m1#", "m1#a", fixture.members);
+  CHECK_FALSE(fixture.members["m1#b"].ended_at);
+  MarkEndedProcesses(fixture.now, "m1#", "m1#b", fixture.members);
+  CHECK(fixture.members["m1#a"].ended_at == fixture.now);
+  CHECK_FALSE(fixture.members["m1#b"].ended_at);
+}
+
+// Guards against OWNER: of two members that know the table before and after a
+// range was settled, neither looked newer, and the one with the earlier table
+// continued it in the store's next era.
+TEST_CASE("a table with a settled range is newer than the one before it") {
+  MoverFixture fixture({"t1", "t2"});
+  fixture.members["m1#a"].zone = ZoneId("z");
+  fixture.LoseOwnerOf(0);
+  const std::uint64_t moving = fixture.table().last_fence;
+  fixture.ReleaseAll("");
+  fixture.Advance(milliseconds(100));
+  REQUIRE(fixture.table().Find(0)->phase == RangePhase::kSettled);
+  CHECK(fixture.table().last_fence > moving);
+  CHECK(fixture.table().Find(0)->fence == moving);
+}
+
 // Guards against OWNER: a member that departed before this mover knew of any
 // may still grant by a lease that it holds by its own count.
 TEST_CASE("a mover waits for members that departed before it knew them") {
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -413,7 +413,8 @@
     for (const auto& [id, until] : membership_expiries_) {
       member.reports[id].departed_at.reset();
       member.reports[id].peer_endpoint = PeersOf(id);
-      MarkEndedProcesses(now_, id.substr(0, id.find('#') + 1), id, PeersOf(id),
+      member.reports[id].started_at_ms = std::stoi(id.substr(id.find('#') + 1));
+      MarkEndedProcesses(now_, id.substr(0, id.find('#') + 1), id,
                          member.reports);
       if (options_.granters == Granters::kZoneMembers)
         member.reports[id].zone = ZoneOf(id[1] - '0');
