An owner gets four releases at once at the most

Each moving range of an owner had a connection for its release at the same time: an owner that leaves with dozens of ranges would get dozens of connections, and past its limit it resets them, callers' too. Found by review, not seen in a run.

--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -26,6 +26,8 @@
 // Capacity of a target that takes nearly no requests. It is above zero because
 // loads are compared in proportion to capacities.
 constexpr double kMinLimitedCapacity = 0.01;
+// Releases that one owner gets at once, each on a connection of its own.
+constexpr std::size_t kMaxReleasesInFlight = 4;
 constexpr Duration kReleaseRetryInterval = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -286,9 +288,15 @@
 }
 
 void EntryControl::SendReleases(const ServiceId& service, MoverState& state) {
+  std::map<TargetId, std::size_t> in_flight;
+  for (const ReleaseRequest& request : state.releases_in_flight)
+    ++in_flight[request.owner.id];
   for (const ReleaseRequest& request : state.mover->OutstandingReleases()) {
-    if (!state.releases_in_flight.insert(request).second)
+    std::size_t& of_owner = in_flight[request.owner.id];
+    if (of_owner >= kMaxReleasesInFlight ||
+        !state.releases_in_flight.insert(request).second)
       continue;
+    ++of_owner;
     platform::SendRelease(
         *MakeOrderChannel(request.owner.id, request.address), request,
         kReleaseTimeout,
