Tables are continued only once grants of departed members have expired

What targets could see: two holders (OWNER) after the store came back from a copy. A mover that continued the table that it knows waited for members that did not join again, but not for one that joined, knew a newer table and left before (its key taken early, or killed), nor long enough for one that another VM under its name replaced; and a second return of the store forgot the wait. It waits now until the grants of each departed member have expired, by the same count as moves (LastGrantAt), or by the holds of one that resigned, and renews the tokens if any has departed. Members that lapse count from the return of the store, since they renewed no lease after it: counted from the moment at which that is certain, the new lease's wait would have come twice (15.35 s instead of 9.35 s). Evidence: by reading (independent review); the test is of the new function. Not covered: a member that joined and left between two updates of the mover's copy.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -395,9 +395,6 @@
   std::optional<Instant> restored_at_;
   // Members of an earlier era that have not joined in this one.
   std::set<VmId> lapsed_members_;
-  // When the last process of an earlier era was taken for departed, also if
-  // another process on its VM has joined; empty if all have joined themselves.
-  std::optional<Instant> lapsed_members_departed_at_;
   // Whether the store has a table of an earlier era, or may have lost one while
   // this process ran.
   bool earlier_tables_exist_ = false;
--- a/include/figstall/first_assignment.h
+++ b/include/figstall/first_assignment.h
@@ -58,6 +58,12 @@
     const FirstAssignmentInput& input,
     const GrantTiming& timing);
 
+// Whether a target may hold ranges by grants of members that have departed. One
+// of them may have seen a newer table than any member that is left.
+bool DepartedMembersMayHold(Instant now,
+                            const MemberReports& members,
+                            const GrantTiming& timing);
+
 }  // namespace figstall
 
 #endif  // FIGSTALL_FIRST_ASSIGNMENT_H_
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -87,7 +87,7 @@
   // removed it before its lease ended, so the member may grant for up to a
   // lease after that.
   std::optional<Instant> departed_at;
-  // Where the process receives datagrams.
+  // Where the process receives datagrams; port 0 if that is not known.
   Endpoint peer_endpoint;
   // When the process started, by its VM's time of day, in Unix milliseconds; 0
   // if that is not known.
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -172,7 +172,6 @@
     if (vm != settings_.vm)
       lapsed_members_.insert(vm);
   }
-  lapsed_members_departed_at_.reset();
   earlier_tables_exist_ = true;
   rejoin_revision_ = 0;
   rejoin_seen_at_.reset();
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -259,8 +259,7 @@
                           known->second.incarnation != member.incarnation;
     if (replaced)
       mark_departed("replaced");
-    if (lapsed_members_.erase(vm) > 0 && replaced)
-      lapsed_members_departed_at_ = now;
+    lapsed_members_.erase(vm);
     MemberReport& known_report =
         member_reports_[MemberIncarnationId(vm, member.incarnation)];
     known_report.zone = member.zone;
@@ -289,13 +288,13 @@
   if (lapsed_members_.empty() ||
       now - *restored_at_ < timing_.membership_lease_duration)
     return;
-  lapsed_members_departed_at_ = now;
   for (const VmId& vm : std::exchange(lapsed_members_, {})) {
     const auto known = view_.members.find(vm);
     if (known == view_.members.end())
       continue;
+    // It renewed no lease since.
     member_reports_[MemberIncarnationId(vm, known->second.incarnation)]
-        .departed_at = now;
+        .departed_at = *restored_at_;
     view_.members.erase(known);
     log_.Write(LogLevel::kInfo, "member-lapsed", {{"vm", vm.value()}});
   }
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -92,11 +92,11 @@
   const auto earlier = view_.tables.find(service);
   if (earlier == view_.tables.end() || !lapsed_members_.empty())
     return std::nullopt;
-  // A member that did not join may have seen a newer table and granted by it.
-  const bool others_departed = lapsed_members_departed_at_.has_value();
-  if (others_departed && now - *lapsed_members_departed_at_ <
-                             settings_.grant_timing.MaxHoldFromSend())
+  if (DepartedMembersMayHold(now, member_reports_, settings_.grant_timing))
     return std::nullopt;
+  const bool others_departed = std::any_of(
+      member_reports_.begin(), member_reports_.end(),
+      [](const auto& each) { return each.second.departed_at.has_value(); });
   log_.Write(LogLevel::kInfo, "ranges-continued",
              {{"service", service.value()},
               {"fence", std::to_string(earlier->second.last_fence)},
--- a/src/first_assignment.cc
+++ b/src/first_assignment.cc
@@ -44,4 +44,17 @@
                      : FirstAssignmentBasis::kKnownToNone;
 }
 
+bool DepartedMembersMayHold(Instant now,
+                            const MemberReports& members,
+                            const GrantTiming& timing) {
+  return std::any_of(members.begin(), members.end(), [&](const auto& each) {
+    const MemberReport& member = each.second;
+    if (member.departed_at && member.grants_ended)
+      return std::any_of(member.holds_until.begin(), member.holds_until.end(),
+                         [now](const auto& hold) { return now < hold.second; });
+    const auto last_grant_at = member.LastGrantAt(timing);
+    return last_grant_at && now < *last_grant_at + timing.MaxHoldFromSend();
+  });
+}
+
 }  // namespace figstall
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -245,13 +245,13 @@
     entry.handover = progress.handover;
     changed = true;
   }
-  return changed;
-}
-
   // A member that knows this table has to be told from one that knows the
   // earlier one only.
   if (changed)
     next.last_fence = NextFence(next);
+  return changed;
+}
+
 bool RangeMover::Balance(RangeTable& next, const MoverInput& input) {
   if (!input.load || input.load->empty())
     return false;
--- a/test/first_assignment_test.cc
+++ b/test/first_assignment_test.cc
@@ -101,4 +101,22 @@
   CHECK(mover.At(grants_end) == FirstAssignmentBasis::kKnownToNone);
 }
 
+// Guards against OWNER: a member that knew a newer table granted by it, and the
+// tables were continued from an older one once it had left.
+TEST_CASE("tables are continued once grants of departed members have expired") {
+  const GrantTiming timing;
+  MemberReports members;
+  MemberReport& member = members["m1#a"];
+  CHECK_FALSE(DepartedMembersMayHold(kStart, members, timing));
+  member.departed_at = kStart;
+  const Instant lease_end = kStart + timing.membership_lease_duration;
+  const Instant expiry = lease_end + timing.MaxHoldFromSend();
+  CHECK(DepartedMembersMayHold(expiry - milliseconds(1), members, timing));
+  CHECK_FALSE(DepartedMembersMayHold(expiry, members, timing));
+  member.grants_ended = true;
+  member.holds_until[TargetId("t1")] = kStart + seconds(2);
+  CHECK(DepartedMembersMayHold(kStart + seconds(1), members, timing));
+  CHECK_FALSE(DepartedMembersMayHold(kStart + seconds(2), members, timing));
+}
+
 }  // namespace figstall
