Emulator: a target that handles nothing for a while

Fault target-stopped: the target handles nothing that arrives for for_s, running and queued work goes on, its heartbeats pause (not with keeps_entry), and then it handles what has arrived, in random order.

The checker already counts what follows: a lease counts until the release is answered or its time is over, so a key taken on which another target still works counts as two holders, and a grant under an older token as one that is not above.

--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -8,6 +8,7 @@
     python3 test/entry_soak_test.py --list
     python3 test/entry_soak_test.py seed_7 [--large]
     python3 test/entry_soak_test.py --seeds 1 50 [--jobs N] [--large]
+    python3 test/entry_soak_test.py seed_7 --stopped-targets
 
 A failed seed prints its violations and the folder with the logs.
 """
@@ -79,7 +80,20 @@
     return actions
 
 
-def run_seed(seed, large):
+def stopped_targets(seed):
+    """Faults of targets that handle nothing for a while. Such a target may
+    take a grant after its range has moved, which is a violation, so these
+    faults are drawn on request only."""
+    rng = random.Random(f"stopped {seed}")
+    return [{"kind": "target-stopped", "service": "accounts",
+             "count": rng.randint(1, 3),
+             "at_s": round(rng.uniform(0.3, LENGTH_S - 6), 2),
+             "for_s": round(rng.uniform(0.5, 11), 2),
+             "keeps_entry": rng.random() < 0.5}
+            for _ in range(rng.choice((1, 2)))]
+
+
+def run_seed(seed, large, with_stopped_targets):
     """Returns the violations of a run and the folder with its logs."""
     rng = random.Random(seed)
     zones = dict(list(ZONES.items())[:rng.randint(2, len(ZONES))])
@@ -114,6 +128,8 @@
                        "entry": revoke_rng.randrange(len(fleet.entries)),
                        "at_s": round(revoke_rng.uniform(0.3, LENGTH_S - 9), 2),
                        "for_s": round(revoke_rng.uniform(0.5, 9), 2)})
+    if with_stopped_targets:
+        faults += stopped_targets(seed)
     actions = []
     indices = list(range(len(fleet.entries)))
     rng.shuffle(indices)
@@ -149,10 +165,14 @@
     return violations, fleet.directory
 
 
-def run_in_process(seed, large):
+def run_in_process(seed, options):
     command = [sys.executable, __file__, f"seed_{seed}"]
-    return seed, subprocess.run(command + (["--large"] if large else []),
-                                capture_output=True, text=True, check=False)
+    if options.large:
+        command.append("--large")
+    if options.stopped_targets:
+        command.append("--stopped-targets")
+    return seed, subprocess.run(command, capture_output=True, text=True,
+                                check=False)
 
 
 def main():
@@ -162,19 +182,20 @@
     parser.add_argument("--seeds", nargs=2, type=int)
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--large", action="store_true")
+    parser.add_argument("--stopped-targets", action="store_true")
     options = parser.parse_args()
     if options.list:
         return print("\n".join(f"seed_{seed}" for seed in CI_SEEDS))
     if options.name:
         violations, logs = run_seed(int(options.name.removeprefix("seed_")),
-                                    options.large)
+                                    options.large, options.stopped_targets)
         if violations:
             sys.exit("\n".join([f"{options.name}: logs in {logs}", *violations]))
         return None
     failed = 0
     first, last = options.seeds
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
-        runs = [pool.submit(run_in_process, seed, options.large)
+        runs = [pool.submit(run_in_process, seed, options)
                 for seed in range(first, last + 1)]
         for run in concurrent.futures.as_completed(runs):
             seed, result = run.result()
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -164,6 +164,12 @@
   std::unique_ptr<boost::asio::steady_timer> timer;
 };
 
+struct EmulatedTarget::HeldRequest {
+  Caller caller;
+  HttpRequest message;
+  bool cancelled = false;
+};
+
 struct EmulatedTarget::PendingRelease {
   Caller caller;
   KeyRange range;
@@ -194,7 +200,7 @@
   started_at_ms_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
                        .count();
-  draining_ = silent_ = says_invalid_ = ignores_releases_ = false;
+  draining_ = silent_ = stopped_ = says_invalid_ = ignores_releases_ = false;
   abort_ratio_ = 0;
   said_ = {};
   rejects_for_.reset();
@@ -221,6 +227,7 @@
   in_flight_.clear();
   queued_.clear();
   pending_releases_.clear();
+  held_requests_.clear();
   const auto connections = std::move(connections_);
   connections_.clear();
   for (const Connection& connection : connections)
@@ -315,8 +322,33 @@
     notice_checker_.OnAnswered(id_, request_id, said, BootNow());
 }
 
+void EmulatedTarget::SetStopped(bool stopped) {
+  stopped_ = stopped;
+  if (stopped_)
+    return;
+  auto held = std::move(held_requests_);
+  held_requests_.clear();
+  std::shuffle(held.begin(), held.end(), random_);
+  for (const auto& request : held) {
+    const auto path = request->message.target();
+    if (!request->cancelled || path == "/grant" || path == "/release")
+      OnRequest(request->caller, request->message);
+  }
+}
+
+void EmulatedTarget::Hold(const Caller& caller, const HttpRequest& request) {
+  const auto held = std::make_shared<HeldRequest>(HeldRequest{caller, request});
+  held_requests_.push_back(held);
+  caller.SetCancelHandler([weak = std::weak_ptr(held)] {
+    if (const auto cancelled = weak.lock())
+      cancelled->cancelled = true;
+  });
+}
+
 void EmulatedTarget::OnRequest(const Caller& caller,
                                const HttpRequest& request) {
+  if (stopped_)
+    return Hold(caller, request);
   if (silent_)
     return;
   const std::string path = ToString(request.target());
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -119,6 +119,11 @@
   void SetIgnoresReleases(bool ignores) { ignores_releases_ = ignores; }
   // While silent, the target accepts requests and sends no response.
   void SetSilent(bool silent) { silent_ = silent; }
+  // While stopped, the target handles nothing that arrives; running and queued
+  // work goes on. Afterwards it handles what has arrived, in random order as
+  // its connections have none. That includes grants and releases whose sender
+  // has reset its connection meanwhile, which the kernel delivers all the same.
+  void SetStopped(bool stopped);
   // Closes the connection instead of responding, or within the response, for
   // this share of the requests.
   void SetAbortRatio(double ratio) { abort_ratio_ = ratio; }
@@ -140,6 +145,8 @@
 
  private:
   struct Work;
+  // A request that arrived while the target was stopped.
+  struct HeldRequest;
   // A release that is answered once no more work on its range is running.
   struct PendingRelease;
   using Caller = ResponseWriter;
@@ -147,6 +154,7 @@
 
   void Accept();
   void OnRequest(const Caller& caller, const HttpRequest& request);
+  void Hold(const Caller& caller, const HttpRequest& request);
   void OnGrant(const Caller& caller, const HttpRequest& request);
   void OnRelease(const Caller& caller, const HttpRequest& request);
   void Enqueue(const Caller& caller, const HttpRequest& request);
@@ -175,6 +183,7 @@
   bool draining_ = false;
   bool silent_ = false;
   bool ignores_releases_ = false;
+  bool stopped_ = false;
   double abort_ratio_ = 0;
   SaidNotices said_;
   std::optional<Duration> rejects_for_;
@@ -184,6 +193,7 @@
   std::set<std::shared_ptr<Work>> in_flight_;
   std::deque<std::shared_ptr<Work>> queued_;
   std::vector<PendingRelease> pending_releases_;
+  std::vector<std::shared_ptr<HeldRequest>> held_requests_;
   // By key: the highest fencing token received, and the end of the lease on the
   // key.
   std::vector<std::uint64_t> highest_token_ =
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -12,6 +12,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 
 #include "emulated_store.h"
 #include "emulated_store_server.h"
@@ -131,13 +132,14 @@
     for (std::size_t i = 0; i < targets_.size(); ++i) {
       EmulatedTarget& target = *targets_[i];
       const std::string key = figstall::platform::kTargetsPrefix + target.id();
-      if (target.running() &&
+      const bool silent = silent_in_store_.contains(i);
+      if (target.running() && !silent &&
           now - last_heartbeat_at_[i] >= kHeartbeatInterval) {
         last_heartbeat_at_[i] = now;
         if (store_.Get(key) != target.StoreEntry())
           store_.Put(key, target.StoreEntry());
       }
-      if (!target.running() &&
+      if ((!target.running() || silent) &&
           now - last_heartbeat_at_[i] >= kHeartbeatTimeout && store_.Get(key))
         store_.Remove(key);
     }
@@ -236,6 +238,12 @@
         target.SetSilent(starts);
       } else if (fault.kind == "target-ignores-releases") {
         target.SetIgnoresReleases(starts);
+      } else if (fault.kind == "target-stopped") {
+        target.SetStopped(starts);
+        if (starts && !fault.keeps_entry)
+          silent_in_store_.insert(index);
+        else
+          silent_in_store_.erase(index);
       } else if (fault.kind == "target-garble") {
         target.SetAbortRatio(starts ? fault.abort_ratio : 0);
       } else if (fault.kind == "target-says-leaving") {
@@ -413,6 +421,8 @@
   // By index of the entry: end of the time in which it was killed.
   std::map<std::size_t, Instant> killed_until_;
   std::vector<std::unique_ptr<EmulatedTarget>> targets_;
+  // Indices of targets that send no heartbeats although they are running.
+  std::set<std::size_t> silent_in_store_;
   std::vector<Instant> last_heartbeat_at_;
   std::uint64_t desired_state_version_ = 1;
   std::size_t next_fault_ = 0;
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -57,7 +57,7 @@
         "for_s": {"type": "number", "minimum": 0},
         "kind": {"enum": ["target-crash", "target-reborn", "target-leave",
                           "target-restart", "target-silent",
-                          "target-ignores-releases",
+                          "target-ignores-releases", "target-stopped",
                           "target-garble", "target-says-leaving",
                           "target-limit", "target-retry-after",
                           "target-says-invalid", "entry-frozen",
@@ -67,6 +67,7 @@
                           "store-restored", "store-odd-entries",
                           "store-lapse"]},
         "value": {"type": "number", "minimum": 0},
+        "keeps_entry": {"type": "boolean"},
         "entry": {"type": "integer", "minimum": 0},
         "service": {"type": "string"},
         "count": {"type": "integer", "minimum": 1},
@@ -196,6 +197,7 @@
     fault.kind = value.at("kind");
     fault.abort_ratio = value.value("strength", 0.2);
     fault.value = value.value("value", 1.0);
+    fault.keeps_entry = value.value("keeps_entry", false);
     fault.entry = value.value("entry", std::size_t{0});
     if (fault.kind.rfind("target-", 0) == 0) {
       const std::string service = value.value("service", "");
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -39,6 +39,8 @@
   double abort_ratio = 0;
   // Of target-limit: requests per second. Of target-retry-after: seconds.
   double value = 0;
+  // Of target-stopped: whether the target's entry stays in the store.
+  bool keeps_entry = false;
   // Index into Scenario::entries, for faults of an entry.
   std::size_t entry = 0;
 };
