Random runs in which targets stop and take grants late

Option targets_stop, off by default, so that existing seeds keep their runs: a target applies nothing for up to 12 s and sends no heartbeats; then it applies the grants and releases that have arrived, in any order, and counts the holds from there.

--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -79,6 +79,10 @@
   // The store turns members away and removes their keys before their leases
   // have ended.
   bool keys_taken_early = false;
+  // Targets handle nothing for up to 12 s and send no heartbeats. Afterwards
+  // they apply the grants and releases that have arrived, in any order, and
+  // count the holds from there.
+  bool targets_stop = false;
 };
 
 constexpr int kMembers = 4;
@@ -87,6 +91,8 @@
 constexpr Duration kMembershipLease = GrantTiming().membership_lease_duration;
 constexpr Duration kLeaseMargin = milliseconds(150);
 constexpr Duration kMoverLease = milliseconds(2500);
+// Of a release at a target that has stopped.
+constexpr Duration kReleaseTimeout = milliseconds(2500);
 constexpr Duration kHeartbeatTimeout = milliseconds(2600);
 const ServiceId kService("accounts");
 // One key of each range of the first assignment.
@@ -117,6 +123,18 @@
     return true;
   }
 
+  // Runs all steps and returns the longest time for which two running targets
+  // held a key at once.
+  Duration LongestSecondHold(int steps) {
+    Duration longest{0};
+    Duration current{0};
+    for (int step = 0; step < steps; ++step) {
+      current = Run(1) ? Duration{0} : current + kStep;
+      longest = std::max(longest, current);
+    }
+    return longest;
+  }
+
   std::uint64_t moves() const { return table_.last_fence; }
 
  private:
@@ -124,6 +142,7 @@
     TargetIncarnation incarnation;
     bool up = true;
     bool reaches_store = true;
+    Instant stopped_until{};
     Instant last_heartbeat_at{};
     std::map<ShardKey, std::uint64_t> seen_fence;
     std::map<ShardKey, Instant> held_until;
@@ -221,6 +240,9 @@
         targets_[i].reaches_store = !targets_[i].reaches_store;
       }
     }
+    if (options_.targets_stop && Chance(0.01))
+      targets_[RandomBelow(kTargets)].stopped_until =
+          now_ + milliseconds(RandomBelow(12'000));
     if (Chance(0.02)) {
       Member& member = members_[RandomBelow(kMembers)];
       const int target = static_cast<int>(RandomBelow(kTargets));
@@ -321,7 +343,8 @@
   void RunStore() {
     for (int i = 0; i < kTargets; ++i) {
       Target& target = targets_[i];
-      if (target.up && target.reaches_store && Chance(0.1)) {
+      if (target.up && target.reaches_store && now_ >= target.stopped_until &&
+          Chance(0.1)) {
         target.last_heartbeat_at = now_;
         directory_[target.incarnation.id] = {
             target.incarnation,
@@ -526,7 +549,8 @@
     const Duration travel = Chance(second_answer ? 0.5 : 0.1)
                                 ? timing_.call_timeout - kStep
                                 : RandomDelay();
-    const bool answered = Chance(0.9) && travel < milliseconds(400);
+    const bool answered = Chance(0.9) && travel < milliseconds(400) &&
+                          targets_[target].stopped_until <= now_ + travel;
     Schedule(travel, [this, target, request, connection] {
       ApplyGrant(target, connection, request, now_);
     });
@@ -573,6 +597,11 @@
     Target& target = targets_[i];
     if (!target.up || target.incarnation != connection.peer)
       return;
+    if (now_ < target.stopped_until)
+      return Schedule(target.stopped_until - now_,
+                      [this, i, connection, request] {
+                        ApplyGrant(i, connection, request, now_);
+                      });
     for (const ShardKey key : kKeys) {
       if (request.range.Contains(key) && target.seen_fence[key] > request.fence)
         return;
@@ -607,6 +636,13 @@
     Target& target = targets_[i];
     if (!target.up || target.incarnation.id != request.owner.id)
       return std::nullopt;
+    if (now_ < target.stopped_until) {
+      Schedule(target.stopped_until - now_, [this, i, request] {
+        if (targets_[i].incarnation == request.owner)
+          ApplyRelease(i, request);
+      });
+      return std::nullopt;
+    }
     const Instant work_ends_at =
         now_ + (Chance(0.3) ? milliseconds(RandomBelow(2000)) : Duration{0});
     Instant responds_at = now_;
@@ -642,20 +678,22 @@
             members_[i].mover->OnReleased(original, "");
         });
       }
-      Schedule(RandomDelay(),
-               [this, i, target, reachable, request, original, id = member.id] {
-                 const auto response_delay =
-                     reachable ? ApplyRelease(target, request) : std::nullopt;
-                 Schedule(response_delay.value_or(Duration{0}),
-                          [this, i, original, id,
-                           answered = response_delay && Chance(0.9)] {
-                            if (members_[i].id != id)
-                              return;
-                            if (answered)
-                              members_[i].mover->OnReleased(original, "");
-                            members_[i].releases_in_flight.erase(original);
-                          });
-               });
+      Schedule(RandomDelay(), [this, i, target, reachable, request, original,
+                               id = member.id] {
+        const auto response_delay =
+            reachable ? ApplyRelease(target, request) : std::nullopt;
+        const bool stopped =
+            target >= 0 && now_ < targets_[target].stopped_until;
+        Schedule(
+            response_delay.value_or(stopped ? kReleaseTimeout : Duration{0}),
+            [this, i, original, id, answered = response_delay && Chance(0.9)] {
+              if (members_[i].id != id)
+                return;
+              if (answered)
+                members_[i].mover->OnReleased(original, "");
+              members_[i].releases_in_flight.erase(original);
+            });
+      });
     }
     if (member.write_in_flight)
       return;
@@ -862,6 +900,25 @@
   CHECK(FindsViolation(Mutation::kNoLeaseWait, 400, zones));
 }
 
+// Guards against OWNER: a target applied a grant that its kernel had kept after
+// the range had moved, and held it for longer than it takes to apply what else
+// had arrived. Hidden, since runs find it (issue 38).
+TEST_CASE("no key has two holders for long when targets stop", "[.]") {
+  int broken = 0;
+  int longer_than_a_step = 0;
+  Duration longest{0};
+  for (int seed = 1; seed <= RunCount(400); ++seed) {
+    const Duration hold = RandomRun(static_cast<std::uint64_t>(seed),
+                                    Mutation::kNone, {.targets_stop = true})
+                              .LongestSecondHold(kSteps);
+    broken += hold > Duration{0} ? 1 : 0;
+    longer_than_a_step += hold > kStep ? 1 : 0;
+    longest = std::max(longest, hold);
+  }
+  CAPTURE(broken, longest.count());
+  CHECK(longer_than_a_step == 0);
+}
+
 // Guards against runs that pass because hardly any range moves.
 TEST_CASE("random runs move ranges often enough") {
   constexpr int kRuns = 20;
