--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -24,7 +24,7 @@
 std::shared_ptr<HttpChannel> EntryControl::MakeOrderChannel(
     const TargetId& target,
     const Endpoint& address) {
-  const auto channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
+  auto channel = HttpChannel::Make(io_, address, kMaxQueuedRequests);
   channel->LimitDelivery();
   channel->SetLimitHandler([this, target](const ExceededLimit& limit) {
     log_.Write(LogLevel::kWarning, "response-over-limit",
