--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -288,7 +288,7 @@
   MoverFixture fixture({"t1", "t2"});
   for (const char* id : {"m1#a", "m1#b"}) {
     fixture.members[id].peer_endpoint = {"10.1.0.1", 7000};
-    fixture.members[id].started_at_ms = id[3];
+    fixture.members[id].started_at_ms = static_cast<unsigned char>(id[3]);
   }
   MarkEndedProcesses(fixture.now, "m1#", "m1#a", fixture.members);
   CHECK_FALSE(fixture.members["m1#b"].ended_at);
