Logs tell why a caller's connection ended and how late the loop is

Nothing in the logs told three hypotheses on requests that get neither an answer nor a refusal apart (docs/incidents/unanswered-request.md).

- caller-connection-lost: why this entry ended a connection while a request may have been on it, with what was read, what came afterwards, and the idle limit that applied. figstall_caller_connections_ended_total counts all ends.
- tick-delayed, figstall_tick_delay_seconds: how late the loop came to its periodic work, and the processor time it used meanwhile.
- desired-state-in-force: size, idle limit, time and processor time of taking the version in. figstall_resident_bytes.

No decision changes.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -39,6 +39,26 @@
   RequestNumber number_;
 };
 
+// How a caller's connection ended.
+struct CallerConnectionEnd {
+  SessionEnd session;
+  // Bytes that came after this side had closed its sending side, or that lay
+  // unread in the kernel at the close.
+  std::size_t bytes_after_close = 0;
+  // Since the last byte was read, or since the start, when the session ended.
+  Duration quiet_for{0};
+  // The limit on idle connections that applied.
+  Duration idle_timeout{0};
+
+  // Whether a request may have been lost with the connection. What its caller
+  // ended is not counted.
+  bool LostRequests() const {
+    return session.reason != SessionEndReason::kCallerClosed &&
+           (session.unanswered > 0 || session.unparsed_bytes > 0 ||
+            bytes_after_close > 0);
+  }
+};
+
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   struct Handlers {
@@ -50,6 +70,8 @@
     // Called with the status with which invalid input was refused. May be
     // empty.
     std::function<void(int status)> on_refused;
+    // Called before on_closed. May be empty.
+    std::function<void(const CallerConnectionEnd&)> on_end;
   };
 
   CallerConnection(boost::asio::ip::tcp::socket socket,
@@ -86,6 +108,8 @@
   // response.
   void CloseGracefully();
   void Close();
+  // Calls the handler of the connection's end.
+  void ReportEnd();
 
   Tcp::socket socket_;
   const Handlers handlers_;
@@ -96,6 +120,10 @@
   bool dispatching_ = false;
   bool read_closed_ = false;
   bool closed_ = false;
+  std::size_t bytes_after_close_ = 0;
+  Instant last_read_at_;
+  // Set when the end of the session is seen.
+  std::optional<Duration> quiet_for_;
   // When the sending side was closed. From then on, the caller's close is
   // awaited.
   std::optional<Instant> send_closed_at_;
--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -60,6 +60,34 @@
   kReset,
 };
 
+enum class SessionEndReason {
+  // After the response that announced it.
+  kLastResponse,
+  kInvalidRequest,
+  kResponseCut,
+  // The caller closed its connection, or the connection failed.
+  kCallerClosed,
+  kIdleTimeout,
+  kHeadTimeout,
+  kBodyTimeout,
+  kWriteTimeout,
+  // An idle connection of a process that stops.
+  kStopping,
+};
+
+const char* ToString(SessionEndReason reason);
+
+// Why and how a session ended.
+struct SessionEnd {
+  SessionEndReason reason = SessionEndReason::kLastResponse;
+  // Requests that were read whole and have no complete response.
+  std::size_t unanswered = 0;
+  // Bytes that were read and are no whole request.
+  std::size_t unparsed_bytes = 0;
+
+  friend bool operator==(const SessionEnd&, const SessionEnd&) = default;
+};
+
 class CallerSession {
  public:
   // Returns whether a request may be executed more than once. It is called when
@@ -84,7 +112,7 @@
   // Closes or resets the connection if the caller exceeds a time limit.
   void EnforceTimeouts(Instant now);
   // Discards the output and cancels all requests; the connection must be reset.
-  void Reset();
+  void Reset(SessionEndReason reason);
 
   // The HTTP status with which invalid input was refused. It is returned once.
   std::optional<int> TakeRefusedStatus() {
@@ -122,7 +150,10 @@
     return state_ == SessionState::kOpen &&
            input_.size() < limits_.max_read_ahead_bytes;
   }
+  Duration idle_timeout() const { return limits_.caller.idle_timeout; }
   SessionState state() const { return state_; }
+  // Empty while the session is open.
+  const std::optional<SessionEnd>& end() const { return end_; }
   // Whether output is queued or being written.
   bool writing() const { return bytes_in_write_ > 0 || !output_.empty(); }
   // Whether no request is being read, served or answered.
@@ -181,7 +212,7 @@
   void WriteHead(PendingRequest& front);
   void WriteBody(PendingRequest& front);
   // Cancels all requests and ends the session in this state.
-  void End(SessionState state);
+  void End(SessionState state, SessionEndReason reason);
 
   const CallerSessionLimits limits_;
   const IdempotentPredicate is_idempotent_;
@@ -209,8 +240,14 @@
   bool closing_ = false;
   bool stopping_ = false;
   bool received_request_ = false;
+  // An invalid request was refused, after which nothing is read.
+  bool refused_input_ = false;
   std::optional<int> refused_status_;
   SessionState state_ = SessionState::kOpen;
+  // Requests that were read whole and dropped behind a truncated response, with
+  // the one to which it belongs.
+  std::size_t unanswered_ = 0;
+  std::optional<SessionEnd> end_;
   const Instant opened_at_;
   Instant idle_since_;
   Instant request_started_at_;
--- a/include/figstall/clock.h
+++ b/include/figstall/clock.h
@@ -3,6 +3,8 @@
 #ifndef FIGSTALL_CLOCK_H_
 #define FIGSTALL_CLOCK_H_
 
+#include <ctime>
+
 #include "figstall/types.h"
 
 namespace figstall {
@@ -11,6 +13,15 @@
   return BootClock::now();
 }
 
+// Processor time that the calling thread has used.
+inline Duration ThreadProcessorTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
 }  // namespace figstall
 
 #endif  // FIGSTALL_CLOCK_H_
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -67,6 +67,8 @@
   friend class Exchange;
 
   void Accept();
+  // Logs the end of a caller's connection if requests may have been lost.
+  void RecordCallerEnd(const CallerConnectionEnd& end);
   // Whether a request may be served concurrently with others of its connection.
   // True also if it will be refused because there is no desired state or no
   // matching route.
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -60,7 +60,8 @@
                                    Handlers handlers)
     : socket_(std::move(socket)),
       handlers_(std::move(handlers)),
-      session_({.caller = limits}, handlers_.is_idempotent, BootNow()) {}
+      session_({.caller = limits}, handlers_.is_idempotent, BootNow()),
+      last_read_at_(BootNow()) {}
 
 void CallerConnection::Start() {
   TuneSocket(socket_);
@@ -72,6 +73,8 @@
     return;
   const auto self = shared_from_this();
   DispatchRequests();
+  if (session_.end() && !quiet_for_)
+    quiet_for_ = BootNow() - last_read_at_;
   if (session_.state() == SessionState::kReset)
     return Abort();
   Write();
@@ -107,6 +110,11 @@
           return;
         if (error)
           return self->OnReadClosed(error);
+        if (self->session_.end()) {
+          self->bytes_after_close_ += size;
+        } else {
+          self->last_read_at_ = BootNow();
+        }
         self->session_.OnBytes(
             BootNow(), std::string_view(self->read_buffer_.data(), size));
         // Reading again before the request is passed on detects what has
@@ -185,9 +193,22 @@
   const auto self = shared_from_this();
   closed_ = true;
   error_code ignored;
+  bytes_after_close_ += socket_.available(ignored);
   socket_.close(ignored);
-  session_.Reset();
+  session_.Reset(SessionEndReason::kCallerClosed);
+  ReportEnd();
   handlers_.on_closed(this);
 }
 
+void CallerConnection::ReportEnd() {
+  if (!handlers_.on_end)
+    return;
+  CallerConnectionEnd end;
+  end.session = *session_.end();
+  end.bytes_after_close = bytes_after_close_;
+  end.quiet_for = quiet_for_.value_or(BootNow() - last_read_at_);
+  end.idle_timeout = session_.idle_timeout();
+  handlers_.on_end(end);
+}
+
 }  // namespace figstall
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -70,6 +70,30 @@
 
 }  // namespace
 
+const char* ToString(SessionEndReason reason) {
+  switch (reason) {
+    case SessionEndReason::kLastResponse:
+      return "last-response";
+    case SessionEndReason::kInvalidRequest:
+      return "invalid-request";
+    case SessionEndReason::kResponseCut:
+      return "response-cut";
+    case SessionEndReason::kCallerClosed:
+      return "caller-closed";
+    case SessionEndReason::kIdleTimeout:
+      return "idle-timeout";
+    case SessionEndReason::kHeadTimeout:
+      return "head-timeout";
+    case SessionEndReason::kBodyTimeout:
+      return "body-timeout";
+    case SessionEndReason::kWriteTimeout:
+      return "write-timeout";
+    case SessionEndReason::kStopping:
+      return "stopping";
+  }
+  return "";
+}
+
 CallerSession::CallerSession(CallerSessionLimits limits,
                              IdempotentPredicate is_idempotent,
                              Instant now)
@@ -192,6 +216,7 @@
 
 void CallerSession::RefuseInput(int status) {
   refused_status_ = status;
+  refused_input_ = true;
   HttpResponse response;
   response.result(static_cast<unsigned>(status));
   response.version(11);
@@ -261,6 +286,8 @@
   pending->on_cancel = nullptr;
   closing_ = true;
   input_.clear();
+  unanswered_ += pending_requests_.size() - (number - first_number_) +
+                 (deferred_request_ ? 1 : 0);
   deferred_request_.reset();
   std::erase_if(ready_requests_, [number](const CallerRequest& each) {
     return each.number > number;
@@ -295,12 +322,16 @@
     const bool closes = front.truncated || !front.keep_alive;
     const bool must_reset =
         front.truncated && front.framing == BodyFraming::kConnectionEnd;
+    const SessionEndReason reason =
+        front.truncated  ? SessionEndReason::kResponseCut
+        : refused_input_ ? SessionEndReason::kInvalidRequest
+                         : SessionEndReason::kLastResponse;
     pending_requests_.pop_front();
     ++first_number_;
     if (must_reset)
-      return Reset();
+      return Reset(reason);
     if (closes)
-      return End(SessionState::kCloseAfterOutput);
+      return End(SessionState::kCloseAfterOutput, reason);
     if (pending_requests_.empty() && deferred_request_) {
       CallerRequest deferred = std::move(*deferred_request_);
       deferred_request_.reset();
@@ -416,15 +447,21 @@
 
 void CallerSession::OnReadClosed() {
   if (state_ == SessionState::kOpen)
-    End(SessionState::kCloseAfterOutput);
+    End(SessionState::kCloseAfterOutput, SessionEndReason::kCallerClosed);
 }
 
-void CallerSession::Reset() {
+void CallerSession::Reset(SessionEndReason reason) {
   output_.clear();
-  End(SessionState::kReset);
+  End(SessionState::kReset, reason);
 }
 
-void CallerSession::End(SessionState state) {
+void CallerSession::End(SessionState state, SessionEndReason reason) {
+  if (!end_) {
+    end_ = SessionEnd{
+        reason,
+        unanswered_ + pending_requests_.size() + (deferred_request_ ? 1 : 0),
+        input_.size() + (reading_request_ ? parsed_bytes_ : 0)};
+  }
   state_ = state;
   closing_ = true;
   input_.clear();
@@ -442,13 +479,13 @@
 void CallerSession::CloseIfIdle(Instant now) {
   if (state_ == SessionState::kOpen && idle() &&
       (received_request_ || now - opened_at_ > kFirstRequestTimeout))
-    End(SessionState::kCloseAfterOutput);
+    End(SessionState::kCloseAfterOutput, SessionEndReason::kStopping);
 }
 
 void CallerSession::EnforceTimeouts(Instant now) {
   if (writing()) {
     if (bytes_in_write_ > 0 && now - write_started_at_ > kWriteTimeout)
-      Reset();
+      Reset(SessionEndReason::kWriteTimeout);
     return;
   }
   if (state_ != SessionState::kOpen || !pending_requests_.empty() ||
@@ -456,14 +493,16 @@
     return;
   if (!reading_request_) {
     if (now - idle_since_ > limits_.caller.idle_timeout)
-      End(SessionState::kCloseAfterOutput);
+      End(SessionState::kCloseAfterOutput, SessionEndReason::kIdleTimeout);
     return;
   }
   const bool slow_head =
       !parser_->is_header_done() &&
       now - request_started_at_ > limits_.caller.header_timeout;
   if (slow_head || now - last_read_at_ > limits_.caller.idle_timeout)
-    End(SessionState::kCloseAfterOutput);
+    End(SessionState::kCloseAfterOutput, slow_head
+                                             ? SessionEndReason::kHeadTimeout
+                                             : SessionEndReason::kBodyTimeout);
 }
 
 }  // namespace figstall
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -232,6 +232,8 @@
 void EntryControl::ApplyDesiredState(const StoreItem& item) {
   if (item.deleted)
     return;
+  const Instant begun_at = BootNow();
+  const Duration processor_time_before = ThreadProcessorTime();
   HandleError(
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(state, platform::DecodeDesiredState(item.value));
@@ -239,13 +241,22 @@
             view_.routes ? view_.routes->state().version : 0;
         if (view_.routes && state.version <= known)
           return {};
-        log_.Write(LogLevel::kInfo, "desired-state-in-force",
-                   {{"version", std::to_string(state.version)},
-                    {"earlier", std::to_string(known)},
-                    {"revision", RevisionText(item.revision)},
-                    {"routes", std::to_string(state.routes.size())}});
         view_.routes = std::make_shared<const RouteIndex>(std::move(state));
         MarkViewChanged();
+        const DesiredState& in_force = view_.routes->state();
+        log_.Write(
+            LogLevel::kInfo, "desired-state-in-force",
+            {{"version", std::to_string(in_force.version)},
+             {"earlier", std::to_string(known)},
+             {"revision", RevisionText(item.revision)},
+             {"routes", std::to_string(in_force.routes.size())},
+             {"bytes", std::to_string(item.value.size())},
+             {"idle_limit_ms",
+              std::to_string(ToMillis(in_force.limits.idle_timeout))},
+             {"took_us", std::to_string((BootNow() - begun_at).count())},
+             {"processor_us",
+              std::to_string(
+                  (ThreadProcessorTime() - processor_time_before).count())}});
         return {};
       },
       [&](const Error& error) {
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -4,9 +4,12 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <fstream>
 #include <random>
 
 #include "figstall/entry_control.h"
@@ -53,11 +56,22 @@
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 // The entry reports not ready if its loop has not ticked for this long.
 constexpr Duration kMaxTickAge = std::chrono::seconds(2);
+// A tick that comes later than this is logged.
+constexpr Duration kMaxTickDelay = std::chrono::milliseconds(100);
 constexpr unsigned kMaxStatusConnections = 16;
 // The process tolerates this many unexpected errors. One more makes it exit
 // with a failure, so that a new process replaces it.
 constexpr int kMaxUnexpectedErrors = 100;
 
+// Memory of this process that is resident, in bytes; 0 if it is not known.
+std::size_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  file >> total_pages >> resident_pages;
+  return file ? resident_pages * static_cast<std::size_t>(getpagesize()) : 0;
+}
+
 std::string MakeIncarnation() {
   std::random_device device;
   return fmt::format("{:08x}{:08x}", device(), device());
@@ -157,8 +171,10 @@
       response.body = metrics_.Expose();
       response.body += fmt::format(
           "# TYPE figstall_log_lines_dropped_total counter\n"
-          "figstall_log_lines_dropped_total {}\n",
-          log_.dropped());
+          "figstall_log_lines_dropped_total {}\n"
+          "# TYPE figstall_resident_bytes gauge\n"
+          "figstall_resident_bytes {}\n",
+          log_.dropped(), ResidentBytes());
       return response;
     }
     const Instant last_tick(Duration(last_tick_us_.load()));
@@ -229,7 +245,28 @@
     });
   }
 
+  // The processor time says whether the loop was busy or did not run.
+  void RecordTickDelay(Instant now) {
+    const Duration processor_time = figstall::ThreadProcessorTime();
+    if (last_tick_at_) {
+      const Duration delay = now - *last_tick_at_ - kTickInterval;
+      metrics_.Latency("figstall_tick_delay_seconds", "")
+          .Record(std::max(delay, Duration{0}));
+      if (delay > kMaxTickDelay) {
+        log_.Write(LogLevel::kInfo, "tick-delayed",
+                   {{"delay_ms", std::to_string(figstall::ToMillis(delay))},
+                    {"processor_ms",
+                     std::to_string(figstall::ToMillis(
+                         processor_time - processor_time_at_last_tick_))},
+                    {"in_flight", std::to_string(traffic_.in_flight())}});
+      }
+    }
+    last_tick_at_ = now;
+    processor_time_at_last_tick_ = processor_time;
+  }
+
   void Tick(Instant now) {
+    RecordTickDelay(now);
     last_tick_us_ = now.time_since_epoch().count();
     control_.Tick(now);
     traffic_.Tick(now);
@@ -259,6 +296,8 @@
   figstall::EntryControl control_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer timer_;
+  std::optional<Instant> last_tick_at_;
+  Duration processor_time_at_last_tick_{0};
   std::atomic<bool> ready_ = false;
   std::atomic<Duration::rep> last_tick_us_ = 0;
   std::optional<Instant> stop_begun_at_;
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -3,6 +3,8 @@
 // so loops that call them iterate over copies.
 #include "figstall/entry_traffic.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -86,6 +88,9 @@
     handlers.is_idempotent = [this](const HttpRequest& request) {
       return IsIdempotent(request);
     };
+    handlers.on_end = [this](const CallerConnectionEnd& end) {
+      RecordCallerEnd(end);
+    };
     const auto caller = std::make_shared<CallerConnection>(
         std::move(socket),
         view_.routes ? view_.routes->state().limits : CallerLimits{},
@@ -96,6 +101,26 @@
   });
 }
 
+void EntryTraffic::RecordCallerEnd(const CallerConnectionEnd& end) {
+  const bool lost = end.LostRequests();
+  ++metrics_.Counter(
+      "figstall_caller_connections_ended_total",
+      fmt::format("reason=\"{}\",lost=\"{}\"", ToString(end.session.reason),
+                  lost ? "yes" : "no"));
+  if (!lost)
+    return;
+  log_.Write(
+      LogLevel::kWarning, "caller-connection-lost",
+      {{"reason", ToString(end.session.reason)},
+       {"unanswered", std::to_string(end.session.unanswered)},
+       {"unparsed_bytes", std::to_string(end.session.unparsed_bytes)},
+       {"bytes_after_close", std::to_string(end.bytes_after_close)},
+       {"quiet_ms", std::to_string(ToMillis(end.quiet_for))},
+       {"idle_limit_ms", std::to_string(ToMillis(end.idle_timeout))},
+       {"version",
+        std::to_string(view_.routes ? view_.routes->state().version : 0)}});
+}
+
 bool EntryTraffic::IsIdempotent(const HttpRequest& request) const {
   if (!view_.routes)
     return true;
--- a/test/caller_session_test.cc
+++ b/test/caller_session_test.cc
@@ -597,6 +597,48 @@
   }
 }
 
+// Guards against a log from which nobody can tell why a connection was closed
+// with a request on it.
+TEST_CASE("the end of a session tells its reason and what it leaves") {
+  CallerSessionLimits limits;
+  limits.caller.idle_timeout = std::chrono::seconds(5);
+  SessionHarness harness(limits);
+  CHECK_FALSE(harness.session().end());
+  SECTION("idle") {
+    harness.session().EnforceTimeouts(At(5100));
+    CHECK(harness.session().end() ==
+          SessionEnd{SessionEndReason::kIdleTimeout, 0, 0});
+  }
+  SECTION("an incomplete request") {
+    const std::string head = "POST /p HTTP/1.1\r\nContent-Length: 5\r\n\r\n";
+    harness.Send(head + "1234");
+    harness.session().EnforceTimeouts(At(5100));
+    CHECK(harness.session().end() ==
+          SessionEnd{SessionEndReason::kBodyTimeout, 0, head.size() + 4});
+  }
+  SECTION("requests without a response") {
+    harness.Send(Get("a") + Get("b") + Post("c", "1"));
+    harness.session().OnReadClosed();
+    CHECK(harness.session().end() ==
+          SessionEnd{SessionEndReason::kCallerClosed, 3, 0});
+  }
+  SECTION("requests behind a truncated response") {
+    harness.Send(Get("a") + Get("b") + Get("c"));
+    harness.Respond("/a", "A");
+    harness.Begin("/b", nullptr, 10);
+    harness.session().Truncate(harness.number("/b"));
+    harness.Drain();
+    CHECK(harness.session().end() ==
+          SessionEnd{SessionEndReason::kResponseCut, 2, 0});
+  }
+  SECTION("after the last response") {
+    harness.Send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n" + Get("b"));
+    harness.Respond("/a", "A");
+    CHECK(harness.session().end() ==
+          SessionEnd{SessionEndReason::kLastResponse, 0, Get("b").size()});
+  }
+}
+
 namespace {
 
 // Takes random actions on a session and checks that each request gets its own
