What has arrived is read before a time limit ends a caller's connection

What callers saw: a request that had reached the VM got neither an answer nor a refusal when the process had stood still for a while.

Cause: the limits on idle connections, heads, bodies and writes compare clock readings. A process that stood still runs its timer before its reads, and closed connections whose request lay in the kernel. A pending async_read_some may even have taken the bytes already. And after the close of an idle connection the entry read on for 0.5 s, dropped what came, and closed only then, so that the caller of a request which crossed the close learned of it half a second later.

Now the connection waits for readability and takes the bytes itself, so that they are either in the kernel or in the session, and it reads all that has arrived before it applies a limit or closes an idle connection at a stop. A write is not given up while the socket accepts bytes. A connection is closed in both directions, unless a response was written less than 0.5 s before, which a reset could destroy (RFC 9112, 9.6): what crosses the close is not read, and resets the connection at once.

Before, "what has arrived is read before a time limit ends a connection" failed for a whole request, for half a head and for a body without its last bytes (0 == 1 requests, connection closed), and "an idle connection is closed in both directions at once" found it open. "A caller that has read what was written is not reset" fails without the check of the socket: 4,005,888 of 16,000,000 bytes, then the reset.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -82,8 +82,8 @@
   // Resets the connection, so that the caller can detect an incomplete
   // response.
   void Abort();
-  // Closes the connection if the caller is idle or slow for too long. It must
-  // be called periodically.
+  // Closes the connection if the caller is idle or slow for too long, after
+  // what has arrived was read. It must be called periodically.
   void EnforceTimeouts(Instant now);
   // Closes the connection if no request is being read or served on it, as
   // CallerSession::CloseIfIdle.
@@ -102,10 +102,14 @@
   void ProcessSession();
   void DispatchRequests();
   void Read();
+  // Passes what has arrived to the session, up to a limit.
+  void ReadArrived(Instant now);
+  // Whether the socket accepts bytes to write.
+  bool IsWritable();
   void OnReadClosed(const boost::system::error_code& error);
   void Write();
   // Closes the sending side and leaves the caller time to read the last
-  // response.
+  // response, unless it has had that time.
   void CloseGracefully();
   void Close();
   // Calls the handler of the connection's end.
@@ -122,6 +126,7 @@
   bool closed_ = false;
   std::size_t bytes_after_close_ = 0;
   Instant last_read_at_;
+  std::optional<Instant> last_written_at_;
   // Set when the end of the session is seen.
   std::optional<Duration> quiet_for_;
   // When the sending side was closed. From then on, the caller's close is
--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -112,6 +112,8 @@
   // Closes the connection if no request is being read or served on it. A new
   // connection is kept open for a while, since its first request may follow.
   void CloseIfIdle(Instant now);
+  // The time limit that the caller exceeds, by the bytes passed so far.
+  std::optional<SessionEndReason> ExceededTimeout(Instant now) const;
   // Closes or resets the connection if the caller exceeds a time limit.
   void EnforceTimeouts(Instant now);
   // Discards the output and cancels all requests; the connection must be reset.
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -2,7 +2,8 @@
 // allows. At most one read and one write of the socket are pending.
 #include "figstall/caller_connection.h"
 
-#include <boost/asio/post.hpp>
+#include <poll.h>
+
 #include <boost/asio/write.hpp>
 #include <string_view>
 
@@ -18,6 +19,8 @@
 // this time to read the response. Closing the socket while it holds unread
 // bytes would reset the connection.
 constexpr Duration kCloseTimeout = std::chrono::milliseconds(500);
+// Reads of one connection before other connections have their turn.
+constexpr int kMaxReadsAtOnce = 8;
 
 }  // namespace
 
@@ -68,6 +71,8 @@
 
 void CallerConnection::Start() {
   TuneSocket(socket_);
+  error_code ignored;
+  socket_.non_blocking(true, ignored);
   ProcessSession();
 }
 
@@ -105,36 +110,54 @@
   if (reading_ || closed_ || read_closed_ || !wanted)
     return;
   reading_ = true;
-  socket_.async_read_some(
-      boost::asio::buffer(read_buffer_),
-      [self = shared_from_this()](error_code error, std::size_t size) {
-        self->reading_ = false;
-        if (self->closed_)
-          return;
-        if (error)
-          return self->OnReadClosed(error);
-        if (self->session_.end()) {
-          self->bytes_after_close_ += size;
-        } else {
-          self->last_read_at_ = BootNow();
-        }
-        self->session_.OnBytes(
-            BootNow(), std::string_view(self->read_buffer_.data(), size));
-        // Reading again before the request is passed on detects what has
-        // already arrived after it, especially the caller's close, even if the
-        // process is delayed.
-        self->Read();
-        boost::asio::post(self->socket_.get_executor(),
-                          [self] { self->ProcessSession(); });
-      });
+  // The bytes stay in the kernel until ReadArrived takes them. A pending
+  // async_read_some could have taken some when a time limit is enforced.
+  socket_.async_wait(Tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       self->reading_ = false;
+                       if (self->closed_)
+                         return;
+                       if (error)
+                         return self->Abort();
+                       self->ReadArrived(BootNow());
+                       self->ProcessSession();
+                     });
+}
+
+// Reading until nothing is left before requests are passed on detects what has
+// arrived after them, especially the caller's close, even if the process is
+// delayed.
+void CallerConnection::ReadArrived(Instant now) {
+  for (int i = 0; i < kMaxReadsAtOnce && !closed_ && !read_closed_ &&
+                  (session_.WantsBytes() || send_closed_at_);
+       ++i) {
+    error_code error;
+    const std::size_t size =
+        socket_.read_some(boost::asio::buffer(read_buffer_), error);
+    if (error == boost::asio::error::would_block)
+      return;
+    if (error)
+      return OnReadClosed(error);
+    if (session_.end())
+      bytes_after_close_ += size;
+    else
+      last_read_at_ = now;
+    session_.OnBytes(now, std::string_view(read_buffer_.data(), size));
+  }
+}
+
+bool CallerConnection::IsWritable() {
+  pollfd descriptor{};
+  descriptor.fd = socket_.native_handle();
+  descriptor.events = POLLOUT;
+  return ::poll(&descriptor, 1, 0) > 0;
 }
 
 void CallerConnection::OnReadClosed(const error_code& error) {
   read_closed_ = true;
   session_.OnReadClosed();
   if (error != boost::asio::error::eof)
-    return Abort();
-  ProcessSession();
+    Abort();
 }
 
 void CallerConnection::Write() {
@@ -149,7 +172,8 @@
           return;
         if (error)
           return self->Abort();
-        self->session_.OnWritten(BootNow());
+        self->last_written_at_ = BootNow();
+        self->session_.OnWritten(*self->last_written_at_);
         self->ProcessSession();
       });
 }
@@ -169,21 +193,40 @@
       Close();
     return;
   }
-  session_.EnforceTimeouts(now);
+  // A process that was delayed may run this before it reads and writes.
+  const auto exceeded = session_.ExceededTimeout(now);
+  if (exceeded == SessionEndReason::kWriteTimeout) {
+    if (!IsWritable())
+      session_.EnforceTimeouts(now);
+  } else if (exceeded) {
+    ReadArrived(now);
+    if (closed_)
+      return;
+    session_.EnforceTimeouts(now);
+  }
   ProcessSession();
 }
 
 void CallerConnection::CloseIfIdle() {
   if (closed_)
     return;
-  session_.CloseIfIdle(BootNow());
+  const Instant now = BootNow();
+  if (session_.idle() && !send_closed_at_)
+    ReadArrived(now);
+  if (closed_)
+    return;
+  session_.CloseIfIdle(now);
   ProcessSession();
 }
 
 void CallerConnection::CloseGracefully() {
   if (send_closed_at_ || closed_)
     return;
-  if (read_closed_)
+  // Bytes that arrive at a socket that was closed reset the connection, so that
+  // the caller of a request that was not read learns of it at once.
+  const bool responded_recently =
+      last_written_at_ && BootNow() - *last_written_at_ <= kCloseTimeout;
+  if (read_closed_ || !responded_recently)
     return Close();
   error_code ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -486,29 +486,36 @@
     End(SessionState::kCloseAfterOutput, SessionEndReason::kStopping);
 }
 
-void CallerSession::EnforceTimeouts(Instant now) {
+std::optional<SessionEndReason> CallerSession::ExceededTimeout(
+    Instant now) const {
   if (writing()) {
-    if (bytes_in_write_ > 0 && now - write_started_at_ > kWriteTimeout)
-      Reset(SessionEndReason::kWriteTimeout);
-    return;
+    return bytes_in_write_ > 0 && now - write_started_at_ > kWriteTimeout
+               ? std::optional(SessionEndReason::kWriteTimeout)
+               : std::nullopt;
   }
   if (state_ != SessionState::kOpen || !pending_requests_.empty() ||
       deferred_request_)
-    return;
+    return std::nullopt;
   if (!reading_request_) {
-    if (now - idle_since_ > idle_timeout())
-      End(SessionState::kCloseAfterOutput, SessionEndReason::kIdleTimeout);
-    return;
+    return now - idle_since_ > idle_timeout()
+               ? std::optional(SessionEndReason::kIdleTimeout)
+               : std::nullopt;
   }
-  const bool slow_head =
-      !parser_->is_header_done() &&
+  if (!parser_->is_header_done() &&
       now - request_started_at_ >
-          limits_.caller->Since(request_started_at_).header_timeout;
-  if (slow_head ||
-      now - last_read_at_ > limits_.caller->Since(last_read_at_).idle_timeout)
-    End(SessionState::kCloseAfterOutput, slow_head
-                                             ? SessionEndReason::kHeadTimeout
-                                             : SessionEndReason::kBodyTimeout);
+          limits_.caller->Since(request_started_at_).header_timeout)
+    return SessionEndReason::kHeadTimeout;
+  if (now - last_read_at_ > limits_.caller->Since(last_read_at_).idle_timeout)
+    return SessionEndReason::kBodyTimeout;
+  return std::nullopt;
+}
+
+void CallerSession::EnforceTimeouts(Instant now) {
+  const auto exceeded = ExceededTimeout(now);
+  if (exceeded == SessionEndReason::kWriteTimeout)
+    Reset(*exceeded);
+  else if (exceeded)
+    End(SessionState::kCloseAfterOutput, *exceeded);
 }
 
 }  // namespace figstall
--- a/test/caller_connection_test.cc
+++ b/test/caller_connection_test.cc
@@ -28,6 +28,11 @@
     boost::asio::write(caller_, boost::asio::buffer(bytes));
   }
   void Close() { caller_.close(); }
+  // Lets the time limits act as if this time had passed.
+  void EnforceTimeouts(Duration passed) {
+    connection_->EnforceTimeouts(BootNow() + passed);
+    Settle();
+  }
   void Serve() {
     CallerConnection::Handlers handlers;
     handlers.on_request = [this](const ResponseWriter& writer,
@@ -37,7 +42,7 @@
         return;
       HttpResponse response;
       response.version(11);
-      response.body() = "done";
+      response.body() = body_;
       writer.Reply(std::move(response));
     };
     handlers.on_closed = [this](const CallerConnection*) { closed_ = true; };
@@ -66,7 +71,10 @@
 
   int requests() const { return requests_; }
   bool closed() const { return closed_; }
-  void EnableResponses() { respond_ = true; }
+  void EnableResponses(std::string body = "done") {
+    respond_ = true;
+    body_ = std::move(body);
+  }
 
  private:
   boost::asio::io_context io_;
@@ -75,6 +83,7 @@
   std::shared_ptr<CallerConnection> connection_;
   int requests_ = 0;
   bool respond_ = false;
+  std::string body_;
   bool closed_ = false;
 };
 
@@ -104,4 +113,88 @@
   CHECK(delayed.closed());
 }
 
+// Guards against limits that end a connection while a request on it lies in the
+// kernel: a process that stood still runs its timer before it reads.
+TEST_CASE("what has arrived is read before a time limit ends a connection") {
+  const std::string get(kRequest);
+  const std::string post =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n12345";
+  const auto [request, read_before] = GENERATE_COPY(
+      std::pair(get, std::size_t{0}), std::pair(get, get.size() / 2),
+      std::pair(post, post.size() - 2));
+  INFO(request << " of which " << read_before << " bytes were read before");
+  DelayedConnection delayed;
+  delayed.EnableResponses();
+  if (read_before > 0)
+    delayed.Write(request.substr(0, read_before));
+  delayed.Serve();
+  REQUIRE(delayed.requests() == 0);
+  delayed.Write(request.substr(read_before));
+  delayed.EnforceTimeouts(std::chrono::seconds(16));
+  CHECK(delayed.requests() == 1);
+  CHECK(delayed.ReadAll().find("done") != std::string::npos);
+  delayed.EnforceTimeouts(std::chrono::seconds(1));
+  CHECK_FALSE(delayed.closed());
+}
+
+// Guards against a request that is read and dropped after an idle connection
+// was closed. Its caller learned of the close half a second later.
+TEST_CASE("an idle connection is closed in both directions at once") {
+  DelayedConnection delayed;
+  delayed.Serve();
+  delayed.EnforceTimeouts(std::chrono::seconds(16));
+  CHECK(delayed.closed());
+}
+
+// The same for a response that the caller reads while the process stands still.
+TEST_CASE("a caller that has read what was written is not reset") {
+  constexpr std::size_t kResponseBytes = 16'000'000;
+  DelayedConnection delayed;
+  delayed.EnableResponses(std::string(kResponseBytes, 'x'));
+  delayed.Write(kRequest);
+  delayed.Serve();
+  // Until the kernel takes no more.
+  const auto settle = [&] {
+    for (int i = 0; i < 20; ++i)
+      delayed.Settle();
+  };
+  settle();
+  std::size_t size = 0;
+  const auto read = [&] {
+    for (std::string bytes = delayed.ReadAll(); !bytes.empty();
+         bytes = delayed.ReadAll())
+      size += bytes.size();
+  };
+  read();
+  CHECK(size < kResponseBytes);
+  delayed.EnforceTimeouts(std::chrono::seconds(16));
+  CHECK_FALSE(delayed.closed());
+  for (int i = 0; i < 1000 && size < kResponseBytes; ++i) {
+    read();
+    delayed.Settle();
+  }
+  CHECK(size > kResponseBytes);
+  SECTION("one that reads nothing is") {
+    delayed.Write(kRequest);
+    settle();
+    delayed.EnforceTimeouts(std::chrono::seconds(16));
+    CHECK(delayed.closed());
+  }
+}
+
+TEST_CASE("a caller has time to read the last response") {
+  DelayedConnection delayed;
+  delayed.EnableResponses();
+  delayed.Write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  delayed.Serve();
+  CHECK_FALSE(delayed.closed());
+  // Does not reset the connection.
+  delayed.Write(kRequest);
+  delayed.Settle();
+  CHECK(delayed.ReadAll().find("done") != std::string::npos);
+  CHECK_FALSE(delayed.closed());
+  delayed.EnforceTimeouts(std::chrono::seconds(1));
+  CHECK(delayed.closed());
+}
+
 }  // namespace figstall
