The emulator changes the desired state and counts one lost request

The emulator's operator wrote another desired state only after a return of the store, and its callers used a kept connection however long it had been idle. So no run could meet a change of limits on a connection in use.

- A fault "desired-state" changes limits, the timeouts of all routes and the number of routes, in one version or in a storm of them.
What it wrote stays, also in the version that follows a return of the store.
- Callers reuse a kept connection that has been idle for four fifths of the idle limit last written, and no longer.
- A violation: an entry closes a kept connection within that time.
On a slower link a request would cross the close.
- A violation: a request was sent, and its connection ended before the deadline without an answer, also if no target ran it.
Before, only those that ran counted.
The entry's kill excuses it, and a planned stop if no target ran it, of which a fault "entry-stopping" now tells; a target's break-off; and the shortest timeout that a version gave the routes.
- The soak draws these faults by a generator of their own.

The test a_request_beside_a_change_of_limits_is_answered fails with connections that keep the limits of their accept: six violations, such as "2.1 s: entry 0 closed a connection after 1.3 s, which callers may use for 4.8 s".

--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -650,6 +650,29 @@
     assert sorted(logged) == sorted(places.keys() - passed_on), logged
 
 
+# Guards against LOST: connections that kept the limits of their accept were
+# closed while callers could still use them, beside versions that change limits.
+def a_request_beside_a_change_of_limits_is_answered():
+    fleet = EntryFleet(ZONES, 1)
+    scenario = small_scenario(fleet, length_s=18, rate=0.5, faults=[
+        {"at_s": 1, "kind": "desired-state", "limits": {"idleTimeoutS": 6}},
+        {"at_s": 6, "kind": "store-restored", "for_s": 0.5, "value": 8},
+        {"at_s": 8, "kind": "desired-state", "limits": {"idleTimeoutS": 2},
+         "timeout_ms": 3000, "more_routes": 300},
+        {"at_s": 11, "kind": "desired-state", "limits": {"idleTimeoutS": 9},
+         "timeout_ms": 1000, "versions": 30}])
+    scenario["limits"] = {"idleTimeoutS": 1}
+    for route in scenario["routes"].values():
+        route["keep_connections"] = True
+    report, status = fleet.run(scenario)
+    assert report["violations"] == [] and status == 0, report["violations"]
+    assert served_fraction(report) > 0.9, report["routes"]
+    for entry in fleet.entries:
+        versions = [int(line["version"]) for line in entry.log()
+                    if line["event"] == "desired-state-in-force"]
+        assert versions[-1] == report["desired_state_versions"], versions
+
+
 # Fails if killed entries don't serve again, or break connections at other times
 # than their end.
 def killed_entry_serves_after_restart():
@@ -749,6 +772,7 @@
          invalid_notices_hold_nobody_up,
          a_repeated_refusal_is_not_believed,
          bytes_without_end_fill_no_memory,
+         a_request_beside_a_change_of_limits_is_answered,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -1,9 +1,9 @@
 """Runs entries against the emulator under random faults that overlap.
 
 A seed determines the deployment, the load and the faults: of targets, of the
-store, notices of targets, and signals that stop, freeze, kill and restart
-entries. Callers keep using their connections until a process is gone. The
-emulator checks figstall's guarantees. Usage:
+store, notices of targets, versions of the desired state, and signals that stop,
+freeze, kill and restart entries. Callers keep using their connections until a
+process is gone. The emulator checks figstall's guarantees. Usage:
 
     python3 test/entry_soak_test.py --list
     python3 test/entry_soak_test.py seed_7 [--large]
@@ -128,6 +128,16 @@
                        "entry": revoke_rng.randrange(len(fleet.entries)),
                        "at_s": round(revoke_rng.uniform(0.3, LENGTH_S - 9), 2),
                        "for_s": round(revoke_rng.uniform(0.5, 9), 2)})
+    limits_rng = random.Random(f"limits {seed}")
+    initial_limits = {"idleTimeoutS": limits_rng.choice((1, 2, 5, 15))}
+    for _ in range(limits_rng.choice((0, 1, 2, 4))):
+        faults.append({"kind": "desired-state",
+                       "at_s": round(limits_rng.uniform(0.3, LENGTH_S - 3), 2),
+                       "limits": {"idleTimeoutS":
+                                  limits_rng.choice((0.5, 1, 3, 6, 15))},
+                       "timeout_ms": limits_rng.choice((600, 1000, 2500)),
+                       "more_routes": limits_rng.choice((0, 0, 50, 400)),
+                       "versions": limits_rng.choice((1, 1, 5, 30))})
     if with_stopped_targets:
         faults += stopped_targets(seed)
     actions = []
@@ -141,6 +151,7 @@
         actions += empty_zone(zone_rng, fleet)
     scenario = small_scenario(fleet, length_s=LENGTH_S, faults=faults,
                               rate=rng.uniform(0.5, 2.5))
+    scenario["limits"] = initial_limits
     for service in scenario["services"].values():
         service["work_ms"] = rng.choice((10, 25, 80, 200))
     # The larger of the two is streamed.
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -144,13 +144,15 @@
                         problem);
 }
 
-void EmulatorChecker::OnCut(const std::string& request_id) {
+void EmulatorChecker::OnCut(const std::string& request_id,
+                            bool excused_if_not_run) {
   const auto found = request_records_.find(request_id);
-  if (found != request_records_.end() && found->second.count > 0 &&
-      !found->second.broken_off)
-    violations_.push_back(
-        "request ran and its connection was closed without an answer: " +
-        request_id);
+  const bool ran = found != request_records_.end() && found->second.count > 0;
+  if (ran ? found->second.broken_off : excused_if_not_run)
+    return;
+  violations_.push_back(fmt::format(
+      "request {} and its connection was closed without an answer: {}",
+      ran ? "ran" : "was sent", request_id));
 }
 
 struct EmulatedTarget::Work {
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -54,8 +54,9 @@
   void OnBrokenOff(const std::string& request_id) {
     request_records_[request_id].broken_off = true;
   }
-  // The connection of a request closed without an answer.
-  void OnCut(const std::string& request_id);
+  // The connection of a request closed without an answer before its deadline.
+  // `excused_if_not_run`: whether its entry may close connections.
+  void OnCut(const std::string& request_id, bool excused_if_not_run);
 
   const std::vector<std::string>& violations() const { return violations_; }
   // How many grants gave a range to another target than its previous holder.
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -70,6 +70,11 @@
 constexpr Duration kHeartbeatTimeout = std::chrono::milliseconds(1500);
 // From the end of a target that restarts to its next start.
 constexpr Duration kTargetRestartTime = std::chrono::milliseconds(300);
+// Between the versions of a desired-state fault.
+constexpr Duration kVersionInterval = std::chrono::milliseconds(30);
+// Callers reuse a connection that has been idle for up to this fraction of the
+// idle limit (source: the platform's protocol).
+constexpr double kUsableIdleFraction = 0.8;
 
 class Emulator {
  public:
@@ -77,7 +82,8 @@
       : scenario_(std::move(scenario)),
         random_(seed),
         tick_timer_(io_),
-        store_server_(io_, store_, seed) {
+        store_server_(io_, store_, seed),
+        desired_state_(scenario_.desired_state) {
     for (const auto& options : scenario_.targets) {
       targets_.push_back(std::make_unique<EmulatedTarget>(
           io_, options, checker_, notice_checker_, random_()));
@@ -88,7 +94,7 @@
   EmulatorReport Run() {
     for (const auto& target : targets_)
       target->Start();
-    store_.Put("op/config", scenario_.desired_state.dump());
+    store_.Put(figstall::platform::kDesiredStateKey, desired_state_.dump());
     store_server_.Listen(scenario_.stores);
     traffic_started_at_ =
         scenario_.begins_at.value_or(BootNow()) + scenario_.startup_delay;
@@ -96,7 +102,10 @@
       ScheduleRequest(route, traffic_started_at_);
     ScheduleTick();
     io_.run();
-    report_.violations = checker_.violations();
+    report_.desired_state_versions = desired_state_version_;
+    report_.violations.insert(report_.violations.end(),
+                              checker_.violations().begin(),
+                              checker_.violations().end());
     report_.violations.insert(report_.violations.end(),
                               notice_checker_.violations().begin(),
                               notice_checker_.violations().end());
@@ -186,6 +195,16 @@
         killed_until_[fault.entry] = until;
       return;
     }
+    if (fault.kind == "entry-stopping") {
+      if (starts)
+        stopping_until_[fault.entry] = BootNow() + fault.duration;
+      return;
+    }
+    if (fault.kind == "desired-state") {
+      if (starts)
+        ChangeDesiredState(fault, 1);
+      return;
+    }
     if (fault.kind == "store-rejects-entry")
       return store_server_.Reject(fault.entry, starts);
     if (fault.kind == "store-revokes-entry") {
@@ -297,9 +316,46 @@
   }
 
   void PutNextDesiredState() {
-    json desired_state = scenario_.desired_state;
-    desired_state["version"] = ++desired_state_version_;
-    store_.Put(figstall::platform::kDesiredStateKey, desired_state.dump());
+    desired_state_["version"] = ++desired_state_version_;
+    store_.Put(figstall::platform::kDesiredStateKey, desired_state_.dump());
+  }
+
+  // Writes this version and those after it of the fault.
+  void ChangeDesiredState(const figstall::detail::ScenarioFault& fault,
+                          int version) {
+    desired_state_["limits"].update(fault.limits);
+    json& routes = desired_state_["routes"];
+    if (fault.timeout_s) {
+      shortest_timeout_ =
+          std::min(shortest_timeout_, FromSeconds(*fault.timeout_s));
+      for (auto& [name, route] : routes.items())
+        route["timeoutS"] = *fault.timeout_s;
+    }
+    if (!routes.empty()) {
+      json route = *routes.begin();
+      for (int i = 0; i < fault.more_routes; ++i) {
+        route["prefix"] = fmt::format("/more-{}/", i);
+        routes[fmt::format("more-{}", i)] = route;
+      }
+    }
+    PutNextDesiredState();
+    if (version == fault.versions)
+      return;
+    const auto timer =
+        std::make_shared<asio::steady_timer>(io_, kVersionInterval);
+    timer->async_wait([this, timer, fault, version](error_code error) {
+      if (!error)
+        ChangeDesiredState(fault, version + 1);
+    });
+  }
+
+  // For how long callers may leave a connection idle before they use it again.
+  Duration UsableIdleTime() const {
+    const json limits = desired_state_.value("limits", json::object());
+    return FromSeconds(
+        kUsableIdleFraction *
+        limits.value("idleTimeoutS",
+                     ToSeconds(figstall::CallerLimits{}.idle_timeout)));
   }
 
   static Duration FromSeconds(double seconds) {
@@ -349,28 +405,72 @@
       request.body = R"({"order": 1})";
     request.limit = traffic.deadline + std::chrono::milliseconds(200);
     const Instant sent_at = BootNow();
-    const auto channel = ChannelTo(entry, traffic.keeps_connections);
+    const auto kept =
+        traffic.keeps_connections ? KeptConnectionTo(entry) : nullptr;
+    const auto channel =
+        kept ? kept->channel
+             : figstall::HttpChannel::Make(io_, scenario_.entries[entry], 1);
     const bool idempotent = traffic.idempotent;
     notice_checker_.OnRequestSent(id, entry, sent_at);
-    channel->Call(std::move(request), [this, channel, id, sent_at, idempotent,
-                                       route, entry](const auto& response) {
-      OnResponse(route, entry, id, idempotent, sent_at, response);
-    });
+    channel->Call(
+        std::move(request), [this, channel, kept, id, sent_at, idempotent,
+                             route, entry](const auto& response) {
+          OnResponse(route, entry, id, idempotent, sent_at, response);
+          if (kept)
+            kept->idle_since =
+                response.status ? std::optional(BootNow()) : std::nullopt;
+        });
   }
 
-  // Returns a connection without a request, new or kept.
-  std::shared_ptr<figstall::HttpChannel> ChannelTo(std::size_t entry,
-                                                   bool kept) {
-    const Endpoint& address = scenario_.entries[entry];
-    if (!kept)
-      return figstall::HttpChannel::Make(io_, address, 1);
-    auto& channels = kept_channels_[entry];
-    for (const auto& channel : channels) {
-      if (channel->queued() == 0)
-        return channel;
+  // A connection that a caller keeps open for further requests.
+  struct KeptConnection {
+    std::shared_ptr<figstall::HttpChannel> channel;
+    // Empty before the first response and after a request without one.
+    std::optional<Instant> idle_since;
+  };
+
+  // Returns a connection without a request, kept or new.
+  std::shared_ptr<KeptConnection> KeptConnectionTo(std::size_t entry) {
+    auto& all = kept_connections_[entry];
+    for (const auto& each : all) {
+      if (each->channel->queued() > 0)
+        continue;
+      if (each->idle_since &&
+          BootNow() - *each->idle_since > UsableIdleTime()) {
+        each->idle_since.reset();
+        each->channel->Close();
+      }
+      return each;
     }
-    channels.push_back(figstall::HttpChannel::Make(io_, address, 1));
-    return channels.back();
+    auto added = std::make_shared<KeptConnection>();
+    added->channel =
+        figstall::HttpChannel::Make(io_, scenario_.entries[entry], 1);
+    const std::weak_ptr<KeptConnection> weak = added;
+    added->channel->SetDisconnectHandler([this, entry, weak] {
+      if (const auto lost = weak.lock())
+        OnKeptConnectionLost(entry, *lost);
+    });
+    all.push_back(added);
+    return added;
+  }
+
+  // A request on a connection that an entry closes may cross the close and
+  // remain unanswered.
+  void OnKeptConnectionLost(std::size_t entry, KeptConnection& lost) {
+    const Instant now = BootNow();
+    if (lost.idle_since && now - *lost.idle_since <= UsableIdleTime() &&
+        !MayCloseConnections(entry, now))
+      report_.violations.push_back(fmt::format(
+          "{:.1f} s: entry {} closed a connection after {:.1f} s, which "
+          "callers "
+          "may use for {:.1f} s",
+          ToSeconds(now - traffic_started_at_), entry,
+          ToSeconds(now - *lost.idle_since), ToSeconds(UsableIdleTime())));
+    lost.idle_since.reset();
+  }
+
+  bool MayCloseConnections(std::size_t entry, Instant now) {
+    return now < killed_until_[entry] || now < stopping_until_[entry];
   }
 
   void OnResponse(std::size_t route,
@@ -385,11 +485,13 @@
     const Instant now = BootNow();
     if (status == 200)
       notice_checker_.OnPassedOn(id, now);
-    // Only the kill of an entry may cut off a request that a target ran.
+    // Only the kill of an entry may cut off a request that a target ran. An
+    // entry that lags behind may apply the timeout of any earlier version.
     if (status == 0 && response.sent &&
-        now < sent_at + scenario_.traffic[route].deadline &&
+        now < sent_at + std::min(scenario_.traffic[route].deadline,
+                                 shortest_timeout_) &&
         now >= killed_until_[entry])
-      checker_.OnCut(id);
+      checker_.OnCut(id, MayCloseConnections(entry, now));
     if (status == 200) {
       const std::string received_id =
           response.header(figstall::platform::kRequestIdHeader);
@@ -415,16 +517,22 @@
   EmulatorChecker checker_;
   figstall::detail::NoticeChecker notice_checker_;
   EmulatorReport report_;
-  // Connections of callers by index of the entry.
-  std::map<std::size_t, std::vector<std::shared_ptr<figstall::HttpChannel>>>
-      kept_channels_;
+  // By index of the entry.
+  std::map<std::size_t, std::vector<std::shared_ptr<KeptConnection>>>
+      kept_connections_;
   // By index of the entry: end of the time in which it was killed.
   std::map<std::size_t, Instant> killed_until_;
+  // The same for a planned stop.
+  std::map<std::size_t, Instant> stopping_until_;
+  // As last written to the store, with its version.
+  json desired_state_;
   std::vector<std::unique_ptr<EmulatedTarget>> targets_;
   // Indices of targets that send no heartbeats although they are running.
   std::set<std::size_t> silent_in_store_;
   std::vector<Instant> last_heartbeat_at_;
   std::uint64_t desired_state_version_ = 1;
+  // The shortest timeout to which a desired state has changed the routes.
+  Duration shortest_timeout_ = Duration::max();
   std::size_t next_fault_ = 0;
   Instant traffic_started_at_{};
 };
--- a/test/fakes/emulator_report.cc
+++ b/test/fakes/emulator_report.cc
@@ -76,6 +76,7 @@
           {"runs", requests_run},
           {"owner_changes", owner_changes},
           {"store_calls", store_calls},
+          {"desired_state_versions", desired_state_versions},
           {"highest_limit_use", highest_limit_use},
           {"happened", injected_faults},
           {"violations", violations}};
--- a/test/fakes/emulator_report.h
+++ b/test/fakes/emulator_report.h
@@ -39,6 +39,7 @@
   std::vector<std::string> violations;
   std::uint64_t owner_changes = 0;
   std::uint64_t store_calls = 0;
+  std::uint64_t desired_state_versions = 1;
   // Highest number of requests in 4 s at a target with a limit, as a share of
   // what the limit allows.
   double highest_limit_use = 0;
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -18,6 +18,7 @@
   "type": "object", "additionalProperties": false,
   "required": ["length_s", "stores", "entries", "services", "routes"],
   "properties": {
+    "limits": {"type": "object"},
     "begins_at_s": {"type": "number", "minimum": 0},
     "lead_s": {"type": "number", "minimum": 0},
     "length_s": {"type": "number", "exclusiveMinimum": 0},
@@ -65,7 +66,12 @@
                           "store-revokes-entry", "store-silent", "store-busy",
                           "store-lost-answers", "store-compact",
                           "store-restored", "store-odd-entries",
-                          "store-lapse"]},
+                          "store-lapse", "entry-stopping",
+                          "desired-state"]},
+        "limits": {"type": "object"},
+        "timeout_ms": {"type": "number", "exclusiveMinimum": 0},
+        "more_routes": {"type": "integer", "minimum": 0},
+        "versions": {"type": "integer", "minimum": 1},
         "value": {"type": "number", "minimum": 0},
         "keeps_entry": {"type": "boolean"},
         "entry": {"type": "integer", "minimum": 0},
@@ -103,6 +109,8 @@
     scenario.desired_state = {{"version", 1},
                               {"routes", json::object()},
                               {"services", json::object()}};
+    if (document_.contains("limits"))
+      scenario.desired_state["limits"] = document_.at("limits");
     for (const auto& [name, service] : document_.at("services").items())
       ReadService(name, service, scenario);
     for (const auto& [name, route] : document_.at("routes").items())
@@ -199,6 +207,11 @@
     fault.value = value.value("value", 1.0);
     fault.keeps_entry = value.value("keeps_entry", false);
     fault.entry = value.value("entry", std::size_t{0});
+    fault.limits = value.value("limits", json::object());
+    if (value.contains("timeout_ms"))
+      fault.timeout_s = value.at("timeout_ms").get<double>() / 1e3;
+    fault.more_routes = value.value("more_routes", 0);
+    fault.versions = value.value("versions", 1);
     if (fault.kind.rfind("target-", 0) == 0) {
       const std::string service = value.value("service", "");
       const std::size_t count = value.value("count", 1U);
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -43,6 +43,13 @@
   bool keeps_entry = false;
   // Index into Scenario::entries, for faults of an entry.
   std::size_t entry = 0;
+  // Of desired-state: the limits that change, the timeout of all routes, the
+  // number of routes without traffic, and the number of versions written, the
+  // last of which stays.
+  nlohmann::json limits;
+  std::optional<double> timeout_s;
+  int more_routes = 0;
+  int versions = 1;
 };
 
 struct Scenario {
