A request under way may use the longer timeout of a later version

What callers saw: a request that waited, or whose response was streamed, ended with 504 or was cut at the timeout of its route as it was when the request arrived, although the version in force since then allows longer.

Cause: the deadline was computed once, at the arrival.

Now each request looks at a new version once and takes the longer of both timeouts, still within the limit that its caller set and that of a planned stop. The route must have the same name. A shorter timeout does not cut what began under the longer one, as before. A line `deadline-extended` tells of it.

Weighed: the latest timeout alone (cuts what began under a longer one). A target still stops at the limit with which the request was sent to it; requests that wait, that are sent again and that are streamed gain most.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -79,6 +79,12 @@
   bool waiting() const { return waiting_; }
 
  private:
+  // When the request must end under the timeout of `route`, or earlier if the
+  // caller set a shorter one.
+  Instant DeadlineUnder(const IngressRoute& route) const;
+  // Extends the deadline if a version that came into force since allows a
+  // longer time.
+  void ExtendDeadline();
   // Whether a request that cannot be sent may keep waiting.
   bool MayWait(Instant now) const;
   TargetQuery MakeTargetQuery() const;
@@ -127,7 +133,10 @@
   ServiceId service_;
   bool keyed_ = false;
   ShardKey key_ = 0;
+  // Never decreases.
   Instant deadline_;
+  // Version of the desired state that the deadline takes into account.
+  std::uint64_t deadline_version_ = 0;
   RequestWaits waits_;
   bool waiting_ = false;
   bool ended_ = false;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -70,13 +70,8 @@
       routes_->Find(View(request_[http::field::host]), View(request_.target()));
   if (!route_)
     return FinishWithLocalResponse(kNotFound, "no-route", std::nullopt);
-  Duration timeout = route_->request_timeout;
-  const auto time_left_ms =
-      ParseNumber<std::int64_t>(View(request_[platform::kTimeLeftHeader]));
-  if (time_left_ms)
-    timeout =
-        std::min<Duration>(timeout, std::chrono::milliseconds(*time_left_ms));
-  deadline_ = arrived_at_ + timeout;
+  deadline_ = DeadlineUnder(*route_);
+  deadline_version_ = routes_->state().version;
   if (traffic_.shutdown_deadline_ && deadline_ > *traffic_.shutdown_deadline_)
     return FinishWithLocalResponse(kUnavailable, "stopping", Duration{0});
   service_ = traffic_.service_selectors_[route_->name].Next(route_->services);
@@ -101,6 +96,38 @@
     WaitForTarget();
 }
 
+Instant Exchange::DeadlineUnder(const IngressRoute& route) const {
+  Duration timeout = route.request_timeout;
+  const auto time_left_ms =
+      ParseNumber<std::int64_t>(View(request_[platform::kTimeLeftHeader]));
+  if (time_left_ms)
+    timeout =
+        std::min<Duration>(timeout, std::chrono::milliseconds(*time_left_ms));
+  return arrived_at_ + timeout;
+}
+
+void Exchange::ExtendDeadline() {
+  const auto& latest = traffic_.view_.routes;
+  if (!route_ || latest->state().version == deadline_version_)
+    return;
+  deadline_version_ = latest->state().version;
+  const IngressRoute* route =
+      latest->Find(View(request_[http::field::host]), View(request_.target()));
+  if (!route || route->name != route_->name)
+    return;
+  Instant extended = DeadlineUnder(*route);
+  if (traffic_.shutdown_deadline_)
+    extended = std::min(extended, *traffic_.shutdown_deadline_);
+  if (extended <= deadline_)
+    return;
+  traffic_.log_.Write(
+      LogLevel::kInfo, "deadline-extended",
+      {{"id", id_},
+       {"version", std::to_string(deadline_version_)},
+       {"by_ms", std::to_string(ToMillis(extended - deadline_))}});
+  deadline_ = extended;
+}
+
 TargetQuery Exchange::MakeTargetQuery() const {
   return {service_,
           keyed_ ? std::optional(key_) : std::nullopt,
@@ -354,6 +381,7 @@
   if (ended_)
     return;
   const auto self = shared_from_this();
+  ExtendDeadline();
   if (now >= deadline_) {
     bool streaming = false;
     if (attempt_) {
