A planned stop answers requests that were read behind another one

What callers saw: of requests sent one behind the other, those behind the one that was being served at a planned stop were read and dropped: its response announced the close.

Cause: a stopping session parses one request at a time, so that the last response can announce the close, and took those that it had not parsed for not read. Their bytes had left the kernel.

Now a response announces the close only if nothing that was read, whole or in part, lies behind it. Requests are still served one at a time then, and the end of the grace bounds it all.

"A stopping session responds to what was read; the last response closes" said that a request which was not passed on counts as not read. It now requires its response, with the announcement of the close after it: stricter by one request. It failed before ({ "/a", "/b", "/p1" } passed on, without "/z"), and so did the new test "a stopping session responds to requests that it has not parsed", in its three sections: whole requests, one read in part, one parsed in part.

--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -354,7 +354,8 @@
   if (front.full_response || front.head) {
     // While the process stops, the response to the last request that was read
     // announces the close. Earlier responses don't.
-    if (stopping_ && pending_requests_.size() == 1 && !deferred_request_)
+    if (stopping_ && pending_requests_.size() == 1 && !deferred_request_ &&
+        !reading_request_ && input_.empty())
       front.keep_alive = false;
     closing_ = closing_ || !front.keep_alive;
   }
--- a/test/caller_session_test.cc
+++ b/test/caller_session_test.cc
@@ -281,12 +281,44 @@
   harness.Respond("/b", "B");
   CHECK(harness.passed() == Texts{"/a", "/b", "/p1"});
   harness.Respond("/p1", "P");
-  // A request that was not passed on counts as not read.
-  CHECK(harness.passed() == Texts{"/a", "/b", "/p1"});
-  CHECK(harness.Responses() == Texts{"200 A", "200 B", "200 P close"});
+  CHECK(harness.passed() == Texts{"/a", "/b", "/p1", "/z"});
+  harness.Respond("/z", "Z");
+  CHECK(harness.Responses() == Texts{"200 A", "200 B", "200 P", "200 Z close"});
   CHECK(harness.session().state() == SessionState::kCloseAfterOutput);
 }
 
+// Guards against requests that were read and are dropped at a planned stop:
+// those behind the request that was being served.
+TEST_CASE("a stopping session responds to requests that it has not parsed") {
+  SessionHarness harness;
+  harness.Send(Get("a"));
+  harness.session().Stop();
+  const std::string post = Post("p", "12345");
+  SECTION("whole ones") {
+    harness.Send(post + Get("b"));
+    harness.Respond("/a", "A");
+    harness.Respond("/p12345", "P");
+    harness.Respond("/b", "B");
+    CHECK(harness.Responses() == Texts{"200 A", "200 P", "200 B close"});
+  }
+  SECTION("one that is read in part") {
+    harness.Send(post.substr(0, post.size() - 1));
+    harness.Respond("/a", "A");
+    harness.Send(post.substr(post.size() - 1));
+    harness.Respond("/p12345", "P");
+    CHECK(harness.Responses() == Texts{"200 A", "200 P close"});
+  }
+  SECTION("a part that was parsed before the stop") {
+    SessionHarness parsed;
+    parsed.Send(Get("a") + post.substr(0, post.size() - 1));
+    parsed.session().Stop();
+    parsed.Respond("/a", "A");
+    parsed.Send(post.substr(post.size() - 1));
+    parsed.Respond("/p12345", "P");
+    CHECK(parsed.Responses() == Texts{"200 A", "200 P close"});
+  }
+}
+
 TEST_CASE("a stop keeps a new connection open for its first request") {
   SessionHarness harness;
   harness.session().Stop();
