A planned stop waits for a request that is being read

What callers saw: a request that was sent slowly ended with its connection, 2.8 s after the start of a planned stop, though the grace lasts 6 s.

Cause: the process ends once no request is in flight and all responses are written. A request of which a part was read was neither.

Now it waits for such a request too, within the grace. A caller that never completes its request can hold the stop until the grace ends, not longer.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -89,9 +89,11 @@
   // CallerSession::CloseIfIdle.
   void CloseIfIdle();
 
-  // Whether output is not yet written, or the caller's close is awaited after
-  // the last response.
-  bool ending() const { return session_.writing() || send_closed_at_; }
+  // Whether a request is being read, output is not yet written, or the caller's
+  // close is awaited after the last response.
+  bool busy() const {
+    return session_.reading() || session_.writing() || send_closed_at_;
+  }
 
  private:
   friend class ResponseWriter;
--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -162,6 +162,8 @@
   SessionState state() const { return state_; }
   // Empty while the session is open.
   const std::optional<SessionEnd>& end() const { return end_; }
+  // Whether bytes were read of a request that is not complete or not parsed.
+  bool reading() const { return reading_request_ || !input_.empty(); }
   // Whether output is queued or being written.
   bool writing() const { return bytes_in_write_ > 0 || !output_.empty(); }
   // Whether no request is being read, served or answered.
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -51,7 +51,8 @@
     shutdown_deadline_ = shutdown_deadline;
   }
   void CloseIdleCallers();
-  // Whether no request is in flight and all responses are fully written.
+  // Whether no request is being read or in flight and all responses are fully
+  // written.
   bool IsDrained() const;
   std::size_t in_flight() const { return exchanges_.size(); }
   // Enforces timeouts; called every kTickInterval.
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -186,7 +186,7 @@
 bool EntryTraffic::IsDrained() const {
   return exchanges_.empty() &&
          std::all_of(callers_.begin(), callers_.end(),
-                     [](const auto& each) { return !each.second->ending(); });
+                     [](const auto& each) { return !each.second->busy(); });
 }
 
 void EntryTraffic::CloseIdleCallers() {
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -10,6 +10,7 @@
 import json
 import pathlib
 import re
+import socket
 import subprocess
 import sys
 import threading
@@ -792,6 +793,48 @@
     assert stopped and stopped[0]["in_flight"] == "0", stopped
 
 
+# Guards against a planned stop that ends the process while a request is being
+# read, long before the grace is over.
+def a_request_that_is_being_read_at_a_stop_is_answered():
+    def answer(_, request_id, send):
+        send(response(200, request_id, "paid", Backend_Signature="s"))
+
+    received = []
+
+    def post_slowly(fleet):
+        host, entry_port = fleet.entries[0].callers.split(":")
+        with socket.create_connection((host, int(entry_port)), 5) as caller:
+            caller.sendall(b"POST /pay/1 HTTP/1.1\r\nHost: a.example\r\n"
+                           b"Request-Id: slow\r\nDeadline-Ms: 500\r\n"
+                           b"Content-Length: 10\r\n\r\n12345")
+            time.sleep(0.5)
+            fleet.entries[0].send_signal(TERMINATE)
+            time.sleep(4)
+            try:
+                caller.sendall(b"67890")
+                while piece := caller.recv(1000):
+                    received.append(piece)
+            except OSError as error:
+                received.append(str(error).encode())
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    port, = free_ports(1)
+    target = RawTarget(port, answer)
+    scenario = {
+        "lead_s": 3, "length_s": 8,
+        "services": {"ledger": {"targets": [
+            {"address": address(port), "zone": "north-a", "external": True}]}},
+        "routes": {"pay": {"host": "a.example", "prefix": "/pay/",
+                           "kind": "unsafe", "service": "ledger",
+                           "per_second": 0.01}}}
+    try:
+        fleet.run(scenario, actions=[Action(LEAD_S + 1, post_slowly)])
+    finally:
+        target.close()
+    assert b"".join(received).startswith(b"HTTP/1.1 200"), received
+    assert fleet.entries[0].process.returncode == 0
+
+
 def invalid_input_is_refused_with_its_places():
     fleet = EntryFleet(ZONES, 1)
     settings = json.loads(fleet.entries[0].settings_path.read_text())
@@ -845,6 +888,7 @@
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
          requests_late_in_the_grace_are_answered,
+         a_request_that_is_being_read_at_a_stop_is_answered,
          invalid_input_is_refused_with_its_places]
 
 
