An older version is used if the newer ones with it are refused

Of several changes of one key that arrive together, in the answer to a watch, an update of another member or a reading, only the newest is decoded, which a test now counts. If that one can't be used, the older ones were dropped: the member stayed at the version before all of them, while a member that got them one by one used the last valid one.

What the handler of an item returns now tells a refusal, and the copy then offers the older items of that key that arrived with it, newest first. The one that is used is published before the refused one, so that subscribers come to the same. Versions still never go down: an item that the copy had before isn't offered again, and the handler takes higher versions only. The same holds for target entries: a malformed one doesn't hide one that says leaving.

Test: "a version is used if the newer ones with it are refused" failed before: publisher.decoded.size() was 1 instead of 3, and the subscriber had v2 in force instead of v4. "of several versions that arrive together the newest is decoded" passed before; it holds the behaviour.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -216,15 +216,14 @@
   void OnWatchResponse(const StoreResponse& response, Instant requested_at);
   void CancelWatch();
   void OnRelayUpdate(const RelayUpdate& update);
-  // Returns false if the item changes nothing that other members need.
-  bool Apply(const StoreItem& item);
+  ItemOutcome Apply(const StoreItem& item);
   // Applies a key of this era that members write under conditions.
   void ApplyConditionalKey(const StoreItem& item);
   void ApplyMover(const StoreItem& item);
   void ApplyRejoin(const StoreItem& item);
-  void ApplyDesiredState(const StoreItem& item);
+  ItemOutcome ApplyDesiredState(const StoreItem& item);
   void LogTarget(const TargetEntry& entry, bool joined, Revision revision);
-  bool ApplyTarget(const std::string& id, const StoreItem& item);
+  ItemOutcome ApplyTarget(const std::string& id, const StoreItem& item);
   void ApplyMember(const VmId& vm, const StoreItem& item);
   void ApplyTable(const ServiceId& service, const StoreItem& item);
   void RemoveAbsentTargets(Instant now);
--- a/include/figstall/store_copy.h
+++ b/include/figstall/store_copy.h
@@ -56,12 +56,20 @@
   Revision revision = 0;
 };
 
+enum class ItemOutcome {
+  kChanged,
+  // Changes nothing that other members need.
+  kUnchanged,
+  // Cannot be used. An older item of the same key may still be.
+  kRefused,
+};
+
 class StoreCopy {
  public:
   struct Handlers {
-    // Takes an item that is newer than the copy's. Returns false if it changes
-    // nothing that other members need.
-    std::function<bool(const StoreItem&)> apply;
+    // Takes an item that is newer than the copy's. An older one follows if the
+    // newest that arrived is refused.
+    std::function<ItemOutcome(const StoreItem&)> apply;
     std::function<bool()> has_subscribers;
     std::function<void(const RelayUpdate&)> publish;
     // The base revision of `delta` is not the one that the copy has, `known`.
@@ -100,6 +108,12 @@
 
  private:
   void Apply(const std::vector<StoreItem>& items, Revision cursor);
+  // Applies the newest usable one of the items of the key of `refused` that are
+  // older than it and newer than `known_through`. Returns null if there is
+  // none.
+  const StoreItem* ApplyOlder(const std::vector<StoreItem>& items,
+                              const StoreItem& refused,
+                              Revision known_through);
   // A publisher publishes what changes its own copy. That brings this copy up
   // to the update's cursor only if it had nothing that the publisher's copy
   // lacked before: the publisher may not know that such a key was deleted
--- a/include/figstall/store_mirror.h
+++ b/include/figstall/store_mirror.h
@@ -40,6 +40,8 @@
   // Stores the item. Returns false, and changes nothing, if the key is known at
   // the same or a newer revision, or a snapshot told what it was later.
   bool Put(const StoreItem& item);
+  // Put() takes only later revisions of the key.
+  Revision KnownThrough(const std::string& key) const;
   // Null if the key is unknown. Remembered deletions are found as items.
   const StoreItem* Find(const std::string& key) const;
   // `items` is a snapshot of all keys below `prefix` at `revision`. Returns
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -188,19 +188,19 @@
   Join();
 }
 
-bool EntryControl::Apply(const StoreItem& item) {
+ItemOutcome EntryControl::Apply(const StoreItem& item) {
   if (StartsWith(item.key, platform::kTargetsPrefix))
     return ApplyTarget(
         item.key.substr(std::string_view(platform::kTargetsPrefix).size()),
         item);
   if (item.key == platform::kDesiredStateKey)
-    ApplyDesiredState(item);
-  else if (StartsWith(item.key, kMembersPrefix))
+    return ApplyDesiredState(item);
+  if (StartsWith(item.key, kMembersPrefix))
     ApplyMember(VmId(item.key.substr(std::string_view(kMembersPrefix).size())),
                 item);
   else if (EraOf(item.revision) == era_)
     ApplyConditionalKey(item);
-  return true;
+  return ItemOutcome::kChanged;
 }
 
 void EntryControl::ApplyConditionalKey(const StoreItem& item) {
@@ -229,18 +229,19 @@
   rejoin_seen_at_ = BootNow();
 }
 
-void EntryControl::ApplyDesiredState(const StoreItem& item) {
+ItemOutcome EntryControl::ApplyDesiredState(const StoreItem& item) {
+  // What is in force stays so without the key.
   if (item.deleted)
-    return;
+    return ItemOutcome::kRefused;
   const Instant begun_at = BootNow();
   const Duration processor_time_before = ThreadProcessorTime();
-  HandleError(
-      [&]() -> Result<void> {
+  return HandleError(
+      [&]() -> Result<ItemOutcome> {
         BOOST_LEAF_AUTO(state, platform::DecodeDesiredState(item.value));
         const std::uint64_t known =
             view_.routes ? view_.routes->state().version : 0;
         if (view_.routes && state.version <= known)
-          return {};
+          return ItemOutcome::kChanged;
         view_.routes = std::make_shared<const RouteIndex>(std::move(state));
         MarkViewChanged();
         const DesiredState& in_force = view_.routes->state();
@@ -257,12 +258,13 @@
              {"processor_us",
               std::to_string(
                   (ThreadProcessorTime() - processor_time_before).count())}});
-        return {};
+        return ItemOutcome::kChanged;
       },
       [&](const Error& error) {
         log_.Write(LogLevel::kError, "desired-state-refused",
                    {{"revision", RevisionText(item.revision)},
                     {"findings", Describe(error)}});
+        return ItemOutcome::kRefused;
       });
 }
 
@@ -279,17 +281,18 @@
               {"revision", RevisionText(revision)}});
 }
 
-bool EntryControl::ApplyTarget(const std::string& id, const StoreItem& item) {
+ItemOutcome EntryControl::ApplyTarget(const std::string& id,
+                                      const StoreItem& item) {
   const TargetId target(id);
   if (item.deleted) {
     target_history_.OnRemoved(target);
     const auto known = view_.targets.find(target);
     if (known != view_.targets.end())
       absence_.OnEntryRemoved(BootNow(), target, known->second.leaving);
-    return true;
+    return ItemOutcome::kChanged;
   }
   return HandleError(
-      [&]() -> Result<bool> {
+      [&]() -> Result<ItemOutcome> {
         BOOST_LEAF_AUTO(entry, platform::DecodeTargetEntry(id, item.value));
         if (!target_history_.Accept(entry, EraOf(item.revision))) {
           log_.Write(LogLevel::kInfo, "target-entry-outdated",
@@ -297,7 +300,7 @@
                       {"born", std::to_string(entry.incarnation.started_at_ms)},
                       {"status", std::to_string(entry.status_number)},
                       {"era", std::to_string(EraOf(item.revision))}});
-          return false;
+          return ItemOutcome::kUnchanged;
         }
         const bool was_absent = absence_.OnEntryPresent(target);
         const bool listed_otherwise = notices_.notices().OnListed(
@@ -309,7 +312,8 @@
         const auto known = view_.targets.find(target);
         // Subscribers may not have heard yet what this member knew before.
         if (known != view_.targets.end() && known->second == entry)
-          return was_absent || listed_otherwise;
+          return was_absent || listed_otherwise ? ItemOutcome::kChanged
+                                                : ItemOutcome::kUnchanged;
         // The initial read is logged as one line for all targets.
         if (initial_read_done_)
           LogTarget(entry, known == view_.targets.end(), item.revision);
@@ -320,14 +324,14 @@
         }
         view_.targets[target] = std::move(entry);
         MarkViewChanged();
-        return true;
+        return ItemOutcome::kChanged;
       },
       [&](const Error& error) {
         log_.Write(LogLevel::kWarning, "target-entry-refused",
                    {{"target", id},
                     {"revision", RevisionText(item.revision)},
                     {"findings", Describe(error)}});
-        return true;
+        return ItemOutcome::kRefused;
       });
 }
 
--- a/src/store_copy.cc
+++ b/src/store_copy.cc
@@ -50,8 +50,17 @@
   for (const StoreItem& item : NewestOfEachKey(items)) {
     std::optional<ItemDelta> delta = MakeItemDelta(item);
     newest_ = std::max(newest_, item.revision);
-    if (!mirror_.Put(item) || !handlers_.apply(item))
+    const Revision known_through = mirror_.KnownThrough(item.key);
+    if (!mirror_.Put(item))
       continue;
+    const ItemOutcome outcome = handlers_.apply(item);
+    if (outcome == ItemOutcome::kUnchanged)
+      continue;
+    if (outcome == ItemOutcome::kRefused) {
+      const StoreItem* usable = ApplyOlder(items, item, known_through);
+      if (usable)
+        update.items.push_back(*usable);
+    }
     if (delta)
       update.deltas.push_back(std::move(*delta));
     else
@@ -69,6 +78,26 @@
   handlers_.publish(update);
 }
 
+const StoreItem* StoreCopy::ApplyOlder(const std::vector<StoreItem>& items,
+                                       const StoreItem& refused,
+                                       Revision known_through) {
+  std::vector<const StoreItem*> older;
+  for (const StoreItem& item : items) {
+    if (item.key == refused.key && item.revision < refused.revision &&
+        item.revision > known_through)
+      older.push_back(&item);
+  }
+  std::sort(older.begin(), older.end(),
+            [](const StoreItem* a, const StoreItem* b) {
+              return a->revision > b->revision;
+            });
+  for (const StoreItem* item : older) {
+    if (handlers_.apply(*item) != ItemOutcome::kRefused)
+      return item;
+  }
+  return nullptr;
+}
+
 std::optional<ItemDelta> StoreCopy::MakeItemDelta(const StoreItem& item) const {
   if (item.deleted || item.value.size() < kMinDeltaValueBytes ||
       !handlers_.has_subscribers())
--- a/src/store_mirror.cc
+++ b/src/store_mirror.cc
@@ -46,6 +46,11 @@
   return true;
 }
 
+Revision StoreMirror::KnownThrough(const std::string& key) const {
+  const StoreItem* known = Find(key);
+  return std::max(snapshot_through_, known ? known->revision : 0);
+}
+
 const StoreItem* StoreMirror::Find(const std::string& key) const {
   const auto found = items_.find(key);
   return found == items_.end() ? nullptr : &found->second;
--- a/test/store_copy_test.cc
+++ b/test/store_copy_test.cc
@@ -181,7 +181,9 @@
       const bool changed = known != Relevant(item);
       known = Relevant(item);
       // All changes but those of a target's heartbeat matter to others.
-      return changed || item.deleted || !item.key.starts_with("targets/");
+      return changed || item.deleted || !item.key.starts_with("targets/")
+                 ? ItemOutcome::kChanged
+                 : ItemOutcome::kUnchanged;
     };
     handlers.has_subscribers = [] { return true; };
     handlers.publish = [this, number](const RelayUpdate& update) {
@@ -273,7 +275,7 @@
          std::string& known = view[item.key];
          const bool changed = known != Relevant(item);
          known = Relevant(item);
-         return changed;
+         return changed ? ItemOutcome::kChanged : ItemOutcome::kUnchanged;
        },
        [] { return true; },
        [this](const RelayUpdate& update) { published.push_back(update); },
@@ -400,4 +402,84 @@
   CHECK_FALSE(subscriber.Has("targets/a"));
 }
 
+namespace {
+
+// A copy whose items are versions of one document, of which "bad" ones cannot
+// be used.
+struct VersionedCopy {
+  std::vector<std::string> decoded;
+  std::string in_force;
+  std::vector<RelayUpdate> published;
+  StoreCopy copy{
+      {[this](const StoreItem& item) {
+         const std::string name = item.value.substr(0, item.value.find('x'));
+         decoded.push_back(name);
+         if (item.value.starts_with("bad"))
+           return ItemOutcome::kRefused;
+         in_force = name;
+         return ItemOutcome::kChanged;
+       },
+       [] { return true; },
+       [this](const RelayUpdate& update) { published.push_back(update); },
+       [](const ItemDelta&, Revision) {}}};
+};
+
+StoreItem Version(Revision revision, const std::string& value) {
+  return {"document", value, revision, false};
+}
+
+}  // namespace
+
+// Guards against a loop that stands still over versions that a newer one, which
+// arrived with them, replaces.
+TEST_CASE("of several versions that arrive together the newest is decoded") {
+  VersionedCopy member;
+  SECTION("in the answer to a watch") {
+    member.copy.ApplyChanges(
+        {Version(3, "v3"), Version(4, "v4"), Version(5, "v5")}, 5);
+  }
+  SECTION("in an update of another member") {
+    RelayUpdate update;
+    update.items = {Version(4, "v4"), Version(5, "v5"), Version(3, "v3")};
+    update.cursor = 5;
+    REQUIRE(member.copy.ApplyRelayUpdate(update));
+  }
+  SECTION("in two sections of a reading") {
+    member.copy.ApplyRead({{"", false, {Version(3, "v3")}, 3},
+                           {"doc", true, {Version(5, "v5")}, 5}},
+                          /*covers_all_keys=*/true);
+  }
+  CHECK(member.decoded == std::vector<std::string>{"v5"});
+  CHECK(member.in_force == "v5");
+}
+
+// Guards against a member that stays behind the others, since the newest of the
+// versions that arrived together can't be used.
+TEST_CASE("a version is used if the newer ones with it are refused") {
+  VersionedCopy publisher;
+  VersionedCopy subscriber;
+  const std::string long_value(kLongValueBytes, 'x');
+  for (VersionedCopy* each : {&publisher, &subscriber})
+    each->copy.ApplyRead({{"", false, {Version(2, "v2" + long_value)}, 2}},
+                         /*covers_all_keys=*/true);
+  publisher.published.clear();
+  publisher.decoded.clear();
+  publisher.copy.ApplyChanges(
+      {Version(3, "v3" + long_value), Version(4, "v4" + long_value),
+       Version(5, "bad" + long_value), Version(6, "bad" + long_value)},
+      6);
+  CHECK(publisher.in_force == "v4");
+  CHECK(publisher.decoded == std::vector<std::string>{"bad", "bad", "v4"});
+  CHECK(publisher.copy.Find("document")->revision == 6);
+  REQUIRE(publisher.published.size() == 1);
+  REQUIRE(subscriber.copy.ApplyRelayUpdate(publisher.published.front()));
+  CHECK(subscriber.in_force == "v4");
+  CHECK(subscriber.copy.Find("document")->revision == 6);
+  // What was known before is not used anew.
+  publisher.decoded.clear();
+  publisher.copy.ApplyChanges(
+      {Version(4, "v4" + long_value), Version(7, "bad" + long_value)}, 7);
+  CHECK(publisher.decoded == std::vector<std::string>{"bad"});
+}
+
 }  // namespace figstall
