--- a/src/desired_state.cc
+++ b/src/desired_state.cc
@@ -17,6 +17,7 @@
 }  // namespace
 
 RouteIndex::RouteIndex(DesiredState state) : state_(std::move(state)) {
+  routes_by_host_and_prefix_.reserve(state_.routes.size());
   for (const IngressRoute& route : state_.routes)
     routes_by_host_and_prefix_[NormalizeHost(route.host) + " " + route.prefix] =
         &route;
