A value that is read anew with the same bytes is not decoded again

After the store came back from an older copy each member reads everything anew, at revisions of a new era. The desired state is in most cases the one that is in force, byte for byte, and was parsed, checked and decoded once more, on the thread that serves.

The copy of the store now tells that a key's last item had the same value and was not refused, and the desired state is then left as it is. A refused value is looked at anew, since an older one that came with it may be used instead.

Test: "a value that is read anew in a new era is not decoded again" failed before: { "v2" } == { }.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -216,7 +216,7 @@
   void OnWatchResponse(const StoreResponse& response, Instant requested_at);
   void CancelWatch();
   void OnRelayUpdate(const RelayUpdate& update);
-  ItemOutcome Apply(const StoreItem& item);
+  ItemOutcome Apply(const StoreItem& item, bool same_value);
   // Applies a key of this era that members write under conditions.
   void ApplyConditionalKey(const StoreItem& item);
   void ApplyMover(const StoreItem& item);
--- a/include/figstall/store_copy.h
+++ b/include/figstall/store_copy.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,8 +69,9 @@
  public:
   struct Handlers {
     // Takes an item that is newer than the copy's. An older one follows if the
-    // newest that arrived is refused.
-    std::function<ItemOutcome(const StoreItem&)> apply;
+    // newest that arrived is refused. `same_value` tells that the key's last
+    // item was not refused and had the same value.
+    std::function<ItemOutcome(const StoreItem&, bool same_value)> apply;
     std::function<bool()> has_subscribers;
     std::function<void(const RelayUpdate&)> publish;
     // The base revision of `delta` is not the one that the copy has, `known`.
@@ -127,8 +129,13 @@
   // base revision of `delta`.
   bool ExpandDelta(const ItemDelta& delta, std::vector<StoreItem>& items);
 
+  // Whether the copy has the item's value already and it was not refused.
+  bool HasUsableValue(const StoreItem& item) const;
+
   const Handlers handlers_;
   StoreMirror mirror_;
+  // Keys whose newest item was refused.
+  std::set<std::string> refused_keys_;
   Revision cursor_ = 0;
   // Newest section of a reading of all keys. Keys that were deleted up to it
   // may be missing from the copy without a trace.
--- a/src/bench_main.cc
+++ b/src/bench_main.cc
@@ -539,14 +539,15 @@
             });
           }
         }));
-  print(
-      "475 items into an empty copy of the store", Measure([&] {
-        StoreCopy copy({[](const StoreItem&) { return ItemOutcome::kChanged; },
-                        [] { return false; }, [](const RelayUpdate&) {},
-                        [](const ItemDelta&, Revision) {}});
-        copy.ApplyRead({{"", false, items, kTargets}},
-                       /*covers_all_keys=*/true);
-      }));
+  print("475 items into an empty copy of the store", Measure([&] {
+          StoreCopy copy({[](const StoreItem&, bool /*same_value*/) {
+                            return ItemOutcome::kChanged;
+                          },
+                          [] { return false; }, [](const RelayUpdate&) {},
+                          [](const ItemDelta&, Revision) {}});
+          copy.ApplyRead({{"", false, items, kTargets}},
+                         /*covers_all_keys=*/true);
+        }));
   constexpr int kRanges = 300;
   RangeTable table;
   table.entries.reserve(kRanges);
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -57,7 +57,9 @@
       metrics_(metrics),
       store_(io, settings.store, timing_.store_call_timeout),
       random_(std::hash<std::string>()(incarnation_ + settings.vm.value())),
-      copy_({[this](const StoreItem& item) { return Apply(item); },
+      copy_({[this](const StoreItem& item, bool same_value) {
+               return Apply(item, same_value);
+             },
              [this] { return publisher_->subscribers() > 0; },
              [this](const RelayUpdate& update) { publisher_->Publish(update); },
              [this](const ItemDelta& delta, Revision known) {
@@ -188,13 +190,13 @@
   Join();
 }
 
-ItemOutcome EntryControl::Apply(const StoreItem& item) {
+ItemOutcome EntryControl::Apply(const StoreItem& item, bool same_value) {
   if (StartsWith(item.key, platform::kTargetsPrefix))
     return ApplyTarget(
         item.key.substr(std::string_view(platform::kTargetsPrefix).size()),
         item);
   if (item.key == platform::kDesiredStateKey)
-    return ApplyDesiredState(item);
+    return same_value ? ItemOutcome::kChanged : ApplyDesiredState(item);
   if (StartsWith(item.key, kMembersPrefix))
     ApplyMember(VmId(item.key.substr(std::string_view(kMembersPrefix).size())),
                 item);
--- a/src/store_copy.cc
+++ b/src/store_copy.cc
@@ -51,9 +51,14 @@
     std::optional<ItemDelta> delta = MakeItemDelta(item);
     newest_ = std::max(newest_, item.revision);
     const Revision known_through = mirror_.KnownThrough(item.key);
+    const bool same_value = HasUsableValue(item);
     if (!mirror_.Put(item))
       continue;
-    const ItemOutcome outcome = handlers_.apply(item);
+    const ItemOutcome outcome = handlers_.apply(item, same_value);
+    if (outcome == ItemOutcome::kRefused)
+      refused_keys_.insert(item.key);
+    else
+      refused_keys_.erase(item.key);
     if (outcome == ItemOutcome::kUnchanged)
       continue;
     if (outcome == ItemOutcome::kRefused) {
@@ -78,6 +83,12 @@
   handlers_.publish(update);
 }
 
+bool StoreCopy::HasUsableValue(const StoreItem& item) const {
+  const StoreItem* known = mirror_.Find(item.key);
+  return known && !known->deleted && !item.deleted &&
+         known->value == item.value && !refused_keys_.contains(item.key);
+}
+
 const StoreItem* StoreCopy::ApplyOlder(const std::vector<StoreItem>& items,
                                        const StoreItem& refused,
                                        Revision known_through) {
@@ -92,7 +103,7 @@
               return a->revision > b->revision;
             });
   for (const StoreItem* item : older) {
-    if (handlers_.apply(*item) != ItemOutcome::kRefused)
+    if (handlers_.apply(*item, /*same_value=*/false) != ItemOutcome::kRefused)
       return item;
   }
   return nullptr;
--- a/test/store_copy_test.cc
+++ b/test/store_copy_test.cc
@@ -176,7 +176,7 @@
     Member& member = members_[number];
     member = Member{};
     StoreCopy::Handlers handlers;
-    handlers.apply = [this, number](const StoreItem& item) {
+    handlers.apply = [this, number](const StoreItem& item, bool) {
       std::string& known = members_[number].view[item.key];
       const bool changed = known != Relevant(item);
       known = Relevant(item);
@@ -271,7 +271,7 @@
   std::vector<RelayUpdate> published;
   std::map<std::string, std::string> view;
   StoreCopy copy{
-      {[this](const StoreItem& item) {
+      {[this](const StoreItem& item, bool) {
          std::string& known = view[item.key];
          const bool changed = known != Relevant(item);
          known = Relevant(item);
@@ -411,8 +411,10 @@
   std::string in_force;
   std::vector<RelayUpdate> published;
   StoreCopy copy{
-      {[this](const StoreItem& item) {
+      {[this](const StoreItem& item, bool same_value) {
          const std::string name = item.value.substr(0, item.value.find('x'));
+         if (same_value)
+           return ItemOutcome::kChanged;
          decoded.push_back(name);
          if (item.value.starts_with("bad"))
            return ItemOutcome::kRefused;
@@ -482,4 +484,36 @@
   CHECK(publisher.decoded == std::vector<std::string>{"bad"});
 }
 
+// Guards against a loop that stands still after the store came back, over
+// values that did not change.
+TEST_CASE("a value that is read anew in a new era is not decoded again") {
+  VersionedCopy member;
+  const auto read = [&](const std::string& value, Revision revision) {
+    member.decoded.clear();
+    member.copy.ApplyRead({{"", false, {Version(revision, value)}, revision}},
+                          /*covers_all_keys=*/true);
+  };
+  const std::vector<std::string> nothing;
+  read("v2", MakeRevision(1, 50));
+  read("v2", MakeRevision(2, 40));
+  CHECK(member.decoded == nothing);
+  CHECK(member.copy.Find("document")->revision == MakeRevision(2, 40));
+  REQUIRE(member.published.size() == 2);
+  read("v3", MakeRevision(3, 40));
+  CHECK(member.decoded == std::vector<std::string>{"v3"});
+  // A refused value is refused anew, so that an older one with it is used.
+  read("bad", MakeRevision(4, 40));
+  member.copy.ApplyChanges(
+      {Version(MakeRevision(4, 41), "v4"), Version(MakeRevision(4, 42), "bad")},
+      MakeRevision(4, 42));
+  CHECK(member.in_force == "v4");
+  // Nor is it known after the key was removed.
+  read("v4", MakeRevision(5, 40));
+  member.decoded.clear();
+  member.copy.ApplyChanges({{"document", "", MakeRevision(5, 41), true}},
+                           MakeRevision(5, 41));
+  read("v4", MakeRevision(5, 42));
+  CHECK(member.decoded == std::vector<std::string>{"v4"});
+}
+
 }  // namespace figstall
