Plain text in a line of the log is quoted without a tree of JSON

Each request and each change logs structured lines on the thread that serves. Each name and value was made a JSON value and dumped, over half of a line's cost: 475 lines, as when targets join, took 2.7 ms of processor time, 27 ms at a tenth of a core.

The test of 2,000 texts passes on the code before as well: the lines are the same bytes.

--- a/src/log.cc
+++ b/src/log.cc
@@ -4,6 +4,7 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
@@ -37,7 +38,22 @@
                      millis);
 }
 
+// Whether a JSON string of the text needs no escapes.
+bool IsPlain(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return byte >= 0x20 && byte < 0x7f && c != '"' && c != '\\';
+  });
+}
+
 std::string QuoteJson(std::string_view text) {
+  if (IsPlain(text)) {
+    std::string quoted;
+    quoted.reserve(text.size() + 2);
+    quoted += '"';
+    quoted += text;
+    return quoted += '"';
+  }
   using nlohmann::json;
   return json(std::string(text))
       .dump(-1, ' ', false, json::error_handler_t::replace);
