--- a/include/figstall/base64.h
+++ b/include/figstall/base64.h
@@ -1,4 +1,4 @@
-// Base64 encoding and decoding (RFC 4648) with the orcania library.
+// Base64 encoding and decoding (RFC 4648).
 #ifndef FIGSTALL_BASE64_H_
 #define FIGSTALL_BASE64_H_
 
