Logs tell how long a request waited for its connection

A request is chosen for its target, waits until its connection is open, and is written then. Nothing in the log told the two times apart, so that a request that reached a target late could have been written late, decided by an old reading, or read late by its target.

The line send-delayed names the wait between the choice and the first byte where it is 50 ms or more, twice the round trip between regions, and whether the request was sent or withdrawn.

RawTarget can keep its accept queue full.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -98,6 +98,10 @@
   void OnRejected(int status);
   void OnCallerGone();
   void EndAttempt(AttemptOutcome outcome);
+  // Logs how long the request waited between the choice of its target and its
+  // first byte, if that was long. `outcome`: sent or withdrawn, the latter with
+  // a reason.
+  void LogSendDelay(const char* outcome, const std::string& reason);
   // Retries the request if that is allowed; otherwise refuses it.
   void RetryOrRefuse(const std::string& reason);
   bool MayRetry() const;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -32,6 +32,9 @@
 // lost.
 constexpr double kKeyedAttemptTimeoutFactor = 4.0;
 constexpr Duration kMinKeyedAttemptTimeout = std::chrono::milliseconds(350);
+// A longer wait between the choice of a target and the first byte is logged.
+// Twice the round-trip time between regions.
+constexpr Duration kSlowConnect = std::chrono::milliseconds(50);
 // Retry-After while this process has no desired state.
 constexpr Duration kRetryAfterNoDesiredState = std::chrono::milliseconds(300);
 
@@ -216,7 +219,10 @@
     return true;
   };
   observer.may_send = [self, target = attempt.target] {
-    return !self->traffic_.notices_.notices().RetryNotBefore(BootNow(), target);
+    if (self->traffic_.notices_.notices().RetryNotBefore(BootNow(), target))
+      return false;
+    self->LogSendDelay("sent", "");
+    return true;
   };
   observer.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
   observer.on_end = [self] { self->OnEnd(); };
@@ -295,6 +301,7 @@
   if (!keyed_)
     tried_targets_.insert(attempt_->target.id);
   if (stage == FailureStage::kNotSent) {
+    LogSendDelay("withdrawn", error_text);
     --possible_executions_;
   } else {
     execution_state_ = ExecutionState::kUnknown;
@@ -307,6 +314,22 @@
                     : "target-broke: " + error_text);
 }
 
+void Exchange::LogSendDelay(const char* outcome, const std::string& reason) {
+  const Instant now = BootNow();
+  const Duration waited = now - attempt_->sent_at;
+  if (waited < kSlowConnect)
+    return;
+  traffic_.log_.Write(
+      LogLevel::kInfo, "send-delayed",
+      {{"id", id_},
+       {"target", attempt_->target.id.value()},
+       {"waited_ms", std::to_string(ToMillis(waited))},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"view_age_ms",
+        std::to_string(ToMillis(now - traffic_.view_.last_update_at))}});
+}
+
 void Exchange::OnCallerGone() {
   if (ended_)
     return;
--- a/support/raw_target.py
+++ b/support/raw_target.py
@@ -34,12 +34,30 @@
 
 class RawTarget:
     """`answer(connection, request_id, send)` is called for each request of a
-    caller, with a number for its connection and a function that writes bytes."""
+    caller, with a number for its connection and a function that writes bytes.
 
-    def __init__(self, port, answer):
+    With `accepting` false, its accept queue is full until begin_accepting() is
+    called, so that connections wait for the kernel to send their SYN again."""
+
+    def __init__(self, port, answer, accepting=True):
         self._answer = answer
-        self._listener = socket.create_server(("127.0.0.1", port))
+        self._listener = socket.create_server(
+            ("127.0.0.1", port), backlog=None if accepting else 0)
         self._connections = 0
+        self._fillers = []
+        if accepting:
+            return self.begin_accepting()
+        # A queue of length 0 takes one connection.
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", port))
+            self._fillers.append(filler)
+
+    def begin_accepting(self):
+        self._listener.listen(128)
+        for filler in self._fillers:
+            filler.close()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -6,6 +6,7 @@
     python3 test/entry_process_test.py --list
     python3 test/entry_process_test.py NAME
 """
+import datetime
 import http.client
 import json
 import pathlib
@@ -413,6 +414,88 @@
     assert served_fraction(report) > 0.6, report["routes"]
 
 
+# Sends unsafe requests of 8 s to a service whose first target accepts no
+# connection for `accepts_after_s` and leaves 0.3 s after the first requests.
+# Returns for each request its status and the seconds until it had one, the
+# requests that reached the target later than the drain time, and the log.
+def run_with_target_that_accepts_late(accepts_after_s, other_targets):
+    drain_s, requests_per_batch = 2, 4
+    reached, results = {}, {}
+
+    def answer(_, request_id, send):
+        reached[request_id] = time.time()
+        send(response(200, request_id, "paid", Backend_Signature="s"))
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    port, = free_ports(1)
+    target = RawTarget(port, answer, accepting=False)
+
+    def post(entry, request_id):
+        host, entry_port = entry.callers.split(":")
+        caller = http.client.HTTPConnection(host, int(entry_port), timeout=9)
+        begin_s = time.monotonic()
+        caller.request("POST", "/pay/1", body="10", headers={
+            "Host": "a.example", "Request-Id": request_id,
+            "Deadline-Ms": "8000"})
+        status = caller.getresponse().status
+        results[request_id] = (status, round(time.monotonic() - begin_s, 2))
+        caller.close()
+
+    callers = []
+
+    def post_batch(name):
+        def call(fleet):
+            for i in range(requests_per_batch):
+                callers.append(threading.Thread(
+                    target=post, args=(fleet.entries[0], f"{name}-{i}")))
+                callers[-1].start()
+        return call
+
+    scenario = {
+        "lead_s": LEAD_S, "length_s": 9,
+        "services": {"ledger": {"slots": 16, "targets": [
+            {"address": address(port), "zone": "north-a", "external": True},
+            *fleet.targets(other_targets)]}},
+        "routes": {"pay": {"host": "a.example", "prefix": "/pay/",
+                           "kind": "unsafe", "service": "ledger",
+                           "per_second": 0.01, "deadline_ms": 8000}},
+        "faults": [{"at_s": 1.3, "kind": "target-leave", "service": "ledger",
+                    "count": 1, "for_s": 7}]}
+    try:
+        fleet.run(scenario, actions=[
+            Action(LEAD_S + 1, post_batch("first")),
+            Action(LEAD_S + 1.15, post_batch("second")),
+            Action(LEAD_S + 1.3 + accepts_after_s,
+                   lambda _: target.begin_accepting())])
+    finally:
+        for caller in callers:
+            caller.join()
+        target.close()
+    log = fleet.entries[0].log()
+    left_at = next(
+        datetime.datetime.fromisoformat(line["time"].replace("Z", "+00:00"))
+        .timestamp() for line in log
+        if line["event"] == "target-changed" and line["state"] == "leaving" and
+        line["address"] == address(port))
+    late = {request_id: round(at - left_at, 2)
+            for request_id, at in reached.items() if at - left_at > drain_s}
+    assert len(results) == 2 * requests_per_batch, results
+    return results, late, log
+
+
+# Guards against a log that does not tell a request that was written late from
+# one that its target read late.
+def a_wait_for_a_connection_is_logged():
+    results, _, log = run_with_target_that_accepts_late(0.4, other_targets=0)
+    delayed = {line["id"]: line for line in log
+               if line["event"] == "send-delayed"}
+    assert set(results) & set(delayed), (results, delayed)
+    for line in delayed.values():
+        assert line["target"] and int(line["waited_ms"]) >= 50, line
+        assert (line["outcome"], bool(line["reason"])) in (
+            ("sent", False), ("withdrawn", True)), line
+
+
 # Guards against requests to a target in the time for which it asked, with a
 # 503, to be left alone (BUDGET): more than two from one entry.
 def a_target_that_asks_for_a_pause_is_left_alone():
@@ -742,6 +825,7 @@
          a_download_that_breaks_off_looks_broken_off,
          a_target_that_says_it_leaves_gets_nothing_later,
          a_target_that_says_it_leaves_in_an_outage_gets_nothing_later,
+         a_wait_for_a_connection_is_logged,
          a_target_that_asks_for_a_pause_is_left_alone,
          a_named_limit_bounds_the_sum_over_entries,
          a_named_limit_holds_while_entries_fail,
