Requests that waited for a connection are checked again before they are sent

A request reached a target later than drainS after the target's leaving was acknowledged, and no log had a warning. Where a target's accept queue is full, the kernel drops SYNs and sends them again after 1, 3 and 7 s. A request was chosen for the target, waited for its connection without a limit, and was written once it was open, up to its route's timeout later. What was checked then was only whether the target had asked for a pause.

The class is a decision that is carried out later than it was taken. TargetSelector::CheckTarget now says whether a target may get a request whatever its load (directory, incarnation, address, leaving, pause, owner of the key); it is used for the choice and again before the first byte of a request whose connection had to be opened, with the time that is left. The header says what is left then, too. The check also runs while the connection opens, so that a request does not wait for a target that has left.

Connecting has a limit, as long as a request may wait for a target but within 100 to 900 ms. A request of which no byte was sent has not run: it needs no retry from the budget, goes to another target after 50 ms if one is free, and is refused with 503 otherwise. It was answered 504 at its deadline before. Targets to which a connection has been opening for 50 ms get no further request that needs a connection.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -46,8 +46,12 @@
 struct Attempt {
   TargetClient* client = nullptr;
   TargetIncarnation target;
+  Endpoint address;
   std::shared_ptr<TargetConnection> connection;
+  // When the target was chosen.
   Instant sent_at;
+  // Why the request was not sent once its connection was open.
+  std::string_view withdrawn_for;
   bool reused = false;
   // TargetLoad::QueueingFactor() when the request was sent.
   double queueing_factor = 1;
@@ -88,8 +92,22 @@
   void RetryOnOtherTarget(Instant now);
   // Returns the attempt's buffered response as the caller receives it.
   HttpResponse BufferedResponse();
-  std::shared_ptr<const HttpRequest> MakeTargetRequest(
+  std::shared_ptr<HttpRequest> MakeTargetRequest(
       const TargetClient& client) const;
+  void SetTimeLeft(HttpRequest& request) const;
+  bool HasTimeLeft(Instant now) const;
+  // Why the request of the current attempt may not be sent any more, or empty.
+  std::string_view WhyNotSent(Instant now) const;
+  // Called when the connection that was opened for the request is open. Returns
+  // whether the request may still be sent.
+  bool PrepareDelayedSend(HttpRequest& request);
+  // Withdraws a request that waits for its connection if it may not be sent any
+  // more, or if another target may take it now.
+  void CheckUnsent(Instant now);
+  // Ends an attempt of which no byte was sent; WithdrawAttempt() also sends the
+  // request again, queues or refuses it.
+  void EndUnsentAttempt(const std::string& reason, AttemptOutcome outcome);
+  void WithdrawAttempt(const std::string& reason, AttemptOutcome outcome);
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
   void OnEnd();
@@ -98,9 +116,12 @@
   void OnRejected(int status);
   void OnCallerGone();
   void EndAttempt(AttemptOutcome outcome);
+  // Whether the current attempt waits longer than usual for its connection.
+  bool SlowToSend(Instant now) const {
+    return now - attempt_->sent_at >= kSlowConnect;
+  }
   // Logs how long the request waited between the choice of its target and its
-  // first byte, if that was long. `outcome`: sent or withdrawn, the latter with
-  // a reason.
+  // first byte. `outcome`: sent or withdrawn, the latter with a reason.
   void LogSendDelay(const char* outcome, const std::string& reason);
   // Retries the request if that is allowed; otherwise refuses it.
   void RetryOrRefuse(const std::string& reason);
--- a/include/figstall/target_client.h
+++ b/include/figstall/target_client.h
@@ -13,6 +13,10 @@
 
 namespace figstall {
 
+// Twice the round-trip time between regions. A connection that takes longer to
+// open probably waits for the kernel to send its SYN again.
+constexpr Duration kSlowConnect = std::chrono::milliseconds(50);
+
 class TargetClient {
  public:
   TargetClient(boost::asio::io_context& io, TargetEntry entry)
@@ -27,6 +31,9 @@
   // Returns a new connection.
   std::shared_ptr<TargetConnection> Open();
   bool Connected(Instant now) const { return FindIdle(now) != nullptr; }
+  // Whether a request would wait for a connection longer than usual: none is
+  // idle, and one has been opening for a while.
+  bool OpensSlowly(Instant now) const;
   // Closes idle connections that will not be used again, since a target accepts
   // a limited number of connections from all routers.
   void CloseStale(Instant now);
--- a/include/figstall/target_connection.h
+++ b/include/figstall/target_connection.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
@@ -33,8 +34,8 @@
 };
 
 struct ResponseObserver {
-  // Called once a connection that had to be opened for the request is open. If
-  // it returns false, nothing is sent and the request fails.
+  // Called right before the first byte of a request whose connection had to be
+  // opened for it. If it returns false, nothing is sent and the request fails.
   std::function<bool()> may_send;
   // Returns false if the response belongs to another request. That response is
   // discarded, and the connection continues to wait for the right one.
@@ -55,9 +56,11 @@
                    Endpoint target,
                    std::function<void()> on_closed);
 
-  // The connection must be new or idle.
+  // The connection must be new or idle. A new one that is not open within the
+  // timeout fails, and its request counts as not sent.
   void Send(std::shared_ptr<const HttpRequest> request,
-            ResponseObserver observer);
+            ResponseObserver observer,
+            Duration connect_timeout = std::chrono::milliseconds(900));
   // Closes the connection at once, so that the target stops its work. The
   // observer is not called any more.
   void Cancel();
@@ -68,6 +71,10 @@
   void FailOverLimit(const ExceededLimit& limit);
 
   bool idle() const { return open_ && !busy_; }
+  // When the connection began to open; none if it is open or closed.
+  std::optional<Instant> opening_since() const { return opening_since_; }
+  // Whether sending of the current request has started.
+  bool send_started() const { return send_started_; }
   // Whether the connection has already carried a complete response.
   bool used() const { return completed_responses_ > 0; }
   // Whether the target certainly keeps an idle connection open at this time.
@@ -78,6 +85,7 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  void Connect(Duration timeout);
   void Write();
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t size);
@@ -94,9 +102,11 @@
   void Close();
 
   Tcp::socket socket_;
+  boost::asio::steady_timer connect_timer_;
   const Endpoint target_;
   const std::function<void()> on_closed_;
   bool open_ = false;
+  std::optional<Instant> opening_since_;
   bool busy_ = false;
   bool closed_ = false;
   bool reading_ = false;
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "figstall/entry_settings.h"
 #include "figstall/entry_view.h"
@@ -35,7 +36,12 @@
   kNone,
   // The key has no settled owner, or its owner is not in the directory.
   kNoOwner,
-  kOwnerLeaving,
+  // The key has another owner.
+  kOtherOwner,
+  // The target is not in the directory, or another incarnation or at another
+  // address.
+  kGone,
+  kLeaving,
   // Each target that could serve the request wants none for a while.
   kPaused,
   // Each target that could serve the request limits its requests. A credit was
@@ -44,8 +50,12 @@
   kRateLimited,
   // This router has as many requests in flight as it may have.
   kNoCapacity,
+  // A connection to the target takes long to open.
+  kOpensSlowly,
 };
 
+std::string_view ToString(Unavailability reason);
+
 struct TargetChoice {
   // Null if no target may get the request now.
   TargetClient* client = nullptr;
@@ -73,6 +83,12 @@
   void OnViewChanged();
   // Requests credits where the choice depends on them.
   TargetChoice Choose(Instant now, const TargetQuery& query);
+  // Whether a request that was decided on for this target may still be sent to
+  // it. Load and credits were taken into account by Choose().
+  Unavailability CheckChosen(Instant now,
+                             const TargetQuery& query,
+                             const TargetIncarnation& target,
+                             const Endpoint& address) const;
   // Describes for the log why Choose() found no target.
   std::string Explain(Instant now,
                       const TargetQuery& query,
@@ -90,8 +106,16 @@
  private:
   TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
   TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query);
-  // Whether what the target said of itself lets it get a request now.
-  TargetChoice CheckNotices(Instant now, TargetClient& client);
+  // Whether a target of the service may get the request now, whatever its load.
+  // Everything that may change while a request waits for its connection.
+  Unavailability CheckTarget(Instant now,
+                             const TargetQuery& query,
+                             const TargetEntry& entry) const;
+  // The same with the limit that the target states, and with the time until
+  // which it wants no requests.
+  TargetChoice CheckNotices(Instant now,
+                            const TargetQuery& query,
+                            TargetClient& client);
 
   boost::asio::io_context& io_;
   const EntrySettings& settings_;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -32,9 +32,11 @@
 // lost.
 constexpr double kKeyedAttemptTimeoutFactor = 4.0;
 constexpr Duration kMinKeyedAttemptTimeout = std::chrono::milliseconds(350);
-// A longer wait between the choice of a target and the first byte is logged.
-// Twice the round-trip time between regions.
-constexpr Duration kSlowConnect = std::chrono::milliseconds(50);
+// A connection may take as long to open as a request may wait for a target, but
+// at least the minimum. The maximum is less than the second after which a SYN
+// that was dropped is sent again.
+constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(100);
+constexpr Duration kMaxConnectTimeout = std::chrono::milliseconds(900);
 // Retry-After while this process has no desired state.
 constexpr Duration kRetryAfterNoDesiredState = std::chrono::milliseconds(300);
 
@@ -153,13 +155,12 @@
   traffic_.EnqueueWaiting(this);
 }
 
-std::shared_ptr<const HttpRequest> Exchange::MakeTargetRequest(
+std::shared_ptr<HttpRequest> Exchange::MakeTargetRequest(
     const TargetClient& client) const {
   auto out = std::make_shared<HttpRequest>(request_);
   detail::EraseHopByHopFields(*out);
   out->version(11);
-  out->set(platform::kTimeLeftHeader, std::to_string(std::max<std::int64_t>(
-                                          1, ToMillis(TimeLeft(BootNow())))));
+  SetTimeLeft(*out);
   out->set(platform::kExpectedTargetHeader,
            client.entry().incarnation.id.value());
   if (!out->body().empty() || request_.has_content_length() ||
@@ -168,9 +169,38 @@
   return out;
 }
 
+void Exchange::SetTimeLeft(HttpRequest& request) const {
+  request.set(
+      platform::kTimeLeftHeader,
+      std::to_string(std::max<std::int64_t>(1, ToMillis(TimeLeft(BootNow())))));
+}
+
+bool Exchange::HasTimeLeft(Instant now) const {
+  return TimeLeft(now) >= Scaled(route_->latency_objective, kMinTimeLeftShare);
+}
+
+std::string_view Exchange::WhyNotSent(Instant now) const {
+  if (!HasTimeLeft(now))
+    return "no-time-left";
+  return ToString(traffic_.targets_.CheckChosen(
+      now, MakeTargetQuery(), attempt_->target, attempt_->address));
+}
+
+bool Exchange::PrepareDelayedSend(HttpRequest& request) {
+  const Instant now = BootNow();
+  attempt_->withdrawn_for = WhyNotSent(now);
+  if (!attempt_->withdrawn_for.empty())
+    return false;
+  if (SlowToSend(now))
+    LogSendDelay("sent", "");
+  SetTimeLeft(request);
+  attempt_->timeout_at += now - attempt_->sent_at;
+  return true;
+}
+
 void Exchange::Send(TargetClient* client) {
   const Instant now = BootNow();
-  if (TimeLeft(now) < Scaled(route_->latency_objective, kMinTimeLeftShare))
+  if (!HasTimeLeft(now))
     return Refuse("no-time-left");
   traffic_.credits_.Consume(now, client->entry().incarnation);
   ++attempts_sent_;
@@ -179,6 +209,7 @@
   Attempt& attempt = *attempt_;
   attempt.client = client;
   attempt.target = client->entry().incarnation;
+  attempt.address = client->entry().address;
   last_target_ = attempt.target.id;
   in_flight_when_sent_ = client->load().in_flight();
   if (keyed_) {
@@ -218,11 +249,9 @@
     self->OnHead(head);
     return true;
   };
-  observer.may_send = [self, target = attempt.target] {
-    if (self->traffic_.notices_.notices().RetryNotBefore(BootNow(), target))
-      return false;
-    self->LogSendDelay("sent", "");
-    return true;
+  const auto request = MakeTargetRequest(*client);
+  observer.may_send = [self, request] {
+    return self->PrepareDelayedSend(*request);
   };
   observer.on_body = [self](std::string_view bytes) { self->OnBody(bytes); };
   observer.on_end = [self] { self->OnEnd(); };
@@ -233,7 +262,9 @@
                              const std::string& error_text) {
     self->OnAttemptError(stage, error_text);
   };
-  attempt.connection->Send(MakeTargetRequest(*client), std::move(observer));
+  attempt.connection->Send(request, std::move(observer),
+                           std::clamp(waits_.capacity_wait_timeout,
+                                      kMinConnectTimeout, kMaxConnectTimeout));
 }
 
 void Exchange::OnRejected(int status) {
@@ -298,27 +329,71 @@
     caller_.Truncate();
     return Finish("cut", 0, error_text);
   }
-  if (!keyed_)
-    tried_targets_.insert(attempt_->target.id);
   if (stage == FailureStage::kNotSent) {
-    LogSendDelay("withdrawn", error_text);
-    --possible_executions_;
-  } else {
-    execution_state_ = ExecutionState::kUnknown;
+    const bool withdrawn = !attempt_->withdrawn_for.empty();
+    return WithdrawAttempt(
+        withdrawn ? std::string(attempt_->withdrawn_for) : error_text,
+        withdrawn ? AttemptOutcome::kAbandoned : AttemptOutcome::kBroken);
   }
+  if (!keyed_)
+    tried_targets_.insert(attempt_->target.id);
+  execution_state_ = ExecutionState::kUnknown;
   EndAttempt(AttemptOutcome::kBroken);
-  if (keyed_ && stage == FailureStage::kNotSent)
-    retry_not_before_ = BootNow() + waits_.target_retry_interval;
   RetryOrRefuse(stage == FailureStage::kAnswerCut
                     ? "answer-cut: " + error_text
                     : "target-broke: " + error_text);
 }
 
+void Exchange::EndUnsentAttempt(const std::string& reason,
+                                AttemptOutcome outcome) {
+  if (outcome == AttemptOutcome::kAbandoned || SlowToSend(BootNow()))
+    LogSendDelay("withdrawn", reason);
+  --possible_executions_;
+  --attempts_sent_;
+  EndAttempt(outcome);
+}
+
+// No target saw the attempt, so the next one needs no retry from the budget.
+void Exchange::WithdrawAttempt(const std::string& reason,
+                               AttemptOutcome outcome) {
+  if (!keyed_)
+    tried_targets_.insert(attempt_->target.id);
+  EndUnsentAttempt(reason, outcome);
+  const Instant now = BootNow();
+  if (keyed_)
+    retry_not_before_ = now + waits_.target_retry_interval;
+  const bool may_send_again =
+      execution_state_ == ExecutionState::kNotRun || MayRetry();
+  if (!may_send_again || now >= deadline_)
+    return Refuse("target-broke: " + reason);
+  if (TrySend())
+    return;
+  if (!MayWait(now))
+    return Refuse("target-broke: " + reason);
+  WaitForTarget();
+}
+
+void Exchange::CheckUnsent(Instant now) {
+  const std::string_view reason = WhyNotSent(now);
+  if (reason.empty() && (keyed_ || !SlowToSend(now)))
+    return;
+  if (reason.empty()) {
+    // Another target is tried only if one may take the request now.
+    tried_targets_.insert(attempt_->target.id);
+    const bool other_target = ChooseTarget() != nullptr;
+    tried_targets_.erase(attempt_->target.id);
+    if (!other_target)
+      return;
+  }
+  const auto connection = attempt_->connection;
+  WithdrawAttempt(std::string(reason.empty() ? "opens-slowly" : reason),
+                  AttemptOutcome::kAbandoned);
+  connection->Cancel();
+}
+
 void Exchange::LogSendDelay(const char* outcome, const std::string& reason) {
   const Instant now = BootNow();
   const Duration waited = now - attempt_->sent_at;
-  if (waited < kSlowConnect)
-    return;
   traffic_.log_.Write(
       LogLevel::kInfo, "send-delayed",
       {{"id", id_},
@@ -335,7 +410,10 @@
     return;
   if (attempt_) {
     const auto connection = attempt_->connection;
-    EndAttempt(AttemptOutcome::kAbandoned);
+    if (connection->send_started())
+      EndAttempt(AttemptOutcome::kAbandoned);
+    else
+      EndUnsentAttempt("caller-left", AttemptOutcome::kAbandoned);
     connection->Cancel();
   }
   Finish("caller-left", 0, "");
@@ -380,10 +458,14 @@
   if (now >= deadline_) {
     bool streaming = false;
     if (attempt_) {
-      execution_state_ = ExecutionState::kUnknown;
-      streaming = attempt_->streaming;
       const auto connection = attempt_->connection;
-      EndAttempt(AttemptOutcome::kTimedOut);
+      streaming = attempt_->streaming;
+      if (connection->send_started()) {
+        execution_state_ = ExecutionState::kUnknown;
+        EndAttempt(AttemptOutcome::kTimedOut);
+      } else {
+        EndUnsentAttempt("out-of-time", AttemptOutcome::kBroken);
+      }
       connection->Cancel();
     }
     if (streaming) {
@@ -398,6 +480,8 @@
       Refuse("no-target-free");
     return;
   }
+  if (attempt_ && !attempt_->connection->send_started())
+    return CheckUnsent(now);
   if (attempt_ && !attempt_->streaming && now >= attempt_->timeout_at)
     RetryOnOtherTarget(now);
 }
--- a/src/target_client.cc
+++ b/src/target_client.cc
@@ -45,6 +45,15 @@
   return connection;
 }
 
+bool TargetClient::OpensSlowly(Instant now) const {
+  return !Connected(now) &&
+         std::any_of(connections_.begin(), connections_.end(),
+                     [now](const auto& connection) {
+                       const auto since = connection->opening_since();
+                       return since && now - *since >= kSlowConnect;
+                     });
+}
+
 void TargetClient::CloseStale(Instant now) {
   std::vector<std::shared_ptr<TargetConnection>> stale;
   for (const auto& connection : connections_) {
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -54,11 +54,13 @@
                                    Endpoint target,
                                    std::function<void()> on_closed)
     : socket_(io),
+      connect_timer_(io),
       target_(std::move(target)),
       on_closed_(std::move(on_closed)) {}
 
 void TargetConnection::Send(std::shared_ptr<const HttpRequest> request,
-                            ResponseObserver observer) {
+                            ResponseObserver observer,
+                            Duration connect_timeout) {
   request_ = std::move(request);
   observer_ = std::move(observer);
   busy_ = true;
@@ -70,6 +72,16 @@
   ResetParser();
   if (open_)
     return Write();
+  Connect(connect_timeout);
+}
+
+void TargetConnection::Connect(Duration timeout) {
+  opening_since_ = BootNow();
+  connect_timer_.expires_after(timeout);
+  connect_timer_.async_wait([self = shared_from_this()](error_code stopped) {
+    if (!stopped && !self->closed_ && !self->open_)
+      self->Fail("connect timeout");
+  });
   error_code error;
   const auto address = boost::asio::ip::make_address(target_.address, error);
   socket_.async_connect(
@@ -77,12 +89,14 @@
       [self = shared_from_this()](error_code failed) {
         if (self->closed_)
           return;
+        self->connect_timer_.cancel();
         if (failed)
           return self->Fail(failed.message());
+        self->opening_since_.reset();
         TuneSocket(self->socket_);
         self->open_ = true;
         if (self->observer_.may_send && !self->observer_.may_send())
-          return self->Fail("target wants no requests");
+          return self->Fail("withdrawn");
         self->Write();
       });
 }
@@ -293,6 +307,8 @@
     return;
   closed_ = true;
   open_ = false;
+  opening_since_.reset();
+  connect_timer_.cancel();
   ResetOnClose(socket_);
   error_code ignored;
   socket_.close(ignored);
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -19,6 +19,32 @@
 
 }  // namespace
 
+std::string_view ToString(Unavailability reason) {
+  switch (reason) {
+    case Unavailability::kNone:
+      return "";
+    case Unavailability::kNoOwner:
+      return "no-owner";
+    case Unavailability::kOtherOwner:
+      return "other-owner";
+    case Unavailability::kGone:
+      return "gone";
+    case Unavailability::kLeaving:
+      return "leaving";
+    case Unavailability::kPaused:
+      return "paused";
+    case Unavailability::kAwaitingCredit:
+      return "awaiting-credit";
+    case Unavailability::kRateLimited:
+      return "rate-limited";
+    case Unavailability::kNoCapacity:
+      return "no-capacity";
+    case Unavailability::kOpensSlowly:
+      return "opens-slowly";
+  }
+  return "";
+}
+
 void TargetSelector::OnViewChanged() {
   for (const auto& [id, entry] : view_.targets) {
     auto& client = clients_[id];
@@ -70,10 +96,50 @@
   return query.key ? ChooseOwner(now, query) : ChooseUnkeyed(now, query);
 }
 
-TargetChoice TargetSelector::CheckNotices(Instant now, TargetClient& client) {
+Unavailability TargetSelector::CheckTarget(Instant now,
+                                           const TargetQuery& query,
+                                           const TargetEntry& entry) const {
+  const auto leaving_since = notices_.LeavingSince(entry.incarnation);
+  if (query.key) {
+    const RangeEntry* range = OwnerEntry(query.service, *query.key);
+    if (!range)
+      return Unavailability::kNoOwner;
+    if (range->owner.id != entry.incarnation.id)
+      return Unavailability::kOtherOwner;
+    // Moving the key may take longer than a leaving owner may receive requests.
+    if (leaving_since && now - *leaving_since > Scaled(settings_.drain_duration,
+                                                       kLeavingOwnerShare))
+      return Unavailability::kLeaving;
+  } else if (leaving_since) {
+    return Unavailability::kLeaving;
+  }
+  return notices_.RetryNotBefore(now, entry.incarnation)
+             ? Unavailability::kPaused
+             : Unavailability::kNone;
+}
+
+Unavailability TargetSelector::CheckChosen(Instant now,
+                                           const TargetQuery& query,
+                                           const TargetIncarnation& target,
+                                           const Endpoint& address) const {
+  const TargetClient* client = Find(target.id);
+  if (!client || client->entry().incarnation != target ||
+      client->entry().address != address)
+    return Unavailability::kGone;
+  return CheckTarget(now, query, client->entry());
+}
+
+TargetChoice TargetSelector::CheckNotices(Instant now,
+                                          const TargetQuery& query,
+                                          TargetClient& client) {
   const TargetEntry& entry = client.entry();
-  if (const auto pause_end = notices_.RetryNotBefore(now, entry.incarnation))
-    return {nullptr, Unavailability::kPaused, pause_end};
+  const Unavailability reason = CheckTarget(now, query, entry);
+  if (reason == Unavailability::kPaused)
+    return {nullptr, reason, notices_.RetryNotBefore(now, entry.incarnation)};
+  if (reason != Unavailability::kNone)
+    return {nullptr, reason, {}};
+  if (client.OpensSlowly(now))
+    return {nullptr, Unavailability::kOpensSlowly, {}};
   switch (credits_.Check(now, entry.incarnation, entry.zone)) {
     case CreditState::kAvailable:
       break;
@@ -92,16 +158,13 @@
   TargetClient* client = entry ? Find(entry->owner.id) : nullptr;
   if (!client)
     return {nullptr, Unavailability::kNoOwner, {}};
-  // Moving the key may take longer than a leaving owner may receive requests.
-  const auto leaving_since = notices_.LeavingSince(client->entry().incarnation);
-  if (leaving_since && now - *leaving_since >
-                           Scaled(settings_.drain_duration, kLeavingOwnerShare))
-    return {nullptr, Unavailability::kOwnerLeaving, {}};
+  const Unavailability reason = CheckTarget(now, query, client->entry());
   // Before credits are requested, which would expire unused.
-  if (!client->load().HasSpareCapacity(now, client->entry().slots,
+  if (reason == Unavailability::kNone &&
+      !client->load().HasSpareCapacity(now, client->entry().slots,
                                        SharingRouters(client->entry(), true)))
     return {nullptr, Unavailability::kNoCapacity, {}};
-  return CheckNotices(now, *client);
+  return CheckNotices(now, query, *client);
 }
 
 TargetChoice TargetSelector::ChooseUnkeyed(Instant now,
@@ -110,7 +173,7 @@
   // Of the targets that want no requests now, the one that may get some first.
   TargetChoice first_available{nullptr, Unavailability::kNoCapacity, {}};
   const auto consider = [&](TargetClient& client) {
-    const TargetChoice checked = CheckNotices(now, client);
+    const TargetChoice checked = CheckNotices(now, query, client);
     const TargetEntry& entry = client.entry();
     if (checked.client) {
       candidates.push_back({&entry, &client.load(), DistanceTo(entry.zone),
@@ -186,6 +249,10 @@
   if (choice.reason == Unavailability::kPaused)
     return fmt::format("owner {} wants no requests for {} ms, fencing token {}",
                        owner, pause_ms, entry->fence);
+  if (choice.reason == Unavailability::kOpensSlowly)
+    return fmt::format(
+        "a connection to owner {} takes long to open, fencing token {}", owner,
+        entry->fence);
   if (choice.reason == Unavailability::kRateLimited ||
       choice.reason == Unavailability::kAwaitingCredit)
     return fmt::format("owner {} {}, fencing token {}", owner, limited_text,
--- a/test/target_connection_test.cc
+++ b/test/target_connection_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <vector>
 
 namespace figstall {
 namespace {
@@ -314,6 +315,43 @@
   }
 }
 
+// Guards against a request that is sent seconds later, once the target accepts:
+// the kernel drops SYNs while the accept queue is full and sends them again.
+TEST_CASE("a connection that opens too slowly leaves its request unsent") {
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io);
+  acceptor.open(tcp::v4());
+  acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+  acceptor.listen(0);
+  std::vector<tcp::socket> fillers;
+  for (int i = 0; i < 3; ++i) {
+    fillers.emplace_back(io).async_connect(acceptor.local_endpoint(),
+                                           [](boost::system::error_code) {});
+    io.run_for(std::chrono::milliseconds(20));
+    io.restart();
+  }
+  const auto connection = std::make_shared<TargetConnection>(
+      io, Endpoint{"127.0.0.1", acceptor.local_endpoint().port()}, [] {});
+  std::optional<FailureStage> failed;
+  std::string failed_for;
+  bool asked = false;
+  ResponseObserver observer;
+  observer.may_send = [&] { return asked = true; };
+  observer.on_error = [&](FailureStage stage, const std::string& reason) {
+    failed = stage;
+    failed_for = reason;
+  };
+  connection->Send(MakeRequest(), std::move(observer),
+                   std::chrono::milliseconds(100));
+  CHECK(connection->opening_since());
+  io.run_for(std::chrono::milliseconds(200));
+  CHECK(failed == FailureStage::kNotSent);
+  CHECK(failed_for == "connect timeout");
+  CHECK_FALSE(asked);
+  CHECK_FALSE(connection->send_started());
+  CHECK_FALSE(connection->opening_since());
+}
+
 // Guards against a request that reaches a target which asked for a pause while
 // the connection was being opened.
 TEST_CASE("a request that may not be sent any more leaves no byte") {
