A release is checked again right before it is sent

What a target does with a release below the token it holds is not stated. Grants were checked when their connection was open; releases were not.

SendRelease takes a check like SendGrant: this entry is the mover and still waits for this release. A withdrawn one is logged as such and frees its place at once.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -279,6 +279,9 @@
   void WriteTable(const ServiceId& service, const RangeTable& next);
   void ReadTable(const ServiceId& service);
   void SendReleases(const ServiceId& service, MoverState& state);
+  // Whether this mover still waits for the release.
+  bool IsOutstanding(const ServiceId& service,
+                     const ReleaseRequest& request) const;
   void SendGrants(Instant now);
   void OnGrantOutcome(const GrantRequest& request,
                       Instant queued_at,
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -287,6 +287,16 @@
   });
 }
 
+bool EntryControl::IsOutstanding(const ServiceId& service,
+                                 const ReleaseRequest& request) const {
+  const auto state = movers_.find(service);
+  if (!IsMover(BootNow()) || state == movers_.end() || !state->second.mover)
+    return false;
+  const auto outstanding = state->second.mover->OutstandingReleases();
+  return std::find(outstanding.begin(), outstanding.end(), request) !=
+         outstanding.end();
+}
+
 void EntryControl::SendReleases(const ServiceId& service, MoverState& state) {
   std::map<TargetId, std::size_t> in_flight;
   for (const ReleaseRequest& request : state.releases_in_flight)
@@ -300,13 +310,14 @@
     platform::SendRelease(
         *MakeOrderChannel(request.owner.id, request.address), request,
         kReleaseTimeout,
+        [this, service, request] { return IsOutstanding(service, request); },
         [this, service, request, requested_at = BootNow()](
             platform::ReleaseOutcome outcome, const std::string& handover,
             const TargetNotice& notice, AnswerProof proof) {
           notices_.OnAnswer(BootNow(), request.owner, notice, "release");
           MoverState& current = movers_[service];
           static constexpr const char* kNames[] = {"released", "owner-gone",
-                                                   "unknown"};
+                                                   "withdrawn", "unknown"};
           log_.Write(LogLevel::kInfo, "release",
                      {{"service", service.value()},
                       {"target", request.owner.id.value()},
@@ -323,6 +334,8 @@
             });
           }
           current.releases_in_flight.erase(request);
+          if (outcome == platform::ReleaseOutcome::kWithdrawn)
+            return;
           MoverOf(service).OnReleased(request, handover);
           ProcessChanges();
         });
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -186,11 +186,13 @@
   void Release(std::vector<std::string>& outcomes) {
     platform::SendRelease(
         *channel, MakeRelease(server.address()), kCallTimeout,
+        [this] { return may_release; },
         [&outcomes](ReleaseOutcome outcome, const std::string& handover,
                     auto&&...) {
           outcomes.push_back(
               outcome == ReleaseOutcome::kReleased    ? "released " + handover
               : outcome == ReleaseOutcome::kOwnerGone ? "owner-gone"
+              : outcome == ReleaseOutcome::kWithdrawn ? "withdrawn"
                                                       : "unknown");
         });
   }
@@ -198,6 +200,7 @@
   boost::asio::io_context io;
   RawServer server;
   std::shared_ptr<HttpChannel> channel;
+  bool may_release = true;
 };
 
 // A process of its own that sends a long request to a peer that reads nothing,
@@ -286,6 +289,22 @@
 
 }  // namespace
 
+// Guards against a release that reaches its owner once the move has ended,
+// since its connection opened late: the owner may hold the range again.
+TEST_CASE("a release that is not awaited any more leaves no byte") {
+  std::size_t received = 0;
+  ChannelFixture fixture([&received](const ReceivedRequest&) {
+    ++received;
+    return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Release(outcomes);
+  fixture.may_release = false;
+  fixture.RunUntilCount(outcomes, 1);
+  CHECK(outcomes.front() == "withdrawn");
+  CHECK(received == 0);
+}
+
 // Guards against OWNER: a second answer to one call was read as the answer to
 // the next one, although it had come before that was sent.
 TEST_CASE("an answer that came before its call was sent answers nothing") {
