A response that arrived while the loop stood still is read

A call's timer and its response become ready together when the process goes on after a standstill. The response is read in several steps, the timer handler runs between them, and the call failed with a timeout: the connection was closed with the response in its socket. For a watch that is the loss of what it brought, with a store-lost line although the store was there, and the news came with the next watch, some 250 ms later.

A timeout that is noticed more than 100 ms late gets 100 ms more, once, to read what is there.

The test failed before: "response timeout", and none of 20000 bytes.

--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -130,6 +130,9 @@
   enum class Readiness { kQuiet, kBytes, kClosed };
 
   void Start();
+  // `may_extend`: whether a response may be awaited a little longer if the loop
+  // stood still at the timeout.
+  void StartTimer(Duration limit, bool may_extend);
   void Connect();
   // What an idle connection has to read.
   Readiness CheckReadiness();
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -30,6 +30,11 @@
 constexpr int kKeepAliveProbes = 2;
 constexpr unsigned kUserTimeoutMs = 4000;
 
+// A timeout that is noticed later than this was held up by the loop, which may
+// not have read a response yet that arrived in time. It gets the read time.
+constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(100);
+constexpr Duration kReadTimeAfterStandstill = std::chrono::milliseconds(100);
+
 template <typename Value>
 void SetTcpOption(boost::asio::ip::tcp::socket& socket, int name, Value value) {
   // Errors are ignored: without the option, the system's default applies.
@@ -104,12 +109,8 @@
   sent_ = false;
   discarded_responses_ = 0;
   saw_other_response_ = false;
-  timer_.expires_after(calls_.front().call.limit);
-  timer_.async_wait(
-      [self = shared_from_this(), number = ++call_number_](error_code error) {
-        if (!error && number == self->call_number_ && self->busy_)
-          self->Fail("response timeout");
-      });
+  ++call_number_;
+  StartTimer(calls_.front().call.limit, /*may_extend=*/true);
   if (calls_.front().call.on_own_connection)
     Drop();
   if (connected_)
@@ -118,6 +119,19 @@
     Connect();
 }
 
+void HttpChannel::StartTimer(Duration limit, bool may_extend) {
+  const Instant due = BootNow() + limit;
+  timer_.expires_after(limit);
+  timer_.async_wait([self = shared_from_this(), number = call_number_, due,
+                     may_extend](error_code error) {
+    if (error || number != self->call_number_ || !self->busy_)
+      return;
+    if (may_extend && BootNow() - due > kMaxTimerDelay)
+      return self->StartTimer(kReadTimeAfterStandstill, /*may_extend=*/false);
+    self->Fail("response timeout");
+  });
+}
+
 void HttpChannel::Connect() {
   socket_.emplace(io_);
   error_code error;
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -289,6 +289,34 @@
 
 }  // namespace
 
+// Guards against a call that times out while the loop stands still, although
+// its response lies in the socket: what a watch brought is lost.
+TEST_CASE("a response that arrived during a standstill is read") {
+  constexpr std::size_t kBodyBytes = 20'000;
+  boost::asio::io_context server_io;
+  RawServer server(server_io, [](const ReceivedRequest&) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
+           "\r\n\r\n" + std::string(kBodyBytes, 'x');
+  });
+  boost::asio::io_context io;
+  const auto channel = HttpChannel::Make(io, server.address(), 1);
+  std::optional<ChannelResponse> received;
+  ChannelRequest call;
+  call.limit = milliseconds(100);
+  channel->Call(call, [&received](const ChannelResponse& response) {
+    received = response;
+  });
+  io.run_for(milliseconds(20));
+  server_io.run_for(milliseconds(20));
+  std::this_thread::sleep_for(milliseconds(400));
+  io.restart();
+  io.run_for(milliseconds(300));
+  REQUIRE(received);
+  CHECK(received->failure == "");
+  CHECK(received->body.size() == kBodyBytes);
+  channel->Close();
+}
+
 // Guards against a release that reaches its owner once the move has ended,
 // since its connection opened late: the owner may hold the range again.
 TEST_CASE("a release that is not awaited any more leaves no byte") {
