After a standstill nothing is sent before the copy is confirmed

An entry that stood still, by a stopped process, a suspended VM or a lack of processor, read the requests that had come meanwhile first, and sent them to a target that had left during the standstill. The entry's log shows tick-delayed and target-changed behind the requests, and no warning. A request's choice is by the copy of the store as it was before.

StandstillGate holds requests after a standstill of half the drain time until the copy is confirmed as of a later time, or for a quarter of the drain time if it is not, since the store may be lost. They wait like those without a free target and are refused with 503 after their usual wait. Shorter standstills change nothing: what is sent then is within the drain time. The clock is CLOCK_BOOTTIME, which counts a suspension. A loop that is always late sends all the same.

Reading what lies in the sockets first was tried and was not enough: the watch had ended without news during the standstill, the change came with the next one 150 ms after the first tick, and the requests went out 20 ms after it.

With an entry that is stopped for 3.5 s, six callers that ask it meanwhile, and a target that leaves 0.6 s after the stop, the test failed before: all six, and one of the emulator's, reached the target 3.68 to 3.71 s after the last request before the stop, some 2.9 s after the leaving (2 s allowed). Now none does, and the six are refused with 503.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -124,6 +124,9 @@
   void Resign();
   // Sends a message about credits to another member; it may be lost.
   void SendCreditMessage(const VmId& to, const CreditMessage& message);
+  // The view has all changes of the store up to this time; empty if it was
+  // never confirmed.
+  std::optional<Instant> confirmed_at() const;
   bool ready() const { return view_.routes != nullptr && initial_read_done_; }
 
  private:
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -21,6 +21,7 @@
 #include "figstall/metrics.h"
 #include "figstall/send_credits.h"
 #include "figstall/shared_retry_budget.h"
+#include "figstall/standstill_gate.h"
 #include "figstall/target_notice_recorder.h"
 #include "figstall/target_selector.h"
 
@@ -53,8 +54,9 @@
   // Whether no request is in flight and all responses are fully written.
   bool IsDrained() const;
   std::size_t in_flight() const { return exchanges_.size(); }
-  // Enforces timeouts; called every kTickInterval.
-  void Tick(Instant now);
+  // Enforces timeouts; called every kTickInterval. `confirmed_at`: the view has
+  // all changes of the store up to then.
+  void Tick(Instant now, std::optional<Instant> confirmed_at);
 
   // Sends requests that wait for a target which may have become available.
   void RetryWaiting();
@@ -88,6 +90,7 @@
   TargetNoticeRecorder& notices_;
   SendCredits& credits_;
   TargetSelector targets_;
+  StandstillGate standstill_;
   Log& log_;
   Metrics& metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -52,6 +52,8 @@
   kNoCapacity,
   // A connection to the target takes long to open.
   kOpensSlowly,
+  // This process stood still and has to read what arrived meanwhile.
+  kStandstill,
 };
 
 std::string_view ToString(Unavailability reason);
--- a/src/entry_control_copy.cc
+++ b/src/entry_control_copy.cc
@@ -138,9 +138,12 @@
   return source;
 }
 
+std::optional<Instant> EntryControl::confirmed_at() const {
+  return std::max(connectivity_.confirmed_at(), subscriber_.confirmed_at());
+}
+
 std::optional<Duration> EntryControl::Staleness(Instant now) const {
-  const auto confirmed =
-      std::max(connectivity_.confirmed_at(), subscriber_.confirmed_at());
+  const auto confirmed = confirmed_at();
   return confirmed ? std::optional(now - *confirmed) : std::nullopt;
 }
 
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -269,7 +269,7 @@
     RecordTickDelay(now);
     last_tick_us_ = now.time_since_epoch().count();
     control_.Tick(now);
-    traffic_.Tick(now);
+    traffic_.Tick(now, control_.confirmed_at());
     if (!stop_begun_at_)
       ready_ = control_.ready();
     else if (IsStopped(now))
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -21,6 +21,10 @@
 // Mean latency and processing time assumed for a service without a response
 // yet.
 constexpr Duration kInitialTimeEstimate = std::chrono::milliseconds(100);
+// Fractions of the drain duration. A target that left during a shorter
+// standstill may still get requests.
+constexpr double kMaxStandstillShare = 0.5;
+constexpr double kMaxConfirmationWaitShare = 0.25;
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(500);
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -39,6 +43,8 @@
       notices_(notices),
       credits_(credits),
       targets_(io, settings, view, notices.notices(), credits),
+      standstill_({Scaled(settings.drain_duration, kMaxStandstillShare),
+                   Scaled(settings.drain_duration, kMaxConfirmationWaitShare)}),
       log_(log),
       metrics_(metrics),
       acceptor_(io),
@@ -190,7 +196,8 @@
     caller->CloseIfIdle();
 }
 
-void EntryTraffic::Tick(Instant now) {
+void EntryTraffic::Tick(Instant now, std::optional<Instant> confirmed_at) {
+  standstill_.OnTick(now, confirmed_at);
   std::vector<std::shared_ptr<Exchange>> all;
   all.reserve(exchanges_.size());
   for (const auto& [key, exchange] : exchanges_)
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -116,7 +116,10 @@
 }
 
 TargetClient* Exchange::ChooseTarget() {
-  last_choice_ = traffic_.targets_.Choose(BootNow(), MakeTargetQuery());
+  const Instant now = BootNow();
+  last_choice_ = traffic_.standstill_.MaySend(now)
+                     ? traffic_.targets_.Choose(now, MakeTargetQuery())
+                     : TargetChoice{nullptr, Unavailability::kStandstill, {}};
   return last_choice_.client;
 }
 
@@ -182,6 +185,8 @@
 std::string_view Exchange::WhyNotSent(Instant now) const {
   if (!HasTimeLeft(now))
     return "no-time-left";
+  if (!traffic_.standstill_.MaySend(now))
+    return ToString(Unavailability::kStandstill);
   return ToString(traffic_.targets_.CheckChosen(
       now, MakeTargetQuery(), attempt_->target, attempt_->address));
 }
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -41,6 +41,8 @@
       return "no-capacity";
     case Unavailability::kOpensSlowly:
       return "opens-slowly";
+    case Unavailability::kStandstill:
+      return "standstill";
   }
   return "";
 }
@@ -222,6 +224,8 @@
                                     const TargetChoice& choice) const {
   const std::int64_t pause_ms =
       choice.available_at ? ToMillis(*choice.available_at - now) : 0;
+  if (choice.reason == Unavailability::kStandstill)
+    return "this process stood still and reads first what arrived meanwhile";
   const char* limited_text =
       "limits its requests, and this router has no credit for another one";
   if (!query.key) {
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -524,6 +524,69 @@
                for status, took_s in results.values()), results
 
 
+# Guards against DRAIN: an entry that stood still reads the requests that came
+# meanwhile, and sends them, before it reads that their target has left.
+def a_frozen_entry_reads_before_it_sends():
+    drain_s, frozen_s, callers = 2, 3.5, []
+    reached, statuses = {}, {}
+
+    def answer(_, request_id, send):
+        reached[request_id] = time.time()
+        send(response(200, request_id, "paid", Backend_Signature="s"))
+
+    def ask(caller, request_id):
+        caller.request("POST", "/pay/1", body="10", headers={
+            "Host": "a.example", "Request-Id": request_id,
+            "Deadline-Ms": "8000"})
+
+    def await_status(caller, request_id):
+        reply = caller.getresponse()
+        reply.read()
+        statuses[request_id] = reply.status
+
+    def open_connections(fleet):
+        host, entry_port = fleet.entries[0].callers.split(":")
+        for i in range(6):
+            callers.append(http.client.HTTPConnection(host, int(entry_port),
+                                                      timeout=9))
+            ask(callers[i], f"before-{i}")
+            await_status(callers[i], f"before-{i}")
+
+    def ask_frozen(_):
+        for i, caller in enumerate(callers):
+            ask(caller, f"frozen-{i}")
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    port, = free_ports(1)
+    target = RawTarget(port, answer)
+    scenario = {
+        "lead_s": LEAD_S, "length_s": 9,
+        "services": {"ledger": {"slots": 16, "targets": [
+            {"address": address(port), "zone": "north-a", "external": True}]}},
+        "routes": {"pay": {"host": "a.example", "prefix": "/pay/",
+                           "kind": "unsafe", "service": "ledger",
+                           "per_second": 0.01, "deadline_ms": 8000}},
+        "faults": [{"at_s": 1.6, "kind": "target-leave", "service": "ledger",
+                    "count": 1, "for_s": 7}]}
+    try:
+        fleet.run(scenario, actions=[
+            Action(LEAD_S + 0.8, open_connections),
+            *freeze_entry(LEAD_S + 1, 0, frozen_s),
+            Action(LEAD_S + 1.2, ask_frozen),
+            Action(LEAD_S + 1.1 + frozen_s, lambda _: [
+                await_status(caller, f"frozen-{i}")
+                for i, caller in enumerate(callers)])])
+    finally:
+        target.close()
+    before = [each for each in statuses if each.startswith("before")]
+    assert [statuses[each] for each in before] == [200] * 6, statuses
+    begin = max(reached[each] for each in before)
+    late = {each: round(at - begin, 2) for each, at in reached.items()
+            if at - begin > 0.8 + drain_s}
+    assert not late, late
+    assert all(statuses[f"frozen-{i}"] == 503 for i in range(6)), statuses
+
+
 # Guards against requests to a target in the time for which it asked, with a
 # 503, to be left alone (BUDGET): more than two from one entry.
 def a_target_that_asks_for_a_pause_is_left_alone():
@@ -856,6 +919,7 @@
          a_wait_for_a_connection_is_logged,
          a_target_that_accepts_late_gets_nothing_after_it_left,
          a_target_that_accepts_late_holds_no_request_up,
+         a_frozen_entry_reads_before_it_sends,
          a_target_that_asks_for_a_pause_is_left_alone,
          a_named_limit_bounds_the_sum_over_entries,
          a_named_limit_holds_while_entries_fail,
