The emulator's targets may accept late, and a leaving in the store is checked

The emulator's targets accepted connections at once, and nothing compared a leaving that the store had acknowledged with what reached the target later: only what targets say in answers was checked, and by the time at which the caller sent its request. So neither tests nor the soak could see a request that waited for its connection.

The fault target-accepts-late keeps a target's accept queue full, so that the kernel sends SYNs again after 1, 3 and 7 s. The check reports a request that reaches a target later than drainS after the store acknowledged an entry that says that it leaves. It counts in runs without a fault of the store, and for entries that were not stopped, killed or frozen; the fleet tells the emulator of a SIGTERM for that. Targets that ended without having been listed as leaving are not covered.

With the entry of before requests were checked again when their connection was open, the new test fails: two requests reached targets 2763 and 2863 ms after the store acknowledged their leaving.

--- a/support/entry_fleet.py
+++ b/support/entry_fleet.py
@@ -238,8 +238,9 @@
 
 def signal_entry(at_s, index, signal_number):
     """Returns the action that sends a signal to one entry."""
+    fault = {"kind": "entry-stopping", "entry": index, "for_s": 0}
     return Action(at_s, lambda fleet: fleet.entries[index].send_signal(
-        signal_number))
+        signal_number), fault if signal_number == signal.SIGTERM else None)
 
 
 def freeze_entry(at_s, index, for_s):
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -524,6 +524,21 @@
                for status, took_s in results.values()), results
 
 
+# Guards against DRAIN with many targets, of which some accept late and leave.
+def targets_that_accept_late_get_nothing_after_they_left():
+    fleet = EntryFleet(ZONES, 1)
+    late = {"kind": "target-accepts-late", "at_s": 1, "for_s": 2.8, "count": 2}
+    leave = {"kind": "target-leave", "at_s": 1.3, "for_s": 6, "count": 2}
+    scenario = small_scenario(fleet, faults=[
+        {**fault, "service": service} for fault in (late, leave)
+        for service in ("accounts", "orders", "archive")])
+    for route in scenario["routes"].values():
+        route["deadline_ms"] = 8000
+    report, status = fleet.run(scenario)
+    assert report["violations"] == [] and status == 0, report["violations"]
+    assert served_fraction(report) > 0.8, report["routes"]
+
+
 # Guards against DRAIN: an entry that stood still reads the requests that came
 # meanwhile, and sends them, before it reads that their target has left.
 def a_frozen_entry_reads_before_it_sends():
@@ -919,6 +934,7 @@
          a_wait_for_a_connection_is_logged,
          a_target_that_accepts_late_gets_nothing_after_it_left,
          a_target_that_accepts_late_holds_no_request_up,
+         targets_that_accept_late_get_nothing_after_they_left,
          a_frozen_entry_reads_before_it_sends,
          a_target_that_asks_for_a_pause_is_left_alone,
          a_named_limit_bounds_the_sum_over_entries,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -128,6 +128,19 @@
                        "entry": revoke_rng.randrange(len(fleet.entries)),
                        "at_s": round(revoke_rng.uniform(0.3, LENGTH_S - 9), 2),
                        "for_s": round(revoke_rng.uniform(0.5, 9), 2)})
+    accept_rng = random.Random(f"accept {seed}")
+    for _ in range(accept_rng.choice((0, 1, 2))):
+        service = accept_rng.choice(sorted(SERVICES))
+        late = {"kind": "target-accepts-late", "service": service,
+                "count": accept_rng.randint(1, SERVICES[service] // 2),
+                "at_s": round(accept_rng.uniform(0.3, LENGTH_S - 6), 2),
+                "for_s": round(accept_rng.uniform(0.5, 5), 2)}
+        faults.append(late)
+        # Some leave while requests wait for their connections.
+        if accept_rng.random() < 0.5:
+            faults.append({**late, "kind": "target-says-leaving",
+                           "at_s": round(late["at_s"] + 0.3, 2),
+                           "for_s": round(late["for_s"] + 3, 2)})
     if with_stopped_targets:
         faults += stopped_targets(seed)
     actions = []
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -221,6 +221,7 @@
 
 void EmulatedTarget::Crash() {
   acceptor_.reset();
+  queue_fillers_.clear();
   checker_.OnTargetCrash(id_);
   for (const auto& work : in_flight_)
     work->timer->cancel();
@@ -272,7 +273,8 @@
         std::move(socket), CallerLimits{}, std::move(handlers));
     connections_.insert(connection);
     connection->Start();
-    Accept();
+    if (queue_fillers_.empty())
+      Accept();
   });
 }
 
@@ -322,6 +324,23 @@
     notice_checker_.OnAnswered(id_, request_id, said, BootNow());
 }
 
+void EmulatedTarget::SetAcceptsLate(bool late) {
+  if (!acceptor_ || late == !queue_fillers_.empty())
+    return;
+  if (!late) {
+    queue_fillers_.clear();
+    acceptor_->listen();
+    return Accept();
+  }
+  acceptor_->cancel();
+  acceptor_->listen(0);
+  // A queue of length 0 takes one connection.
+  constexpr int kFillers = 3;
+  for (int i = 0; i < kFillers; ++i)
+    queue_fillers_.emplace_back(io_).async_connect(acceptor_->local_endpoint(),
+                                                   [](error_code) {});
+}
+
 void EmulatedTarget::SetStopped(bool stopped) {
   stopped_ = stopped;
   if (stopped_)
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -115,6 +115,7 @@
   // Stops the target and closes all its connections at once.
   void Crash();
   void SetDraining() { draining_ = true; }
+  bool draining() const { return draining_; }
   // Whether releases are neither carried out nor answered.
   void SetIgnoresReleases(bool ignores) { ignores_releases_ = ignores; }
   // While silent, the target accepts requests and sends no response.
@@ -124,6 +125,9 @@
   // its connections have none. That includes grants and releases whose sender
   // has reset its connection meanwhile, which the kernel delivers all the same.
   void SetStopped(bool stopped);
+  // Keeps the accept queue full or empties it, so that new connections open
+  // only once the kernel sends their SYN again. Open ones are served.
+  void SetAcceptsLate(bool late);
   // Closes the connection instead of responding, or within the response, for
   // this share of the requests.
   void SetAbortRatio(double ratio) { abort_ratio_ = ratio; }
@@ -189,6 +193,8 @@
   std::optional<Duration> rejects_for_;
   bool says_invalid_ = false;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+  // Connections of this process that fill the accept queue.
+  std::vector<boost::asio::ip::tcp::socket> queue_fillers_;
   std::set<Connection> connections_;
   std::set<std::shared_ptr<Work>> in_flight_;
   std::deque<std::shared_ptr<Work>> queued_;
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -136,8 +136,11 @@
       if (target.running() && !silent &&
           now - last_heartbeat_at_[i] >= kHeartbeatInterval) {
         last_heartbeat_at_[i] = now;
-        if (store_.Get(key) != target.StoreEntry())
+        if (store_.Get(key) != target.StoreEntry()) {
           store_.Put(key, target.StoreEntry());
+          if (target.draining())
+            notice_checker_.OnListedLeaving(target.id(), now);
+        }
       }
       if ((!target.running() || silent) &&
           now - last_heartbeat_at_[i] >= kHeartbeatTimeout && store_.Get(key))
@@ -166,6 +169,10 @@
   }
 
   void ApplyFault(const figstall::detail::ScenarioFault& fault, bool starts) {
+    if (fault.kind.rfind("store-", 0) == 0)
+      notice_checker_.OnStoreDisturbed();
+    if (fault.kind == "entry-stopping")
+      return notice_checker_.OnEntryDisturbed(fault.entry);
     if (fault.kind == "store-compact") {
       if (starts)
         store_.Compact();
@@ -244,6 +251,8 @@
           silent_in_store_.insert(index);
         else
           silent_in_store_.erase(index);
+      } else if (fault.kind == "target-accepts-late") {
+        target.SetAcceptsLate(starts);
       } else if (fault.kind == "target-garble") {
         target.SetAbortRatio(starts ? fault.abort_ratio : 0);
       } else if (fault.kind == "target-says-leaving") {
--- a/test/fakes/notice_checker.cc
+++ b/test/fakes/notice_checker.cc
@@ -39,6 +39,14 @@
         "request {} reached {} {} ms after entry {} had passed on that it "
         "leaves",
         request_id, target_id, ToMillis(now - leaving->second), request.entry));
+  if (target.listed_leaving_at && !store_disturbed_ &&
+      !disturbed_entries_.contains(request.entry) &&
+      now > *target.listed_leaving_at + bounds_.drain)
+    violations_.push_back(
+        fmt::format("request {} from entry {} reached {} {} ms after the store "
+                    "acknowledged that it leaves",
+                    request_id, request.entry, target_id,
+                    ToMillis(now - *target.listed_leaving_at)));
   const auto pause = target.pauses.find(request.entry);
   if (pause != target.pauses.end() && now >= pause->second.from &&
       now < pause->second.until &&
@@ -126,6 +134,7 @@
 }
 
 void NoticeChecker::ExcuseEntry(std::size_t entry, Instant until) {
+  OnEntryDisturbed(entry);
   excused_until_[entry] = std::max(excused_until_[entry], until);
   for (auto& [id, target] : targets_) {
     target.told_leaving.erase(entry);
--- a/test/fakes/notice_checker.h
+++ b/test/fakes/notice_checker.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,7 +26,9 @@
 
 struct NoticeBounds {
   // Requests that callers sent to an entry later than this after the entry
-  // passed on that a target leaves must not reach the target.
+  // passed on that a target leaves must not reach the target. None may reach it
+  // later than this after the store acknowledged that it leaves, unless the
+  // store or the entry was disturbed in this run.
   Duration drain = std::chrono::seconds(2);
   // A limit applies from this time after the target first named it.
   Duration stability = std::chrono::seconds(3);
@@ -41,6 +44,13 @@
                      Instant now);
   // A new incarnation under this id has said nothing yet.
   void OnTargetStarted(const std::string& target) { targets_.erase(target); }
+  // The store acknowledged an entry of the target that says that it leaves.
+  void OnListedLeaving(const std::string& target, Instant now) {
+    targets_[target].listed_leaving_at = now;
+  }
+  // From now on, what the store acknowledges binds no entry, or not this one.
+  void OnStoreDisturbed() { store_disturbed_ = true; }
+  void OnEntryDisturbed(std::size_t entry) { disturbed_entries_.insert(entry); }
   // The request reaches a target.
   void OnArrival(const std::string& target,
                  const std::string& request_id,
@@ -78,6 +88,7 @@
   struct Target {
     // By entry: when it passed on that the target leaves, or a limit.
     std::map<std::size_t, Instant> told_leaving;
+    std::optional<Instant> listed_leaving_at;
     std::map<std::size_t, Instant> told_limit;
     std::map<std::size_t, Pause> pauses;
     std::optional<Instant> limited_since;
@@ -94,6 +105,8 @@
   std::map<std::string, SentRequest> requests_;
   std::map<std::string, Target> targets_;
   std::map<std::size_t, Instant> excused_until_;
+  bool store_disturbed_ = false;
+  std::set<std::size_t> disturbed_entries_;
   std::vector<std::string> violations_;
   double highest_limit_use_ = 0;
 };
