Members release what an owner that stood still was granted

Targets: one that handles nothing for seconds takes a grant that lay in its socket when it goes on, and counts the hold from there. Where the mover did not reach it and members did, it held keys of another target for up to 2.55 s.

Cause: the wait of the mover ends holds that count from the arrival of a grant. Nothing ends one that is taken later but a release that lies there, too, and only the mover sent releases.

A member whose last grant the owner has not answered, and the members of the zone that grant to an owner which is late with its answer to the mover, now release a range that leaves the owner at the token of the move, once a second until it is answered, for 30 s at most, four at once an owner, and not once the same target has the range again. A release at that token is never refused and refuses every older grant. Owners that answer get none.

All other runs are as before: they send no releases of members, so that the waits of the mover still have to suffice, and the mutations are found.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -33,6 +33,7 @@
 #include "figstall/target_history.h"
 #include "figstall/target_notice_recorder.h"
 #include "platform/store_client.h"
+#include "platform/target_orders.h"
 
 namespace figstall {
 
@@ -279,6 +280,15 @@
   void WriteTable(const ServiceId& service, const RangeTable& next);
   void ReadTable(const ServiceId& service);
   void SendReleases(const ServiceId& service, MoverState& state);
+  // Releases ranges that have left an owner which does not respond, whether or
+  // not this process is the mover.
+  void ReleaseLeftRanges(Instant now);
+  using ReleaseHandler = std::function<void(platform::ReleaseOutcome outcome,
+                                            const std::string& handover)>;
+  void SendRelease(const ServiceId& service,
+                   const ReleaseRequest& request,
+                   const char* sender,
+                   ReleaseHandler handler);
   void SendGrants(Instant now);
   void OnGrantOutcome(const GrantRequest& request,
                       Instant queued_at,
@@ -311,6 +321,10 @@
   // Whether this member may send grants of the entry at this moment.
   bool MayGrant(Instant now, const RangeEntry& entry) const;
   // Whether it is this member that sends them.
+  // Whether this is one of the members of the zone that grant the ranges of
+  // `owner`.
+  bool IsZoneGranter(const std::vector<VmId>& zone_members,
+                     const TargetId& owner) const;
   bool ShouldGrant(Instant now,
                    const std::vector<VmId>& zone_members,
                    const ServiceId& service,
--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -8,6 +8,11 @@
 // before the table was last confirmed: before the member asked for the table
 // that is now known to have been in force. If the range has moved since, the
 // incarnation at the other end has been released or has ended.
+//
+// An owner that stands still may take a grant after its range has moved, and
+// counts the hold from there. So members release the ranges that have left an
+// owner which does not respond, too: it takes a release that lies there within
+// milliseconds of the grant.
 #ifndef FIGSTALL_RANGE_GRANTER_H_
 #define FIGSTALL_RANGE_GRANTER_H_
 
@@ -46,6 +51,13 @@
   // Delay before a range is granted again after a grant that was not sent, had
   // no response or reached another target.
   Duration retry_interval = std::chrono::milliseconds(500);
+  // Delay before a range is released again after a release without a response.
+  Duration release_retry_interval = std::chrono::milliseconds(1000);
+  // How long an owner that does not respond is sent releases of a range that
+  // has left it.
+  Duration max_release_time = std::chrono::seconds(30);
+  // Releases that one owner gets from one member at once.
+  std::size_t max_releases_in_flight = 4;
 };
 
 enum class GrantOutcome {
@@ -85,6 +97,20 @@
   kAwaitConfirmation,
 };
 
+// A range that has left an owner, which may not have released it.
+struct LeftRange {
+  ServiceId service;
+  // Zone of the owner.
+  ZoneId zone;
+  ReleaseRequest release;
+  // Whether the mover still awaits the owner's response to its own release.
+  bool moving = false;
+  // Whether the owner did not respond to the mover in time.
+  bool overdue = false;
+  // Whether the owner did not answer this member's last grant.
+  bool unanswered = false;
+};
+
 class RangeGranter {
  public:
   RangeGranter(GrantTiming timing, GrantSendTiming send_timing = {});
@@ -114,6 +140,34 @@
     }
     return due;
   }
+  // Returns the ranges whose release is due: those that have left an owner
+  // which did not answer this member's last grant or the mover's release, and
+  // for which `should_release(left_range)` is true. The caller sends the
+  // releases at once.
+  template <typename ShouldRelease>
+  std::vector<LeftRange> TakeDueReleases(Instant now,
+                                         ShouldRelease&& should_release) {
+    ForgetReleases(now);
+    std::map<TargetId, std::size_t> in_flight;
+    for (const auto& [request, state] : releases_)
+      in_flight[request.owner.id] += state.in_flight ? 1 : 0;
+    std::vector<LeftRange> due;
+    for (auto& [request, state] : releases_) {
+      LeftRange& left = state.left;
+      std::size_t& of_owner = in_flight[request.owner.id];
+      left.unanswered = IsUnanswered(request.owner.id);
+      if (state.in_flight || state.ended || now < state.next_at ||
+          of_owner >= send_timing_.max_releases_in_flight ||
+          !(left.unanswered || left.overdue) || !should_release(left))
+        continue;
+      state.in_flight = true;
+      ++of_owner;
+      due.push_back(left);
+    }
+    return due;
+  }
+  // `ended` tells that the owner no longer holds the range.
+  void OnReleaseOutcome(Instant now, const ReleaseRequest& request, bool ended);
   // The store was asked for the service's table at `requested_at`, and the
   // known table is the one that it returned, or a newer one.
   void OnTableConfirmed(const ServiceId& service, Instant requested_at);
@@ -157,11 +211,33 @@
     // Upper bound on the arrival of all other grants.
     std::optional<Instant> latest_arrival;
     std::optional<Instant> backoff_until;
+    // Whether the last grant with an outcome was sent and had no answer.
+    bool unanswered = false;
     // When the connection was opened on which a grant was last withdrawn to
     // await a confirmation of its table.
     std::optional<Instant> unconfirmed_connection_at;
   };
 
+  // A release of a range that has left its owner.
+  struct ReleaseState {
+    LeftRange left;
+    // When this member first looked for due releases after the range left.
+    std::optional<Instant> since;
+    Instant next_at{};
+    bool in_flight = false;
+    // The owner has released the range.
+    bool ended = false;
+  };
+
+  void AddLeftRanges(const ServiceId& service,
+                     const RangeTable& known,
+                     const RangeTable& next);
+  void AddLeftRange(LeftRange left);
+  void ForgetReleases(Instant now);
+  bool IsUnanswered(const TargetId& owner) const {
+    const auto found = owners_.find(owner);
+    return found != owners_.end() && found->second.unanswered;
+  }
   bool IsDue(Instant now,
              const TargetDirectory& directory,
              const ServiceId& service,
@@ -177,6 +253,7 @@
   std::map<std::tuple<ServiceId, ShardKey, std::uint64_t>, Instant>
       next_grant_at_;
   std::map<TargetId, OwnerState> owners_;
+  std::map<ReleaseRequest, ReleaseState> releases_;
   std::map<ServiceId, Instant> confirmed_at_;
   // A confirmation that was requested at this time or later is awaited.
   std::map<ServiceId, Instant> awaited_since_;
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -400,6 +400,7 @@
   grants_check_due_ = false;
   grants_checked_at_ = now;
   SendGrants(now);
+  ReleaseLeftRanges(now);
 }
 
 void EntryControl::RecordMemberCounts(Instant now) {
--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -91,9 +91,14 @@
     return true;
   if (entry.zone != settings_.zone)
     return false;
+  return IsZoneGranter(zone_members, entry.owner.id);
+}
+
+bool EntryControl::IsZoneGranter(const std::vector<VmId>& zone_members,
+                                 const TargetId& owner) const {
   // Ranks the members of this zone by rendezvous hash.
   const auto hash_of = [&](const VmId& vm) {
-    return std::hash<std::string>()(vm.value() + "/" + entry.owner.id.value());
+    return std::hash<std::string>()(vm.value() + "/" + owner.value());
   };
   const std::size_t own_hash = hash_of(settings_.vm);
   const auto members_ranked_higher = static_cast<std::size_t>(std::count_if(
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -297,36 +297,69 @@
         !state.releases_in_flight.insert(request).second)
       continue;
     ++of_owner;
-    platform::SendRelease(
-        *MakeOrderChannel(request.owner.id, request.address), request,
-        kReleaseTimeout,
-        [this, service, request, requested_at = BootNow()](
-            platform::ReleaseOutcome outcome, const std::string& handover,
-            const TargetNotice& notice, AnswerProof proof) {
-          notices_.OnAnswer(BootNow(), request.owner, notice, "release");
-          MoverState& current = movers_[service];
-          static constexpr const char* kNames[] = {"released", "owner-gone",
-                                                   "unknown"};
-          log_.Write(LogLevel::kInfo, "release",
-                     {{"service", service.value()},
-                      {"target", request.owner.id.value()},
-                      {"first", std::to_string(request.range.first)},
-                      {"last", std::to_string(request.range.last)},
-                      {"fence", std::to_string(request.fence)},
-                      {"outcome", kNames[static_cast<int>(outcome)]},
-                      {"proof", ToString(proof)},
-                      {"took_ms",
-                       std::to_string(ToMillis(BootNow() - requested_at))}});
-          if (outcome == platform::ReleaseOutcome::kUnknown) {
-            return RunAfter(kReleaseRetryInterval, [this, service, request] {
-              movers_[service].releases_in_flight.erase(request);
-            });
-          }
-          current.releases_in_flight.erase(request);
-          MoverOf(service).OnReleased(request, handover);
-          ProcessChanges();
-        });
+    SendRelease(service, request, "mover",
+                [this, service, request](platform::ReleaseOutcome outcome,
+                                         const std::string& handover) {
+                  if (outcome == platform::ReleaseOutcome::kUnknown) {
+                    return RunAfter(
+                        kReleaseRetryInterval, [this, service, request] {
+                          movers_[service].releases_in_flight.erase(request);
+                        });
+                  }
+                  movers_[service].releases_in_flight.erase(request);
+                  MoverOf(service).OnReleased(request, handover);
+                  ProcessChanges();
+                });
   }
 }
 
+void EntryControl::ReleaseLeftRanges(Instant now) {
+  const std::vector<VmId> zone_members = ZoneMembers();
+  const auto due = granter_.TakeDueReleases(now, [&](const LeftRange& left) {
+    if (left.moving && IsMover(now))
+      return false;
+    return left.unanswered ||
+           (left.zone == settings_.zone &&
+            IsZoneGranter(zone_members, left.release.owner.id));
+  });
+  for (const LeftRange& left : due) {
+    SendRelease(left.service, left.release, "member",
+                [this, request = left.release](platform::ReleaseOutcome outcome,
+                                               const std::string&) {
+                  granter_.OnReleaseOutcome(
+                      BootNow(), request,
+                      outcome != platform::ReleaseOutcome::kUnknown);
+                });
+  }
+}
+
+void EntryControl::SendRelease(const ServiceId& service,
+                               const ReleaseRequest& request,
+                               const char* sender,
+                               ReleaseHandler handler) {
+  platform::SendRelease(
+      *MakeOrderChannel(request.owner.id, request.address), request,
+      kReleaseTimeout,
+      [this, service, request, sender, handler = std::move(handler),
+       requested_at = BootNow()](
+          platform::ReleaseOutcome outcome, const std::string& handover,
+          const TargetNotice& notice, AnswerProof proof) {
+        notices_.OnAnswer(BootNow(), request.owner, notice, "release");
+        static constexpr const char* kNames[] = {"released", "owner-gone",
+                                                 "unknown"};
+        log_.Write(
+            LogLevel::kInfo, "release",
+            {{"service", service.value()},
+             {"target", request.owner.id.value()},
+             {"first", std::to_string(request.range.first)},
+             {"last", std::to_string(request.range.last)},
+             {"fence", std::to_string(request.fence)},
+             {"sender", sender},
+             {"outcome", kNames[static_cast<int>(outcome)]},
+             {"proof", ToString(proof)},
+             {"took_ms", std::to_string(ToMillis(BootNow() - requested_at))}});
+        handler(outcome, handover);
+      });
+}
+
 }  // namespace figstall
--- a/src/range_granter.cc
+++ b/src/range_granter.cc
@@ -28,6 +28,7 @@
   RangeTable& known = tables_[service];
   if (table.last_fence < known.last_fence)
     return false;
+  AddLeftRanges(service, known, table);
   known = table;
   // Forget the grant times of entries that are no longer in the table.
   std::erase_if(next_grant_at_, [&](const auto& item) {
@@ -41,6 +42,74 @@
   return true;
 }
 
+void RangeGranter::AddLeftRanges(const ServiceId& service,
+                                 const RangeTable& known,
+                                 const RangeTable& next) {
+  // A release that arrives late would end the hold of an owner that has the
+  // range again.
+  std::erase_if(releases_, [&](const auto& each) {
+    const LeftRange& left = each.second.left;
+    const RangeEntry* entry =
+        left.service == service ? next.Find(left.release.range.first) : nullptr;
+    return entry && entry->phase == RangePhase::kSettled &&
+           entry->owner.id == left.release.owner.id;
+  });
+  auto earlier = known.entries.begin();
+  for (const RangeEntry& entry : next.entries) {
+    if (entry.phase != RangePhase::kSettled) {
+      AddLeftRange({service,
+                    entry.zone,
+                    {entry.range, entry.owner, entry.address, entry.fence},
+                    /*moving=*/true,
+                    entry.phase == RangePhase::kAwaitingReports});
+      continue;
+    }
+    while (earlier != known.entries.end() &&
+           earlier->range.last < entry.range.first)
+      ++earlier;
+    for (auto each = earlier;
+         each != known.entries.end() && each->range.first <= entry.range.last;
+         ++each) {
+      if (each->owner.id == entry.owner.id)
+        continue;
+      const KeyRange common{std::max(each->range.first, entry.range.first),
+                            std::min(each->range.last, entry.range.last)};
+      AddLeftRange({service,
+                    each->zone,
+                    {common, each->owner, each->address, entry.fence},
+                    /*moving=*/false,
+                    each->phase == RangePhase::kAwaitingReports});
+    }
+  }
+}
+
+void RangeGranter::AddLeftRange(LeftRange left) {
+  ReleaseState& state = releases_[left.release];
+  left.overdue = left.overdue || state.left.overdue;
+  state.left = std::move(left);
+}
+
+void RangeGranter::ForgetReleases(Instant now) {
+  for (auto& [request, state] : releases_)
+    state.since = state.since.value_or(now);
+  std::erase_if(releases_, [&](const auto& each) {
+    const ReleaseState& state = each.second;
+    return !state.in_flight &&
+           now - *state.since > send_timing_.max_release_time;
+  });
+}
+
+void RangeGranter::OnReleaseOutcome(Instant now,
+                                    const ReleaseRequest& request,
+                                    bool ended) {
+  const auto found = releases_.find(request);
+  if (found == releases_.end())
+    return;
+  found->second.in_flight = false;
+  found->second.ended = ended;
+  found->second.next_at = now + send_timing_.release_retry_interval;
+}
+
 void RangeGranter::Clear() {
   tables_.clear();
   next_grant_at_.clear();
@@ -140,6 +209,7 @@
         std::max(owner.latest_arrival.value_or(arrival), arrival);
     owner.in_flight.erase(sent);
   }
+  owner.unanswered = outcome == GrantOutcome::kUnknown;
   switch (outcome) {
     case GrantOutcome::kGranted:
     case GrantOutcome::kRefused:
--- a/test/range_granter_test.cc
+++ b/test/range_granter_test.cc
@@ -22,13 +22,27 @@
     SetPhase(RangePhase::kSettled);
   }
 
-  void SetPhase(RangePhase phase) {
+  void SetPhase(RangePhase phase) { SetEntry(kOwner, 1, phase); }
+  void SetEntry(const TargetIncarnation& owner,
+                std::uint64_t fence,
+                RangePhase phase) {
     RangeTable table;
     table.last_fence = ++last_fence_;
     table.entries = {
-        {{0, 65'535}, kOwner, {"10.0.0.1", 80}, ZoneId("z"), 1, phase, ""}};
+        {{0, 65'535}, owner, {"10.0.0.1", 80}, ZoneId("z"), fence, phase, ""}};
     granter.OnTable(kService, table);
   }
+  std::vector<LeftRange> TakeDueReleases(Instant now) {
+    return granter.TakeDueReleases(now, [](const LeftRange&) { return true; });
+  }
+  // Sends the one grant that is due, with this outcome.
+  void Grant(Instant now, GrantOutcome outcome) {
+    const auto due = TakeDueGrants(now);
+    REQUIRE(due.size() == 1);
+    granter.OnTableConfirmed(kService, now);
+    REQUIRE(granter.TryBeginSend(now, due.front(), now) == SendDecision::kSend);
+    granter.OnOutcome(now, due.front(), outcome, AnswerProof::kConnectionReset);
+  }
   std::vector<GrantRequest> TakeDueGrants(Instant now) {
     return granter.TakeDueGrants(
         now, directory_,
@@ -188,4 +202,67 @@
   CHECK_FALSE(fixture.granter.NotYetGranted(kService, entry));
 }
 
+// Guards against OWNER: a target that stood still took a grant after its range
+// had moved, while the mover could not reach it to release the range.
+TEST_CASE("a member releases a range that left an owner without an answer") {
+  GranterFixture fixture;
+  fixture.Grant(kStart, GrantOutcome::kUnknown);
+  CHECK(fixture.TakeDueReleases(kStart).empty());
+  fixture.SetEntry(kOwner, 5, RangePhase::kMoving);
+  const auto due = fixture.TakeDueReleases(kStart);
+  REQUIRE(due.size() == 1);
+  CHECK(due.front().release ==
+        ReleaseRequest{{0, 65'535}, kOwner, {"10.0.0.1", 80}, 5});
+  CHECK(fixture.TakeDueReleases(kStart + std::chrono::seconds(3)).empty());
+  // It is repeated until the owner responds, also after the range is settled.
+  fixture.granter.OnReleaseOutcome(kStart, due.front().release,
+                                   /*ended=*/false);
+  CHECK(fixture.TakeDueReleases(kStart).empty());
+  fixture.SetEntry({TargetId("t2"), 1}, 5, RangePhase::kSettled);
+  const Instant retried_at = kStart + GrantSendTiming().release_retry_interval;
+  CHECK(fixture.TakeDueReleases(retried_at).size() == 1);
+  fixture.granter.OnReleaseOutcome(retried_at, due.front().release,
+                                   /*ended=*/true);
+  CHECK(fixture.TakeDueReleases(retried_at + std::chrono::seconds(3)).empty());
+}
+
+TEST_CASE("a member that missed a move releases the range at the new token") {
+  GranterFixture fixture;
+  fixture.Grant(kStart, GrantOutcome::kUnknown);
+  fixture.SetEntry({TargetId("t2"), 1}, 7, RangePhase::kSettled);
+  const auto due = fixture.TakeDueReleases(kStart);
+  REQUIRE(due.size() == 1);
+  CHECK(due.front().release.owner == kOwner);
+  CHECK(due.front().release.fence == 7);
+}
+
+TEST_CASE("releases of ranges that left an owner are few and end") {
+  GranterFixture fixture;
+  SECTION("none to an owner that answers") {
+    fixture.Grant(kStart, GrantOutcome::kGranted);
+    fixture.SetEntry(kOwner, 5, RangePhase::kMoving);
+    CHECK(fixture.TakeDueReleases(kStart).empty());
+    // Unless it does not respond to the mover.
+    fixture.SetEntry(kOwner, 5, RangePhase::kAwaitingReports);
+    CHECK(fixture.TakeDueReleases(kStart).size() == 1);
+  }
+  SECTION("none to an owner that has the range again") {
+    fixture.Grant(kStart, GrantOutcome::kUnknown);
+    fixture.SetEntry(kOwner, 5, RangePhase::kMoving);
+    fixture.SetEntry({kOwner.id, 2}, 5, RangePhase::kSettled);
+    CHECK(fixture.TakeDueReleases(kStart).empty());
+  }
+  SECTION("none after a time") {
+    fixture.Grant(kStart, GrantOutcome::kUnknown);
+    fixture.SetEntry({TargetId("t2"), 1}, 5, RangePhase::kSettled);
+    const auto due = fixture.TakeDueReleases(kStart);
+    REQUIRE(due.size() == 1);
+    const Instant late = kStart + GrantSendTiming().max_release_time +
+                         std::chrono::milliseconds(1);
+    fixture.granter.OnReleaseOutcome(late, due.front().release,
+                                     /*ended=*/false);
+    CHECK(fixture.TakeDueReleases(late + std::chrono::seconds(2)).empty());
+  }
+}
+
 }  // namespace figstall
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <iostream>
+#include <numeric>
 #include <optional>
 #include <random>
 
@@ -83,6 +84,9 @@
   // they apply the grants and releases that have arrived, in any order, and
   // count the holds from there.
   bool targets_stop = false;
+  // Members, too, release ranges that have left an owner which does not
+  // respond. Without that, the waits of the mover have to suffice.
+  bool members_release = false;
 };
 
 constexpr int kMembers = 4;
@@ -146,6 +150,8 @@
     Instant last_heartbeat_at{};
     std::map<ShardKey, std::uint64_t> seen_fence;
     std::map<ShardKey, Instant> held_until;
+    // Since when each key has been held without a break.
+    std::map<ShardKey, Instant> held_since;
   };
   // Reaches one incarnation of a target.
   struct Connection {
@@ -240,9 +246,10 @@
         targets_[i].reaches_store = !targets_[i].reaches_store;
       }
     }
-    if (options_.targets_stop && Chance(0.01))
-      targets_[RandomBelow(kTargets)].stopped_until =
-          now_ + milliseconds(RandomBelow(12'000));
+    if (options_.targets_stop && Chance(0.01)) {
+      Instant& until = targets_[RandomBelow(kTargets)].stopped_until;
+      until = std::max(until, now_ + milliseconds(RandomBelow(12'000)));
+    }
     if (Chance(0.02)) {
       Member& member = members_[RandomBelow(kMembers)];
       const int target = static_cast<int>(RandomBelow(kTargets));
@@ -377,6 +384,8 @@
     if (membership_valid ||
         (mutation_ == Mutation::kNoClockCheckAfterFreeze && member.joined))
       SendGrants(i);
+    if (options_.members_release)
+      SendMemberReleases(i);
     if (now_ < member.mover_lease_valid_until)
       RunMover(i);
     SendReport(i);
@@ -614,6 +623,8 @@
         continue;
       target.seen_fence[key] = request.fence;
       Instant& until = target.held_until[key];
+      if (until <= now_)
+        target.held_since[key] = now_;
       until = std::max(until, arrived_at + hold);
     }
   }
@@ -637,10 +648,11 @@
     if (!target.up || target.incarnation.id != request.owner.id)
       return std::nullopt;
     if (now_ < target.stopped_until) {
-      Schedule(target.stopped_until - now_, [this, i, request] {
-        if (targets_[i].incarnation == request.owner)
-          ApplyRelease(i, request);
-      });
+      Schedule(target.stopped_until - now_,
+               [this, i, request, reached = target.incarnation] {
+                 if (targets_[i].incarnation == reached)
+                   ApplyRelease(i, request);
+               });
       return std::nullopt;
     }
     const Instant work_ends_at =
@@ -651,7 +663,11 @@
         continue;
       target.seen_fence[key] = std::max(target.seen_fence[key], request.fence);
       Instant& until = target.held_until[key];
-      until = std::min(until, work_ends_at);
+      // A target that goes on takes grants and releases at once, so that no
+      // work begins between them.
+      const bool may_run =
+          !options_.targets_stop || target.held_since[key] < now_;
+      until = std::min(until, may_run ? work_ends_at : now_);
       responds_at = std::max(responds_at, until);
     }
     if (Chance(0.1))
@@ -659,6 +675,36 @@
     return responds_at - now_;
   }
 
+  // Releases ranges that have left an owner which does not respond.
+  void SendMemberReleases(int i) {
+    Member& member = members_[i];
+    const auto due =
+        member.granter->TakeDueReleases(now_, [this, i](const LeftRange& left) {
+          return left.unanswered ||
+                 options_.granters == Granters::kAllMembers ||
+                 left.zone == ZoneOf(i);
+        });
+    for (const LeftRange& left : due) {
+      const ReleaseRequest request = left.release;
+      const int target = FindTarget(request.owner.id);
+      const bool reachable =
+          target >= 0 && !member.unreachable_targets.contains(target);
+      Schedule(RandomDelay(), [this, i, target, reachable, request,
+                               id = member.id] {
+        const auto response_delay =
+            reachable ? ApplyRelease(target, request) : std::nullopt;
+        const bool stopped =
+            target >= 0 && now_ < targets_[target].stopped_until;
+        Schedule(
+            response_delay.value_or(stopped ? kReleaseTimeout : Duration{0}),
+            [this, i, request, id, answered = response_delay && Chance(0.9)] {
+              if (members_[i].id == id)
+                members_[i].granter->OnReleaseOutcome(now_, request, answered);
+            });
+      });
+    }
+  }
+
   void RunMover(int i) {
     Member& member = members_[i];
     for (ReleaseRequest request : member.mover->OutstandingReleases()) {
@@ -842,6 +888,27 @@
   return violations;
 }
 
+const std::vector<int> kNoSeeds;
+
+std::vector<int> SeedsUpTo(int last) {
+  std::vector<int> seeds(static_cast<std::size_t>(last));
+  std::iota(seeds.begin(), seeds.end(), 1);
+  return seeds;
+}
+
+// Returns the seeds of the runs in which two targets held a key at once for
+// longer than a step.
+std::vector<int> SeedsOfLongSecondHolds(const std::vector<int>& seeds,
+                                        RunOptions options) {
+  std::vector<int> found;
+  for (const int seed : seeds) {
+    RandomRun run(static_cast<std::uint64_t>(seed), Mutation::kNone, options);
+    if (run.LongestSecondHold(kSteps) > kStep)
+      found.push_back(seed);
+  }
+  return found;
+}
+
 // Whether two targets hold a key at once in one of the runs with the mutation.
 bool FindsViolation(Mutation mutation, int run_count, RunOptions options = {}) {
   for (int seed = 1; seed <= run_count; ++seed) {
@@ -904,19 +971,25 @@
 // the range had moved, and held it for longer than it takes to apply what else
 // had arrived. Hidden, since runs find it (issue 38).
 TEST_CASE("no key has two holders for long when targets stop", "[.]") {
-  int broken = 0;
-  int longer_than_a_step = 0;
-  Duration longest{0};
-  for (int seed = 1; seed <= RunCount(400); ++seed) {
-    const Duration hold = RandomRun(static_cast<std::uint64_t>(seed),
-                                    Mutation::kNone, {.targets_stop = true})
-                              .LongestSecondHold(kSteps);
-    broken += hold > Duration{0} ? 1 : 0;
-    longer_than_a_step += hold > kStep ? 1 : 0;
-    longest = std::max(longest, hold);
-  }
-  CAPTURE(broken, longest.count());
-  CHECK(longer_than_a_step == 0);
+  CHECK(SeedsOfLongSecondHolds(
+            SeedsUpTo(RunCount(400)),
+            {.targets_stop = true, .members_release = true}) == kNoSeeds);
+}
+
+// Guards against OWNER: as above; the mover did not reach the target, members
+// did, and none of them released the range.
+TEST_CASE("members release what stopped targets were granted") {
+  // All seeds up to 4,000 in which a target holds a key for long if only the
+  // mover releases ranges.
+  const std::vector<int> seeds = {
+      31,   349,  503,  504,  555,  582,  617,  752,  920,  999,  1128, 1144,
+      1372, 1437, 1498, 1511, 1571, 1690, 1739, 1800, 1895, 1900, 2001, 2104,
+      2112, 2214, 2250, 2316, 2330, 2355, 2389, 2590, 2683, 2776, 2863, 2893,
+      2972, 3034, 3099, 3106, 3107, 3167, 3290, 3306, 3361, 3396, 3413, 3470,
+      3537, 3553, 3723, 3741, 3799, 3928, 3941, 3958, 3971, 3982};
+  CHECK(!SeedsOfLongSecondHolds(seeds, {.targets_stop = true}).empty());
+  CHECK(SeedsOfLongSecondHolds(seeds, {.targets_stop = true,
+                                       .members_release = true}) == kNoSeeds);
 }
 
 // Guards against runs that pass because hardly any range moves.
