What is kept of all callers' requests has a bound by the VM's memory

Callers saw: an entry that ran out of memory and ended all their requests, when several of them sent large bodies at once, each within maxBodyBytes. A body was bounded, the sum over connections was not, and each attempt copied the body.

RequestMemory sums up what the connections keep: heads, bodies (a Content-Length counts from the head on, a growing body by its buffer), and bytes read ahead. Its bound is a quarter of vm_size.memory_mb (120 if not given: the smallest VMs). A request that does not fit gets 503 with Retry-After and the connection closes: by its length before its body is read, in chunks when it outgrows the bound. Nothing waits for memory that another request holds, so nothing can deadlock; retries reach other entries. Only what is pipelined behind a request that is being served waits in the kernel. Attempts share the body of their request, and large buffers go back to the system when they are freed.

Process test bodies_of_many_callers_fill_no_memory: six callers send 60 MB of a body each, beside small requests.

Weighed: pausing the largest or newest body instead. It holds callers up whose deadlines are short, and bodies that wait for each other need a rule to break the tie. A body over the bound itself always gets 503 here: 413 would say that no entry takes it.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -70,6 +70,8 @@
     // Called with the status with which invalid input was refused. May be
     // empty.
     std::function<void(int status)> on_refused;
+    // Bounds what all connections keep. May be null.
+    std::shared_ptr<RequestMemory> request_memory = nullptr;
     // Called before on_closed. May be empty.
     std::function<void(const CallerConnectionEnd&)> on_end;
   };
--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
 
 #include "figstall/desired_state.h"
 #include "figstall/http_message.h"
+#include "figstall/request_memory.h"
 #include "figstall/types.h"
 
 namespace figstall {
@@ -39,6 +41,8 @@
   // When the last byte of the request was read.
   Instant arrived_at{};
   HttpRequest message;
+  // Counted in RequestMemory until the response is complete.
+  std::size_t kept_bytes = 0;
 };
 
 // What tells the caller where the body of a response ends.
@@ -97,7 +101,8 @@
 
   CallerSession(CallerSessionLimits limits,
                 IdempotentPredicate is_idempotent,
-                Instant now);
+                Instant now,
+                std::shared_ptr<RequestMemory> memory = nullptr);
 
   void OnBytes(Instant now, std::string_view bytes);
   // Handles the end of the caller's sending side, which is treated as a close.
@@ -148,7 +153,8 @@
 
   bool WantsBytes() const {
     return state_ == SessionState::kOpen &&
-           input_.size() < limits_.max_read_ahead_bytes;
+           input_.size() < limits_.max_read_ahead_bytes &&
+           !(memory_.IsFull() && !pending_requests_.empty());
   }
   Duration idle_timeout() const { return limits_.caller.idle_timeout; }
   SessionState state() const { return state_; }
@@ -168,6 +174,8 @@
 
   // A request that is being served, with its response.
   struct PendingRequest {
+    // Of the request, which is kept until its response is complete.
+    std::size_t kept_bytes = 0;
     bool keep_alive = true;
     bool non_idempotent = false;
     // Of the request.
@@ -197,12 +205,16 @@
   bool ExceedsFramingLimit() const;
   void Parse(Instant now);
   void OnRequestParsed(Instant now, HttpRequest request);
-  void Enqueue(Instant now, HttpRequest request, bool non_idempotent);
+  void Enqueue(CallerRequest request, bool non_idempotent);
   static BodyFraming FramingFor(
       const PendingRequest& pending,
       const boost::beast::http::response<boost::beast::http::empty_body>&
           message);
   void RefuseInput(int status);
+  // Bytes of the request being read, and those reserved for its body.
+  std::size_t ReadingBytes() const;
+  // Records what the connection keeps. Returns false if it does not fit.
+  bool UpdateMemory();
   // Queues all available output of the responses whose turn it is.
   void WriteReadyResponses();
   // Queues the available output of the first response. Returns whether nothing
@@ -216,6 +228,7 @@
 
   const CallerSessionLimits limits_;
   const IdempotentPredicate is_idempotent_;
+  RequestMemoryAccount memory_;
   std::optional<Parser> parser_;
   // Bytes that are read but not yet parsed.
   std::string input_;
--- a/include/figstall/entry_settings.h
+++ b/include/figstall/entry_settings.h
@@ -35,6 +35,8 @@
   // Cores that the process may use, or fewer if its network link is too slow to
   // keep them busy.
   double capacity_cores = 1;
+  // Bytes that are kept of all callers' requests together.
+  std::size_t max_request_bytes = 0;
   // A leaving target may get requests for this long after the store accepted
   // its leaving state.
   Duration drain_duration = std::chrono::seconds(2);
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -53,6 +53,7 @@
   // Whether no request is in flight and all responses are fully written.
   bool IsDrained() const;
   std::size_t in_flight() const { return exchanges_.size(); }
+  const RequestMemory& request_memory() const { return *request_memory_; }
   // Enforces timeouts; called every kTickInterval.
   void Tick(Instant now);
 
@@ -67,6 +68,7 @@
   friend class Exchange;
 
   void Accept();
+  void RecordCallerRefused(int status);
   // Logs the end of a caller's connection if requests may have been lost.
   void RecordCallerEnd(const CallerConnectionEnd& end);
   // Whether a request may be served concurrently with others of its connection.
@@ -92,6 +94,7 @@
   Metrics& metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::optional<Instant> shutdown_deadline_;
+  const std::shared_ptr<RequestMemory> request_memory_;
   std::unordered_map<const CallerConnection*, std::shared_ptr<CallerConnection>>
       callers_;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -88,7 +88,7 @@
   void RetryOnOtherTarget(Instant now);
   // Returns the attempt's buffered response as the caller receives it.
   HttpResponse BufferedResponse();
-  std::shared_ptr<const HttpRequest> MakeTargetRequest(
+  std::shared_ptr<const TargetRequest> MakeTargetRequest(
       const TargetClient& client) const;
   void OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
@@ -117,7 +117,9 @@
 
   EntryTraffic& traffic_;
   ResponseWriter caller_;
+  // Without its body.
   HttpRequest request_;
+  const std::shared_ptr<const std::string> body_;
   const std::uint64_t sequence_number_;
   const Instant arrived_at_;
   std::string id_;
--- a/include/figstall/target_connection.h
+++ b/include/figstall/target_connection.h
@@ -18,6 +18,7 @@
 #include "figstall/exceeded_limit.h"
 #include "figstall/http_message.h"
 #include "figstall/records.h"
+#include "figstall/shared_body.h"
 
 namespace figstall {
 
@@ -56,7 +57,7 @@
                    std::function<void()> on_closed);
 
   // The connection must be new or idle.
-  void Send(std::shared_ptr<const HttpRequest> request,
+  void Send(std::shared_ptr<const TargetRequest> request,
             ResponseObserver observer);
   // Closes the connection at once, so that the target stops its work. The
   // observer is not called any more.
@@ -119,10 +120,8 @@
   Instant usable_until_{};
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
-  std::shared_ptr<const HttpRequest> request_;
-  std::optional<
-      boost::beast::http::request_serializer<boost::beast::http::string_body>>
-      serializer_;
+  std::shared_ptr<const TargetRequest> request_;
+  std::optional<boost::beast::http::request_serializer<SharedBody>> serializer_;
   ResponseObserver observer_;
 };
 
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -60,7 +60,10 @@
                                    Handlers handlers)
     : socket_(std::move(socket)),
       handlers_(std::move(handlers)),
-      session_({.caller = limits}, handlers_.is_idempotent, BootNow()),
+      session_({.caller = limits},
+               handlers_.is_idempotent,
+               BootNow(),
+               handlers_.request_memory),
       last_read_at_(BootNow()) {}
 
 void CallerConnection::Start() {
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -3,6 +3,8 @@
 // A non-idempotent request is never served concurrently with another request.
 #include "figstall/caller_session.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -16,6 +18,12 @@
 constexpr int kBadRequest = 400;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
+// Retry-After of a request for which there is no memory. Retries reach other
+// processes.
+constexpr Duration kRetryAfterNoMemory = std::chrono::milliseconds(100);
+// An empty input buffer with more capacity than this is freed.
+constexpr std::size_t kMaxIdleInputBytes = 32'768;
 // Largest number of bytes that one write passes to the socket.
 constexpr std::size_t kMaxWriteBytes = 65'536;
 // Requests wait unparsed while more bytes than this are unsent to the caller.
@@ -96,9 +104,11 @@
 
 CallerSession::CallerSession(CallerSessionLimits limits,
                              IdempotentPredicate is_idempotent,
-                             Instant now)
+                             Instant now,
+                             std::shared_ptr<RequestMemory> memory)
     : limits_(limits),
       is_idempotent_(std::move(is_idempotent)),
+      memory_(std::move(memory)),
       opened_at_(now),
       idle_since_(now),
       request_started_at_(now),
@@ -135,6 +145,29 @@
   last_read_at_ = now;
   input_ += bytes;
   Parse(now);
+  UpdateMemory();
+}
+
+std::size_t CallerSession::ReadingBytes() const {
+  if (!reading_request_)
+    return 0;
+  std::size_t body_bytes = 0;
+  if (parser_->is_header_done()) {
+    // The capacity of a growing body is up to twice its size.
+    body_bytes = std::max<std::size_t>(parser_->get().body().capacity(),
+                                       parser_->content_length().value_or(0));
+  }
+  return body_bytes +
+         std::min<std::size_t>(parsed_bytes_, limits_.caller.max_header_bytes);
+}
+
+bool CallerSession::UpdateMemory() {
+  std::size_t bytes = input_.size() + ReadingBytes();
+  for (const PendingRequest& pending : pending_requests_)
+    bytes += pending.kept_bytes;
+  if (deferred_request_)
+    bytes += deferred_request_->kept_bytes;
+  return memory_.Set(bytes);
 }
 
 bool CallerSession::CanParse() const {
@@ -158,9 +191,13 @@
     const std::size_t parsed = parser_->put(
         boost::asio::const_buffer(input_.data(), input_.size()), error);
     input_.erase(0, parsed);
+    if (input_.empty() && input_.capacity() > kMaxIdleInputBytes)
+      input_.shrink_to_fit();
     parsed_bytes_ += parsed;
     if (error && error != http::error::need_more)
       return RefuseInput(StatusOf(error));
+    if (!UpdateMemory())
+      return RefuseInput(kUnavailable);
     if (parser_->is_done()) {
       OnRequestParsed(now, parser_->release());
       continue;
@@ -186,6 +223,7 @@
 }
 
 void CallerSession::OnRequestParsed(Instant now, HttpRequest request) {
+  const std::size_t kept_bytes = ReadingBytes();
   ResetParser();
   received_request_ = true;
   // Nothing that follows a request without keep-alive is read.
@@ -195,23 +233,22 @@
       non_idempotent ||
       (!pending_requests_.empty() && pending_requests_.back().non_idempotent);
   if (exclusive && !pending_requests_.empty()) {
-    deferred_request_ = CallerRequest{0, now, std::move(request)};
+    deferred_request_ = CallerRequest{0, now, std::move(request), kept_bytes};
     return;
   }
-  Enqueue(now, std::move(request), non_idempotent);
+  Enqueue({0, now, std::move(request), kept_bytes}, non_idempotent);
 }
 
-void CallerSession::Enqueue(Instant now,
-                            HttpRequest request,
-                            bool non_idempotent) {
+void CallerSession::Enqueue(CallerRequest request, bool non_idempotent) {
   PendingRequest pending;
-  pending.keep_alive = request.keep_alive();
+  pending.kept_bytes = request.kept_bytes;
+  pending.keep_alive = request.message.keep_alive();
   pending.non_idempotent = non_idempotent;
-  pending.http_1_0 = request.version() < 11;
-  pending.head_only = request.method() == http::verb::head;
+  pending.http_1_0 = request.message.version() < 11;
+  pending.head_only = request.message.method() == http::verb::head;
   pending_requests_.push_back(std::move(pending));
-  ready_requests_.push_back(
-      {first_number_ + pending_requests_.size() - 1, now, std::move(request)});
+  request.number = first_number_ + pending_requests_.size() - 1;
+  ready_requests_.push_back(std::move(request));
 }
 
 void CallerSession::RefuseInput(int status) {
@@ -220,13 +257,21 @@
   HttpResponse response;
   response.result(static_cast<unsigned>(status));
   response.version(11);
+  if (status == kUnavailable) {
+    response.set(
+        http::field::retry_after,
+        fmt::format(
+            "{:.3f}",
+            std::chrono::duration<double>(kRetryAfterNoMemory).count()));
+  }
   PendingRequest pending;
   pending.keep_alive = false;
   pending.full_response = std::move(response);
   pending_requests_.push_back(std::move(pending));
-  reading_request_ = false;
+  ResetParser();
   closing_ = true;
   input_.clear();
+  UpdateMemory();
   WriteReadyResponses();
 }
 
@@ -297,6 +342,7 @@
        each < pending_requests_.size(); ++each)
     cancel_handlers.push_back(std::move(pending_requests_[each].on_cancel));
   pending_requests_.resize(number - first_number_ + 1);
+  UpdateMemory();
   WriteReadyResponses();
   for (const auto& handler : cancel_handlers) {
     if (handler)
@@ -328,6 +374,7 @@
                          : SessionEndReason::kLastResponse;
     pending_requests_.pop_front();
     ++first_number_;
+    UpdateMemory();
     if (must_reset)
       return Reset(reason);
     if (closes)
@@ -336,7 +383,8 @@
       CallerRequest deferred = std::move(*deferred_request_);
       deferred_request_.reset();
       const bool non_idempotent = !is_idempotent_(deferred.message);
-      Enqueue(deferred.arrived_at, std::move(deferred.message), non_idempotent);
+      Enqueue(std::move(deferred), non_idempotent);
+      UpdateMemory();
     }
   }
   if (state_ == SessionState::kOpen && continue_pending_ &&
@@ -470,6 +518,8 @@
   const std::deque<PendingRequest> cancelled = std::move(pending_requests_);
   pending_requests_.clear();
   first_number_ += cancelled.size();
+  ResetParser();
+  UpdateMemory();
   for (const PendingRequest& pending : cancelled) {
     if (pending.on_cancel)
       pending.on_cancel();
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -4,6 +4,7 @@
 #include <docopt/docopt.h>
 #include <fmt/format.h>
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -56,6 +57,8 @@
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 // The entry reports not ready if its loop has not ticked for this long.
 constexpr Duration kMaxTickAge = std::chrono::seconds(2);
+// Larger buffers are returned to the system as soon as they are freed.
+constexpr int kMaxHeapBufferBytes = 1 << 20;
 // A tick that comes later than this is logged.
 constexpr Duration kMaxTickDelay = std::chrono::milliseconds(100);
 constexpr unsigned kMaxStatusConnections = 16;
@@ -173,8 +176,11 @@
           "# TYPE figstall_log_lines_dropped_total counter\n"
           "figstall_log_lines_dropped_total {}\n"
           "# TYPE figstall_resident_bytes gauge\n"
-          "figstall_resident_bytes {}\n",
-          log_.dropped(), ResidentBytes());
+          "figstall_resident_bytes {}\n"
+          "# TYPE figstall_request_kept_bytes gauge\n"
+          "figstall_request_kept_bytes {}\n",
+          log_.dropped(), ResidentBytes(),
+          traffic_.request_memory().kept_bytes());
       return response;
     }
     const Instant last_tick(Duration(last_tick_us_.load()));
@@ -314,6 +320,7 @@
     if (arguments.at("--check").asBool())
       return 0;
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, kMaxHeapBufferBytes);
     return EntryProcess(settings, path).Run();
   });
 }
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -42,7 +42,8 @@
     "vm_size": {"type": "object", "additionalProperties": false,
       "properties": {
         "cores": {"type": "number", "exclusiveMinimum": 0},
-        "link_mbps": {"type": "number", "exclusiveMinimum": 0}}},
+        "link_mbps": {"type": "number", "exclusiveMinimum": 0},
+        "memory_mb": {"type": "number", "minimum": 16, "maximum": 1048576}}},
     "first_start": {"type": "boolean"},
     "drain_s": {"type": "number", "exclusiveMinimum": 0},
     "stop_grace_s": {"type": "number", "exclusiveMinimum": 0}}
@@ -53,6 +54,12 @@
 // sites.
 constexpr double kMbpsPerCore = 400;
 
+// Memory of the smallest VMs, in MB. Source: the platform's deployments.
+constexpr double kDefaultMemoryMb = 120;
+// Of the VM's memory, what may be kept of requests.
+constexpr double kRequestMemoryShare = 0.25;
+constexpr double kBytesPerMb = 1e6;
+
 Duration ReadSeconds(const json& object, const char* field, Duration fallback) {
   if (!object.contains(field))
     return fallback;
@@ -116,6 +123,9 @@
   settings.capacity_cores =
       std::min(vm_size.value("cores", 1.0),
                vm_size.value("link_mbps", kMbpsPerCore) / kMbpsPerCore);
+  settings.max_request_bytes =
+      static_cast<std::size_t>(vm_size.value("memory_mb", kDefaultMemoryMb) *
+                               kRequestMemoryShare * kBytesPerMb);
   settings.drain_duration =
       ReadSeconds(value, "drain_s", settings.drain_duration);
   settings.stop_grace = ReadSeconds(value, "stop_grace_s", settings.stop_grace);
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -21,6 +21,7 @@
 // Mean latency and processing time assumed for a service without a response
 // yet.
 constexpr Duration kInitialTimeEstimate = std::chrono::milliseconds(100);
+constexpr int kUnavailable = 503;
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(500);
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -42,6 +43,8 @@
       log_(log),
       metrics_(metrics),
       acceptor_(io),
+      request_memory_(
+          std::make_shared<RequestMemory>(settings.max_request_bytes)),
       random_(std::hash<std::string>()(settings.vm.value())) {}
 
 EntryTraffic::~EntryTraffic() = default;
@@ -81,10 +84,8 @@
       callers_.erase(caller);
     };
     handlers.stopping = [this] { return shutdown_deadline_.has_value(); };
-    handlers.on_refused = [this](int status) {
-      log_.Write(LogLevel::kWarning, "caller-refused",
-                 {{"status", std::to_string(status)}});
-    };
+    handlers.on_refused = [this](int status) { RecordCallerRefused(status); };
+    handlers.request_memory = request_memory_;
     handlers.is_idempotent = [this](const HttpRequest& request) {
       return IsIdempotent(request);
     };
@@ -101,6 +102,20 @@
   });
 }
 
+void EntryTraffic::RecordCallerRefused(int status) {
+  const char* reason =
+      status == kUnavailable ? "request-memory" : "invalid-input";
+  log_.Write(
+      LogLevel::kWarning, "caller-refused",
+      {{"status", std::to_string(status)},
+       {"reason", reason},
+       {"kept_bytes", std::to_string(request_memory_->kept_bytes())},
+       {"max_kept_bytes", std::to_string(request_memory_->max_bytes())}});
+  ++metrics_.Counter(
+      "figstall_callers_refused_total",
+      fmt::format("status=\"{}\",reason=\"{}\"", status, reason));
+}
+
 void EntryTraffic::RecordCallerEnd(const CallerConnectionEnd& end) {
   const bool lost = end.LostRequests();
   ++metrics_.Counter(
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -54,6 +54,7 @@
     : traffic_(traffic),
       caller_(std::move(caller)),
       request_(std::move(request.message)),
+      body_(std::make_shared<const std::string>(std::move(request_.body()))),
       sequence_number_(sequence_number),
       arrived_at_(request.arrived_at),
       id_(View(request_[platform::kRequestIdHeader])),
@@ -150,18 +151,17 @@
   traffic_.EnqueueWaiting(this);
 }
 
-std::shared_ptr<const HttpRequest> Exchange::MakeTargetRequest(
+std::shared_ptr<const TargetRequest> Exchange::MakeTargetRequest(
     const TargetClient& client) const {
-  auto out = std::make_shared<HttpRequest>(request_);
+  auto out = std::make_shared<TargetRequest>(request_.base(), body_);
   detail::EraseHopByHopFields(*out);
   out->version(11);
   out->set(platform::kTimeLeftHeader, std::to_string(std::max<std::int64_t>(
                                           1, ToMillis(TimeLeft(BootNow())))));
   out->set(platform::kExpectedTargetHeader,
            client.entry().incarnation.id.value());
-  if (!out->body().empty() || request_.has_content_length() ||
-      request_.chunked())
-    out->content_length(out->body().size());
+  if (!body_->empty() || request_.has_content_length() || request_.chunked())
+    out->content_length(body_->size());
   return out;
 }
 
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -57,7 +57,7 @@
       target_(std::move(target)),
       on_closed_(std::move(on_closed)) {}
 
-void TargetConnection::Send(std::shared_ptr<const HttpRequest> request,
+void TargetConnection::Send(std::shared_ptr<const TargetRequest> request,
                             ResponseObserver observer) {
   request_ = std::move(request);
   observer_ = std::move(observer);
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -7,9 +7,12 @@
     python3 test/entry_process_test.py NAME
 """
 import http.client
+import itertools
 import json
 import pathlib
 import re
+import select
+import socket
 import subprocess
 import sys
 import threading
@@ -650,6 +653,126 @@
     assert sorted(logged) == sorted(places.keys() - passed_on), logged
 
 
+# Guards against an entry that keeps as many bodies as callers send at once, each
+# within the limit for one, and is killed for its memory with all its requests.
+def bodies_of_many_callers_fill_no_memory():
+    max_resident_kb = 110_000
+    body_bytes, sent_bytes = 64_000_000, 60_000_000
+    large_callers, phase_s = 6, 1
+
+    def answer(_, request_id, send):
+        send(response(200, request_id, "paid", Backend_Signature="s"))
+
+    heads, sound, stop = [], [], threading.Event()
+
+    def open_caller(entry):
+        host, port = entry.callers.split(":")
+        return socket.create_connection((host, int(port)), timeout=6)
+
+    def post_large(entry, request_id, chunked):
+        """Keeps the head of the answer, or nothing without one."""
+        framing = ("Transfer-Encoding: chunked" if chunked else
+                   f"Content-Length: {body_bytes}")
+        piece = b"x" * 100_000
+        if chunked:
+            piece = b"%x\r\n%s\r\n" % (len(piece), piece)
+        head = b""
+        with open_caller(entry) as caller:
+            try:
+                caller.sendall(
+                    f"POST /sound/1 HTTP/1.1\r\nHost: a.example\r\n"
+                    f"Request-Id: {request_id}\r\nDeadline-Ms: 4000\r\n"
+                    f"{framing}\r\n\r\n".encode())
+                for _ in range(0, sent_bytes, len(piece)):
+                    if select.select([caller], [], [], 0)[0]:
+                        break
+                    caller.sendall(piece)
+                caller.settimeout(3)
+                head = caller.recv(4096)
+            except OSError:
+                pass
+        heads.append(head.decode())
+
+    def post_large_repeatedly(entry, caller_id, chunked):
+        end_s = time.monotonic() + phase_s
+        for number in itertools.count():
+            post_large(entry, f"{caller_id}-{number}", chunked)
+            if time.monotonic() > end_s:
+                return
+
+    def post_sound(entry):
+        while not stop.wait(0.02):
+            begin_s = time.monotonic()
+            host, port = entry.callers.split(":")
+            caller = http.client.HTTPConnection(host, int(port), timeout=6)
+            try:
+                caller.request("POST", "/sound/1", body="10" * 500, headers={
+                    "Host": "a.example", "Request-Id": f"sound-{len(sound)}",
+                    "Deadline-Ms": "4000"})
+                status = caller.getresponse().status
+            except (OSError, http.client.HTTPException):
+                status = 0
+            finally:
+                caller.close()
+            sound.append((status, time.monotonic() - begin_s))
+
+    resident_kb = {}
+
+    def post_all(fleet):
+        entry = fleet.entries[0]
+        process = pathlib.Path(f"/proc/{entry.process.pid}")
+        sound_thread = threading.Thread(target=post_sound, args=(entry,))
+        sound_thread.start()
+        for framing in ("length", "chunks"):
+            # Resets VmHWM.
+            (process / "clear_refs").write_text("5")
+            large = [threading.Thread(target=post_large_repeatedly, args=(
+                entry, f"{framing}-{number}", framing == "chunks"))
+                     for number in range(large_callers)]
+            for thread in large:
+                thread.start()
+            for thread in large:
+                thread.join()
+            resident_kb[framing] = int(re.search(
+                r"VmHWM:\s+(\d+)",
+                (process / "status").read_text()).group(1))
+        stop.set()
+        sound_thread.join()
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    entry = fleet.entries[0]
+    settings = json.loads(entry.settings_path.read_text())
+    settings["vm_size"] = {"cores": 1, "memory_mb": 120}
+    entry.settings_path.write_text(json.dumps(settings))
+    (port,) = free_ports(1)
+    target = RawTarget(port, answer)
+    services = {"sound": {"targets": [{"address": address(port),
+                                       "zone": "north-a", "external": True}]}}
+    routes = {"sound": {"host": "a.example", "prefix": "/sound/",
+                        "kind": "unsafe", "service": "sound",
+                        "per_second": 0.01, "deadline_ms": 4000}}
+    try:
+        fleet.run({"lead_s": 3, "length_s": 10, "services": services,
+                   "routes": routes}, [Action(LEAD_S + 1, post_all)])
+    finally:
+        stop.set()
+        target.close()
+    statuses = [head[9:12] for head in heads]
+    times = sorted(time_s for _, time_s in sound)
+    print(f"resident {resident_kb} kB, {len(heads)} large bodies with "
+          f"{set(statuses)}, {len(sound)} sound requests, "
+          f"longest {times[-1]:.4f} s")
+    assert max(resident_kb.values()) < max_resident_kb, resident_kb
+    assert all(status == 200 for status, _ in sound) and len(sound) > 20, sound
+    assert len(heads) >= 2 * large_callers, heads
+    assert statuses == ["503"] * len(heads), heads
+    assert all("Retry-After: " in head for head in heads), heads
+    refused = [line for line in fleet.entries[0].log()
+               if line["event"] == "caller-refused"]
+    assert [line["reason"] for line in refused] == [
+        "request-memory"] * len(heads), refused
+
+
 # Fails if killed entries don't serve again, or break connections at other times
 # than their end.
 def killed_entry_serves_after_restart():
@@ -749,6 +872,7 @@
          invalid_notices_hold_nobody_up,
          a_repeated_refusal_is_not_believed,
          bytes_without_end_fill_no_memory,
+         bodies_of_many_callers_fill_no_memory,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
--- a/test/entry_settings_test.cc
+++ b/test/entry_settings_test.cc
@@ -56,4 +56,18 @@
   CHECK_FALSE(Read(content));
 }
 
+// Guards against an entry whose callers' requests take more memory than its VM
+// has.
+TEST_CASE("a quarter of the VM's memory is for callers' requests") {
+  json content = Settings();
+  CHECK(Read(content).value().max_request_bytes == 30'000'000);
+  content["vm_size"] = {{"memory_mb", 260}};
+  CHECK(Read(content).value().max_request_bytes == 65'000'000);
+  for (const json& invalid : {json(0), json(-1), json("260"), json(1e300)}) {
+    CAPTURE(invalid);
+    content["vm_size"]["memory_mb"] = invalid;
+    CHECK_FALSE(Read(content));
+  }
+}
+
 }  // namespace figstall
--- a/test/target_connection_test.cc
+++ b/test/target_connection_test.cc
@@ -63,8 +63,8 @@
   bool closed_ = false;
 };
 
-std::shared_ptr<const HttpRequest> MakeRequest() {
-  auto request = std::make_shared<HttpRequest>(http::verb::get, "/a", 11);
+std::shared_ptr<const TargetRequest> MakeRequest() {
+  auto request = std::make_shared<TargetRequest>(http::verb::get, "/a", 11);
   request->set(http::field::host, "h");
   return request;
 }
