The store's JSON has a bound on what it takes once it is parsed

A few megabytes of a faulty store, in an answer or a value, took an entry's memory and with it the requests of all its callers: 8 MB of "[" or "{}," are 75 and 36 times as much once they are parsed. Only the bytes of an answer had a bound, and the nesting of values.

FindExceededBound scans the text once, builds nothing, and estimates the parsed value from above by the containers, elements, members and strings in it: at most 64 levels and 24 MB. The store's client and ParseJson (desired states, target entries, tables, settings) ask it first. An answer beyond a bound has no known outcome; the log names source, bound and byte (`failure` of store-lost, findings of what is refused).

The tests compare the estimate with what the allocator hands out for nine kinds of text, and take a page of 8 MB, a state of 1 MB and a table of 1 MB of numbers as valid.

Weighed: a SAX parse that counts while it builds. It needs the parser's internal types or its slower callbacks; ParseJson had a scan for nesting before. Open: records of members (entry_control_members.cc) are parsed without it, within the bound of the answer that holds them.

--- a/include/figstall/schema_check.h
+++ b/include/figstall/schema_check.h
@@ -13,10 +13,9 @@
 
 // Largest JSON text that is accepted; the store holds no larger value.
 inline constexpr std::size_t kMaxDocumentBytes = 1'000'000;
-// Levels of arrays and objects in a document.
-inline constexpr int kMaxNesting = 64;
 
-// Parses JSON text. The finding of a syntax error names its line and column.
+// Parses JSON text within the default JsonBounds. The finding of a syntax error
+// or of an exceeded bound names its line and column.
 Result<nlohmann::json> ParseJson(const std::string& text,
                                  const std::string& source);
 
--- a/src/schema_check.cc
+++ b/src/schema_check.cc
@@ -11,6 +11,8 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
+#include "figstall/json_bounds.h"
+
 namespace figstall {
 namespace {
 
@@ -48,34 +50,6 @@
 
 }  // namespace
 
-namespace {
-
-// Whether arrays and objects are nested deeper than kMaxNesting. Copies and
-// comparisons of a parsed value recurse, so deeper ones could exhaust the
-// stack.
-bool IsNestedTooDeeply(const std::string& text) {
-  int depth = 0;
-  bool in_string = false;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    const char c = text[i];
-    if (in_string) {
-      if (c == '\\')
-        ++i;
-      in_string = c != '"';
-    } else if (c == '"') {
-      in_string = true;
-    } else if (c == '[' || c == '{') {
-      if (++depth > kMaxNesting)
-        return true;
-    } else if (c == ']' || c == '}') {
-      --depth;
-    }
-  }
-  return false;
-}
-
-}  // namespace
-
 Result<nlohmann::json> ParseJson(const std::string& text,
                                  const std::string& source) {
   if (text.size() > kMaxDocumentBytes) {
@@ -84,10 +58,13 @@
                   fmt::format("{} bytes; at most {} are accepted", text.size(),
                               kMaxDocumentBytes)}});
   }
-  if (IsNestedTooDeeply(text)) {
-    return Fail(ErrorCode::kInvalidInput, "document nested too deeply",
-                {{source, "",
-                  fmt::format("at most {} levels are accepted", kMaxNesting)}});
+  // Copies and comparisons of a parsed value recurse, so deep nesting could
+  // exhaust the stack.
+  if (const auto exceeded = FindExceededBound(text, JsonBounds{})) {
+    return Fail(
+        ErrorCode::kInvalidInput, "document over a bound",
+        {{source, LineAndColumn(text, exceeded->byte),
+          fmt::format("more than {} {}", exceeded->bound, exceeded->what)}});
   }
   try {
     return nlohmann::json::parse(text);
--- a/src/store.cc
+++ b/src/store.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figstall/base64.h"
+#include "figstall/json_bounds.h"
 
 namespace figstall {
 namespace {
@@ -17,6 +18,9 @@
 constexpr int kNotFoundStatus = 404;
 
 Result<json> ParseBody(const HttpClientResponse& response) {
+  if (const auto exceeded = FindExceededBound(response.body, JsonBounds{}))
+    return Fail(ErrorCode::kProtocol,
+                "store: the response body has " + exceeded->ToString());
   json value = json::parse(response.body, nullptr, /*allow_exceptions=*/false);
   if (value.is_discarded())
     return Fail(ErrorCode::kProtocol, "store: the response body is not JSON");
