A message whose transfer coding is not known has no end that is guessed

With `Transfer-Encoding: xchunked`, or `chunked, identity`, the parser ignores the field. The entry passed such a request on without its body and ran what the body holds as a second request; a target's response of that kind was passed on as complete, and an answer of the store or to a grant counted.

TransferCodingOf says of a head what RFC 9112 6.1 and 6.3 say. A request whose last coding is not chunked, which names chunked twice, or is in HTTP/1.0 gets 400; one with another coding before a last chunked gets 501. The connection closes, and nothing behind the request is read. A response of either kind ends its attempt as broken: its connection closes, and its body is not passed on. In HttpChannel it has no status, so the call has no known outcome.

--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "figstall/transfer_coding.h"
+
 namespace figstall {
 namespace {
 
@@ -18,6 +20,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kNotImplemented = 501;
 constexpr int kUnavailable = 503;
 // Retry-After of a request for which there is no memory. Retries reach other
 // processes.
@@ -49,6 +52,21 @@
   return kBadRequest;
 }
 
+// The status of a request for which it is not known where its body ends or how
+// it is coded.
+std::optional<int> StatusOf(TransferCoding coding) {
+  switch (coding) {
+    case TransferCoding::kNone:
+    case TransferCoding::kChunked:
+      return std::nullopt;
+    case TransferCoding::kUnknownInChunks:
+      return kNotImplemented;
+    case TransferCoding::kInvalid:
+      return kBadRequest;
+  }
+  return kBadRequest;
+}
+
 bool HasNoBody(http::status status) {
   return status == http::status::no_content ||
          status == http::status::not_modified;
@@ -196,6 +214,10 @@
     parsed_bytes_ += parsed;
     if (error && error != http::error::need_more)
       return RefuseInput(StatusOf(error));
+    if (parser_->is_header_done()) {
+      if (const auto status = StatusOf(TransferCodingOf(parser_->get())))
+        return RefuseInput(*status);
+    }
     if (!UpdateMemory())
       return RefuseInput(kUnavailable);
     if (parser_->is_done()) {
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/connect.hpp>
 #include <cerrno>
 
+#include "figstall/transfer_coding.h"
+
 namespace figstall {
 namespace {
 
@@ -238,6 +240,9 @@
 
 void HttpChannel::OnResponse() {
   const auto message = std::make_shared<Response>(parser_->release());
+  const TransferCoding coding = TransferCodingOf(*message);
+  if (coding != TransferCoding::kNone && coding != TransferCoding::kChunked)
+    return Fail("transfer coding not known");
   const ChannelRequest& call = calls_.front().call;
   const int status = static_cast<int>(message->result_int());
   const bool interim = status / 100 == 1;
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 
 #include "figstall/http_channel.h"
+#include "figstall/transfer_coding.h"
 
 namespace figstall {
 namespace {
@@ -148,6 +149,11 @@
 void TargetConnection::OnHead() {
   head_seen_ = true;
   const auto& head = parser_->get().base();
+  const TransferCoding coding = TransferCodingOf(head);
+  // Without a known end, the response may be cut, and what follows it may be
+  // taken for the next one.
+  if (coding != TransferCoding::kNone && coding != TransferCoding::kChunked)
+    return Fail("transfer coding not known");
   // An interim response is discarded as well; the final one follows.
   discarding_ = head.result_int() / 100 == 1;
   if (discarding_)
