Test runs side by side get different ports

Two runs with related ids had the same ports, and one could listen where an entry of the other was stopped.

No target that an entry chose can answer so: it refuses a request for another target's id, and ids name the service.

Now a process takes blocks of ports by a file lock that ends with it. Failed before:

runs_side_by_side_get_different_ports AssertionError: ['30080', '30081', '30082', ...

--- a/support/entry_fleet.py
+++ b/support/entry_fleet.py
@@ -5,6 +5,7 @@
     fleet = EntryFleet(zones={"arima": "north", "sando": "south"}, entries=2)
     report = fleet.run(scenario)
 """
+import fcntl
 import json
 import os
 import pathlib
@@ -23,19 +24,41 @@
 
 # These ports lie below the range from which the system takes the ports of
 # outgoing connections, so that a port stays free while its process is stopped.
-FIRST_PORT, LAST_PORT, PORTS_PER_RUN = 10_000, 32_000, 64
-_next_port = FIRST_PORT + os.getpid() * PORTS_PER_RUN % (LAST_PORT - FIRST_PORT)
+FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK = 10_000, 32_000, 64
+BLOCKS = (LAST_PORT - FIRST_PORT) // PORTS_PER_BLOCK
+LOCKS = pathlib.Path(tempfile.gettempdir()) / "figstall-ports"
+# Ports of the blocks that this process has taken, and the locks, which last as
+# long as it does.
+_own_ports = []
+_locks = []
+
+
+def _take_block():
+    """Takes a block of ports that no other process has."""
+    LOCKS.mkdir(exist_ok=True)
+    for i in range(BLOCKS):
+        block = (os.getpid() + i) % BLOCKS
+        lock = open(LOCKS / str(block), "w", encoding="utf-8")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            lock.close()
+            continue
+        _locks.append(lock)
+        first = FIRST_PORT + block * PORTS_PER_BLOCK
+        _own_ports.extend(range(first, first + PORTS_PER_BLOCK))
+        return
+    raise RuntimeError("all blocks of ports are taken")
 
 
 def free_ports(count):
-    """Returns ports on which nothing listens, no port twice until the range is
-    used up."""
-    global _next_port
+    """Returns ports on which nothing listens, each only once in all processes
+    that run at the same time."""
     ports = []
     while len(ports) < count:
-        port, _next_port = _next_port, _next_port + 1
-        if _next_port >= LAST_PORT:
-            _next_port = FIRST_PORT
+        if not _own_ports:
+            _take_block()
+        port = _own_ports.pop(0)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -18,8 +18,8 @@
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent /
-                       "support"))
+SUPPORT = pathlib.Path(__file__).resolve().parent.parent / "support"
+sys.path.insert(0, str(SUPPORT))
 from entry_fleet import (BIN, TERMINATE, Action, EntryFleet,  # noqa: E402
                          address, free_ports, freeze_entry, restart_entry,
                          signal_entry, small_scenario)
@@ -773,6 +773,24 @@
         "request-memory"] * len(heads), refused
 
 
+# Guards against two runs side by side whose ports overlap: callers of a stopped
+# entry of one reached a target of the other, and its answer looked wrong.
+def runs_side_by_side_get_different_ports():
+    # Both processes begin at the same port, as two with related ids did.
+    code = ("import os, sys; os.getpid = lambda: 12345; "
+            f"sys.path.insert(0, {str(SUPPORT)!r}); "
+            "from entry_fleet import free_ports; "
+            "print(*free_ports(100), flush=True); sys.stdin.read()")
+    runs = [subprocess.Popen([sys.executable, "-c", code], text=True,
+                             stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            for _ in range(2)]
+    first, second = (set(run.stdout.readline().split()) for run in runs)
+    for run in runs:
+        run.communicate()
+    assert len(first) == len(second) == 100, (first, second)
+    assert not first & second, sorted(first & second)
+
+
 # Fails if killed entries don't serve again, or break connections at other times
 # than their end.
 def killed_entry_serves_after_restart():
@@ -873,6 +891,7 @@
          a_repeated_refusal_is_not_believed,
          bytes_without_end_fill_no_memory,
          bodies_of_many_callers_fill_no_memory,
+         runs_side_by_side_get_different_ports,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
          graceful_shutdown_completes_requests,
