A large request that is alone may take half of the request memory more

Callers got 503 from every process of a small VM for a body within maxBodyBytes that would have fit while no other large one was there: over three quarters of the bound, 22.5 MB on a VM of 120 MB. A large account that is alone may now take one and a half times the bound (45 MB there), and small ones have their quarter beside it.

A body in chunks is copied to a larger buffer when it grows, and the old buffer lies beside the new one meanwhile. It counts twice its buffer until it is complete, so that the copy is counted before it is made.

What a VM of 120 MB refuses always: bodies over 45 MB, and in chunks those whose buffer has to grow over 22.5 MB. Its maxBodyBytes should be below that.

--- a/include/figstall/request_memory.h
+++ b/include/figstall/request_memory.h
@@ -22,9 +22,11 @@
   friend class RequestMemoryAccount;
 
   const std::size_t max_bytes_;
-  // At most `max_bytes_`, except for what connections had read before their
-  // request was refused.
+  // At most `max_bytes_`, except for one large account that is alone and for
+  // what connections had read before their request was refused.
   std::atomic<std::size_t> kept_bytes_ = 0;
+  // Of these, the bytes of large accounts.
+  std::size_t large_bytes_ = 0;
 };
 
 // What one connection keeps. Returns it to the sum when it is destroyed.
@@ -39,12 +41,15 @@
 
   // Records what the connection keeps from now on, even if it does not fit.
   // Returns false if it has grown and does not fit. Large accounts leave a
-  // part of the bound to small ones.
+  // part of the bound to small ones. A single large one may take up to one
+  // and a half times the bound, so that few valid bodies are refused always.
   bool Set(std::size_t bytes);
   // Whether the bound is reached, so that nothing should be read ahead.
   bool IsFull() const;
 
  private:
+  bool Fits() const;
+
   const std::shared_ptr<RequestMemory> memory_;
   std::size_t bytes_ = 0;
 };
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -171,9 +171,11 @@
     return 0;
   std::size_t body_bytes = 0;
   if (parser_->is_header_done()) {
-    // The capacity of a growing body is up to twice its size.
-    body_bytes = std::max<std::size_t>(parser_->get().body().capacity(),
-                                       parser_->content_length().value_or(0));
+    const std::size_t capacity = parser_->get().body().capacity();
+    const auto length = parser_->content_length();
+    // A body without a length may be copied to a larger buffer.
+    body_bytes =
+        length ? std::max<std::size_t>(capacity, *length) : 2 * capacity;
   }
   return body_bytes +
          std::min<std::size_t>(parsed_bytes_, limits_.caller.max_header_bytes);
@@ -245,7 +247,9 @@
 }
 
 void CallerSession::OnRequestParsed(Instant now, HttpRequest request) {
-  const std::size_t kept_bytes = ReadingBytes();
+  const std::size_t kept_bytes =
+      request.body().capacity() +
+      std::min<std::size_t>(parsed_bytes_, limits_.caller.max_header_bytes);
   ResetParser();
   received_request_ = true;
   // Nothing that follows a request without keep-alive is read.
--- a/src/request_memory.cc
+++ b/src/request_memory.cc
@@ -17,15 +17,29 @@
   if (!memory_)
     return true;
   const bool grown = bytes > bytes_;
+  const auto large = [](std::size_t size) {
+    return size > kSmallAccountBytes ? size : std::size_t{0};
+  };
   memory_->kept_bytes_ += bytes;
   memory_->kept_bytes_ -= bytes_;
+  memory_->large_bytes_ += large(bytes);
+  memory_->large_bytes_ -= large(bytes_);
   bytes_ = bytes;
-  const std::size_t bound = bytes <= kSmallAccountBytes
-                                ? memory_->max_bytes_
-                                : memory_->max_bytes_ /
-                                      kLargeAccountsDenominator *
-                                      kLargeAccountsNumerator;
-  return !grown || memory_->kept_bytes_ <= bound;
+  return !grown || Fits();
+}
+
+bool RequestMemoryAccount::Fits() const {
+  const std::size_t max_bytes = memory_->max_bytes_;
+  const std::size_t max_large_bytes =
+      max_bytes / kLargeAccountsDenominator * kLargeAccountsNumerator;
+  if (bytes_ <= kSmallAccountBytes) {
+    return memory_->kept_bytes_ <= max_bytes ||
+           memory_->kept_bytes_ - memory_->large_bytes_ <=
+               max_bytes - max_large_bytes;
+  }
+  const bool alone = memory_->large_bytes_ == bytes_;
+  return memory_->large_bytes_ <=
+         (alone ? max_bytes + max_bytes / 2 : max_large_bytes);
 }
 
 bool RequestMemoryAccount::IsFull() const {
