--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -70,28 +70,32 @@
     // Called with the status with which invalid input was refused. May be
     // empty.
     std::function<void(int status)> on_refused;
+    // Bounds what all connections keep. May be null.
+    std::shared_ptr<RequestMemory> request_memory = nullptr;
     // Called before on_closed. May be empty.
     std::function<void(const CallerConnectionEnd&)> on_end;
   };
 
   CallerConnection(boost::asio::ip::tcp::socket socket,
-                   CallerLimits limits,
+                   std::shared_ptr<const CallerLimitsHistory> limits,
                    Handlers handlers);
 
   void Start();
   // Resets the connection, so that the caller can detect an incomplete
   // response.
   void Abort();
-  // Closes the connection if the caller is idle or slow for too long. It must
-  // be called periodically.
+  // Closes the connection if the caller is idle or slow for too long, after
+  // what has arrived was read. It must be called periodically.
   void EnforceTimeouts(Instant now);
   // Closes the connection if no request is being read or served on it, as
   // CallerSession::CloseIfIdle.
   void CloseIfIdle();
 
-  // Whether output is not yet written, or the caller's close is awaited after
-  // the last response.
-  bool ending() const { return session_.writing() || send_closed_at_; }
+  // Whether a request is being read, output is not yet written, or the caller's
+  // close is awaited after the last response.
+  bool busy() const {
+    return session_.reading() || session_.writing() || send_closed_at_;
+  }
 
  private:
   friend class ResponseWriter;
@@ -102,10 +106,14 @@
   void ProcessSession();
   void DispatchRequests();
   void Read();
+  // Passes what has arrived to the session, up to a limit.
+  void ReadArrived(Instant now);
+  // Whether the socket accepts bytes to write.
+  bool IsWritable();
   void OnReadClosed(const boost::system::error_code& error);
   void Write();
   // Closes the sending side and leaves the caller time to read the last
-  // response.
+  // response, unless it has had that time.
   void CloseGracefully();
   void Close();
   // Calls the handler of the connection's end.
@@ -122,6 +130,7 @@
   bool closed_ = false;
   std::size_t bytes_after_close_ = 0;
   Instant last_read_at_;
+  std::optional<Instant> last_written_at_;
   // Set when the end of the session is seen.
   std::optional<Duration> quiet_for_;
   // When the sending side was closed. From then on, the caller's close is
--- a/include/figstall/caller_session.h
+++ b/include/figstall/caller_session.h
@@ -9,19 +9,23 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "figstall/desired_state.h"
+#include "figstall/caller_limits.h"
 #include "figstall/http_message.h"
+#include "figstall/request_memory.h"
 #include "figstall/types.h"
 
 namespace figstall {
 
 struct CallerSessionLimits {
-  CallerLimits caller;
+  // Limits of the versions in force while the session lasts.
+  std::shared_ptr<const CallerLimitsHistory> caller =
+      std::make_shared<const CallerLimitsHistory>();
   // Requests of one connection that are served at the same time. Further
   // requests wait unparsed.
   std::size_t max_concurrent_requests = 16;
@@ -39,6 +43,8 @@
   // When the last byte of the request was read.
   Instant arrived_at{};
   HttpRequest message;
+  // Counted in RequestMemory until the response is complete.
+  std::size_t kept_bytes = 0;
 };
 
 // What tells the caller where the body of a response ends.
@@ -97,7 +103,8 @@
 
   CallerSession(CallerSessionLimits limits,
                 IdempotentPredicate is_idempotent,
-                Instant now);
+                Instant now,
+                std::shared_ptr<RequestMemory> memory = nullptr);
 
   void OnBytes(Instant now, std::string_view bytes);
   // Handles the end of the caller's sending side, which is treated as a close.
@@ -109,6 +116,8 @@
   // Closes the connection if no request is being read or served on it. A new
   // connection is kept open for a while, since its first request may follow.
   void CloseIfIdle(Instant now);
+  // The time limit that the caller exceeds, by the bytes passed so far.
+  std::optional<SessionEndReason> ExceededTimeout(Instant now) const;
   // Closes or resets the connection if the caller exceeds a time limit.
   void EnforceTimeouts(Instant now);
   // Discards the output and cancels all requests; the connection must be reset.
@@ -148,12 +157,18 @@
 
   bool WantsBytes() const {
     return state_ == SessionState::kOpen &&
-           input_.size() < limits_.max_read_ahead_bytes;
+           input_.size() < limits_.max_read_ahead_bytes &&
+           !(memory_.IsFull() && !pending_requests_.empty());
+  }
+  // The limit on the time since the connection became idle.
+  Duration idle_timeout() const {
+    return limits_.caller->Since(idle_since_).idle_timeout;
   }
-  Duration idle_timeout() const { return limits_.caller.idle_timeout; }
   SessionState state() const { return state_; }
   // Empty while the session is open.
   const std::optional<SessionEnd>& end() const { return end_; }
+  // Whether bytes were read of a request that is not complete or not parsed.
+  bool reading() const { return reading_request_ || !input_.empty(); }
   // Whether output is queued or being written.
   bool writing() const { return bytes_in_write_ > 0 || !output_.empty(); }
   // Whether no request is being read, served or answered.
@@ -168,6 +183,8 @@
 
   // A request that is being served, with its response.
   struct PendingRequest {
+    // Of the request, which is kept until its response is complete.
+    std::size_t kept_bytes = 0;
     bool keep_alive = true;
     bool non_idempotent = false;
     // Of the request.
@@ -191,18 +208,24 @@
   PendingRequest* Find(RequestNumber number);
   const PendingRequest* Find(RequestNumber number) const;
   void ResetParser();
+  // Sets the limits on the size of the request that begins.
+  void ApplySizeLimits();
   bool CanParse() const;
   // Whether the request being read has more bytes outside of its body than any
   // valid request needs.
   bool ExceedsFramingLimit() const;
   void Parse(Instant now);
   void OnRequestParsed(Instant now, HttpRequest request);
-  void Enqueue(Instant now, HttpRequest request, bool non_idempotent);
+  void Enqueue(CallerRequest request, bool non_idempotent);
   static BodyFraming FramingFor(
       const PendingRequest& pending,
       const boost::beast::http::response<boost::beast::http::empty_body>&
           message);
   void RefuseInput(int status);
+  // Bytes of the request being read, and those reserved for its body.
+  std::size_t ReadingBytes() const;
+  // Records what the connection keeps. Returns false if it does not fit.
+  bool UpdateMemory();
   // Queues all available output of the responses whose turn it is.
   void WriteReadyResponses();
   // Queues the available output of the first response. Returns whether nothing
@@ -216,6 +239,7 @@
 
   const CallerSessionLimits limits_;
   const IdempotentPredicate is_idempotent_;
+  RequestMemoryAccount memory_;
   std::optional<Parser> parser_;
   // Bytes that are read but not yet parsed.
   std::string input_;
@@ -231,6 +255,8 @@
   // after it is parsed while it waits.
   std::optional<CallerRequest> deferred_request_;
   bool reading_request_ = false;
+  // Limit on the head of the request being read.
+  std::size_t max_header_bytes_ = 0;
   // Bytes of the request being read that were parsed.
   std::size_t parsed_bytes_ = 0;
   // A `100 Continue` response must be sent.
--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -33,6 +33,7 @@
 #include "figstall/target_history.h"
 #include "figstall/target_notice_recorder.h"
 #include "platform/store_client.h"
+#include "platform/target_orders.h"
 
 namespace figstall {
 
@@ -124,6 +125,9 @@
   void Resign();
   // Sends a message about credits to another member; it may be lost.
   void SendCreditMessage(const VmId& to, const CreditMessage& message);
+  // The view has all changes of the store up to this time; empty if it was
+  // never confirmed.
+  std::optional<Instant> confirmed_at() const;
   bool ready() const { return view_.routes != nullptr && initial_read_done_; }
 
  private:
@@ -216,15 +220,14 @@
   void OnWatchResponse(const StoreResponse& response, Instant requested_at);
   void CancelWatch();
   void OnRelayUpdate(const RelayUpdate& update);
-  // Returns false if the item changes nothing that other members need.
-  bool Apply(const StoreItem& item);
+  ItemOutcome Apply(const StoreItem& item, bool same_value);
   // Applies a key of this era that members write under conditions.
   void ApplyConditionalKey(const StoreItem& item);
   void ApplyMover(const StoreItem& item);
   void ApplyRejoin(const StoreItem& item);
-  void ApplyDesiredState(const StoreItem& item);
+  ItemOutcome ApplyDesiredState(const StoreItem& item);
   void LogTarget(const TargetEntry& entry, bool joined, Revision revision);
-  bool ApplyTarget(const std::string& id, const StoreItem& item);
+  ItemOutcome ApplyTarget(const std::string& id, const StoreItem& item);
   void ApplyMember(const VmId& vm, const StoreItem& item);
   void ApplyTable(const ServiceId& service, const StoreItem& item);
   void RemoveAbsentTargets(Instant now);
@@ -279,6 +282,19 @@
   void WriteTable(const ServiceId& service, const RangeTable& next);
   void ReadTable(const ServiceId& service);
   void SendReleases(const ServiceId& service, MoverState& state);
+  // Whether this mover still waits for the release.
+  bool IsOutstanding(const ServiceId& service,
+                     const ReleaseRequest& request) const;
+  // Releases ranges that have left an owner which does not respond, whether or
+  // not this process is the mover.
+  void ReleaseLeftRanges(Instant now);
+  using ReleaseHandler = std::function<void(platform::ReleaseOutcome outcome,
+                                            const std::string& handover)>;
+  void SendRelease(const ServiceId& service,
+                   const ReleaseRequest& request,
+                   const char* sender,
+                   std::function<bool()> may_send,
+                   ReleaseHandler handler);
   void SendGrants(Instant now);
   void OnGrantOutcome(const GrantRequest& request,
                       Instant queued_at,
@@ -311,6 +327,10 @@
   // Whether this member may send grants of the entry at this moment.
   bool MayGrant(Instant now, const RangeEntry& entry) const;
   // Whether it is this member that sends them.
+  // Whether this is one of the members of the zone that grant the ranges of
+  // `owner`.
+  bool IsZoneGranter(const std::vector<VmId>& zone_members,
+                     const TargetId& owner) const;
   bool ShouldGrant(Instant now,
                    const std::vector<VmId>& zone_members,
                    const ServiceId& service,
--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "figstall/caller_connection.h"
+#include "figstall/caller_limits.h"
 #include "figstall/entry_settings.h"
 #include "figstall/entry_view.h"
 #include "figstall/load_report.h"
@@ -21,6 +22,7 @@
 #include "figstall/metrics.h"
 #include "figstall/send_credits.h"
 #include "figstall/shared_retry_budget.h"
+#include "figstall/standstill_gate.h"
 #include "figstall/target_notice_recorder.h"
 #include "figstall/target_selector.h"
 
@@ -50,11 +52,14 @@
     shutdown_deadline_ = shutdown_deadline;
   }
   void CloseIdleCallers();
-  // Whether no request is in flight and all responses are fully written.
+  // Whether no request is being read or in flight and all responses are fully
+  // written.
   bool IsDrained() const;
   std::size_t in_flight() const { return exchanges_.size(); }
-  // Enforces timeouts; called every kTickInterval.
-  void Tick(Instant now);
+  const RequestMemory& request_memory() const { return *request_memory_; }
+  // Enforces timeouts; called every kTickInterval. `confirmed_at`: the view has
+  // all changes of the store up to then.
+  void Tick(Instant now, std::optional<Instant> confirmed_at);
 
   // Sends requests that wait for a target which may have become available.
   void RetryWaiting();
@@ -67,6 +72,7 @@
   friend class Exchange;
 
   void Accept();
+  void RecordCallerRefused(int status);
   // Logs the end of a caller's connection if requests may have been lost.
   void RecordCallerEnd(const CallerConnectionEnd& end);
   // Whether a request may be served concurrently with others of its connection.
@@ -88,10 +94,13 @@
   TargetNoticeRecorder& notices_;
   SendCredits& credits_;
   TargetSelector targets_;
+  std::shared_ptr<CallerLimitsHistory> caller_limits_;
+  StandstillGate standstill_;
   Log& log_;
   Metrics& metrics_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::optional<Instant> shutdown_deadline_;
+  const std::shared_ptr<RequestMemory> request_memory_;
   std::unordered_map<const CallerConnection*, std::shared_ptr<CallerConnection>>
       callers_;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -3,10 +3,14 @@
 // A non-idempotent request is never served concurrently with another request.
 #include "figstall/caller_session.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
 
+#include "figstall/transfer_coding.h"
+
 namespace figstall {
 namespace {
 
@@ -16,6 +20,13 @@
 constexpr int kBadRequest = 400;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kNotImplemented = 501;
+constexpr int kUnavailable = 503;
+// Retry-After of a request for which there is no memory. Retries reach other
+// processes.
+constexpr Duration kRetryAfterNoMemory = std::chrono::milliseconds(100);
+// An empty input buffer with more capacity than this is freed.
+constexpr std::size_t kMaxIdleInputBytes = 32'768;
 // Largest number of bytes that one write passes to the socket.
 constexpr std::size_t kMaxWriteBytes = 65'536;
 // Requests wait unparsed while more bytes than this are unsent to the caller.
@@ -41,6 +52,21 @@
   return kBadRequest;
 }
 
+// The status of a request for which it is not known where its body ends or how
+// it is coded.
+std::optional<int> StatusOf(TransferCoding coding) {
+  switch (coding) {
+    case TransferCoding::kNone:
+    case TransferCoding::kChunked:
+      return std::nullopt;
+    case TransferCoding::kUnknownInChunks:
+      return kNotImplemented;
+    case TransferCoding::kInvalid:
+      return kBadRequest;
+  }
+  return kBadRequest;
+}
+
 bool HasNoBody(http::status status) {
   return status == http::status::no_content ||
          status == http::status::not_modified;
@@ -96,9 +122,11 @@
 
 CallerSession::CallerSession(CallerSessionLimits limits,
                              IdempotentPredicate is_idempotent,
-                             Instant now)
-    : limits_(limits),
+                             Instant now,
+                             std::shared_ptr<RequestMemory> memory)
+    : limits_(std::move(limits)),
       is_idempotent_(std::move(is_idempotent)),
+      memory_(std::move(memory)),
       opened_at_(now),
       idle_since_(now),
       request_started_at_(now),
@@ -121,20 +149,48 @@
 
 void CallerSession::ResetParser() {
   parser_.emplace();
-  parser_->header_limit(
-      static_cast<std::uint32_t>(limits_.caller.max_header_bytes));
-  parser_->body_limit(limits_.caller.max_body_bytes);
   parser_->eager(true);
   reading_request_ = false;
   parsed_bytes_ = 0;
 }
 
+void CallerSession::ApplySizeLimits() {
+  const CallerLimits limits = limits_.caller->Since(request_started_at_);
+  max_header_bytes_ = limits.max_header_bytes;
+  parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+  parser_->body_limit(limits.max_body_bytes);
+}
+
 void CallerSession::OnBytes(Instant now, std::string_view bytes) {
   if (state_ != SessionState::kOpen || closing_)
     return;
   last_read_at_ = now;
   input_ += bytes;
   Parse(now);
+  UpdateMemory();
+}
+
+std::size_t CallerSession::ReadingBytes() const {
+  if (!reading_request_)
+    return 0;
+  std::size_t body_bytes = 0;
+  if (parser_->is_header_done()) {
+    const std::size_t capacity = parser_->get().body().capacity();
+    const auto length = parser_->content_length();
+    // A body without a length may be copied to a larger buffer.
+    body_bytes =
+        length ? std::max<std::size_t>(capacity, *length) : 2 * capacity;
+  }
+  return body_bytes + std::min<std::size_t>(parsed_bytes_, max_header_bytes_);
+}
+
+bool CallerSession::UpdateMemory() {
+  std::size_t bytes = input_.size() + ReadingBytes();
+  for (const PendingRequest& pending : pending_requests_)
+    bytes += pending.kept_bytes;
+  if (deferred_request_)
+    bytes += deferred_request_->kept_bytes;
+  return memory_.Set(bytes);
 }
 
 bool CallerSession::CanParse() const {
@@ -152,15 +208,24 @@
     if (!reading_request_) {
       reading_request_ = true;
       request_started_at_ = now;
+      ApplySizeLimits();
     }
     continue_pending_ = false;
     error_code error;
     const std::size_t parsed = parser_->put(
         boost::asio::const_buffer(input_.data(), input_.size()), error);
     input_.erase(0, parsed);
+    if (input_.empty() && input_.capacity() > kMaxIdleInputBytes)
+      input_.shrink_to_fit();
     parsed_bytes_ += parsed;
     if (error && error != http::error::need_more)
       return RefuseInput(StatusOf(error));
+    if (parser_->is_header_done()) {
+      if (const auto status = StatusOf(TransferCodingOf(parser_->get())))
+        return RefuseInput(*status);
+    }
+    if (!UpdateMemory())
+      return RefuseInput(kUnavailable);
     if (parser_->is_done()) {
       OnRequestParsed(now, parser_->release());
       continue;
@@ -180,12 +245,14 @@
 bool CallerSession::ExceedsFramingLimit() const {
   const std::size_t body_bytes = parser_->get().body().size();
   return input_.size() > kMaxChunkLineBytes ||
-         parsed_bytes_ - body_bytes > limits_.caller.max_header_bytes +
-                                          kMaxChunkLineBytes +
+         parsed_bytes_ - body_bytes > max_header_bytes_ + kMaxChunkLineBytes +
                                           kMaxFramingPerBodyByte * body_bytes;
 }
 
 void CallerSession::OnRequestParsed(Instant now, HttpRequest request) {
+  const std::size_t kept_bytes =
+      request.body().capacity() +
+      std::min<std::size_t>(parsed_bytes_, max_header_bytes_);
   ResetParser();
   received_request_ = true;
   // Nothing that follows a request without keep-alive is read.
@@ -195,23 +262,22 @@
       non_idempotent ||
       (!pending_requests_.empty() && pending_requests_.back().non_idempotent);
   if (exclusive && !pending_requests_.empty()) {
-    deferred_request_ = CallerRequest{0, now, std::move(request)};
+    deferred_request_ = CallerRequest{0, now, std::move(request), kept_bytes};
     return;
   }
-  Enqueue(now, std::move(request), non_idempotent);
+  Enqueue({0, now, std::move(request), kept_bytes}, non_idempotent);
 }
 
-void CallerSession::Enqueue(Instant now,
-                            HttpRequest request,
-                            bool non_idempotent) {
+void CallerSession::Enqueue(CallerRequest request, bool non_idempotent) {
   PendingRequest pending;
-  pending.keep_alive = request.keep_alive();
+  pending.kept_bytes = request.kept_bytes;
+  pending.keep_alive = request.message.keep_alive();
   pending.non_idempotent = non_idempotent;
-  pending.http_1_0 = request.version() < 11;
-  pending.head_only = request.method() == http::verb::head;
+  pending.http_1_0 = request.message.version() < 11;
+  pending.head_only = request.message.method() == http::verb::head;
   pending_requests_.push_back(std::move(pending));
-  ready_requests_.push_back(
-      {first_number_ + pending_requests_.size() - 1, now, std::move(request)});
+  request.number = first_number_ + pending_requests_.size() - 1;
+  ready_requests_.push_back(std::move(request));
 }
 
 void CallerSession::RefuseInput(int status) {
@@ -220,13 +286,21 @@
   HttpResponse response;
   response.result(static_cast<unsigned>(status));
   response.version(11);
+  if (status == kUnavailable) {
+    response.set(
+        http::field::retry_after,
+        fmt::format(
+            "{:.3f}",
+            std::chrono::duration<double>(kRetryAfterNoMemory).count()));
+  }
   PendingRequest pending;
   pending.keep_alive = false;
   pending.full_response = std::move(response);
   pending_requests_.push_back(std::move(pending));
-  reading_request_ = false;
+  ResetParser();
   closing_ = true;
   input_.clear();
+  UpdateMemory();
   WriteReadyResponses();
 }
 
@@ -297,6 +371,7 @@
        each < pending_requests_.size(); ++each)
     cancel_handlers.push_back(std::move(pending_requests_[each].on_cancel));
   pending_requests_.resize(number - first_number_ + 1);
+  UpdateMemory();
   WriteReadyResponses();
   for (const auto& handler : cancel_handlers) {
     if (handler)
@@ -328,6 +403,7 @@
                          : SessionEndReason::kLastResponse;
     pending_requests_.pop_front();
     ++first_number_;
+    UpdateMemory();
     if (must_reset)
       return Reset(reason);
     if (closes)
@@ -336,7 +412,8 @@
       CallerRequest deferred = std::move(*deferred_request_);
       deferred_request_.reset();
       const bool non_idempotent = !is_idempotent_(deferred.message);
-      Enqueue(deferred.arrived_at, std::move(deferred.message), non_idempotent);
+      Enqueue(std::move(deferred), non_idempotent);
+      UpdateMemory();
     }
   }
   if (state_ == SessionState::kOpen && continue_pending_ &&
@@ -350,7 +427,8 @@
   if (front.full_response || front.head) {
     // While the process stops, the response to the last request that was read
     // announces the close. Earlier responses don't.
-    if (stopping_ && pending_requests_.size() == 1 && !deferred_request_)
+    if (stopping_ && pending_requests_.size() == 1 && !deferred_request_ &&
+        !reading_request_ && input_.empty())
       front.keep_alive = false;
     closing_ = closing_ || !front.keep_alive;
   }
@@ -470,6 +548,8 @@
   const std::deque<PendingRequest> cancelled = std::move(pending_requests_);
   pending_requests_.clear();
   first_number_ += cancelled.size();
+  ResetParser();
+  UpdateMemory();
   for (const PendingRequest& pending : cancelled) {
     if (pending.on_cancel)
       pending.on_cancel();
@@ -482,27 +562,36 @@
     End(SessionState::kCloseAfterOutput, SessionEndReason::kStopping);
 }
 
-void CallerSession::EnforceTimeouts(Instant now) {
+std::optional<SessionEndReason> CallerSession::ExceededTimeout(
+    Instant now) const {
   if (writing()) {
-    if (bytes_in_write_ > 0 && now - write_started_at_ > kWriteTimeout)
-      Reset(SessionEndReason::kWriteTimeout);
-    return;
+    return bytes_in_write_ > 0 && now - write_started_at_ > kWriteTimeout
+               ? std::optional(SessionEndReason::kWriteTimeout)
+               : std::nullopt;
   }
   if (state_ != SessionState::kOpen || !pending_requests_.empty() ||
       deferred_request_)
-    return;
+    return std::nullopt;
   if (!reading_request_) {
-    if (now - idle_since_ > limits_.caller.idle_timeout)
-      End(SessionState::kCloseAfterOutput, SessionEndReason::kIdleTimeout);
-    return;
+    return now - idle_since_ > idle_timeout()
+               ? std::optional(SessionEndReason::kIdleTimeout)
+               : std::nullopt;
   }
-  const bool slow_head =
-      !parser_->is_header_done() &&
-      now - request_started_at_ > limits_.caller.header_timeout;
-  if (slow_head || now - last_read_at_ > limits_.caller.idle_timeout)
-    End(SessionState::kCloseAfterOutput, slow_head
-                                             ? SessionEndReason::kHeadTimeout
-                                             : SessionEndReason::kBodyTimeout);
+  if (!parser_->is_header_done() &&
+      now - request_started_at_ >
+          limits_.caller->Since(request_started_at_).header_timeout)
+    return SessionEndReason::kHeadTimeout;
+  if (now - last_read_at_ > limits_.caller->Since(last_read_at_).idle_timeout)
+    return SessionEndReason::kBodyTimeout;
+  return std::nullopt;
+}
+
+void CallerSession::EnforceTimeouts(Instant now) {
+  const auto exceeded = ExceededTimeout(now);
+  if (exceeded == SessionEndReason::kWriteTimeout)
+    Reset(*exceeded);
+  else if (exceeded)
+    End(SessionState::kCloseAfterOutput, *exceeded);
 }
 
 }  // namespace figstall
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -287,6 +287,16 @@
   });
 }
 
+bool EntryControl::IsOutstanding(const ServiceId& service,
+                                 const ReleaseRequest& request) const {
+  const auto state = movers_.find(service);
+  if (!IsMover(BootNow()) || state == movers_.end() || !state->second.mover)
+    return false;
+  const auto outstanding = state->second.mover->OutstandingReleases();
+  return std::find(outstanding.begin(), outstanding.end(), request) !=
+         outstanding.end();
+}
+
 void EntryControl::SendReleases(const ServiceId& service, MoverState& state) {
   std::map<TargetId, std::size_t> in_flight;
   for (const ReleaseRequest& request : state.releases_in_flight)
@@ -297,36 +307,76 @@
         !state.releases_in_flight.insert(request).second)
       continue;
     ++of_owner;
-    platform::SendRelease(
-        *MakeOrderChannel(request.owner.id, request.address), request,
-        kReleaseTimeout,
-        [this, service, request, requested_at = BootNow()](
-            platform::ReleaseOutcome outcome, const std::string& handover,
-            const TargetNotice& notice, AnswerProof proof) {
-          notices_.OnAnswer(BootNow(), request.owner, notice, "release");
-          MoverState& current = movers_[service];
-          static constexpr const char* kNames[] = {"released", "owner-gone",
-                                                   "unknown"};
-          log_.Write(LogLevel::kInfo, "release",
-                     {{"service", service.value()},
-                      {"target", request.owner.id.value()},
-                      {"first", std::to_string(request.range.first)},
-                      {"last", std::to_string(request.range.last)},
-                      {"fence", std::to_string(request.fence)},
-                      {"outcome", kNames[static_cast<int>(outcome)]},
-                      {"proof", ToString(proof)},
-                      {"took_ms",
-                       std::to_string(ToMillis(BootNow() - requested_at))}});
+    SendRelease(
+        service, request, "mover",
+        [this, service, request] { return IsOutstanding(service, request); },
+        [this, service, request](platform::ReleaseOutcome outcome,
+                                 const std::string& handover) {
           if (outcome == platform::ReleaseOutcome::kUnknown) {
             return RunAfter(kReleaseRetryInterval, [this, service, request] {
               movers_[service].releases_in_flight.erase(request);
             });
           }
-          current.releases_in_flight.erase(request);
+          movers_[service].releases_in_flight.erase(request);
+          if (outcome == platform::ReleaseOutcome::kWithdrawn)
+            return;
           MoverOf(service).OnReleased(request, handover);
           ProcessChanges();
         });
   }
 }
 
+void EntryControl::ReleaseLeftRanges(Instant now) {
+  const std::vector<VmId> zone_members = ZoneMembers();
+  const auto due = granter_.TakeDueReleases(now, [&](const LeftRange& left) {
+    if (left.moving && IsMover(now))
+      return false;
+    return left.unanswered ||
+           (left.zone == settings_.zone &&
+            IsZoneGranter(zone_members, left.release.owner.id));
+  });
+  for (const LeftRange& left : due) {
+    const ReleaseRequest& request = left.release;
+    SendRelease(
+        left.service, request, "member",
+        [this, request] { return granter_.AwaitsRelease(request); },
+        [this, request](platform::ReleaseOutcome outcome, const std::string&) {
+          granter_.OnReleaseOutcome(
+              BootNow(), request,
+              outcome == platform::ReleaseOutcome::kReleased ||
+                  outcome == platform::ReleaseOutcome::kOwnerGone);
+        });
+  }
+}
+
+void EntryControl::SendRelease(const ServiceId& service,
+                               const ReleaseRequest& request,
+                               const char* sender,
+                               std::function<bool()> may_send,
+                               ReleaseHandler handler) {
+  platform::SendRelease(
+      *MakeOrderChannel(request.owner.id, request.address), request,
+      kReleaseTimeout, std::move(may_send),
+      [this, service, request, sender, handler = std::move(handler),
+       requested_at = BootNow()](
+          platform::ReleaseOutcome outcome, const std::string& handover,
+          const TargetNotice& notice, AnswerProof proof) {
+        notices_.OnAnswer(BootNow(), request.owner, notice, "release");
+        static constexpr const char* kNames[] = {"released", "owner-gone",
+                                                 "withdrawn", "unknown"};
+        log_.Write(
+            LogLevel::kInfo, "release",
+            {{"service", service.value()},
+             {"target", request.owner.id.value()},
+             {"first", std::to_string(request.range.first)},
+             {"last", std::to_string(request.range.last)},
+             {"fence", std::to_string(request.fence)},
+             {"sender", sender},
+             {"outcome", kNames[static_cast<int>(outcome)]},
+             {"proof", ToString(proof)},
+             {"took_ms", std::to_string(ToMillis(BootNow() - requested_at))}});
+        handler(outcome, handover);
+      });
+}
+
 }  // namespace figstall
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -21,7 +21,16 @@
 // Mean latency and processing time assumed for a service without a response
 // yet.
 constexpr Duration kInitialTimeEstimate = std::chrono::milliseconds(100);
+constexpr int kUnavailable = 503;
+// Fractions of the drain duration. A target that left during a shorter
+// standstill may still get requests.
+constexpr double kMaxStandstillShare = 0.5;
+constexpr double kMaxConfirmationWaitShare = 0.25;
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(500);
+// Longest time from the confirmation of a desired state until all entries in
+// touch apply it, beside a disturbance of the store (source: the platform's
+// protocol).
+constexpr Duration kDesiredStatePropagationTime = std::chrono::seconds(7);
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -39,9 +48,16 @@
       notices_(notices),
       credits_(credits),
       targets_(io, settings, view, notices.notices(), credits),
+      caller_limits_(
+          std::make_shared<CallerLimitsHistory>(CallerLimits{},
+                                                kDesiredStatePropagationTime)),
+      standstill_({Scaled(settings.drain_duration, kMaxStandstillShare),
+                   Scaled(settings.drain_duration, kMaxConfirmationWaitShare)}),
       log_(log),
       metrics_(metrics),
       acceptor_(io),
+      request_memory_(
+          std::make_shared<RequestMemory>(settings.max_request_bytes)),
       random_(std::hash<std::string>()(settings.vm.value())) {}
 
 EntryTraffic::~EntryTraffic() = default;
@@ -81,10 +97,8 @@
       callers_.erase(caller);
     };
     handlers.stopping = [this] { return shutdown_deadline_.has_value(); };
-    handlers.on_refused = [this](int status) {
-      log_.Write(LogLevel::kWarning, "caller-refused",
-                 {{"status", std::to_string(status)}});
-    };
+    handlers.on_refused = [this](int status) { RecordCallerRefused(status); };
+    handlers.request_memory = request_memory_;
     handlers.is_idempotent = [this](const HttpRequest& request) {
       return IsIdempotent(request);
     };
@@ -92,15 +106,27 @@
       RecordCallerEnd(end);
     };
     const auto caller = std::make_shared<CallerConnection>(
-        std::move(socket),
-        view_.routes ? view_.routes->state().limits : CallerLimits{},
-        std::move(handlers));
+        std::move(socket), caller_limits_, std::move(handlers));
     callers_.emplace(caller.get(), caller);
     caller->Start();
     Accept();
   });
 }
 
+void EntryTraffic::RecordCallerRefused(int status) {
+  const char* reason =
+      status == kUnavailable ? "request-memory" : "invalid-input";
+  log_.Write(
+      LogLevel::kWarning, "caller-refused",
+      {{"status", std::to_string(status)},
+       {"reason", reason},
+       {"kept_bytes", std::to_string(request_memory_->kept_bytes())},
+       {"max_kept_bytes", std::to_string(request_memory_->max_bytes())}});
+  ++metrics_.Counter(
+      "figstall_callers_refused_total",
+      fmt::format("status=\"{}\",reason=\"{}\"", status, reason));
+}
+
 void EntryTraffic::RecordCallerEnd(const CallerConnectionEnd& end) {
   const bool lost = end.LostRequests();
   ++metrics_.Counter(
@@ -172,6 +198,8 @@
 }
 
 void EntryTraffic::OnViewChanged() {
+  if (view_.routes)
+    caller_limits_->Set(BootNow(), view_.routes->state().limits);
   targets_.OnViewChanged();
   RetryWaiting();
 }
@@ -179,7 +207,7 @@
 bool EntryTraffic::IsDrained() const {
   return exchanges_.empty() &&
          std::all_of(callers_.begin(), callers_.end(),
-                     [](const auto& each) { return !each.second->ending(); });
+                     [](const auto& each) { return !each.second->busy(); });
 }
 
 void EntryTraffic::CloseIdleCallers() {
@@ -190,7 +218,8 @@
     caller->CloseIfIdle();
 }
 
-void EntryTraffic::Tick(Instant now) {
+void EntryTraffic::Tick(Instant now, std::optional<Instant> confirmed_at) {
+  standstill_.OnTick(now, confirmed_at);
   std::vector<std::shared_ptr<Exchange>> all;
   all.reserve(exchanges_.size());
   for (const auto& [key, exchange] : exchanges_)
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 
 #include "figstall/http_channel.h"
+#include "figstall/transfer_coding.h"
 
 namespace figstall {
 namespace {
@@ -54,11 +55,13 @@
                                    Endpoint target,
                                    std::function<void()> on_closed)
     : socket_(io),
+      connect_timer_(io),
       target_(std::move(target)),
       on_closed_(std::move(on_closed)) {}
 
-void TargetConnection::Send(std::shared_ptr<const HttpRequest> request,
-                            ResponseObserver observer) {
+void TargetConnection::Send(std::shared_ptr<const TargetRequest> request,
+                            ResponseObserver observer,
+                            Duration connect_timeout) {
   request_ = std::move(request);
   observer_ = std::move(observer);
   busy_ = true;
@@ -70,6 +73,16 @@
   ResetParser();
   if (open_)
     return Write();
+  Connect(connect_timeout);
+}
+
+void TargetConnection::Connect(Duration timeout) {
+  opening_since_ = BootNow();
+  connect_timer_.expires_after(timeout);
+  connect_timer_.async_wait([self = shared_from_this()](error_code stopped) {
+    if (!stopped && !self->closed_ && !self->open_)
+      self->Fail("connect timeout");
+  });
   error_code error;
   const auto address = boost::asio::ip::make_address(target_.address, error);
   socket_.async_connect(
@@ -77,12 +90,14 @@
       [self = shared_from_this()](error_code failed) {
         if (self->closed_)
           return;
+        self->connect_timer_.cancel();
         if (failed)
           return self->Fail(failed.message());
+        self->opening_since_.reset();
         TuneSocket(self->socket_);
         self->open_ = true;
         if (self->observer_.may_send && !self->observer_.may_send())
-          return self->Fail("target wants no requests");
+          return self->Fail("withdrawn");
         self->Write();
       });
 }
@@ -148,6 +163,11 @@
 void TargetConnection::OnHead() {
   head_seen_ = true;
   const auto& head = parser_->get().base();
+  const TransferCoding coding = TransferCodingOf(head);
+  // Without a known end, the response may be cut, and what follows it may be
+  // taken for the next one.
+  if (coding != TransferCoding::kNone && coding != TransferCoding::kChunked)
+    return Fail("transfer coding not known");
   // An interim response is discarded as well; the final one follows.
   discarding_ = head.result_int() / 100 == 1;
   if (discarding_)
@@ -293,6 +313,8 @@
     return;
   closed_ = true;
   open_ = false;
+  opening_since_.reset();
+  connect_timer_.cancel();
   ResetOnClose(socket_);
   error_code ignored;
   socket_.close(ignored);
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -186,11 +186,13 @@
   void Release(std::vector<std::string>& outcomes) {
     platform::SendRelease(
         *channel, MakeRelease(server.address()), kCallTimeout,
+        [this] { return may_release; },
         [&outcomes](ReleaseOutcome outcome, const std::string& handover,
                     auto&&...) {
           outcomes.push_back(
               outcome == ReleaseOutcome::kReleased    ? "released " + handover
               : outcome == ReleaseOutcome::kOwnerGone ? "owner-gone"
+              : outcome == ReleaseOutcome::kWithdrawn ? "withdrawn"
                                                       : "unknown");
         });
   }
@@ -198,6 +200,7 @@
   boost::asio::io_context io;
   RawServer server;
   std::shared_ptr<HttpChannel> channel;
+  bool may_release = true;
 };
 
 // A process of its own that sends a long request to a peer that reads nothing,
@@ -286,6 +289,50 @@
 
 }  // namespace
 
+// Guards against a call that times out while the loop stands still, although
+// its response lies in the socket: what a watch brought is lost.
+TEST_CASE("a response that arrived during a standstill is read") {
+  constexpr std::size_t kBodyBytes = 20'000;
+  boost::asio::io_context server_io;
+  RawServer server(server_io, [](const ReceivedRequest&) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
+           "\r\n\r\n" + std::string(kBodyBytes, 'x');
+  });
+  boost::asio::io_context io;
+  const auto channel = HttpChannel::Make(io, server.address(), 1);
+  std::optional<ChannelResponse> received;
+  ChannelRequest call;
+  call.limit = milliseconds(100);
+  channel->Call(call, [&received](const ChannelResponse& response) {
+    received = response;
+  });
+  io.run_for(milliseconds(20));
+  server_io.run_for(milliseconds(20));
+  std::this_thread::sleep_for(milliseconds(400));
+  io.restart();
+  io.run_for(milliseconds(300));
+  REQUIRE(received);
+  CHECK(received->failure == "");
+  CHECK(received->body.size() == kBodyBytes);
+  channel->Close();
+}
+
+// Guards against a release that reaches its owner once the move has ended,
+// since its connection opened late: the owner may hold the range again.
+TEST_CASE("a release that is not awaited any more leaves no byte") {
+  std::size_t received = 0;
+  ChannelFixture fixture([&received](const ReceivedRequest&) {
+    ++received;
+    return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  std::vector<std::string> outcomes;
+  fixture.Release(outcomes);
+  fixture.may_release = false;
+  fixture.RunUntilCount(outcomes, 1);
+  CHECK(outcomes.front() == "withdrawn");
+  CHECK(received == 0);
+}
+
 // Guards against OWNER: a second answer to one call was read as the answer to
 // the next one, although it had come before that was sent.
 TEST_CASE("an answer that came before its call was sent answers nothing") {
