A response that its caller has not received survives the close

What callers saw: around a planned stop, a caller that read a response slowly and sent its next request lost the rest of the response to a reset.

Cause: an idle connection is closed in both directions 0.5 s after the kernel took the last bytes of a response, not after the caller got them. The next request resets the connection, and the reset discards what is still queued.

Now it is closed so only if the caller's kernel has acknowledged everything (SIOCOUTQ); otherwise only the sending side is closed, as before.

--- a/include/figstall/caller_connection.h
+++ b/include/figstall/caller_connection.h
@@ -110,6 +110,8 @@
   void ReadArrived(Instant now);
   // Whether the socket accepts bytes to write.
   bool IsWritable();
+  // Whether the caller's kernel has not acknowledged all that was written.
+  bool HasUnacknowledgedBytes();
   void OnReadClosed(const boost::system::error_code& error);
   void Write();
   // Closes the sending side and leaves the caller time to read the last
--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -2,7 +2,9 @@
 // allows. At most one read and one write of the socket are pending.
 #include "figstall/caller_connection.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/write.hpp>
 #include <string_view>
@@ -154,6 +156,11 @@
   return ::poll(&descriptor, 1, 0) > 0;
 }
 
+bool CallerConnection::HasUnacknowledgedBytes() {
+  int bytes = 0;
+  return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void CallerConnection::OnReadClosed(const error_code& error) {
   read_closed_ = true;
   session_.OnReadClosed();
@@ -224,10 +231,11 @@
   if (send_closed_at_ || closed_)
     return;
   // Bytes that arrive at a socket that was closed reset the connection, so that
-  // the caller of a request that was not read learns of it at once.
+  // the caller of a request that was not read learns of it at once. A reset
+  // destroys what the caller has not received.
   const bool responded_recently =
       last_written_at_ && BootNow() - *last_written_at_ <= kCloseTimeout;
-  if (read_closed_ || !responded_recently)
+  if (read_closed_ || (!responded_recently && !HasUnacknowledgedBytes()))
     return Close();
   error_code ignored;
   socket_.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/test/caller_connection_test.cc
+++ b/test/caller_connection_test.cc
@@ -33,6 +33,10 @@
     connection_->EnforceTimeouts(BootNow() + passed);
     Settle();
   }
+  void CloseIfIdle() {
+    connection_->CloseIfIdle();
+    Settle();
+  }
   void Serve() {
     CallerConnection::Handlers handlers;
     handlers.on_request = [this](const ResponseWriter& writer,
@@ -197,4 +201,27 @@
   CHECK(delayed.closed());
 }
 
+// Guards against a response that is lost on its way: a caller reads it slowly
+// and sends again, which resets a connection that was closed meanwhile.
+TEST_CASE("a response that its caller has not received survives the close") {
+  constexpr std::size_t kResponseBytes = 1'500'000;
+  DelayedConnection delayed;
+  delayed.EnableResponses(std::string(kResponseBytes, 'x'));
+  delayed.Write(kRequest);
+  delayed.Serve();
+  for (int i = 0; i < 40; ++i)
+    delayed.Settle();
+  delayed.CloseIfIdle();
+  delayed.Write(kRequest);
+  std::size_t size = 0;
+  for (int quiet = 0; quiet < 5;) {
+    const std::size_t read = delayed.ReadAll().size();
+    size += read;
+    quiet = read > 0 ? 0 : quiet + 1;
+    if (read == 0)
+      delayed.Settle();
+  }
+  CHECK(size > kResponseBytes);
+}
+
 }  // namespace figstall
