A member without a valid address is no source of the relay

What callers saw, by reading only: all entries that chose such a member as their source would throw in each tick, enforce no time limits, and end together after a hundred exceptions. A record of a member whose address cannot be parsed is kept with an empty one, and the subscriber's conversion of it threw.

Such members are skipped when the source is chosen, and the subscriber refuses an address that is none. Test: "a subscriber ignores a publisher without an address" failed before by the exception (Invalid argument). Found by review.

--- a/src/entry_control_copy.cc
+++ b/src/entry_control_copy.cc
@@ -112,6 +112,9 @@
   const EntryMember* region_relay = nullptr;
   const EntryMember* zone_relay = nullptr;
   for (const auto& [vm, member] : view_.members) {
+    // Its record had no valid address.
+    if (member.peer_endpoint.port == 0)
+      continue;
     if (outranks(&member, root))
       root = &member;
     const auto region = view_.regions.find(member.zone);
--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -324,11 +324,15 @@
   Stop();
   publisher_ = publisher;
   connect_attempted_at_ = now;
+  error_code invalid;
+  const auto address = asio::ip::make_address(publisher.address, invalid);
+  if (invalid)
+    return false;
   const std::uint64_t connection_generation = ++connection_generation_;
   connecting_ = std::make_shared<asio::ip::tcp::socket>(io_);
   const auto socket = connecting_;
   socket->async_connect(
-      {asio::ip::make_address(publisher.address), publisher.port},
+      {address, publisher.port},
       [this, connection_generation, socket, cursor](error_code error) {
         if (connection_generation != connection_generation_)
           return;
--- a/test/store_relay_test.cc
+++ b/test/store_relay_test.cc
@@ -152,6 +152,14 @@
   CHECK(fixture.subscriber->confirmed_at() == first_poll_sent_at - fixture.age);
 }
 
+// Guards against a process that ends by an exception of each tick, because the
+// record of another member had no valid address.
+TEST_CASE("a subscriber ignores a publisher without an address") {
+  boost::asio::io_context io;
+  RelaySubscriber subscriber(io, VmId("m1"), [](const RelayUpdate&) {});
+  CHECK_FALSE(subscriber.Subscribe(Endpoint{}, 0));
+}
+
 TEST_CASE("deltas are equal after encoding and decoding") {
   RelayFixture fixture;
   RelayUpdate update;
