A subscription that opens slowly is tried again

What callers saw, as for targets whose accept queue is full: news of targets and versions comes late. The connection to the source of the relay had no time limit; while the kernel sent its SYN again after 1, 3 and 7 s, the subscriber tried nothing else there.

A connection that is not open within 0.9 s is given up, as those to targets. Test: "a subscriber gives up a connection that opens slowly" failed before (no second attempt after 0.95 s at a listener with a full queue).

--- a/src/store_relay.cc
+++ b/src/store_relay.cc
@@ -30,6 +30,9 @@
 constexpr std::uint64_t kMaxSubscribeWords = 131'072;
 // Minimum interval between attempts to connect to the same publisher.
 constexpr Duration kReconnectInterval = std::chrono::milliseconds(500);
+// A connection that is not open by then is given up. The kernel sends a SYN
+// that was dropped again after a second, and less often later.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(900);
 
 // Wire value of an age that was never confirmed.
 constexpr std::uint32_t kNeverConfirmedMillis = 0xFFFFFFFFU;
@@ -317,9 +320,10 @@
 
 bool RelaySubscriber::Subscribe(const Endpoint& publisher, Revision cursor) {
   const Instant now = BootNow();
+  const Duration attempt_age = now - connect_attempted_at_;
   if (publisher_ == publisher &&
-      (stream_ || connecting_ ||
-       now - connect_attempted_at_ < kReconnectInterval))
+      (stream_ || attempt_age < kReconnectInterval ||
+       (connecting_ && attempt_age < kConnectTimeout)))
     return false;
   Stop();
   publisher_ = publisher;
--- a/test/store_relay_test.cc
+++ b/test/store_relay_test.cc
@@ -152,6 +152,35 @@
   CHECK(fixture.subscriber->confirmed_at() == first_poll_sent_at - fixture.age);
 }
 
+// Guards against an entry that hears nothing of its source for seconds, because
+// the source's full accept queue dropped the SYN of a connection.
+TEST_CASE("a subscriber gives up a connection that opens slowly") {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor full(io);
+  const boost::asio::ip::tcp::endpoint any(
+      boost::asio::ip::make_address("127.0.0.1"), 0);
+  full.open(any.protocol());
+  full.bind(any);
+  full.listen(0);
+  std::vector<boost::asio::ip::tcp::socket> waiting;
+  for (int i = 0; i < 4; ++i) {
+    waiting.emplace_back(io);
+    waiting.back().async_connect(full.local_endpoint(),
+                                 [](boost::system::error_code) {});
+  }
+  io.run_for(milliseconds(20));
+  io.restart();
+  RelaySubscriber subscriber(io, VmId("m1"), [](const RelayUpdate&) {});
+  const Endpoint publisher{"127.0.0.1", full.local_endpoint().port()};
+  CHECK(subscriber.Subscribe(publisher, 0));
+  io.run_for(milliseconds(600));
+  io.restart();
+  CHECK_FALSE(subscriber.Subscribe(publisher, 0));
+  io.run_for(milliseconds(350));
+  io.restart();
+  CHECK(subscriber.Subscribe(publisher, 0));
+}
+
 // Guards against a process that ends by an exception of each tick, because the
 // record of another member had no valid address.
 TEST_CASE("a subscriber ignores a publisher without an address") {
