Only a streamed response may use the longer timeout of a later version

A response that is being streamed gains from the longer timeout; it is cut otherwise. For all other requests the limit at the arrival holds again.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -86,8 +86,8 @@
   // When the request must end under the timeout of `route`, or earlier if the
   // caller set a shorter one.
   Instant DeadlineUnder(const IngressRoute& route) const;
-  // Extends the deadline if a version that came into force since allows a
-  // longer time.
+  // Extends the deadline of a streamed response if a version that came into
+  // force since allows a longer time.
   void ExtendDeadline();
   // Whether a request that cannot be sent may keep waiting.
   bool MayWait(Instant now) const;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -487,7 +487,8 @@
   if (ended_)
     return;
   const auto self = shared_from_this();
-  ExtendDeadline();
+  if (attempt_ && attempt_->streaming)
+    ExtendDeadline();
   if (now >= deadline_) {
     bool streaming = false;
     if (attempt_) {
