A target that opens no connection counts as failing

What callers saw: with one of three targets dropping SYNs, request after request chose it, waited 50 ms for its connection and went elsewhere. A request that gave up on a connection was no failure of its target, so it was never ejected, and the next request tried again at once.

Such a request counts as a failed attempt of the target, as one whose connection times out. One that is withdrawn for another reason, as a standstill of this process, does not, and its target may be chosen again by the same request.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -388,7 +388,8 @@
 // No target saw the attempt, so the next one needs no retry from the budget.
 void Exchange::WithdrawAttempt(const std::string& reason,
                                AttemptOutcome outcome) {
-  if (!keyed_)
+  // A target that was not at fault may be chosen again.
+  if (!keyed_ && outcome == AttemptOutcome::kBroken)
     tried_targets_.insert(attempt_->target.id);
   EndUnsentAttempt(reason, outcome);
   const Instant now = BootNow();
@@ -418,8 +419,10 @@
       return;
   }
   const auto connection = attempt_->connection;
-  WithdrawAttempt(std::string(reason.empty() ? "opens-slowly" : reason),
-                  AttemptOutcome::kAbandoned);
+  if (reason.empty())
+    WithdrawAttempt("opens-slowly", AttemptOutcome::kBroken);
+  else
+    WithdrawAttempt(std::string(reason), AttemptOutcome::kAbandoned);
   connection->Cancel();
 }
 
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -527,6 +527,59 @@
                for status, took_s in results.values()), results
 
 
+# Guards against requests that are held up one after the other by a target that
+# opens no connections, because those that give up on it are not its failures.
+def a_target_that_opens_no_connection_is_ejected():
+    requests_per_caller, callers, statuses = 60, 30, []
+
+    def answer(_, request_id, send):
+        time.sleep(0.02)
+        send(response(200, request_id, "paid", Backend_Signature="s"))
+
+    def ask(fleet, number):
+        host, entry_port = fleet.entries[0].callers.split(":")
+        caller = http.client.HTTPConnection(host, int(entry_port), timeout=9)
+        for i in range(requests_per_caller):
+            caller.request("GET", "/pay/1", headers={
+                "Host": "a.example", "Request-Id": f"r-{number}-{i}",
+                "Deadline-Ms": "2000"})
+            reply = caller.getresponse()
+            reply.read()
+            statuses.append(reply.status)
+            time.sleep(0.03)
+
+    def ask_all(fleet):
+        threads = [threading.Thread(target=ask, args=(fleet, number))
+                   for number in range(callers)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    port, = free_ports(1)
+    target = RawTarget(port, answer, accepting=False)
+    scenario = {
+        "lead_s": LEAD_S, "length_s": 9,
+        "services": {"ledger": {"slots": 16, "targets": [
+            {"address": address(port), "zone": "north-a", "external": True},
+            *fleet.targets(2)]}},
+        "routes": {"pay": {"host": "a.example", "prefix": "/pay/",
+                           "kind": "safe", "service": "ledger",
+                           "per_second": 0.01, "deadline_ms": 2000}}}
+    try:
+        fleet.run(scenario, actions=[Action(LEAD_S + 1, ask_all)])
+    finally:
+        target.close()
+    assert statuses.count(200) == requests_per_caller * callers, statuses
+    slow = [line for line in fleet.entries[0].log()
+            if line["event"] == "send-delayed"
+            and line["outcome"] == "withdrawn"]
+    # Three failures eject it, and two probes fit into the time of the requests.
+    print(f"{len(slow)} requests waited for a connection in vain")
+    assert len(slow) <= 5, len(slow)
+
+
 # Guards against DRAIN with many targets, of which some accept late and leave.
 def targets_that_accept_late_get_nothing_after_they_left():
     fleet = EntryFleet(ZONES, 1)
@@ -1222,6 +1275,7 @@
          a_wait_for_a_connection_is_logged,
          a_target_that_accepts_late_gets_nothing_after_it_left,
          a_target_that_accepts_late_holds_no_request_up,
+         a_target_that_opens_no_connection_is_ejected,
          targets_that_accept_late_get_nothing_after_they_left,
          a_frozen_entry_reads_before_it_sends,
          a_target_that_asks_for_a_pause_is_left_alone,
