No attempt is cancelled for another one that comes too late

What callers saw: a 502 while their target was at work and would have answered in time. An idempotent request whose attempt takes long is sent to another target; the attempt was cancelled first, and the send was then refused, since less than a tenth of the route's objective was left.

The time that a send needs is asked for before the attempt is cancelled.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -526,7 +526,7 @@
 // An attempt in progress is cancelled only if another one can be sent now. A
 // process that is shutting down does not cancel it but lets it complete.
 void Exchange::RetryOnOtherTarget(Instant now) {
-  if (!MayRetry() || traffic_.shutdown_deadline_ ||
+  if (!MayRetry() || traffic_.shutdown_deadline_ || !HasTimeLeft(now) ||
       TimeLeft(now) <= traffic_.MeanLatency(service_))
     return;
   tried_targets_.insert(attempt_->target.id);
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -527,6 +527,49 @@
                for status, took_s in results.values()), results
 
 
+# Guards against an attempt under way that is cancelled for another one for which
+# too little time is left, so that the caller gets a 502 instead of its answer.
+def an_attempt_is_not_cancelled_for_one_that_comes_too_late():
+    statuses = {}
+
+    def answer(_, request_id, send):
+        if request_id.startswith("slow"):
+            time.sleep(0.25)
+        send(response(200, request_id, "paid", Backend_Signature="s"))
+
+    def ask_all(fleet):
+        host, entry_port = fleet.entries[0].callers.split(":")
+        caller = http.client.HTTPConnection(host, int(entry_port), timeout=9)
+        # The first ones pay for retries. Less than a tenth of the route's
+        # objective of 2 s is left after half of the slow ones' time.
+        for request_id, left_ms in [*((f"fast-{i}", 4000) for i in range(80)),
+                                    *((f"slow-{i}", 330) for i in range(4))]:
+            caller.request("GET", "/pay/1", headers={
+                "Host": "a.example", "Request-Id": request_id,
+                "Deadline-Ms": str(left_ms)})
+            reply = caller.getresponse()
+            reply.read()
+            statuses[request_id] = reply.status
+
+    fleet = EntryFleet({"north-a": "north"}, 1)
+    ports = free_ports(2)
+    targets = [RawTarget(port, answer) for port in ports]
+    scenario = {
+        "lead_s": LEAD_S, "length_s": 6,
+        "services": {"ledger": {"slots": 16, "targets": [
+            {"address": address(port), "zone": "north-a", "external": True}
+            for port in ports]}},
+        "routes": {"pay": {"host": "a.example", "prefix": "/pay/",
+                           "kind": "safe", "service": "ledger",
+                           "per_second": 0.01, "deadline_ms": 4000}}}
+    try:
+        fleet.run(scenario, actions=[Action(LEAD_S + 1, ask_all)])
+    finally:
+        for target in targets:
+            target.close()
+    assert set(statuses.values()) == {200}, statuses
+
+
 # Guards against requests that are held up one after the other by a target that
 # opens no connections, because those that give up on it are not its failures.
 def a_target_that_opens_no_connection_is_ejected():
@@ -1275,6 +1318,7 @@
          a_wait_for_a_connection_is_logged,
          a_target_that_accepts_late_gets_nothing_after_it_left,
          a_target_that_accepts_late_holds_no_request_up,
+         an_attempt_is_not_cancelled_for_one_that_comes_too_late,
          a_target_that_opens_no_connection_is_ejected,
          targets_that_accept_late_get_nothing_after_they_left,
          a_frozen_entry_reads_before_it_sends,
