Connections to targets have 900 ms to open

What callers saw with the limit of 100 to 900 ms before: 503 where a connection took longer to open on a link with a full queue.

The limit serves to free a request whose SYN was dropped; the kernel sends it again after a second, so nothing shorter is needed.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -32,11 +32,10 @@
 // lost.
 constexpr double kKeyedAttemptTimeoutFactor = 4.0;
 constexpr Duration kMinKeyedAttemptTimeout = std::chrono::milliseconds(350);
-// A connection may take as long to open as a request may wait for a target, but
-// at least the minimum. The maximum is less than the second after which a SYN
-// that was dropped is sent again.
-constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(100);
-constexpr Duration kMaxConnectTimeout = std::chrono::milliseconds(900);
+// Less than the second after which the kernel sends a SYN that was dropped
+// again. On a link with a full queue a connection may take almost as long to
+// open.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(900);
 // Retry-After while this process has no desired state.
 constexpr Duration kRetryAfterNoDesiredState = std::chrono::milliseconds(300);
 
@@ -294,9 +293,7 @@
                              const std::string& error_text) {
     self->OnAttemptError(stage, error_text);
   };
-  attempt.connection->Send(request, std::move(observer),
-                           std::clamp(waits_.capacity_wait_timeout,
-                                      kMinConnectTimeout, kMaxConnectTimeout));
+  attempt.connection->Send(request, std::move(observer), kConnectTimeout);
 }
 
 void Exchange::OnRejected(int status) {
