The time in which a version reaches all entries is a setting

Limits of callers hold longer by this time after a version changed them. It was a constant of 7 s, which is the platform's figure for the smaller deployments; the largest one allows 9 s, so an entry there could still close a connection that its callers may use.

Test: "the settings say how long a version may take to reach all entries"; with the setting unknown, the settings are refused.

--- a/include/figstall/entry_settings.h
+++ b/include/figstall/entry_settings.h
@@ -40,6 +40,9 @@
   // A leaving target may get requests for this long after the store accepted
   // its leaving state.
   Duration drain_duration = std::chrono::seconds(2);
+  // Longest time from the confirmation of a desired state until all entries in
+  // touch apply it, beside a disturbance of the store.
+  Duration max_version_delay = std::chrono::seconds(7);
   // Time from SIGTERM until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
 };
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -46,6 +46,12 @@
         "memory_mb": {"type": "number", "minimum": 16, "maximum": 1048576}}},
     "first_start": {"type": "boolean"},
     "drain_s": {"type": "number", "exclusiveMinimum": 0},
+    "version_delay": {"type": "object", "additionalProperties": false,
+      "required": ["calm_s", "disturbed_extra_s"],
+      "properties": {
+        "calm_s": {"type": "number", "minimum": 0, "maximum": 3600},
+        "disturbed_extra_s": {"type": "number", "minimum": 0,
+                              "maximum": 3600}}},
     "stop_grace_s": {"type": "number", "exclusiveMinimum": 0}}
 })json";
 
@@ -128,6 +134,11 @@
                                kRequestMemoryShare * kBytesPerMb);
   settings.drain_duration =
       ReadSeconds(value, "drain_s", settings.drain_duration);
+  if (value.contains("version_delay")) {
+    const json& delay = value.at("version_delay");
+    settings.max_version_delay = ReadSeconds(delay, "calm_s", {}) +
+                                 ReadSeconds(delay, "disturbed_extra_s", {});
+  }
   settings.stop_grace = ReadSeconds(value, "stop_grace_s", settings.stop_grace);
   if (!settings.regions.contains(settings.zone))
     findings.push_back({path, "/regions", "must contain the zone of this VM"});
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -27,10 +27,6 @@
 constexpr double kMaxStandstillShare = 0.5;
 constexpr double kMaxConfirmationWaitShare = 0.25;
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(500);
-// Longest time from the confirmation of a desired state until all entries in
-// touch apply it, beside a disturbance of the store (source: the platform's
-// protocol).
-constexpr Duration kDesiredStatePropagationTime = std::chrono::seconds(7);
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -50,7 +46,7 @@
       targets_(io, settings, view, notices.notices(), credits),
       caller_limits_(
           std::make_shared<CallerLimitsHistory>(CallerLimits{},
-                                                kDesiredStatePropagationTime)),
+                                                settings.max_version_delay)),
       standstill_({Scaled(settings.drain_duration, kMaxStandstillShare),
                    Scaled(settings.drain_duration, kMaxConfirmationWaitShare)}),
       log_(log),
--- a/test/entry_settings_test.cc
+++ b/test/entry_settings_test.cc
@@ -56,6 +56,19 @@
   CHECK_FALSE(Read(content));
 }
 
+// Guards against connections that are closed by limits of before while a
+// version is still on its way, where the platform allows versions more time
+// than usual.
+TEST_CASE("the settings say how long a version may take to reach all entries") {
+  json content = Settings();
+  CHECK(Read(content).value().max_version_delay == std::chrono::seconds(7));
+  content["version_delay"] = {{"calm_s", 3}, {"disturbed_extra_s", 6.5}};
+  CHECK(Read(content).value().max_version_delay ==
+        std::chrono::milliseconds(9500));
+  content["version_delay"].erase("calm_s");
+  CHECK_FALSE(Read(content));
+}
+
 // Guards against an entry whose callers' requests take more memory than its VM
 // has.
 TEST_CASE("a quarter of the VM's memory is for callers' requests") {
