--- a/include/figstall/desired_state.h
+++ b/include/figstall/desired_state.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "figstall/allowed_regions.h"
 #include "figstall/types.h"
 
 namespace figstall {
@@ -44,6 +45,7 @@
   std::uint32_t attempts = 1;
   // Requests of a lower number are served first; 0 is the highest priority.
   std::uint32_t priority = 0;
+  AllowedRegions allowed_regions;
 
   friend bool operator==(const IngressRoute&, const IngressRoute&) = default;
 };
@@ -54,10 +56,24 @@
   std::uint32_t max_connections = 0;
   // Each key belongs to one target at a time.
   bool keyed = false;
+  // A target warms up for this long after its start, and tolerates this many
+  // requests per second meanwhile. Zero if the service states no such rate.
+  Duration warm_up_time{0};
+  double warm_up_rate = 0;
 
   friend bool operator==(const TargetService&, const TargetService&) = default;
 };
 
+using AccountId = StrongId<struct AccountTag>;
+
+// A client account. Requests name theirs.
+struct ClientAccount {
+  AccountId id;
+  AllowedRegions allowed_regions;
+
+  friend bool operator==(const ClientAccount&, const ClientAccount&) = default;
+};
+
 struct CallerLimits {
   std::size_t max_header_bytes = 16'384;
   std::size_t max_body_bytes = 67'108'864;
@@ -73,6 +89,7 @@
   std::uint64_t version = 0;
   std::vector<IngressRoute> routes;
   std::map<ServiceId, TargetService> services;
+  std::map<AccountId, ClientAccount> accounts;
   CallerLimits limits;
 
   friend bool operator==(const DesiredState&, const DesiredState&) = default;
--- a/include/figstall/entry_settings.h
+++ b/include/figstall/entry_settings.h
@@ -3,6 +3,7 @@
 #define FIGSTALL_ENTRY_SETTINGS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "figstall/error.h"
@@ -13,6 +14,15 @@
 
 namespace figstall {
 
+// Bounds on the requests to a target that is warming up: in any second, its
+// warm-up rate x `overshoot` + `slack`, summed over all entries.
+struct WarmUpBounds {
+  double overshoot = 1;
+  double slack = 0;
+
+  friend bool operator==(const WarmUpBounds&, const WarmUpBounds&) = default;
+};
+
 struct EntrySettings {
   VmId vm;
   ZoneId zone;
@@ -43,6 +53,11 @@
   // Longest time from the confirmation of a desired state until all entries in
   // touch apply it, beside a disturbance of the store.
   Duration max_version_delay = std::chrono::seconds(7);
+  // None if the deployment does not limit requests to targets that warm up.
+  std::optional<WarmUpBounds> warm_up;
+  // Time from the store's acknowledgement of an evacuation after which nothing
+  // may reach a target of the zone. None if the deployment evacuates no zones.
+  std::optional<Duration> evacuation_limit;
   // Time from SIGTERM until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
 };
--- a/include/figstall/target_notices.h
+++ b/include/figstall/target_notices.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "figstall/stated_load.h"
 #include "figstall/target_entry.h"
 #include "figstall/types.h"
 
@@ -28,6 +29,9 @@
   bool complete = false;
   // Header fields whose value is invalid, as "name: value". They are ignored.
   std::vector<std::string> invalid_fields;
+  std::optional<StatedLoad> load{};
+  // How much longer the target warms up.
+  std::optional<Duration> warm_up_left{};
 
   friend bool operator==(const TargetNotice&, const TargetNotice&) = default;
 };
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -52,6 +52,16 @@
   kNoCapacity,
   // A connection to the target takes long to open.
   kOpensSlowly,
+  // No target in a region that the request allows could serve it.
+  kOutsideRegions,
+  // The target's zone is being evacuated.
+  kEvacuated,
+  // The target is warming up, and this router has no credit for it.
+  kWarmingUp,
+  // Requests of higher priority need the capacity.
+  kYieldsToPriority,
+  // Large responses would queue on the link to the target's region.
+  kLinkBusy,
   // This process stood still and has to read what arrived meanwhile.
   kStandstill,
 };
--- a/src/entry_settings.cc
+++ b/src/entry_settings.cc
@@ -52,6 +52,15 @@
         "calm_s": {"type": "number", "minimum": 0, "maximum": 3600},
         "disturbed_extra_s": {"type": "number", "minimum": 0,
                               "maximum": 3600}}},
+    "warm_up": {"type": "object", "additionalProperties": false,
+      "required": ["overshoot", "slack"],
+      "properties": {
+        "overshoot": {"type": "number", "minimum": 0},
+        "slack": {"type": "number", "minimum": 0}}},
+    "evacuation": {"type": "object", "additionalProperties": false,
+      "required": ["limit_s"],
+      "properties": {
+        "limit_s": {"type": "number", "exclusiveMinimum": 0}}},
     "stop_grace_s": {"type": "number", "exclusiveMinimum": 0}}
 })json";
 
@@ -139,6 +148,14 @@
     settings.max_version_delay = ReadSeconds(delay, "calm_s", {}) +
                                  ReadSeconds(delay, "disturbed_extra_s", {});
   }
+  if (value.contains("warm_up")) {
+    const json& warm_up = value.at("warm_up");
+    settings.warm_up = WarmUpBounds{warm_up.at("overshoot").get<double>(),
+                                    warm_up.at("slack").get<double>()};
+  }
+  if (value.contains("evacuation"))
+    settings.evacuation_limit =
+        ReadSeconds(value.at("evacuation"), "limit_s", {});
   settings.stop_grace = ReadSeconds(value, "stop_grace_s", settings.stop_grace);
   if (!settings.regions.contains(settings.zone))
     findings.push_back({path, "/regions", "must contain the zone of this VM"});
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -41,6 +41,16 @@
       return "no-capacity";
     case Unavailability::kOpensSlowly:
       return "opens-slowly";
+    case Unavailability::kOutsideRegions:
+      return "outside-regions";
+    case Unavailability::kEvacuated:
+      return "evacuated";
+    case Unavailability::kWarmingUp:
+      return "warming-up";
+    case Unavailability::kYieldsToPriority:
+      return "yields-to-priority";
+    case Unavailability::kLinkBusy:
+      return "link-busy";
     case Unavailability::kStandstill:
       return "standstill";
   }
--- a/test/decode_random_test.cc
+++ b/test/decode_random_test.cc
@@ -19,10 +19,14 @@
   "r1":{"host":"a.example","prefix":"/x/","kind":"safe","timeoutS":1,
         "sloS":0.4,"priority":2,"attempts":2,
         "split":[{"service":"one","weight":90},{"service":"two","weight":10}]},
-  "r3":{"host":"c.example","prefix":"/","kind":"download","service":"one"},
+  "r3":{"host":"c.example","prefix":"/","kind":"download","service":"one",
+        "allowedRegions":[]},
   "r2":{"host":"b.example","prefix":"/y/z/","kind":"unsafe","service":"two",
+        "allowedRegions":["north","south"],
         "note":[null,true,{"more":"text"},-1.5e3]}},
-  "services":{"one":{"maxConns":120,"sharded":true,"warmS":3.0},"two":{}},
+  "services":{"one":{"maxConns":120,"sharded":true,"warmS":3.0,
+                     "warmupS":3.0,"warmupPerS":4.5},"two":{}},
+  "tenants":{"acme":{"allowedRegions":["north"]},"beta":{}},
   "limits":{"maxHeaderBytes":1000,"maxBodyBytes":0,"headerTimeoutS":2.5,
             "idleTimeoutS":15}})";
 
