Hold back large responses that would queue between regions

Change: each router measures how long connections to another region take to open and holds back its large responses from there while that shows a queue.

--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -85,6 +85,13 @@
   SharedRetryBudget& RetryBudgetFor(const ServiceId& service);
   Duration MeanLatency(const ServiceId& service) const;
   void UpdateProcessingTimes(Instant now);
+  // Records how long a connection to the target took to open, or was waited
+  // for.
+  void RecordConnect(Instant now, const TargetEntry& target, Duration time);
+  void TickRegionLinks(Instant now);
+  void LogRegionLink(const RegionId& region,
+                     const RegionLink& link,
+                     LinkLimitChange change);
   // Whether the limits on hot keys admit a request.
   bool Admits(const ServiceId& service, ShardKey key);
 
@@ -93,6 +100,7 @@
   const EntryView& view_;
   TargetNoticeRecorder& notices_;
   SendCredits& credits_;
+  RegionLinks region_links_;
   TargetSelector targets_;
   std::shared_ptr<CallerLimitsHistory> caller_limits_;
   StandstillGate standstill_;
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -112,6 +112,8 @@
   void CheckUnsent(Instant now);
   // Ends an attempt of which no byte was sent; WithdrawAttempt() also sends the
   // request again, queues or refuses it.
+  // Counts the time for which a connection was waited for in vain.
+  void RecordAbandonedConnect();
   void EndUnsentAttempt(const std::string& reason, AttemptOutcome outcome);
   void WithdrawAttempt(const std::string& reason, AttemptOutcome outcome);
   void OnHead(const ResponseHead& head);
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -12,6 +12,7 @@
 
 #include "figstall/entry_settings.h"
 #include "figstall/entry_view.h"
+#include "figstall/region_link.h"
 #include "figstall/send_credits.h"
 #include "figstall/target_client.h"
 #include "figstall/target_notices.h"
@@ -84,12 +85,14 @@
                  const EntrySettings& settings,
                  const EntryView& view,
                  const TargetNotices& notices,
-                 SendCredits& credits)
+                 SendCredits& credits,
+                 RegionLinks& region_links)
       : io_(io),
         settings_(settings),
         view_(view),
         notices_(notices),
-        credits_(credits) {}
+        credits_(credits),
+        region_links_(region_links) {}
 
   // Opens and drops clients as the directory changed.
   void OnViewChanged();
@@ -112,6 +115,8 @@
   const RangeEntry* OwnerEntry(const ServiceId& service, ShardKey key) const;
   const Clients& clients() const { return clients_; }
   Distance DistanceTo(const ZoneId& zone) const;
+  // Null if the zone is in this router's region, or unknown.
+  RegionLink* LinkTo(const ZoneId& zone) const;
   std::uint32_t RouterCount() const;
   std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
 
@@ -134,6 +139,7 @@
   const EntryView& view_;
   const TargetNotices& notices_;
   SendCredits& credits_;
+  RegionLinks& region_links_;
   Clients clients_;
 };
 
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -43,7 +43,7 @@
       view_(view),
       notices_(notices),
       credits_(credits),
-      targets_(io, settings, view, notices.notices(), credits),
+      targets_(io, settings, view, notices.notices(), credits, region_links_),
       caller_limits_(
           std::make_shared<CallerLimitsHistory>(CallerLimits{},
                                                 settings.max_version_delay)),
@@ -226,6 +226,7 @@
     RetryWaiting();
   for (auto& [service, load] : key_load_)
     load.Decay(now);
+  TickRegionLinks(now);
   if (now - last_housekeeping_at_ < kHousekeepingInterval)
     return;
   last_housekeeping_at_ = now;
@@ -276,6 +277,34 @@
   }
 }
 
+void EntryTraffic::RecordConnect(Instant now,
+                                 const TargetEntry& target,
+                                 Duration time) {
+  if (RegionLink* link = targets_.LinkTo(target.zone))
+    LogRegionLink(view_.regions.at(target.zone), *link,
+                  link->OnConnect(now, time));
+}
+
+void EntryTraffic::TickRegionLinks(Instant now) {
+  for (auto& [region, link] : region_links_)
+    LogRegionLink(region, link, link.Tick(now));
+}
+
+void EntryTraffic::LogRegionLink(const RegionId& region,
+                                 const RegionLink& link,
+                                 LinkLimitChange change) {
+  if (change == LinkLimitChange::kNone)
+    return;
+  const bool started = change == LinkLimitChange::kStarted;
+  ++metrics_.Counter("figstall_region_link_limits_total",
+                     started ? "change=\"started\"" : "change=\"ended\"");
+  log_.Write(LogLevel::kInfo,
+             started ? "region-link-limited" : "region-link-free",
+             {{"region", region.value()},
+              {"bytes_per_s", fmt::format("{:.0f}", link.rate().value_or(0))},
+              {"queueing_ms", std::to_string(ToMillis(link.queueing()))}});
+}
+
 bool EntryTraffic::Admits(const ServiceId& service, ShardKey key) {
   if (BootNow() >= view_.hot_key_limits_until)
     return true;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -224,6 +224,8 @@
     return false;
   if (SlowToSend(now))
     LogSendDelay("sent", "");
+  traffic_.RecordConnect(now, attempt_->client->entry(),
+                         now - attempt_->sent_at);
   SetTimeLeft(request);
   attempt_->timeout_at += now - attempt_->sent_at;
   return true;
@@ -267,6 +269,10 @@
       now, client->entry().slots,
       traffic_.targets_.SharingRouters(client->entry(), keyed_));
   client->load().OnSent(now);
+  if (RegionLink* link = route_->bulk
+                             ? traffic_.targets_.LinkTo(client->entry().zone)
+                             : nullptr)
+    link->OnRequest(now);
   const auto self = shared_from_this();
   ResponseObserver observer;
   // A "not run" response without a request id is accepted only on a new
@@ -379,9 +385,17 @@
     LogSendDelay("withdrawn", reason);
   --possible_executions_;
   --attempts_sent_;
+  RecordAbandonedConnect();
   EndAttempt(outcome);
 }
 
+void Exchange::RecordAbandonedConnect() {
+  const TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
+  if (client && client == attempt_->client && SlowToSend(BootNow()))
+    traffic_.RecordConnect(BootNow(), client->entry(),
+                           BootNow() - attempt_->sent_at);
+}
+
 // No target saw the attempt, so the next one needs no retry from the budget.
 void Exchange::WithdrawAttempt(const std::string& reason,
                                AttemptOutcome outcome) {
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -144,6 +144,12 @@
 
 void Exchange::Forward() {
   const int status = static_cast<int>(attempt_->head.result_int());
+  const TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
+  if (RegionLink* link = route_->bulk && client
+                             ? traffic_.targets_.LinkTo(client->entry().zone)
+                             : nullptr)
+    link->OnResponse(attempt_->streaming ? kMaxBufferedBytes
+                                         : attempt_->body.size());
   if (attempt_->streaming) {
     caller_.SendBody({}, true);
   } else {
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -85,6 +85,13 @@
              : Distance::kOtherRegion;
 }
 
+RegionLink* TargetSelector::LinkTo(const ZoneId& zone) const {
+  const auto region = view_.regions.find(zone);
+  if (region == view_.regions.end() || region->second == settings_.region)
+    return nullptr;
+  return &region_links_[region->second];
+}
+
 std::uint32_t TargetSelector::RouterCount() const {
   return view_.member_counts.total();
 }
@@ -152,6 +159,10 @@
     return {nullptr, reason, {}};
   if (client.OpensSlowly(now))
     return {nullptr, Unavailability::kOpensSlowly, {}};
+  if (RegionLink* link = query.bulk ? LinkTo(entry.zone) : nullptr) {
+    if (const auto blocked_until = link->BlockedUntil(now))
+      return {nullptr, Unavailability::kLinkBusy, blocked_until};
+  }
   switch (credits_.Check(now, entry.incarnation, entry.zone)) {
     case CreditState::kAvailable:
       break;
@@ -263,6 +274,11 @@
   if (choice.reason == Unavailability::kPaused)
     return fmt::format("owner {} wants no requests for {} ms, fencing token {}",
                        owner, pause_ms, entry->fence);
+  if (choice.reason == Unavailability::kLinkBusy)
+    return fmt::format(
+        "large responses of owner {} would queue between the regions, fencing "
+        "token {}",
+        owner, entry->fence);
   if (choice.reason == Unavailability::kOpensSlowly)
     return fmt::format(
         "a connection to owner {} takes long to open, fencing token {}", owner,
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -52,7 +52,8 @@
   EntryView view;
   TargetNotices notices;
   SendCredits credits{VmId("self"), notices, {}};
-  TargetSelector selector{io, settings, view, notices, credits};
+  RegionLinks region_links;
+  TargetSelector selector{io, settings, view, notices, credits, region_links};
 };
 
 }  // namespace
