Confine requests to their allowed regions

Cause: a route or a client account may state the regions in which its requests may be served; the fields were decoded and had no effect.

Change: a request gets the regions that its route and its accounts allow at its arrival, narrowed by those of the latest version. TargetQuery carries them, and TargetSelector::CheckTarget compares them with the region of the target's zone, so that choice, waiting for a connection and repeats are all bound. A request whose key's owner is outside, or that no target in an allowed region serves, gets 503 at once with the reason outside-regions and does not count as load of its key. A new desired state with unknown regions, or with a route and an account without a common region, is logged once.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -226,6 +226,9 @@
   void ApplyMover(const StoreItem& item);
   void ApplyRejoin(const StoreItem& item);
   ItemOutcome ApplyDesiredState(const StoreItem& item);
+  // Logs the regions in a new desired state that are unknown, and the routes
+  // and accounts without a common region.
+  void LogAllowedRegions(const DesiredState& state);
   void LogTarget(const TargetEntry& entry, bool joined, Revision revision);
   ItemOutcome ApplyTarget(const std::string& id, const StoreItem& item);
   void ApplyMember(const VmId& vm, const StoreItem& item);
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -91,7 +91,11 @@
   void ExtendDeadline();
   // Whether a request that cannot be sent may keep waiting.
   bool MayWait(Instant now) const;
-  TargetQuery MakeTargetQuery() const;
+  // What the request's route and accounts allow in a version.
+  AllowedRegions RegionsUnder(const RouteIndex& routes) const;
+  // Narrows the allowed regions if a version that came into force since does.
+  const AllowedRegions& RegionsInForce();
+  TargetQuery MakeTargetQuery();
   // Returns the target that may take the request now, or null.
   TargetClient* ChooseTarget();
   void Send(TargetClient* client);
@@ -103,7 +107,7 @@
   void SetTimeLeft(TargetRequest& request) const;
   bool HasTimeLeft(Instant now) const;
   // Why the request of the current attempt may not be sent any more, or empty.
-  std::string_view WhyNotSent(Instant now) const;
+  std::string_view WhyNotSent(Instant now);
   // Called when the connection that was opened for the request is open. Returns
   // whether the request may still be sent.
   bool PrepareDelayedSend(TargetRequest& request);
@@ -164,6 +168,12 @@
   Instant deadline_;
   // Version of the desired state that the deadline takes into account.
   std::uint64_t deadline_version_ = 0;
+  // By the version at the arrival, and by that one and the latest. A version
+  // that widens the regions does not apply to requests that arrived before it.
+  AllowedRegions regions_at_arrival_;
+  AllowedRegions regions_in_force_;
+  // Version of the desired state that regions_in_force_ takes into account.
+  std::uint64_t regions_version_ = 0;
   RequestWaits waits_;
   bool waiting_ = false;
   bool ended_ = false;
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "figstall/allowed_regions.h"
 #include "figstall/entry_settings.h"
 #include "figstall/entry_view.h"
 #include "figstall/send_credits.h"
@@ -29,6 +30,7 @@
   Duration mean_latency{0};
   // Not chosen again for a request without a key.
   std::set<TargetId> tried_targets;
+  AllowedRegions allowed_regions;
 };
 
 // Why no target may get a request now.
@@ -52,7 +54,8 @@
   kNoCapacity,
   // A connection to the target takes long to open.
   kOpensSlowly,
-  // No target in a region that the request allows could serve it.
+  // The target is in a region that the request does not allow, or each target
+  // that could serve it is.
   kOutsideRegions,
   // The target's zone is being evacuated.
   kEvacuated,
@@ -101,6 +104,9 @@
                              const TargetQuery& query,
                              const TargetIncarnation& target,
                              const Endpoint& address) const;
+  // Whether no target in a region that the request allows could serve it. False
+  // while the key has no settled owner or no target of the service is known.
+  bool IsOutsideRegions(const TargetQuery& query) const;
   // Describes for the log why Choose() found no target.
   std::string Explain(Instant now,
                       const TargetQuery& query,
@@ -116,6 +122,9 @@
   std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
 
  private:
+  bool InAllowedRegion(const TargetQuery& query,
+                       const TargetEntry& entry) const;
+  std::string DescribeOutside(const TargetQuery& query) const;
   TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
   TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query);
   // Whether a target of the service may get the request now, whatever its load.
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include "figstall/region_rules.h"
 #include "platform/decode.h"
 #include "store_keys.h"
 
@@ -21,6 +22,10 @@
 using detail::TablesPrefix;
 using platform::StoreStatus;
 
+// Log lines of one kind about the regions of one desired state, so that a state
+// with many accounts does not fill the log.
+constexpr std::size_t kMaxRegionLines = 20;
+
 bool StartsWith(const std::string& text, std::string_view prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
@@ -247,6 +252,7 @@
         view_.routes = std::make_shared<const RouteIndex>(std::move(state));
         MarkViewChanged();
         const DesiredState& in_force = view_.routes->state();
+        LogAllowedRegions(in_force);
         log_.Write(
             LogLevel::kInfo, "desired-state-in-force",
             {{"version", std::to_string(in_force.version)},
@@ -270,6 +276,49 @@
       });
 }
 
+void EntryControl::LogAllowedRegions(const DesiredState& state) {
+  std::set<RegionId> known;
+  for (const auto& [zone, region] : view_.regions)
+    known.insert(region);
+  const std::string version = std::to_string(state.version);
+  const std::vector<UnknownRegion> unknown = FindUnknownRegions(state, known);
+  metrics_.Counter("figstall_allowed_regions_faults_total",
+                   "kind=\"unknown\"") += unknown.size();
+  for (std::size_t i = 0; i < unknown.size(); ++i) {
+    const auto& [route, account, region] = unknown[i];
+    if (i == kMaxRegionLines) {
+      log_.Write(
+          LogLevel::kWarning, "allowed-regions-unknown",
+          {{"version", version}, {"more", std::to_string(unknown.size() - i)}});
+      break;
+    }
+    log_.Write(LogLevel::kWarning, "allowed-region-unknown",
+               {{"version", version},
+                {route ? "route" : "account",
+                 route ? std::string_view(route->name) : account->id.value()},
+                {"region", region.value()},
+                {"source", platform::kDesiredStateKey},
+                {"place", route ? platform::PlaceOfAllowedRegions(*route)
+                                : platform::PlaceOfAllowedRegions(*account)}});
+  }
+  const std::vector<DisjointRegions> disjoint = FindDisjointRegions(state);
+  metrics_.Counter("figstall_allowed_regions_faults_total",
+                   "kind=\"disjoint\"") += disjoint.size();
+  for (std::size_t i = 0; i < disjoint.size() && i < kMaxRegionLines; ++i) {
+    const auto& [route, accounts] = disjoint[i];
+    log_.Write(
+        LogLevel::kWarning, "allowed-regions-disjoint",
+        {{"version", version},
+         {"route", route->name},
+         {"allowed", ToString(route->allowed_regions)},
+         {"account", accounts.front()->id.value()},
+         {"account_allowed", ToString(accounts.front()->allowed_regions)},
+         {"accounts", std::to_string(accounts.size())},
+         {"source", platform::kDesiredStateKey},
+         {"place", platform::PlaceOfAllowedRegions(*route)}});
+  }
+}
+
 void EntryControl::LogTarget(const TargetEntry& entry,
                              bool joined,
                              Revision revision) {
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "figstall/region_rules.h"
 #include "hop_by_hop.h"
 #include "platform/headers.h"
 
@@ -88,12 +89,21 @@
     if (!key)
       return FinishWithLocalResponse(kBadRequest, "no-key", std::nullopt);
     key_ = *key;
+  }
+  waits_ = ComputeRequestWaits(route_->latency_objective,
+                               traffic_.MeanLatency(service_), keyed_);
+  regions_at_arrival_ = regions_in_force_ = RegionsUnder(*routes_);
+  regions_version_ = routes_->state().version;
+  // Before it counts as load of its key, whose owner does not get it.
+  if (traffic_.targets_.IsOutsideRegions(MakeTargetQuery())) {
+    last_choice_ = {nullptr, Unavailability::kOutsideRegions, {}};
+    return Refuse("no-target-free");
+  }
+  if (keyed_) {
     traffic_.key_load_[service_].Add(key_,
                                      traffic_.MeanProcessingTime(service_));
   }
   traffic_.RetryBudgetFor(service_).OnRequest(arrived_at_);
-  waits_ = ComputeRequestWaits(route_->latency_objective,
-                               traffic_.MeanLatency(service_), keyed_);
   if (keyed_ && !traffic_.Admits(service_, key_))
     return FinishWithLocalResponse(kUnavailable, "hot-key",
                                    waits_.retry_after_moving);
@@ -133,13 +143,35 @@
   deadline_ = extended;
 }
 
-TargetQuery Exchange::MakeTargetQuery() const {
+AllowedRegions Exchange::RegionsUnder(const RouteIndex& routes) const {
+  // A request that names several accounts is bound by each.
+  std::vector<AccountId> accounts;
+  const auto [begin, end] = request_.equal_range(platform::kAccountHeader);
+  for (auto field = begin; field != end; ++field)
+    accounts.emplace_back(std::string(View(field->value())));
+  return RegionsForRequest(
+      routes.state(),
+      routes.Find(View(request_[http::field::host]), View(request_.target())),
+      accounts);
+}
+
+const AllowedRegions& Exchange::RegionsInForce() {
+  const auto& latest = traffic_.view_.routes;
+  if (latest->state().version != regions_version_) {
+    regions_version_ = latest->state().version;
+    regions_in_force_ = Intersect(regions_at_arrival_, RegionsUnder(*latest));
+  }
+  return regions_in_force_;
+}
+
+TargetQuery Exchange::MakeTargetQuery() {
   return {service_,
           keyed_ ? std::optional(key_) : std::nullopt,
           route_->bulk,
           route_->latency_objective,
           traffic_.MeanLatency(service_),
-          tried_targets_};
+          tried_targets_,
+          RegionsInForce()};
 }
 
 TargetClient* Exchange::ChooseTarget() {
@@ -156,7 +188,8 @@
   const Duration waited = now - arrived_at_;
   // What is over a target's limit is refused at once, and so is what would have
   // to wait too long for the end of a pause.
-  if (last_choice_.reason == Unavailability::kRateLimited)
+  if (last_choice_.reason == Unavailability::kRateLimited ||
+      last_choice_.reason == Unavailability::kOutsideRegions)
     return false;
   if (last_choice_.available_at &&
       *last_choice_.available_at - arrived_at_ >= waits_.capacity_wait_timeout)
@@ -208,7 +241,7 @@
   return TimeLeft(now) >= Scaled(route_->latency_objective, kMinTimeLeftShare);
 }
 
-std::string_view Exchange::WhyNotSent(Instant now) const {
+std::string_view Exchange::WhyNotSent(Instant now) {
   if (!HasTimeLeft(now))
     return "no-time-left";
   if (!traffic_.standstill_.MaySend(now))
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -30,6 +30,10 @@
 // Callers retry after at most a third of their remaining time (source: the
 // platform's protocol). Retry-After is limited to this fraction of it.
 constexpr double kRetryAfterShare = 0.3;
+// Retry-After of a request that no target in its allowed regions can serve.
+// Only a later desired state or a move of its key changes that, and either
+// takes about this long.
+constexpr Duration kRetryAfterOutsideRegions = std::chrono::seconds(1);
 // One in this many requests is logged even if it was answered in time and
 // without a server error.
 constexpr std::uint64_t kLogSampleInterval = 16;
@@ -156,6 +160,14 @@
 
 void Exchange::Refuse(const std::string& reason) {
   const int status = LocalResponseStatus(execution_state_, false);
+  if (last_choice_.reason == Unavailability::kOutsideRegions &&
+      execution_state_ == ExecutionState::kNotRun)
+    return FinishWithLocalResponse(
+        status,
+        fmt::format("{}: {}", ToString(last_choice_.reason),
+                    traffic_.targets_.Explain(BootNow(), MakeTargetQuery(),
+                                              last_choice_)),
+        kRetryAfterOutsideRegions);
   if (reason != "no-target-free")
     return FinishWithLocalResponse(status, reason, waits_.retry_after);
   const Instant now = BootNow();
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "figstall/clock.h"
+#include "figstall/region_rules.h"
 
 namespace figstall {
 namespace {
@@ -104,7 +105,39 @@
   return entry && entry->phase == RangePhase::kSettled ? entry : nullptr;
 }
 
+bool TargetSelector::InAllowedRegion(const TargetQuery& query,
+                                     const TargetEntry& entry) const {
+  if (!query.allowed_regions.restricted())
+    return true;
+  const auto region = view_.regions.find(entry.zone);
+  return region != view_.regions.end() &&
+         query.allowed_regions.Allows(region->second);
+}
+
+bool TargetSelector::IsOutsideRegions(const TargetQuery& query) const {
+  if (!query.allowed_regions.restricted())
+    return false;
+  if (query.allowed_regions.none())
+    return true;
+  if (query.key) {
+    const RangeEntry* range = OwnerEntry(query.service, *query.key);
+    const TargetClient* owner = range ? Find(range->owner.id) : nullptr;
+    return owner && !InAllowedRegion(query, owner->entry());
+  }
+  bool any_outside = false;
+  for (const auto& [id, client] : clients_) {
+    if (client->entry().service != query.service)
+      continue;
+    if (InAllowedRegion(query, client->entry()))
+      return false;
+    any_outside = true;
+  }
+  return any_outside;
+}
+
 TargetChoice TargetSelector::Choose(Instant now, const TargetQuery& query) {
+  if (IsOutsideRegions(query))
+    return {nullptr, Unavailability::kOutsideRegions, {}};
   return query.key ? ChooseOwner(now, query) : ChooseUnkeyed(now, query);
 }
 
@@ -118,6 +151,10 @@
       return Unavailability::kNoOwner;
     if (range->owner.id != entry.incarnation.id)
       return Unavailability::kOtherOwner;
+  }
+  if (!InAllowedRegion(query, entry))
+    return Unavailability::kOutsideRegions;
+  if (query.key) {
     // Moving the key may take longer than a leaving owner may receive requests.
     if (leaving_since && now - *leaving_since > Scaled(settings_.drain_duration,
                                                        kLeavingOwnerShare))
@@ -186,6 +223,9 @@
   TargetChoice first_available{nullptr, Unavailability::kNoCapacity, {}};
   const auto consider = [&](TargetClient& client) {
     const TargetChoice checked = CheckNotices(now, query, client);
+    // It is no candidate at any time, so there is no waiting for it.
+    if (checked.reason == Unavailability::kOutsideRegions)
+      return;
     const TargetEntry& entry = client.entry();
     if (checked.client) {
       candidates.push_back({&entry, &client.load(), DistanceTo(entry.zone),
@@ -229,6 +269,19 @@
   return first_available;
 }
 
+std::string TargetSelector::DescribeOutside(const TargetQuery& query) const {
+  const std::string allowed = ToString(query.allowed_regions);
+  const RangeEntry* range =
+      query.key ? OwnerEntry(query.service, *query.key) : nullptr;
+  const TargetClient* owner = range ? Find(range->owner.id) : nullptr;
+  if (!owner)
+    return fmt::format("no target of {} is in an allowed region, allowed: {}",
+                       query.service.value(), allowed);
+  return fmt::format("owner {} in zone {} is outside the allowed regions, {}",
+                     range->owner.id.value(), owner->entry().zone.value(),
+                     allowed);
+}
+
 std::string TargetSelector::Explain(Instant now,
                                     const TargetQuery& query,
                                     const TargetChoice& choice) const {
@@ -236,6 +289,8 @@
       choice.available_at ? ToMillis(*choice.available_at - now) : 0;
   if (choice.reason == Unavailability::kStandstill)
     return "this process stood still and reads first what arrived meanwhile";
+  if (choice.reason == Unavailability::kOutsideRegions)
+    return DescribeOutside(query);
   const char* limited_text =
       "limits its requests, and this router has no credit for another one";
   if (!query.key) {
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -25,6 +25,10 @@
   TestSelector() {
     for (const char* id : {"a", "b"})
       view.targets[TargetId(id)] = MakeEntry(id, 1);
+    view.targets[TargetId("a")].zone = ZoneId("north-a");
+    view.targets[TargetId("b")].zone = ZoneId("south-a");
+    view.regions = {{ZoneId("north-a"), RegionId("north")},
+                    {ZoneId("south-a"), RegionId("south")}};
     selector.OnViewChanged();
   }
 
@@ -55,6 +59,10 @@
   TargetSelector selector{io, settings, view, notices, credits};
 };
 
+AllowedRegions Only(const char* region) {
+  return AllowedRegions::FromList({RegionId(region)});
+}
+
 }  // namespace
 
 TEST_CASE("a target that left meanwhile gets no request") {
@@ -125,4 +133,64 @@
         Unavailability::kNone);
 }
 
+// Guards against a request that leaves its allowed regions, also while it waits
+// for its connection.
+TEST_CASE("a target outside the allowed regions gets no request") {
+  TestSelector test;
+  TargetQuery query;
+  query.service = kService;
+  const auto chosen = [&] {
+    const TargetChoice choice = test.selector.Choose(kStart, query);
+    return choice.client ? choice.client->entry().incarnation.id.value()
+                         : std::string(ToString(choice.reason));
+  };
+  const auto checked = [&] {
+    return test.selector.CheckChosen(kStart, query, test.a, kAddress);
+  };
+  SECTION("without a key, the others serve it") {
+    query.allowed_regions = Only("south");
+    CHECK(chosen() == "b");
+    CHECK(checked() == Unavailability::kOutsideRegions);
+    // A pause of the target inside doesn't make the others candidates, and the
+    // request waits for its end.
+    TargetNotice notice;
+    notice.retry_after = std::chrono::seconds(1);
+    test.notices.OnAnswer(kStart, {TargetId("b"), 1}, notice);
+    CHECK(chosen() == "paused");
+    query.tried_targets = {TargetId("b")};
+    CHECK(chosen() == "no-capacity");
+  }
+  SECTION("with a key, nobody else serves it") {
+    query.key = 7;
+    test.SetOwner("a", 1, RangePhase::kSettled);
+    query.allowed_regions = Only("north");
+    CHECK(chosen() == "a");
+    query.allowed_regions = Only("south");
+    CHECK(chosen() == "outside-regions");
+    CHECK(checked() == Unavailability::kOutsideRegions);
+    // The next owner may be inside.
+    test.SetOwner("a", 2, RangePhase::kMoving);
+    CHECK(chosen() == "no-owner");
+  }
+  SECTION("no region allows it") {
+    query.allowed_regions = Intersect(Only("north"), Only("south"));
+    CHECK(chosen() == "outside-regions");
+    CHECK(checked() == Unavailability::kOutsideRegions);
+    query.key = 7;
+    CHECK(chosen() == "outside-regions");
+  }
+  SECTION("an unknown region has no targets") {
+    query.allowed_regions = Only("soth");
+    CHECK(chosen() == "outside-regions");
+  }
+  SECTION("a target in an unknown zone is in no region") {
+    test.view.targets[TargetId("b")].zone = ZoneId("elsewhere");
+    test.selector.OnViewChanged();
+    query.allowed_regions = Only("south");
+    CHECK(chosen() == "outside-regions");
+    query.allowed_regions = AllowedRegions();
+    CHECK(chosen() != "outside-regions");
+  }
+}
+
 }  // namespace figstall
