Evacuation of zones: nothing is sent to an evacuated zone's targets

The operator's key op/evacuate/ZONE was ignored: targets of the zone went on to get requests, and their key ranges stayed.

EvacuationTracker follows the keys and puts them into EntryView::evacuations. RangeMover moves the zone's ranges out in one change, with release and handover, and none into it. Without evacuation.limit_s in the settings nothing changes.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -19,6 +19,7 @@
 #include "figstall/entry_settings.h"
 #include "figstall/entry_traffic.h"
 #include "figstall/entry_view.h"
+#include "figstall/evacuation.h"
 #include "figstall/first_assignment.h"
 #include "figstall/load_report.h"
 #include "figstall/log.h"
@@ -229,6 +230,14 @@
   void LogTarget(const TargetEntry& entry, bool joined, Revision revision);
   ItemOutcome ApplyTarget(const std::string& id, const StoreItem& item);
   void ApplyMember(const VmId& vm, const StoreItem& item);
+  void ApplyEvacuation(const ZoneId& zone, const StoreItem& item);
+  // Ends evacuations that a restored store still lacks, and notes up to when
+  // the copy is confirmed.
+  void UpdateEvacuations(Instant now);
+  void OnEvacuationEnded(Instant now,
+                         const ZoneId& zone,
+                         Instant known_since,
+                         const char* source);
   void ApplyTable(const ServiceId& service, const StoreItem& item);
   void RemoveAbsentTargets(Instant now);
   // Applies what targets said in their answers, here or to other members, to
@@ -424,6 +433,11 @@
   std::optional<Instant> rejoin_seen_at_;
   TargetHistory target_history_;
 
+  // Null if the deployment evacuates no zones.
+  std::unique_ptr<EvacuationTracker> evacuations_;
+  // How the changes that are being applied have arrived, for the log.
+  const char* change_source_ = "read";
+
   StoreCopy copy_;
   StoreConnectivity connectivity_;
   // Incremented by each watch and each cancellation, so that the response to a
--- a/include/figstall/entry_view.h
+++ b/include/figstall/entry_view.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "figstall/desired_state.h"
+#include "figstall/evacuation.h"
 #include "figstall/hot_key_limits.h"
 #include "figstall/member_counts.h"
 #include "figstall/range_table.h"
@@ -48,6 +49,8 @@
   // Limits on hot keys, and when they expire.
   HotKeyLimits hot_key_limits;
   Instant hot_key_limits_until{};
+  // Zones whose targets get no more requests.
+  Evacuations evacuations;
   // Region of each zone.
   std::map<ZoneId, RegionId> regions;
 };
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -26,6 +26,7 @@
 #include <string>
 #include <vector>
 
+#include "figstall/evacuation.h"
 #include "figstall/range_balance.h"
 #include "figstall/range_table.h"
 #include "figstall/target_entry.h"
@@ -138,6 +139,12 @@
   const std::map<TargetId, double>* capacity = nullptr;
   // Null without samples.
   const RangeLoad* load = nullptr;
+  // Ranges move out of these zones, and none into them. Null if there are none.
+  const Evacuations* evacuations = nullptr;
+
+  bool IsEvacuated(const ZoneId& zone) const {
+    return evacuations && evacuations->contains(zone);
+  }
 };
 
 // A range that the last plan gave to its next owner.
@@ -244,7 +251,8 @@
   bool AssignUnheldRanges(RangeTable& next, const MoverInput& input);
   bool IsStable(const std::vector<const TargetEntry*>& usable, Instant now);
   bool Balance(RangeTable& next, const MoverInput& input);
-  // Whether the entry's owner has left, is leaving or has restarted.
+  // Whether the entry's owner has left, is leaving or has restarted, or its
+  // zone is being evacuated.
   bool MustMove(const RangeEntry& entry, const MoverInput& input);
   // Whether a member may have sent a grant of the entry that is still valid,
   // though it has not reported that it knows of the move.
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -70,6 +70,11 @@
                   [this](const RelayUpdate& update) { OnRelayUpdate(update); }),
       peer_socket_(io),
       granter_(settings.grant_timing) {
+  if (settings.evacuation_limit) {
+    EvacuationTiming timing;
+    timing.limit = *settings.evacuation_limit;
+    evacuations_ = std::make_unique<EvacuationTracker>(timing);
+  }
   view_.regions = settings.regions;
   store_.SetStrayBytesHandler(
       [this](StrayBytes where) { OnStrayBytes("", where); });
@@ -169,6 +174,8 @@
   const Instant now = BootNow();
   restored_at_ = now;
   absence_.OnStoreRestored(now);
+  if (evacuations_)
+    evacuations_->OnStoreRestored(now);
   target_history_.ForgetRemovedBefore(*era_ - 1);
   for (const auto& [vm, member] : view_.members) {
     if (vm != settings_.vm)
@@ -197,6 +204,12 @@
         item);
   if (item.key == platform::kDesiredStateKey)
     return same_value ? ItemOutcome::kChanged : ApplyDesiredState(item);
+  if (evacuations_ && StartsWith(item.key, platform::kEvacuationsPrefix)) {
+    ApplyEvacuation(ZoneId(item.key.substr(
+                        std::string_view(platform::kEvacuationsPrefix).size())),
+                    item);
+    return ItemOutcome::kChanged;
+  }
   if (StartsWith(item.key, kMembersPrefix))
     ApplyMember(VmId(item.key.substr(std::string_view(kMembersPrefix).size())),
                 item);
@@ -270,6 +283,70 @@
       });
 }
 
+void EntryControl::ApplyEvacuation(const ZoneId& zone, const StoreItem& item) {
+  const Instant now = BootNow();
+  if (item.deleted) {
+    const auto known = view_.evacuations.find(zone);
+    if (known == view_.evacuations.end())
+      return;
+    const Instant known_since = known->second.known_since;
+    if (evacuations_->OnRemoved(now, zone))
+      OnEvacuationEnded(now, zone, known_since, change_source_);
+    return;
+  }
+  if (!evacuations_->OnWritten(now, zone))
+    return;
+  view_.evacuations = evacuations_->in_force();
+  MarkViewChanged();
+  const auto max_age = evacuations_->MaxAge(now);
+  log_.Write(
+      LogLevel::kInfo, "evacuation-started",
+      {{"zone", zone.value()},
+       {"max_age_ms", max_age ? std::to_string(ToMillis(*max_age)) : "unknown"},
+       {"owners_ms", std::to_string(ToMillis(
+                         view_.evacuations.at(zone).owners_until - now))},
+       {"source", change_source_},
+       {"revision", RevisionText(item.revision)}});
+  // A name that is not a zone of the deployment is likely a mistake.
+  const bool known_zone = settings_.regions.contains(zone);
+  if (!known_zone)
+    log_.Write(LogLevel::kWarning, "evacuation-of-unknown-zone",
+               {{"zone", zone.value()},
+                {"key", item.key},
+                {"revision", RevisionText(item.revision)}});
+  ++metrics_.Counter(
+      "figstall_evacuations_total",
+      fmt::format("zone=\"{}\"", known_zone ? zone.value() : "unknown"));
+  metrics_.Counter("figstall_evacuated_zones", "") = view_.evacuations.size();
+}
+
+void EntryControl::OnEvacuationEnded(Instant now,
+                                     const ZoneId& zone,
+                                     Instant known_since,
+                                     const char* source) {
+  view_.evacuations = evacuations_->in_force();
+  MarkViewChanged();
+  const auto max_age = evacuations_->MaxAge(now);
+  log_.Write(
+      LogLevel::kInfo, "evacuation-ended",
+      {{"zone", zone.value()},
+       {"in_force_ms", std::to_string(ToMillis(now - known_since))},
+       {"max_age_ms", max_age ? std::to_string(ToMillis(*max_age)) : "unknown"},
+       {"source", source}});
+  metrics_.Counter("figstall_evacuated_zones", "") = view_.evacuations.size();
+}
+
+void EntryControl::UpdateEvacuations(Instant now) {
+  if (!evacuations_)
+    return;
+  if (const auto confirmed = confirmed_at())
+    evacuations_->OnConfirmed(*confirmed);
+  const Evacuations earlier = view_.evacuations;
+  for (const ZoneId& zone : evacuations_->TakeLapsed(now))
+    OnEvacuationEnded(now, zone, earlier.at(zone).known_since,
+                      "missing-from-restored-store");
+}
+
 void EntryControl::LogTarget(const TargetEntry& entry,
                              bool joined,
                              Revision revision) {
@@ -424,6 +501,7 @@
   RecordMemberCounts(now);
   MaintainSubscription(now);
   RemoveAbsentTargets(now);
+  UpdateEvacuations(now);
   MarkLeavingTargets();
   RenewMoverLease(now);
   Campaign(now);
--- a/src/entry_control_copy.cc
+++ b/src/entry_control_copy.cc
@@ -34,6 +34,9 @@
       for (const char* prefix :
            {platform::kTargetsPrefix, platform::kDesiredStateKey})
         read->sections.push_back({prefix, true, {}, 0});
+      // In its current state: the limit counts from the acknowledgement.
+      if (evacuations_)
+        read->sections.push_back({platform::kEvacuationsPrefix, false, {}, 0});
     }
   }
   ReadPage(read, "");
@@ -72,6 +75,7 @@
 void EntryControl::ApplyRead(const StoreRead& read) {
   if (!initial_read_done_)
     members_known_since_ = BootNow();
+  change_source_ = "read";
   copy_.ApplyRead(read.sections, read.scope != ReadScope::kMemberKeys);
   view_.last_update_at = BootNow();
   OnTablesConfirmed(read.started_at);
@@ -233,6 +237,7 @@
   if (response.era && EraOf(copy_.cursor()) != *response.era)
     return;
   if (response.status == StoreStatus::kOk) {
+    change_source_ = "watch";
     copy_.ApplyChanges(response.items, response.revision);
     view_.last_update_at = BootNow();
     OnTablesConfirmed(requested_at);
@@ -250,6 +255,7 @@
   for (const StoreItem& item : update.items)
     newest = std::max(newest, item.revision);
   NoteEra(EraOf(newest), "relay");
+  change_source_ = "relay";
   if (!copy_.ApplyRelayUpdate(update)) {
     log_.Write(LogLevel::kInfo, "relay-renewed",
                {{"cursor", RevisionText(copy_.cursor())},
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -179,6 +179,7 @@
     };
     input.capacity = &capacity;
     input.load = &load;
+    input.evacuations = &view_.evacuations;
     const auto next = state.mover->Plan(input);
     if (!next)
       continue;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -158,6 +158,9 @@
   // to wait too long for the end of a pause.
   if (last_choice_.reason == Unavailability::kRateLimited)
     return false;
+  // Its owner has not been replaced in time, or no zone is left.
+  if (last_choice_.reason == Unavailability::kEvacuated)
+    return false;
   if (last_choice_.available_at &&
       *last_choice_.available_at - arrived_at_ >= waits_.capacity_wait_timeout)
     return false;
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -71,7 +71,8 @@
     const MoverInput& input) const {
   std::vector<const TargetEntry*> usable;
   for (const auto& [id, target] : *input.directory) {
-    if (target.service == service_ && !target.leaving)
+    if (target.service == service_ && !target.leaving &&
+        !input.IsEvacuated(target.zone))
       usable.push_back(&target);
   }
   return usable;
@@ -107,6 +108,8 @@
 }
 
 bool RangeMover::MustMove(const RangeEntry& entry, const MoverInput& input) {
+  if (input.IsEvacuated(entry.zone))
+    return true;
   const auto known = input.directory->find(entry.owner.id);
   if (known == input.directory->end()) {
     const auto since =
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -111,6 +111,8 @@
 Unavailability TargetSelector::CheckTarget(Instant now,
                                            const TargetQuery& query,
                                            const TargetEntry& entry) const {
+  if (!MayReceive(view_.evacuations, entry.zone, query.key.has_value(), now))
+    return Unavailability::kEvacuated;
   const auto leaving_since = notices_.LeavingSince(entry.incarnation);
   if (query.key) {
     const RangeEntry* range = OwnerEntry(query.service, *query.key);
@@ -205,9 +207,19 @@
   // Credits of a target in another zone are left to the members there unless no
   // other target may get the request.
   std::vector<TargetClient*> limited_elsewhere;
+  bool evacuated = false;
+  bool outside_evacuation = false;
   for (const auto& [id, client] : clients_) {
     const TargetEntry& entry = client->entry();
-    if (entry.service != query.service || query.tried_targets.contains(id) ||
+    if (entry.service != query.service)
+      continue;
+    // Not considered, so that the reasons of other targets prevail.
+    if (!MayReceive(view_.evacuations, entry.zone, false, now)) {
+      evacuated = true;
+      continue;
+    }
+    outside_evacuation = true;
+    if (query.tried_targets.contains(id) ||
         notices_.LeavingSince(entry.incarnation))
       continue;
     if (entry.zone == settings_.zone ||
@@ -226,6 +238,8 @@
     return {Find(best->entry->incarnation.id), Unavailability::kNone, {}};
   if (!candidates.empty())
     return {nullptr, Unavailability::kNoCapacity, {}};
+  if (evacuated && !outside_evacuation)
+    return {nullptr, Unavailability::kEvacuated, {}};
   return first_available;
 }
 
@@ -239,6 +253,9 @@
   const char* limited_text =
       "limits its requests, and this router has no credit for another one";
   if (!query.key) {
+    if (choice.reason == Unavailability::kEvacuated)
+      return fmt::format("all zones with targets of {} are evacuated",
+                         query.service.value());
     if (choice.reason == Unavailability::kRateLimited)
       return fmt::format("each target of {} {}", query.service.value(),
                          limited_text);
@@ -260,6 +277,9 @@
   const TargetClient* client = Find(entry->owner.id);
   if (!client)
     return fmt::format("owner {} left the directory", owner);
+  if (choice.reason == Unavailability::kEvacuated)
+    return fmt::format("zone {} of owner {} is evacuated, fencing token {}",
+                       client->entry().zone.value(), owner, entry->fence);
   if (choice.reason == Unavailability::kPaused)
     return fmt::format("owner {} wants no requests for {} ms, fencing token {}",
                        owner, pause_ms, entry->fence);
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -24,10 +24,16 @@
 // A mover whose table writes all succeed at once.
 class MoverFixture {
  public:
-  explicit MoverFixture(const std::vector<std::string>& targets)
+  // The targets are in `zones` zones, z0 and so on, by turns.
+  explicit MoverFixture(const std::vector<std::string>& targets,
+                        std::size_t zones = 1)
       : mover_(kService, {}) {
-    for (const std::string& id : targets)
-      directory[TargetId(id)] = Target(id);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      TargetEntry target = Target(targets[i]);
+      if (zones > 1)
+        target.zone = ZoneId("z" + std::to_string(i % zones));
+      directory[target.incarnation.id] = target;
+    }
     Advance(milliseconds(1));
     Advance(milliseconds(1500));
   }
@@ -68,11 +74,22 @@
     input.capacity = &capacity;
     load_ = RangeLoad(parts);
     input.load = &load_;
+    input.evacuations = &evacuations;
     return input;
   }
   std::string OwnerOf(ShardKey key) const {
     return table().Find(key)->owner.id.value();
   }
+  // Ranges of the zone's targets, in one phase or all.
+  int RangesIn(const char* zone, std::optional<RangePhase> phase = {}) const {
+    int count = 0;
+    for (const RangeEntry& entry : table().entries) {
+      if (entry.zone == ZoneId(zone) &&
+          entry.phase == phase.value_or(entry.phase))
+        ++count;
+    }
+    return count;
+  }
   const RangeTable& table() const { return mover_.table(); }
   const RangeMover& mover() const { return mover_; }
 
@@ -81,6 +98,7 @@
   MemberReports members;
   std::map<TargetId, double> capacity;
   std::vector<double> parts;
+  Evacuations evacuations;
   int writes = 0;
   // Ranges that the last written plan settled.
   std::vector<SettledRange> last_settled;
@@ -94,6 +112,13 @@
   RangeMover mover_;
 };
 
+std::vector<std::string> Ids(int count) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < count; ++i)
+    ids.push_back("t" + std::to_string(i));
+  return ids;
+}
+
 std::map<std::string, double> LoadByOwner(const MoverFixture& fixture) {
   std::map<std::string, double> loads;
   const double part_size = static_cast<double>(kKeySpaceSize) /
@@ -525,4 +550,107 @@
   CHECK(first->entries.front().fence == first->last_fence);
 }
 
+// Guards against EVACUATE: owners in the zone that keep their ranges, also
+// those that never leave or respond late, and against a write for each range.
+TEST_CASE("an evacuated zone's ranges move out in few writes") {
+  MoverFixture fixture(Ids(200), 4);
+  // A member that has not seen any move.
+  fixture.members["m1#a"];
+  REQUIRE(fixture.RangesIn("z1") == 50);
+  fixture.evacuations[ZoneId("z1")] = {};
+  fixture.writes = 0;
+  fixture.Advance(milliseconds(1));
+  CHECK(fixture.writes == 1);
+  CHECK(fixture.RangesIn("z1", RangePhase::kSettled) == 0);
+  fixture.ReleaseAll("warm");
+  fixture.Advance(milliseconds(60));
+  CHECK(fixture.writes == 2);
+  CHECK(fixture.RangesIn("z1") == 0);
+  CHECK(fixture.last_settled.size() >= 50);
+  for (const SettledRange& settled : fixture.last_settled)
+    CHECK(fixture.table().Find(settled.range.first)->handover == "warm");
+  // After the end the zone's targets get ranges again.
+  fixture.evacuations.clear();
+  fixture.parts = std::vector<double>(1024, 0.4);
+  fixture.Advance(std::chrono::seconds(2));
+  fixture.ReleaseAll("");
+  fixture.Advance(milliseconds(60));
+  CHECK(fixture.RangesIn("z1") > 0);
+}
+
+// Guards against EVACUATE: balance, a leaving owner or the first assignment
+// gives ranges to targets of the zone.
+TEST_CASE("nothing moves into an evacuated zone") {
+  MoverFixture fixture(Ids(8), 4);
+  // A member that has not seen any move.
+  fixture.members["m1#a"];
+  fixture.evacuations[ZoneId("z1")] = {};
+  fixture.Advance(milliseconds(1));
+  fixture.ReleaseAll("");
+  fixture.Advance(milliseconds(60));
+  fixture.parts = std::vector<double>(1024, 0);
+  for (std::size_t part = 0; part < 128; ++part)
+    fixture.parts[part] = 0.08;
+  fixture.directory.at(TargetId("t2")).leaving = true;
+  for (int round = 0; round < 6; ++round) {
+    fixture.Advance(std::chrono::seconds(1));
+    fixture.ReleaseAll("");
+    fixture.Advance(milliseconds(60));
+    CHECK(fixture.RangesIn("z1") == 0);
+  }
+  CHECK(fixture.writes > 5);
+  RangeMover mover(kService, {});
+  MoverInput input = fixture.Input();
+  CHECK_FALSE(mover.Plan(input));
+  input.now += std::chrono::seconds(2);
+  const auto first = mover.Plan(input);
+  REQUIRE(first);
+  for (const RangeEntry& entry : first->entries)
+    CHECK(entry.zone != ZoneId("z1"));
+}
+
+// Guards against ranges that are taken from owners and given to none.
+TEST_CASE("ranges stay while all zones are evacuated") {
+  MoverFixture fixture(Ids(4), 2);
+  // A member that has not seen any move.
+  fixture.members["m1#a"];
+  const RangeTable before = fixture.table();
+  fixture.evacuations = {{ZoneId("z0"), {}}, {ZoneId("z1"), {}}};
+  fixture.Advance(std::chrono::seconds(5));
+  CHECK(fixture.table() == before);
+  fixture.evacuations.erase(ZoneId("z0"));
+  fixture.Advance(milliseconds(1));
+  fixture.ReleaseAll("");
+  SECTION("ranges that move get an owner once there is one again") {
+    fixture.evacuations[ZoneId("z0")] = {};
+    fixture.Advance(std::chrono::seconds(1));
+    CHECK(fixture.RangesIn("z1") > 0);
+    fixture.evacuations.clear();
+  }
+  fixture.Advance(milliseconds(100));
+  CHECK(fixture.RangesIn("z1", RangePhase::kMoving) == 0);
+  CHECK(fixture.mover().OutstandingReleases().empty());
+}
+
+// Guards against moves that begin after the end of an evacuation, or that stay
+// half done.
+TEST_CASE("moves in progress complete when an evacuation ends") {
+  MoverFixture fixture(Ids(8), 4);
+  // A member that has not seen any move.
+  fixture.members["m1#a"];
+  fixture.evacuations[ZoneId("z1")] = {};
+  fixture.Advance(milliseconds(1));
+  const std::size_t moving = fixture.mover().OutstandingReleases().size();
+  CHECK(moving >= 2);
+  fixture.evacuations.clear();
+  fixture.Advance(milliseconds(1));
+  CHECK(fixture.mover().OutstandingReleases().size() == moving);
+  fixture.ReleaseAll("");
+  fixture.Advance(milliseconds(60));
+  fixture.Advance(milliseconds(60));
+  CHECK(fixture.mover().OutstandingReleases().empty());
+  for (const RangeEntry& entry : fixture.table().entries)
+    CHECK(entry.phase == RangePhase::kSettled);
+}
+
 }  // namespace figstall
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -125,4 +125,43 @@
         Unavailability::kNone);
 }
 
+// Guards against EVACUATE: a request that waits for a connection to a target of
+// an evacuated zone, or that is chosen for one.
+TEST_CASE("targets of an evacuated zone get no request") {
+  TestSelector test;
+  test.view.targets.at(test.a.id).zone = ZoneId("z1");
+  test.view.targets.at(TargetId("b")).zone = ZoneId("z2");
+  test.selector.OnViewChanged();
+  TargetQuery query;
+  query.service = kService;
+  const Evacuation evacuation{kStart, kStart + std::chrono::seconds(2)};
+  test.view.evacuations[ZoneId("z1")] = evacuation;
+  CHECK(test.Check(kStart, std::nullopt) == Unavailability::kEvacuated);
+  TargetClient* chosen = test.selector.Choose(kStart, query).client;
+  REQUIRE(chosen);
+  CHECK(chosen->entry().incarnation.id == TargetId("b"));
+  // Its keys are its own until they have moved.
+  test.SetOwner("a", 1, RangePhase::kSettled);
+  CHECK(test.Check(kStart, 7) == Unavailability::kNone);
+  CHECK(test.Check(evacuation.owners_until, 7) == Unavailability::kEvacuated);
+  SECTION("no zone is left") {
+    test.view.evacuations[ZoneId("z2")] = evacuation;
+    const TargetChoice choice = test.selector.Choose(kStart, query);
+    CHECK_FALSE(choice.client);
+    CHECK(choice.reason == Unavailability::kEvacuated);
+  }
+  SECTION("the only target elsewhere asked for a pause") {
+    TargetNotice notice;
+    notice.retry_after = std::chrono::seconds(1);
+    test.notices.OnAnswer(kStart, {TargetId("b"), 1}, notice);
+    const TargetChoice choice = test.selector.Choose(kStart, query);
+    CHECK(choice.reason == Unavailability::kPaused);
+    CHECK(choice.available_at);
+  }
+  SECTION("the evacuation is cancelled") {
+    test.view.evacuations.clear();
+    CHECK(test.Check(kStart, std::nullopt) == Unavailability::kNone);
+  }
+}
+
 }  // namespace figstall
