--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -191,6 +191,9 @@
   if (last_choice_.reason == Unavailability::kRateLimited ||
       last_choice_.reason == Unavailability::kOutsideRegions)
     return false;
+  // Its owner has not been replaced in time, or no zone is left.
+  if (last_choice_.reason == Unavailability::kEvacuated)
+    return false;
   if (last_choice_.available_at &&
       *last_choice_.available_at - arrived_at_ >= waits_.capacity_wait_timeout)
     return false;
