Estimate the load of keys without jumps by single requests

Cause: the mover's average of a key's load was replaced by its newest load whenever that rose by 0.6 busy seconds per second. From a request time of about 350 ms on, each single request for a rarely used key does that, while the way back is slow, so the load of the whole service was overestimated by a factor of up to four and nearly all owners were limited. Responses delayed by a link raised the request time above that: the mean included targets in other regions and the opening of connections, and it keeps old samples for tens of seconds.

Change: a rise replaces the average only if it is larger than what four requests add, a fall if larger than two. The mean processing time is taken over the targets of the router's region, as reports to the mover are, and from the sending on an open connection to the head of the response. The log line says by which numbers keys are limited.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -351,6 +351,7 @@
   // On the mover: sends all members the limits for keys whose load exceeds
   // their owners' capacity.
   void LimitHotKeys(Instant now);
+  void LogHotKeyLimits(Instant now, const HotKeyLimits& limits);
   void AnswerCreditRequest(Instant now,
                            const CreditRequest& request,
                            const boost::asio::ip::udp::endpoint& sender);
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -50,6 +50,10 @@
   std::shared_ptr<TargetConnection> connection;
   // When the target was chosen.
   Instant sent_at;
+  // When it was sent on an open connection.
+  Instant sent_on_connection_at;
+  // When the head of the response was complete, if `head_seen`.
+  Instant head_seen_at;
   // Why the request was not sent once its connection was open.
   std::string_view withdrawn_for;
   bool reused = false;
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -93,7 +93,11 @@
 class SmoothedLoad {
  public:
   // `parts` is the most recent load by part; an empty one is ignored.
-  void Update(Instant now, const std::vector<double>& parts);
+  // `request_time`: what one request adds to the load of its key, in busy time.
+  // The load of a key with few requests jumps by this much with each of them.
+  void Update(Instant now,
+              const std::vector<double>& parts,
+              Duration request_time = Duration{0});
   // Without samples until the first load was known.
   const RangeLoad& load() const { return smoothed_; }
 
@@ -114,6 +118,8 @@
   std::vector<double> KeyLoads(Instant now,
                                const ServiceId& service,
                                std::size_t members) const;
+  // By how much KeyLoads() multiplies what was reported, at least 1.
+  double ExtrapolationFactor(Instant now, std::size_t members) const;
   // True if a report of this VM arrived recently.
   bool HasRecentReport(Instant now, const VmId& vm) const;
   // Slots of each target, multiplied by its speed relative to the service's
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -92,11 +92,16 @@
 
   void OnSent(Instant now);
   // `queueing_factor`: the result of QueueingFactor() when the request was
-  // sent. The latency is taken to be this many times the processing time.
+  // sent. The response time is taken to be this many times the processing time.
+  // `response_time`: the part of the latency from the sending of the request on
+  // an open connection to the head of the response; the latency if not known.
+  // Neither the opening of a connection nor the transfer of a large body is
+  // work of the target.
   void OnDone(Instant now,
               AttemptOutcome outcome,
               Duration latency,
-              double queueing_factor = 1);
+              double queueing_factor = 1,
+              std::optional<Duration> response_time = std::nullopt);
 
   std::uint32_t in_flight() const { return in_flight_; }
   // Recent mean of this router's requests in flight. Each of the other routers
--- a/src/entry_control_peers.cc
+++ b/src/entry_control_peers.cc
@@ -161,10 +161,8 @@
       limits.services[service] = std::move(shares);
   }
   const bool limiting = !limits.services.empty();
-  if (limiting != limiting_hot_keys_) {
-    log_.Write(LogLevel::kInfo, limiting ? "hot-keys-limited" : "hot-keys-free",
-               {{"services", std::to_string(limits.services.size())}});
-  }
+  if (limiting != limiting_hot_keys_)
+    LogHotKeyLimits(now, limits);
   if (!limiting && !limiting_hot_keys_)
     return;
   limiting_hot_keys_ = limiting;
@@ -178,6 +176,35 @@
   view_.hot_key_limits_until = now + timing_.hot_key_limits_duration;
 }
 
+void EntryControl::LogHotKeyLimits(Instant now, const HotKeyLimits& limits) {
+  if (limits.services.empty())
+    return log_.Write(LogLevel::kInfo, "hot-keys-free", {{"services", "0"}});
+  const auto number = [](double value) { return fmt::format("{:.2f}", value); };
+  for (const auto& [service, shares] : limits.services) {
+    double capacity = 0;
+    for (const auto& [target, each] : TargetCapacities(now, service))
+      capacity += each;
+    const auto lowest =
+        std::min_element(shares.begin(), shares.end(),
+                         [](const AdmittedRange& a, const AdmittedRange& b) {
+                           return a.share < b.share;
+                         });
+    log_.Write(
+        LogLevel::kInfo, "hot-keys-limited",
+        {{"services", std::to_string(limits.services.size())},
+         {"service", service.value()},
+         {"ranges", std::to_string(shares.size())},
+         {"first", std::to_string(lowest->range.first)},
+         {"last", std::to_string(lowest->range.last)},
+         {"lowest_share", number(lowest->share)},
+         {"load", number(smoothed_load_[service].load().Of(
+                      {0, static_cast<ShardKey>(kKeySpaceSize - 1)}))},
+         {"capacity", number(capacity)},
+         {"request_ms",
+          std::to_string(ToMillis(traffic_.MeanProcessingTime(service)))}});
+  }
+}
+
 void EntryControl::ReceiveDatagrams() {
   peer_socket_.async_receive_from(
       boost::asio::buffer(peer_buffer_), peer_sender_,
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -69,9 +69,13 @@
   if (now - load_updated_at_ < timing_.load_update_interval)
     return;
   load_updated_at_ = now;
+  const std::size_t members = view_.members.size();
+  const double extrapolation =
+      load_aggregator_.ExtrapolationFactor(now, members);
   for (const auto& [service, table] : view_.tables) {
     smoothed_load_[service].Update(
-        now, load_aggregator_.KeyLoads(now, service, view_.members.size()));
+        now, load_aggregator_.KeyLoads(now, service, members),
+        Scaled(traffic_.MeanProcessingTime(service), extrapolation));
   }
 }
 
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -6,10 +6,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
 
 #include "figstall/exchange.h"
 #include "figstall/http_channel.h"
+#include "figstall/mean_processing_time.h"
 #include "figstall/scoped_flag.h"
 
 namespace figstall {
@@ -259,20 +259,16 @@
 }
 
 void EntryTraffic::UpdateProcessingTimes(Instant now) {
-  // The geometric mean weights all targets equally, as the mover does.
-  std::map<ServiceId, std::pair<double, int>> sums;
+  std::map<ServiceId, figstall::MeanProcessingTime> means;
   for (const auto& [id, client] : targets_.clients()) {
     if (const auto processing_time = client->load().processing_time(now)) {
-      auto& [sum, count] = sums[client->entry().service];
-      sum += std::log(
-          std::max(1.0, static_cast<double>(processing_time->mean.count())));
-      ++count;
+      means[client->entry().service].Add(
+          *processing_time, targets_.DistanceTo(client->entry().zone));
     }
   }
-  for (const auto& [service, each] : sums) {
-    const auto& [sum, count] = each;
-    mean_processing_time_[service] =
-        Duration(static_cast<Duration::rep>(std::exp(sum / count)));
+  for (const auto& [service, mean] : means) {
+    if (const auto time = mean.Get())
+      mean_processing_time_[service] = *time;
   }
 }
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -226,6 +226,7 @@
     LogSendDelay("sent", "");
   SetTimeLeft(request);
   attempt_->timeout_at += now - attempt_->sent_at;
+  attempt_->sent_on_connection_at = now;
   return true;
 }
 
@@ -248,6 +249,7 @@
     last_fence_ = entry ? entry->fence : 0;
   }
   attempt.sent_at = now;
+  attempt.sent_on_connection_at = now;
   // A late copy of an earlier refusal carries the same id as the response to
   // this attempt, but it can only come on the connection of that attempt.
   attempt.connection = !route_->idempotent && attempts_sent_ > 1
@@ -457,7 +459,11 @@
   // The target may have been removed in the meantime.
   TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
   if (client && client == attempt_->client)
-    client->load().OnDone(now, outcome, latency, attempt_->queueing_factor);
+    client->load().OnDone(now, outcome, latency, attempt_->queueing_factor,
+                          attempt_->head_seen
+                              ? std::optional(attempt_->head_seen_at -
+                                              attempt_->sent_on_connection_at)
+                              : std::nullopt);
   if (outcome == AttemptOutcome::kAnswered) {
     double& mean_latency = traffic_.mean_latency_us_[service_];
     constexpr double kWeight = 0.03;
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -54,6 +54,7 @@
     return;
   attempt_->head = head;
   attempt_->head_seen = true;
+  attempt_->head_seen_at = BootNow();
   traffic_.notices_.OnAnswer(
       BootNow(), attempt_->target,
       platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head),
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -14,9 +14,16 @@
 // The same for the mover's average, SmoothedLoad.
 constexpr double kSmoothingSeconds = 5;
 // The average of a part is replaced by its newest load if the two differ by
-// more than this factor and by more than this many busy seconds per second.
+// more than this factor, by more than this many busy seconds per second, and by
+// more than what this many requests add to the newest load as they arrive. With
+// requests of 100 ms or less the last two are the same. Without the last one,
+// each single request of 350 ms for a rarely used key replaced the key's
+// average, which made the load of a whole service up to four times too high.
 constexpr double kChangeFactor = 3;
 constexpr double kMinLoadChange = 0.6;
+constexpr double kMinRequestsRise = 4;
+// Less than for a rise, so that a rise by chance is soon undone.
+constexpr double kMinRequestsFall = 2;
 // KeyLoad::Decay() does nothing if called again within this time.
 constexpr double kMinDecaySeconds = 0.2;
 // Limit of the request count in a report.
@@ -68,9 +75,17 @@
       keys_, [](const auto& each) { return each.second < kMinReportedLoad; });
 }
 
-void SmoothedLoad::Update(Instant now, const std::vector<double>& parts) {
+void SmoothedLoad::Update(Instant now,
+                          const std::vector<double>& parts,
+                          Duration request_time) {
   if (parts.empty())
     return;
+  const double load_of_request =
+      std::chrono::duration<double>(request_time).count() / kReportDecaySeconds;
+  const double min_rise =
+      std::max(kMinLoadChange, kMinRequestsRise * load_of_request);
+  const double min_fall =
+      std::max(kMinLoadChange, kMinRequestsFall * load_of_request);
   const double elapsed =
       std::chrono::duration<double>(now - updated_at_).count();
   updated_at_ = now;
@@ -87,7 +102,8 @@
     double& smoothed = next[part];
     const auto [lower, higher] = std::minmax(smoothed, parts[part]);
     const bool changed =
-        higher > kChangeFactor * lower && higher - lower > kMinLoadChange;
+        higher > kChangeFactor * lower &&
+        higher - lower > (parts[part] > smoothed ? min_rise : min_fall);
     smoothed =
         changed ? parts[part] : smoothed + step * (parts[part] - smoothed);
   }
@@ -117,12 +133,10 @@
                                              const ServiceId& service,
                                              std::size_t members) const {
   std::vector<double> key_loads(kKeySpaceSize);
-  std::size_t reporting = 0;
   std::uint32_t samples = 0;
   for (const auto& [vm, received] : reports_) {
     if (now - received.at > kMaxReportAge)
       continue;
-    ++reporting;
     const auto key_load = received.report.services.find(service);
     if (key_load == received.report.services.end())
       continue;
@@ -132,13 +146,23 @@
   }
   if (samples < kMinSamples)
     return {};
-  const double scale = static_cast<double>(std::max(members, reporting)) /
-                       static_cast<double>(reporting);
+  const double scale = ExtrapolationFactor(now, members);
   for (double& load : key_loads)
     load *= scale;
   return key_loads;
 }
 
+double LoadAggregator::ExtrapolationFactor(Instant now,
+                                           std::size_t members) const {
+  const auto reporting = static_cast<std::size_t>(
+      std::count_if(reports_.begin(), reports_.end(), [now](const auto& each) {
+        return now - each.second.at <= kMaxReportAge;
+      }));
+  return reporting == 0 ? 1
+                        : static_cast<double>(std::max(members, reporting)) /
+                              static_cast<double>(reporting);
+}
+
 std::map<TargetId, double> LoadAggregator::Capacities(
     Instant now,
     const TargetDirectory& directory,
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -84,7 +84,8 @@
 void TargetLoad::OnDone(Instant now,
                         AttemptOutcome outcome,
                         Duration latency,
-                        double queueing_factor) {
+                        double queueing_factor,
+                        std::optional<Duration> response_time) {
   SetInFlight(now, in_flight_ > 0 ? in_flight_ - 1 : 0);
   if (outcome == AttemptOutcome::kAbandoned)
     return;
@@ -101,7 +102,8 @@
   if (outcome == AttemptOutcome::kAnswered) {
     const double decayed = DecayedSamples(now);
     processing_time_us_ +=
-        (static_cast<double>(latency.count()) / queueing_factor -
+        (static_cast<double>(response_time.value_or(latency).count()) /
+             queueing_factor -
          processing_time_us_) /
         (decayed + 1);
     processing_samples_ = decayed + 1;
--- a/test/load_report_test.cc
+++ b/test/load_report_test.cc
@@ -122,6 +122,30 @@
   CHECK(smoothed.load().parts()[7] < 0.1);
 }
 
+// Guards against limits on the keys of idle owners. Each request of 400 ms for
+// a rarely used key replaced the average of the key, so that the load of the
+// service was up to four times too high, and stayed so.
+TEST_CASE("single long requests for many keys do not raise the smoothed load") {
+  constexpr Duration kRequestTime = milliseconds(400);
+  KeyLoad key_load;
+  SmoothedLoad smoothed;
+  double sum = 0;
+  for (int millis = 0; millis < 30'000; millis += 250) {
+    // 20 requests a second, each key once in ten seconds.
+    for (int i = 0; i < 5; ++i)
+      key_load.Add(static_cast<ShardKey>(millis / 50 % 200 + i), kRequestTime);
+    key_load.Decay(At(millis));
+    std::vector<double> loads(kKeySpaceSize, 0);
+    for (const auto& [key, load] : key_load.keys())
+      loads[key] = load;
+    smoothed.Update(At(millis), loads, kRequestTime);
+  }
+  for (const double load : smoothed.load().parts())
+    sum += load;
+  CHECK(sum > 6);
+  CHECK(sum < 10);
+}
+
 // Guards against needless moves: in the recorded day umurage quiet-1, 144 key
 // ranges moved in 32 s without need.
 TEST_CASE("random variation changes the smoothed load little") {
--- a/test/target_load_test.cc
+++ b/test/target_load_test.cc
@@ -253,6 +253,17 @@
   CHECK(*load.latency() > milliseconds(300));
 }
 
+// Guards against counting the opening of a connection as work, which took up to
+// 900 ms on a link with a full queue.
+TEST_CASE("processing time is the time from the sending to the response") {
+  TargetLoad load;
+  load.OnSent(At(0));
+  load.OnDone(At(0), AttemptOutcome::kAnswered, milliseconds(900),
+              /*queueing_factor=*/1, milliseconds(100));
+  CHECK(load.processing_time(At(0))->mean == milliseconds(100));
+  CHECK(*load.latency() == milliseconds(900));
+}
+
 TEST_CASE("the queueing factor includes requests of other routers") {
   TargetLoad load;
   CHECK(load.QueueingFactor(At(0), 4, 10) == 1);
