Evacuation: an evacuated zone's ranges are split among the other targets

An owner elsewhere that got a whole range of the evacuated zone had twice its load, while two of three others got none (50 of 200 targets). Ranges of the zone are split into up to four pieces of the load that each remaining target should get, before they are released. Up to 16 releases of an evacuated owner are in flight at once, instead of 4, so that its pieces move together.

In a test with 40 targets, each half busy, no target has more than 1.5 times its load after the evacuation of 10.

--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -244,6 +244,11 @@
   std::uint64_t NextFence(const RangeTable& table) const {
     return std::max(table.last_fence, options_.fence_floor) + 1;
   }
+  // Splits the ranges of evacuated zones, so that the other targets can share
+  // their load evenly.
+  void SplitEvacuatedRanges(RangeTable& next,
+                            std::size_t usable_targets,
+                            const MoverInput& input) const;
   bool StartMoves(RangeTable& next, const MoverInput& input);
   // Asks members for reports through the store where an owner has not released
   // its range in time.
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -28,6 +28,9 @@
 constexpr double kMinLimitedCapacity = 0.01;
 // Releases that one owner gets at once, each on a connection of its own.
 constexpr std::size_t kMaxReleasesInFlight = 4;
+// The same for an owner in an evacuated zone, whose ranges all have to move
+// within the limit. An owner rarely has more ranges, after they were split.
+constexpr std::size_t kMaxEvacuationReleasesInFlight = 16;
 constexpr Duration kReleaseRetryInterval = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -304,7 +307,11 @@
     ++in_flight[request.owner.id];
   for (const ReleaseRequest& request : state.mover->OutstandingReleases()) {
     std::size_t& of_owner = in_flight[request.owner.id];
-    if (of_owner >= kMaxReleasesInFlight ||
+    const auto owner = view_.targets.find(request.owner.id);
+    const bool evacuated = owner != view_.targets.end() &&
+                           view_.evacuations.contains(owner->second.zone);
+    if (of_owner >= (evacuated ? kMaxEvacuationReleasesInFlight
+                               : kMaxReleasesInFlight) ||
         !state.releases_in_flight.insert(request).second)
       continue;
     ++of_owner;
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -14,6 +14,27 @@
   return input.load ? *input.load : no_samples;
 }
 
+// Most pieces into which one range of an evacuated zone is split. Each piece is
+// a release, and a row of the table.
+constexpr int kMaxEvacuationPieces = 4;
+
+// Returns the first key of `range` such that those below it have at least this
+// load, or the key behind the range.
+std::uint32_t KeyAtLoad(const RangeLoad& load,
+                        const KeyRange& range,
+                        double desired) {
+  std::uint32_t low = std::uint32_t{range.first} + 1;
+  std::uint32_t high = std::uint32_t{range.last} + 1;
+  while (low < high) {
+    const std::uint32_t middle = (low + high) / 2;
+    if (load.Of({range.first, static_cast<ShardKey>(middle - 1)}) < desired)
+      low = middle + 1;
+    else
+      high = middle;
+  }
+  return low;
+}
+
 void SetOwner(RangeEntry& entry, const TargetEntry& owner) {
   entry.owner = owner.incarnation;
   entry.address = owner.address;
@@ -120,6 +141,31 @@
   return known->second.leaving || known->second.incarnation != entry.owner;
 }
 
+void RangeMover::SplitEvacuatedRanges(RangeTable& next,
+                                      std::size_t usable_targets,
+                                      const MoverInput& input) const {
+  const RangeLoad& load = LoadIn(input);
+  double evacuated_load = 0;
+  std::vector<KeyRange> ranges;
+  for (const RangeEntry& entry : next.entries) {
+    if (entry.phase != RangePhase::kSettled || !input.IsEvacuated(entry.zone))
+      continue;
+    ranges.push_back(entry.range);
+    evacuated_load += load.Of(entry.range);
+  }
+  if (evacuated_load <= 0)
+    return;
+  const double piece_load =
+      evacuated_load / static_cast<double>(usable_targets);
+  for (const KeyRange& range : ranges) {
+    const double range_load = load.Of(range);
+    const int pieces = static_cast<int>(std::clamp<double>(
+        std::round(range_load / piece_load), 1, kMaxEvacuationPieces));
+    for (int piece = 1; piece < pieces; ++piece)
+      SplitAt(next, KeyAtLoad(load, range, range_load * piece / pieces));
+  }
+}
+
 bool RangeMover::StartMoves(RangeTable& next, const MoverInput& input) {
   bool changed = false;
   for (RangeEntry& entry : next.entries) {
@@ -325,8 +371,11 @@
   last_settled_.clear();
   RangeTable next = table_;
   bool changed = AssignUnheldRanges(next, input);
-  if (!usable.empty())
+  if (!usable.empty()) {
+    if (input.evacuations && !input.evacuations->empty())
+      SplitEvacuatedRanges(next, usable.size(), input);
     changed = StartMoves(next, input) || changed;
+  }
   changed = RequestReports(next, input) || changed;
   if (!changed) {
     if (progress_.empty())
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -578,6 +578,28 @@
   CHECK(fixture.RangesIn("z1") > 0);
 }
 
+// Guards against owners elsewhere that get a whole target's load in addition to
+// their own, which most of them can't serve, while others get none.
+TEST_CASE("an evacuated zone's load is shared by the others") {
+  MoverFixture fixture(Ids(40), 4);
+  // A member that has not seen any move.
+  fixture.members["m1#a"];
+  // Two of the four slots of each target are busy.
+  fixture.parts = std::vector<double>(2048, 2.0 * 40 / 2048);
+  fixture.evacuations[ZoneId("z1")] = {};
+  fixture.Advance(milliseconds(1));
+  fixture.ReleaseAll("");
+  fixture.Advance(milliseconds(60));
+  REQUIRE(fixture.RangesIn("z1") == 0);
+  double highest = 0;
+  for (const auto& [owner, load] : LoadByOwner(fixture))
+    highest = std::max(highest, load);
+  CHECK(highest < 2.0 * 1.5);
+  // A table of a few evacuations does not grow without bound.
+  const std::size_t rows = fixture.table().entries.size();
+  CHECK(rows <= 30 + 10 * 4);
+}
+
 // Guards against EVACUATE: balance, a leaving owner or the first assignment
 // gives ranges to targets of the zone.
 TEST_CASE("nothing moves into an evacuated zone") {
