Limit requests to targets that warm up

A deployment with bounds on warm-up now sends to such a target only for credits, which one member issues at the rate that the target tolerates. The validity of 0.3 s and a burst derived from the bounds keep two issuers together within the bound in any second. A warm-up is learned from the store's entry, the header of answers and the appearance of a new incarnation, and members tell the issuer and the mover. The mover counts half of the rate as the capacity of such a target, and services without keys use it for what would queue elsewhere.

Tests with real processes not run yet.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -53,6 +53,8 @@
   // Why the request was not sent once its connection was open.
   std::string_view withdrawn_for;
   bool reused = false;
+  // When the credit that the attempt consumed expires.
+  std::optional<Instant> credit_until;
   // TargetLoad::QueueingFactor() when the request was sent.
   double queueing_factor = 1;
   // After this time the attempt may be replaced by one at another target.
--- a/include/figstall/load_report.h
+++ b/include/figstall/load_report.h
@@ -16,6 +16,7 @@
 #include "figstall/target_load.h"
 #include "figstall/target_notices.h"
 #include "figstall/types.h"
+#include "figstall/warm_up_limits.h"
 
 namespace figstall {
 
@@ -68,6 +69,7 @@
   TargetIncarnation target;
   bool leaving = false;
   std::optional<LimitStatement> limit;
+  std::optional<WarmUpStatement> warm_up{};
 
   friend bool operator==(const ReportedNotice&,
                          const ReportedNotice&) = default;
--- a/include/figstall/send_credits.h
+++ b/include/figstall/send_credits.h
@@ -1,8 +1,9 @@
 // Bounds how many requests all members together send to a target that limits
-// them. For each such target one member issues credits, as a token bucket with
-// the target's limit as its rate; a member sends a request only for a credit,
-// which expires soon. So the sum over all members is bounded by what is issued,
-// whatever their number, their demand, and who joins or is lost.
+// them, or that is warming up. For each such target one member issues credits,
+// as a token bucket with the target's limit as its rate; a member sends a
+// request only for a credit, which expires soon. So the sum over all members is
+// bounded by what is issued, whatever their number, their demand, and who joins
+// or is lost.
 //
 // The issuer is the first member by rank that responds. Ranks follow from the
 // member list alone, the target's zone first and then by hash. A member issues
@@ -20,6 +21,7 @@
 
 #include "figstall/target_notices.h"
 #include "figstall/types.h"
+#include "figstall/warm_up_limits.h"
 
 namespace figstall {
 
@@ -59,6 +61,7 @@
   // Zero if the sender only asks whether the receiver responds.
   std::uint32_t wanted = 0;
   std::optional<LimitStatement> limit;
+  std::optional<WarmUpStatement> warm_up{};
 
   friend bool operator==(const CreditRequest&, const CreditRequest&) = default;
 };
@@ -71,6 +74,7 @@
   // Time after which it is worth to ask again, if none was granted.
   Duration backoff{0};
   std::optional<LimitStatement> limit;
+  std::optional<WarmUpStatement> warm_up{};
 
   friend bool operator==(const CreditResponse&,
                          const CreditResponse&) = default;
@@ -122,6 +126,11 @@
                        const TargetIncarnation& target,
                        const RateLimit& limit)>
         on_limit;
+    // The same for a warm-up.
+    std::function<void(const VmId& from,
+                       const TargetIncarnation& target,
+                       const WarmUpStatement& warm_up)>
+        on_warm_up;
     // This member takes another member than before for the issuer.
     std::function<void(const TargetIncarnation& target, const VmId& issuer)>
         on_issuer;
@@ -129,6 +138,7 @@
 
   SendCredits(VmId self,
               const TargetNotices& notices,
+              const WarmUpLimits& warm_ups,
               Handlers handlers,
               CreditTiming timing = {});
 
@@ -146,9 +156,20 @@
   bool HasCredit(Instant now, const TargetIncarnation& target) const;
   // When credits may be requested again after a refusal.
   Instant RefusedUntil(const TargetIncarnation& target) const;
-  // Consumes a credit, if the target has a limit. Call after Check() returned
-  // kAvailable.
-  void Consume(Instant now, const TargetIncarnation& target);
+  // Consumes a credit, if the target has a limit, and returns when it expires.
+  // Call after Check() returned kAvailable.
+  std::optional<Instant> Consume(Instant now, const TargetIncarnation& target);
+  // Whether a request may be sent now that waited for its connection since its
+  // credit was consumed. To a target that is warming up it may be sent only
+  // before `credit_until`, the expiry of its credit; after that another credit
+  // is consumed, or requested, and `credit_until` set to its expiry.
+  bool MaySendDelayed(Instant now,
+                      const TargetIncarnation& target,
+                      const ZoneId& target_zone,
+                      std::optional<Instant>& credit_until);
+  bool IsWarmingUp(Instant now, const TargetIncarnation& target) const {
+    return warm_ups_.IsWarmingUp(now, target);
+  }
 
   // Returns the response to send back.
   CreditResponse OnRequest(Instant now,
@@ -173,6 +194,13 @@
     VmId issuer;
     std::uint32_t next_wanted = 1;
     Instant used_at{};
+    // Whether the credits were issued for a target that is warming up.
+    bool warming_up = false;
+  };
+  // How credits for a target are issued.
+  struct IssueRule {
+    double per_second = 0;
+    CreditTiming timing;
   };
   struct Peer {
     std::uint32_t unanswered = 0;
@@ -198,14 +226,18 @@
                Account& account);
   void SendRequest(Instant now, const VmId& to, CreditRequest request);
   CreditResponse Issue(Instant now, const CreditRequest& request);
-  bool IsLimited(const TargetIncarnation& target) const;
-  void MergeStatement(Instant now,
-                      const VmId& from,
-                      const TargetIncarnation& target,
-                      const std::optional<LimitStatement>& limit);
+  bool IsLimited(Instant now, const TargetIncarnation& target) const;
+  // None if the target has no limit and is not warming up.
+  std::optional<IssueRule> RuleOf(Instant now,
+                                  const TargetIncarnation& target) const;
+  Duration ValidityOf(Instant now, const TargetIncarnation& target) const;
+  // Records what another member said. `Message`: request or response.
+  template <typename Message>
+  void MergeStatements(Instant now, const Message& message);
 
   const VmId self_;
   const TargetNotices& notices_;
+  const WarmUpLimits& warm_ups_;
   const Handlers handlers_;
   const CreditTiming timing_;
   bool issuing_ = true;
--- a/include/figstall/target_notice_recorder.h
+++ b/include/figstall/target_notice_recorder.h
@@ -10,13 +10,16 @@
 #include "figstall/log.h"
 #include "figstall/metrics.h"
 #include "figstall/target_notices.h"
+#include "figstall/warm_up_limits.h"
 
 namespace figstall {
 
 class TargetNoticeRecorder {
  public:
-  TargetNoticeRecorder(Log& log, Metrics& metrics)
-      : log_(log), metrics_(metrics) {}
+  TargetNoticeRecorder(Log& log,
+                       Metrics& metrics,
+                       std::optional<WarmUpBounds> warm_up_bounds)
+      : log_(log), metrics_(metrics), warm_ups_(warm_up_bounds) {}
 
   // `source`: the kind of request that the target answered.
   void OnAnswer(Instant now,
@@ -31,6 +34,21 @@
                        const TargetIncarnation& target,
                        const RateLimit& limit);
 
+  void OnReportedWarmUp(const VmId& member,
+                        const TargetIncarnation& target,
+                        const WarmUpStatement& warm_up);
+  // What else says that targets warm up; see WarmUpLimits.
+  void OnListed(Instant now, const TargetEntry& entry);
+  void OnServices(Instant now,
+                  const std::map<ServiceId, TargetService>& services);
+  void OnZoneReturned(Instant now,
+                      const ZoneId& zone,
+                      const TargetDirectory& directory);
+  // Ends warm-ups that are over.
+  void Advance(Instant now);
+  void Prune(Instant now, const TargetDirectory& directory);
+
+  const WarmUpLimits& warm_ups() const { return warm_ups_; }
   TargetNotices& notices() { return notices_; }
   const TargetNotices& notices() const { return notices_; }
 
@@ -38,10 +56,12 @@
   void LogChanges(const TargetIncarnation& target,
                   const std::vector<NoticeChange>& changes,
                   std::string_view source);
+  void LogWarmUps(const WarmUpLimits::Changes& changes);
 
   Log& log_;
   Metrics& metrics_;
   TargetNotices notices_;
+  WarmUpLimits warm_ups_;
 };
 
 }  // namespace figstall
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "figstall/entry_settings.h"
 #include "figstall/entry_view.h"
@@ -118,6 +119,14 @@
  private:
   TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
   TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query);
+  // Whether another request would wait at the target for a slot.
+  static bool Queues(Instant now, const Candidate& candidate);
+  // Considers targets that are warming up: those for which a credit is at hand,
+  // otherwise the first one that does not refuse a credit.
+  template <typename Consider>
+  void ConsiderWarmingUp(Instant now,
+                         const std::vector<TargetClient*>& targets,
+                         Consider consider);
   // Whether a target of the service may get the request now, whatever its load.
   // Everything that may change while a request waits for its connection.
   Unavailability CheckTarget(Instant now,
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -245,6 +245,7 @@
         if (view_.routes && state.version <= known)
           return ItemOutcome::kChanged;
         view_.routes = std::make_shared<const RouteIndex>(std::move(state));
+        notices_.OnServices(BootNow(), view_.routes->state().services);
         MarkViewChanged();
         const DesiredState& in_force = view_.routes->state();
         log_.Write(
@@ -305,6 +306,7 @@
           return ItemOutcome::kUnchanged;
         }
         const bool was_absent = absence_.OnEntryPresent(target);
+        notices_.OnListed(BootNow(), entry);
         const bool listed_otherwise = notices_.notices().OnListed(
             BootNow(), entry.incarnation, entry.leaving);
         // An entry may still say ready after the target's answers said that it
@@ -425,6 +427,7 @@
   MaintainSubscription(now);
   RemoveAbsentTargets(now);
   MarkLeavingTargets();
+  notices_.Advance(now);
   RenewMoverLease(now);
   Campaign(now);
   ConfirmTables(now);
--- a/src/entry_control_peers.cc
+++ b/src/entry_control_peers.cc
@@ -28,6 +28,12 @@
       report.push_back({target, notices_.notices().SaidLeaving(target),
                         notices_.notices().StatementOf(now, target)});
   }
+  for (const TargetIncarnation& target : notices_.warm_ups().Reportable(now)) {
+    ReportedNotice notice;
+    notice.target = target;
+    notice.warm_up = notices_.warm_ups().StatementOf(now, target);
+    report.push_back(std::move(notice));
+  }
   return report;
 }
 
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -26,6 +26,10 @@
 // Capacity of a target that takes nearly no requests. It is above zero because
 // loads are compared in proportion to capacities.
 constexpr double kMinLimitedCapacity = 0.01;
+// Capacity of a target that is warming up, as a share of the load that its rate
+// allows. Its keys' requests come unevenly, and those beyond the rate are
+// refused.
+constexpr double kWarmUpCapacityShare = 0.5;
 // Releases that one owner gets at once, each on a connection of its own.
 constexpr std::size_t kMaxReleasesInFlight = 4;
 constexpr Duration kReleaseRetryInterval = std::chrono::milliseconds(200);
@@ -52,11 +56,17 @@
           .count();
   for (const auto& [id, entry] : view_.targets) {
     const RateLimit* limit = notices_.notices().LimitOf(entry.incarnation);
-    if (entry.service != service || !limit || !limit->per_second)
+    if (entry.service != service)
       continue;
-    capacities[id] = std::min(
-        CapacityOf(entry, &capacities),
-        std::max(kMinLimitedCapacity, *limit->per_second * busy_per_request));
+    const auto reduce_to = [&, &target = id, &each = entry](double rate) {
+      capacities[target] =
+          std::min(CapacityOf(each, &capacities),
+                   std::max(kMinLimitedCapacity, rate * busy_per_request));
+    };
+    if (limit && limit->per_second)
+      reduce_to(*limit->per_second);
+    if (const auto rate = notices_.warm_ups().RateOf(now, entry.incarnation))
+      reduce_to(*rate * kWarmUpCapacityShare);
   }
   return capacities;
 }
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -89,8 +89,11 @@
              settings.log.level,
              settings.log.format,
              stdout),
-        notices_(log_, metrics_),
-        credits_(settings.vm, notices_.notices(), MakeCreditHandlers()),
+        notices_(log_, metrics_, settings.warm_up),
+        credits_(settings.vm,
+                 notices_.notices(),
+                 notices_.warm_ups(),
+                 MakeCreditHandlers()),
         traffic_(io_, settings_, view_, notices_, credits_, log_, metrics_),
         control_(io_,
                  settings_,
@@ -158,6 +161,11 @@
                                const figstall::RateLimit& limit) {
       notices_.OnReportedLimit(from, target, limit);
     };
+    handlers.on_warm_up = [this](const figstall::VmId& from,
+                                 const figstall::TargetIncarnation& target,
+                                 const figstall::WarmUpStatement& warm_up) {
+      notices_.OnReportedWarmUp(from, target, warm_up);
+    };
     handlers.on_issuer = [this](const figstall::TargetIncarnation& target,
                                 const figstall::VmId& issuer) {
       log_.Write(LogLevel::kInfo, "credit-issuer",
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -232,7 +232,7 @@
   for (const auto& [id, client] : targets_.clients())
     client->CloseStale(now);
   UpdateProcessingTimes(now);
-  notices_.notices().Prune(now, view_.targets);
+  notices_.Prune(now, view_.targets);
   credits_.Prune(now);
   std::vector<std::shared_ptr<CallerConnection>> callers;
   for (const auto& [key, caller] : callers_)
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -156,7 +156,8 @@
   const Duration waited = now - arrived_at_;
   // What is over a target's limit is refused at once, and so is what would have
   // to wait too long for the end of a pause.
-  if (last_choice_.reason == Unavailability::kRateLimited)
+  if (last_choice_.reason == Unavailability::kRateLimited ||
+      last_choice_.reason == Unavailability::kWarmingUp)
     return false;
   if (last_choice_.available_at &&
       *last_choice_.available_at - arrived_at_ >= waits_.capacity_wait_timeout)
@@ -220,6 +221,11 @@
 bool Exchange::PrepareDelayedSend(TargetRequest& request) {
   const Instant now = BootNow();
   attempt_->withdrawn_for = WhyNotSent(now);
+  const TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
+  if (attempt_->withdrawn_for.empty() && client &&
+      !traffic_.credits_.MaySendDelayed(
+          now, attempt_->target, client->entry().zone, attempt_->credit_until))
+    attempt_->withdrawn_for = ToString(Unavailability::kWarmingUp);
   if (!attempt_->withdrawn_for.empty())
     return false;
   if (SlowToSend(now))
@@ -233,7 +239,8 @@
   const Instant now = BootNow();
   if (!HasTimeLeft(now))
     return Refuse("no-time-left");
-  traffic_.credits_.Consume(now, client->entry().incarnation);
+  const auto credit_until =
+      traffic_.credits_.Consume(now, client->entry().incarnation);
   ++attempts_sent_;
   ++possible_executions_;
   attempt_.emplace();
@@ -241,6 +248,7 @@
   attempt.client = client;
   attempt.target = client->entry().incarnation;
   attempt.address = client->entry().address;
+  attempt.credit_until = credit_until;
   last_target_ = attempt.target.id;
   in_flight_when_sent_ = client->load().in_flight();
   if (keyed_) {
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -77,6 +77,11 @@
   limitPerSecond @4 :Float64;
   # Time since the target said so.
   limitAgeMicros @5 :UInt64;
+  # How much longer the target warms up by what the sender itself learned, and
+  # the requests per second that it tolerates meanwhile. Zero if the sender does
+  # not know that it warms up.
+  warmUpLeftMicros @6 :UInt64;
+  warmUpPerSecond @7 :Float64;
 }
 
 # What the member has seen of moves, as the fencing token of the newest change
--- a/src/peer.capnp.h
+++ b/src/peer.capnp.h
@@ -142,7 +142,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5f8b4a1cf7a1e6a, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b5f8b4a1cf7a1e6a, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -990,6 +990,10 @@
 
   inline  ::uint64_t getLimitAgeMicros() const;
 
+  inline  ::uint64_t getWarmUpLeftMicros() const;
+
+  inline double getWarmUpPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1040,6 +1044,12 @@
   inline  ::uint64_t getLimitAgeMicros();
   inline void setLimitAgeMicros( ::uint64_t value);
 
+  inline  ::uint64_t getWarmUpLeftMicros();
+  inline void setWarmUpLeftMicros( ::uint64_t value);
+
+  inline double getWarmUpPerSecond();
+  inline void setWarmUpPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2955,6 +2965,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TargetNotice::Reader::getWarmUpLeftMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TargetNotice::Builder::getWarmUpLeftMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TargetNotice::Builder::setWarmUpLeftMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline double TargetNotice::Reader::getWarmUpPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double TargetNotice::Builder::getWarmUpPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void TargetNotice::Builder::setWarmUpPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool GrantReport::Reader::hasServices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/peer_datagram.cc
+++ b/src/peer_datagram.cc
@@ -16,6 +16,8 @@
 
 // Older statements are taken for damaged ones.
 constexpr std::uint64_t kMaxLimitAgeMicros = 24ULL * 3600 * 1'000'000;
+// The same for warm-ups that end later.
+constexpr std::uint64_t kMaxWarmUpLeftMicros = kMaxLimitAgeMicros;
 
 // Words of eight bytes of a datagram when it is unpacked, sixteen times its
 // longest packed form.
@@ -59,10 +61,15 @@
 void Write(const TargetIncarnation& target,
            bool leaving,
            const std::optional<LimitStatement>& limit,
+           const std::optional<WarmUpStatement>& warm_up,
            wire::TargetNotice::Builder out) {
   out.setTarget(target.id.value());
   out.setStartedAtMillis(target.started_at_ms);
   out.setLeaving(leaving);
+  if (warm_up) {
+    out.setWarmUpLeftMicros(static_cast<std::uint64_t>(warm_up->left.count()));
+    out.setWarmUpPerSecond(warm_up->per_second);
+  }
   out.setLimitKnown(limit.has_value());
   if (!limit)
     return;
@@ -82,6 +89,16 @@
   return limit;
 }
 
+std::optional<WarmUpStatement> ReadWarmUp(wire::TargetNotice::Reader in) {
+  const std::uint64_t left = in.getWarmUpLeftMicros();
+  const double per_second = in.getWarmUpPerSecond();
+  if (left == 0 || left > kMaxWarmUpLeftMicros || !std::isfinite(per_second) ||
+      per_second <= 0)
+    return std::nullopt;
+  return WarmUpStatement{Duration(static_cast<Duration::rep>(left)),
+                         per_second};
+}
+
 TargetIncarnation ReadTarget(wire::TargetNotice::Reader in) {
   return {TargetId(std::string(in.getTarget())), in.getStartedAtMillis()};
 }
@@ -90,13 +107,14 @@
   out.setFrom(request.from.value());
   out.setSerial(request.serial);
   out.setWanted(request.wanted);
-  Write(request.target, /*leaving=*/false, request.limit, out.initTarget());
+  Write(request.target, /*leaving=*/false, request.limit, request.warm_up,
+        out.initTarget());
 }
 
 CreditRequest Read(wire::CreditRequest::Reader in) {
   return {VmId(std::string(in.getFrom())), in.getSerial(),
-          ReadTarget(in.getTarget()), in.getWanted(),
-          ReadLimit(in.getTarget())};
+          ReadTarget(in.getTarget()),      in.getWanted(),
+          ReadLimit(in.getTarget()),       ReadWarmUp(in.getTarget())};
 }
 
 void Write(const CreditResponse& response, wire::CreditResponse::Builder out) {
@@ -104,13 +122,15 @@
   out.setSerial(response.serial);
   out.setGranted(response.granted);
   out.setBackoffMicros(static_cast<std::uint32_t>(response.backoff.count()));
-  Write(response.target, /*leaving=*/false, response.limit, out.initTarget());
+  Write(response.target, /*leaving=*/false, response.limit, response.warm_up,
+        out.initTarget());
 }
 
 CreditResponse Read(wire::CreditResponse::Reader in) {
   return {VmId(std::string(in.getFrom())), in.getSerial(),
           ReadTarget(in.getTarget()),      in.getGranted(),
-          Duration(in.getBackoffMicros()), ReadLimit(in.getTarget())};
+          Duration(in.getBackoffMicros()), ReadLimit(in.getTarget()),
+          ReadWarmUp(in.getTarget())};
 }
 
 void Write(const LoadReport& report, wire::PeerReport::Builder root) {
@@ -143,7 +163,8 @@
   auto notices = root.initNotices(static_cast<unsigned>(report.notices.size()));
   index = 0;
   for (const ReportedNotice& notice : report.notices) {
-    Write(notice.target, notice.leaving, notice.limit, notices[index++]);
+    Write(notice.target, notice.leaving, notice.limit, notice.warm_up,
+          notices[index++]);
   }
 }
 
@@ -165,8 +186,8 @@
     report.targets[TargetId(std::string(target.getTarget()))] = {
         Duration(target.getWorkMicros()), std::max(0.0F, target.getSamples())};
   for (const auto notice : root.getNotices()) {
-    report.notices.push_back(
-        {ReadTarget(notice), notice.getLeaving(), ReadLimit(notice)});
+    report.notices.push_back({ReadTarget(notice), notice.getLeaving(),
+                              ReadLimit(notice), ReadWarmUp(notice)});
   }
   return report;
 }
--- a/src/send_credits.cc
+++ b/src/send_credits.cc
@@ -56,10 +56,12 @@
 
 SendCredits::SendCredits(VmId self,
                          const TargetNotices& notices,
+                         const WarmUpLimits& warm_ups,
                          Handlers handlers,
                          CreditTiming timing)
     : self_(std::move(self)),
       notices_(notices),
+      warm_ups_(warm_ups),
       handlers_(std::move(handlers)),
       timing_(timing) {}
 
@@ -73,17 +75,49 @@
   });
 }
 
-bool SendCredits::IsLimited(const TargetIncarnation& target) const {
+bool SendCredits::IsLimited(Instant now,
+                            const TargetIncarnation& target) const {
+  if (warm_ups_.IsWarmingUp(now, target))
+    return true;
   const RateLimit* limit = notices_.LimitOf(target);
   return limit && limit->per_second;
 }
 
-void SendCredits::MergeStatement(Instant now,
-                                 const VmId& from,
-                                 const TargetIncarnation& target,
-                                 const std::optional<LimitStatement>& limit) {
-  if (limit && from != self_)
-    handlers_.on_limit(from, target, {limit->per_second, now - limit->age});
+std::optional<SendCredits::IssueRule> SendCredits::RuleOf(
+    Instant now,
+    const TargetIncarnation& target) const {
+  const RateLimit* limit = notices_.LimitOf(target);
+  const WarmUpIssue* warm_up = warm_ups_.IssueOf(now, target);
+  if (!warm_up && (!limit || !limit->per_second))
+    return std::nullopt;
+  IssueRule rule{
+      limit && limit->per_second ? *limit->per_second : warm_up->per_second,
+      timing_};
+  if (warm_up) {
+    rule.per_second = std::min(rule.per_second, warm_up->per_second);
+    rule.timing.validity = warm_up->validity;
+    rule.timing.min_burst = warm_up->burst;
+    rule.timing.burst_seconds = 0;
+  }
+  rule.per_second = std::max(rule.per_second, timing_.min_rate);
+  return rule;
+}
+
+Duration SendCredits::ValidityOf(Instant now,
+                                 const TargetIncarnation& target) const {
+  const WarmUpIssue* warm_up = warm_ups_.IssueOf(now, target);
+  return warm_up ? warm_up->validity : timing_.validity;
+}
+
+template <typename Message>
+void SendCredits::MergeStatements(Instant now, const Message& message) {
+  if (message.from == self_)
+    return;
+  if (message.limit)
+    handlers_.on_limit(message.from, message.target,
+                       {message.limit->per_second, now - message.limit->age});
+  if (message.warm_up)
+    handlers_.on_warm_up(message.from, message.target, *message.warm_up);
 }
 
 const std::vector<VmId>& SendCredits::Ranking(const TargetIncarnation& target,
@@ -138,6 +172,7 @@
     ++peer.unanswered;
   peer.last_sent_at = now;
   request.limit = notices_.StatementOf(now, request.target);
+  request.warm_up = warm_ups_.StatementOf(now, request.target);
   handlers_.send(to, request);
 }
 
@@ -170,20 +205,27 @@
 
 bool SendCredits::HasCredit(Instant now,
                             const TargetIncarnation& target) const {
-  if (!IsLimited(target))
+  if (!IsLimited(now, target))
     return true;
   const auto account = accounts_.find(target);
   return account != accounts_.end() && !account->second.credits.empty() &&
-         account->second.credits.back() > now;
+         account->second.credits.back() > now &&
+         account->second.warming_up == IsWarmingUp(now, target);
 }
 
 CreditState SendCredits::Check(Instant now,
                                const TargetIncarnation& target,
                                const ZoneId& target_zone) {
-  if (!IsLimited(target))
+  if (!IsLimited(now, target))
     return CreditState::kAvailable;
   Account& account = accounts_[target];
   account.used_at = now;
+  // A credit for a limit lasts longer than one for a warm-up may.
+  if (account.warming_up != IsWarmingUp(now, target)) {
+    account = Account{};
+    account.used_at = now;
+    account.warming_up = !account.warming_up;
+  }
   const auto has_credit = [&] {
     while (!account.credits.empty() && account.credits.front() <= now) {
       account.next_wanted = 1;
@@ -199,7 +241,7 @@
       now - *account.last_sent_at >= timing_.resend_interval)
     Request(now, target, target_zone, account);
   // This member may be the issuer, or have learned that the limit has ended.
-  if (has_credit() || !IsLimited(target))
+  if (has_credit() || !IsLimited(now, target))
     return CreditState::kAvailable;
   return now < account.refused_until ? CreditState::kRefused
                                      : CreditState::kPending;
@@ -210,7 +252,7 @@
                           const ZoneId& target_zone,
                           Account& account) {
   if (!account.requested_at ||
-      now - *account.requested_at >= timing_.validity) {
+      now - *account.requested_at >= ValidityOf(now, target)) {
     account.serial = ++last_serial_;
     account.wanted = account.next_wanted;
     account.requested_at = now;
@@ -235,19 +277,34 @@
   return account == accounts_.end() ? Instant{} : account->second.refused_until;
 }
 
-void SendCredits::Consume(Instant now, const TargetIncarnation& target) {
+std::optional<Instant> SendCredits::Consume(Instant now,
+                                            const TargetIncarnation& target) {
   const auto account = accounts_.find(target);
   if (account == accounts_.end() || account->second.credits.empty())
-    return;
+    return std::nullopt;
+  const Instant expiry = account->second.credits.front();
   account->second.credits.pop_front();
   if (!account->second.credits.empty())
-    return;
+    return expiry;
   // More are requested at once only if all were used quickly; a credit that
   // expires unused is lost to the other members.
   const bool quickly = now - *account->second.last_sent_at < timing_.quick_use;
   account->second.next_wanted =
       quickly ? std::min(2 * account->second.next_wanted, timing_.max_wanted)
               : 1;
+  return expiry;
+}
+
+bool SendCredits::MaySendDelayed(Instant now,
+                                 const TargetIncarnation& target,
+                                 const ZoneId& target_zone,
+                                 std::optional<Instant>& credit_until) {
+  if (!IsWarmingUp(now, target) || (credit_until && now < *credit_until))
+    return true;
+  if (Check(now, target, target_zone) != CreditState::kAvailable)
+    return false;
+  credit_until = Consume(now, target);
+  return true;
 }
 
 CreditResponse SendCredits::Issue(Instant now, const CreditRequest& request) {
@@ -256,22 +313,23 @@
   response.serial = request.serial;
   response.target = request.target;
   response.limit = notices_.StatementOf(now, request.target);
-  if (!response.limit || !response.limit->per_second) {
+  response.warm_up = warm_ups_.StatementOf(now, request.target);
+  const auto rule = RuleOf(now, request.target);
+  if (!rule) {
     response.granted = request.wanted;
     return response;
   }
-  const double rate = std::max(*response.limit->per_second, timing_.min_rate);
   CreditBucket& bucket = buckets_[request.target];
-  response.granted = bucket.Take(now, rate, request, timing_);
+  response.granted = bucket.Take(now, rule->per_second, request, rule->timing);
   if (response.granted == 0)
-    response.backoff = bucket.Backoff(rate, timing_);
+    response.backoff = bucket.Backoff(rule->per_second, rule->timing);
   return response;
 }
 
 CreditResponse SendCredits::OnRequest(Instant now,
                                       const CreditRequest& request,
                                       const ZoneId& target_zone) {
-  MergeStatement(now, request.from, request.target, request.limit);
+  MergeStatements(now, request);
   CreditResponse response;
   response.from = self_;
   response.serial = request.serial;
@@ -296,14 +354,15 @@
   const auto peer = peers_.find(response.from);
   if (peer != peers_.end())
     peer->second.unanswered = 0;
-  MergeStatement(now, response.from, response.target, response.limit);
+  MergeStatements(now, response);
   const auto account = accounts_.find(response.target);
   if (account == accounts_.end())
     return;
   if (!account->second.requested_at ||
       account->second.serial != response.serial)
     return;
-  const Instant expiry = *account->second.requested_at + timing_.validity;
+  const Instant expiry =
+      *account->second.requested_at + ValidityOf(now, response.target);
   account->second.requested_at.reset();
   if (expiry <= now)
     return;
@@ -323,9 +382,10 @@
     return now - each.second.used_at > kRetention;
   });
   std::erase_if(buckets_,
-                [&](const auto& each) { return !IsLimited(each.first); });
-  std::erase_if(rankings_,
-                [&](const auto& each) { return !IsLimited(each.first.first); });
+                [&](const auto& each) { return !IsLimited(now, each.first); });
+  std::erase_if(rankings_, [&](const auto& each) {
+    return !IsLimited(now, each.first.first);
+  });
 }
 
 }  // namespace figstall
--- a/src/target_notice_recorder.cc
+++ b/src/target_notice_recorder.cc
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include "figstall/clock.h"
+
 namespace figstall {
 
 void TargetNoticeRecorder::OnAnswer(Instant now,
@@ -10,6 +12,8 @@
                                     const TargetNotice& notice,
                                     std::string_view source) {
   LogChanges(target, notices_.OnAnswer(now, target, notice), source);
+  if (notice.warm_up_left)
+    LogWarmUps(warm_ups_.OnAnswer(now, target, *notice.warm_up_left, source));
 }
 
 void TargetNoticeRecorder::OnReport(Instant now,
@@ -21,6 +25,41 @@
   if (notice.limit)
     OnReportedLimit(member, notice.target,
                     {notice.limit->per_second, now - notice.limit->age});
+  if (notice.warm_up)
+    LogWarmUps(
+        warm_ups_.OnReported(now, member, notice.target, *notice.warm_up));
+}
+
+void TargetNoticeRecorder::OnReportedWarmUp(const VmId& member,
+                                            const TargetIncarnation& target,
+                                            const WarmUpStatement& warm_up) {
+  LogWarmUps(warm_ups_.OnReported(BootNow(), member, target, warm_up));
+}
+
+void TargetNoticeRecorder::OnListed(Instant now, const TargetEntry& entry) {
+  LogWarmUps(warm_ups_.OnListed(now, entry));
+}
+
+void TargetNoticeRecorder::OnServices(
+    Instant now,
+    const std::map<ServiceId, TargetService>& services) {
+  LogWarmUps(warm_ups_.OnServices(now, services));
+}
+
+void TargetNoticeRecorder::OnZoneReturned(Instant now,
+                                          const ZoneId& zone,
+                                          const TargetDirectory& directory) {
+  LogWarmUps(warm_ups_.OnZoneReturned(now, zone, directory));
+}
+
+void TargetNoticeRecorder::Advance(Instant now) {
+  LogWarmUps(warm_ups_.Advance(now));
+}
+
+void TargetNoticeRecorder::Prune(Instant now,
+                                 const TargetDirectory& directory) {
+  notices_.Prune(now, directory);
+  warm_ups_.Prune(now, directory);
 }
 
 void TargetNoticeRecorder::OnReportedLimit(const VmId& member,
@@ -48,4 +87,20 @@
   }
 }
 
+void TargetNoticeRecorder::LogWarmUps(const WarmUpLimits::Changes& changes) {
+  for (const WarmUpChange& change : changes) {
+    ++metrics_.Counter("figstall_warm_ups_total", change.started
+                                                      ? "event=\"started\""
+                                                      : "event=\"ended\"");
+    log_.Write(LogLevel::kInfo,
+               change.started ? "warm-up-started" : "warm-up-ended",
+               {{"target", change.target.id.value()},
+                {"born", std::to_string(change.target.started_at_ms)},
+                {change.started ? "left_ms" : "lasted_ms",
+                 std::to_string(ToMillis(change.duration))},
+                {"per_second", fmt::format("{:.3f}", change.per_second)},
+                {"source", change.source}});
+  }
+}
+
 }  // namespace figstall
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -16,6 +16,8 @@
 // uses only this fraction of it, since it may have learned late that the owner
 // is leaving.
 constexpr double kLeavingOwnerShare = 0.5;
+// About the time for which a credit for a target that warms up is valid.
+constexpr Duration kWarmUpRequestInterval = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -158,7 +160,10 @@
     case CreditState::kPending:
       return {nullptr, Unavailability::kAwaitingCredit, {}};
     case CreditState::kRefused:
-      return {nullptr, Unavailability::kRateLimited,
+      return {nullptr,
+              credits_.IsWarmingUp(now, entry.incarnation)
+                  ? Unavailability::kWarmingUp
+                  : Unavailability::kRateLimited,
               credits_.RefusedUntil(entry.incarnation)};
   }
   return {&client, Unavailability::kNone, {}};
@@ -179,6 +184,34 @@
   return CheckNotices(now, query, *client);
 }
 
+bool TargetSelector::Queues(Instant now, const Candidate& candidate) {
+  return candidate.load->QueueingFactor(now, candidate.entry->slots,
+                                        candidate.sharing_routers) > 1;
+}
+
+template <typename Consider>
+void TargetSelector::ConsiderWarmingUp(
+    Instant now,
+    const std::vector<TargetClient*>& targets,
+    Consider consider) {
+  bool found = false;
+  for (TargetClient* client : targets) {
+    if (credits_.HasCredit(now, client->entry().incarnation))
+      found = consider(*client) == Unavailability::kNone || found;
+  }
+  // Credits are requested for one target at a time, since those that are not
+  // used expire, and for the same one for a while.
+  const auto turn = static_cast<std::size_t>(now.time_since_epoch() /
+                                             kWarmUpRequestInterval) +
+                    std::hash<std::string>()(settings_.vm.value());
+  for (std::size_t i = 0; i < targets.size() && !found; ++i) {
+    const Unavailability reason =
+        consider(*targets[(turn + i) % targets.size()]);
+    found = reason == Unavailability::kNone ||
+            reason == Unavailability::kAwaitingCredit;
+  }
+}
+
 TargetChoice TargetSelector::ChooseUnkeyed(Instant now,
                                            const TargetQuery& query) {
   std::vector<Candidate> candidates;
@@ -195,6 +228,7 @@
                checked.available_at < first_available.available_at) {
       first_available = checked;
     }
+    return checked.reason;
   };
   const auto pick = [&] {
     return PickTarget(candidates,
@@ -202,6 +236,8 @@
                                        query.latency_objective},
                       now);
   };
+  std::vector<TargetClient*> warming_up;
+  std::vector<TargetClient*> warming_up_elsewhere;
   // Credits of a target in another zone are left to the members there unless no
   // other target may get the request.
   std::vector<TargetClient*> limited_elsewhere;
@@ -210,8 +246,11 @@
     if (entry.service != query.service || query.tried_targets.contains(id) ||
         notices_.LeavingSince(entry.incarnation))
       continue;
-    if (entry.zone == settings_.zone ||
-        credits_.HasCredit(now, entry.incarnation))
+    if (credits_.IsWarmingUp(now, entry.incarnation))
+      (entry.zone == settings_.zone ? warming_up : warming_up_elsewhere)
+          .push_back(client.get());
+    else if (entry.zone == settings_.zone ||
+             credits_.HasCredit(now, entry.incarnation))
       consider(*client);
     else
       limited_elsewhere.push_back(client.get());
@@ -222,6 +261,15 @@
       consider(*client);
     best = pick();
   }
+  // Targets that warm up take what would wait for a slot at all others.
+  if (!warming_up.empty() && (!best || Queues(now, *best))) {
+    ConsiderWarmingUp(now, warming_up, consider);
+    best = pick();
+  }
+  if (!best && !warming_up_elsewhere.empty()) {
+    ConsiderWarmingUp(now, warming_up_elsewhere, consider);
+    best = pick();
+  }
   if (best)
     return {Find(best->entry->incarnation.id), Unavailability::kNone, {}};
   if (!candidates.empty())
@@ -238,10 +286,15 @@
     return "this process stood still and reads first what arrived meanwhile";
   const char* limited_text =
       "limits its requests, and this router has no credit for another one";
+  const char* warming_up_text =
+      "is warming up, and this router has no credit for another request";
   if (!query.key) {
     if (choice.reason == Unavailability::kRateLimited)
       return fmt::format("each target of {} {}", query.service.value(),
                          limited_text);
+    if (choice.reason == Unavailability::kWarmingUp)
+      return fmt::format("each target of {} {}", query.service.value(),
+                         warming_up_text);
     if (choice.reason == Unavailability::kPaused)
       return fmt::format("all targets of {} want no requests for {} ms",
                          query.service.value(), pause_ms);
@@ -267,6 +320,9 @@
     return fmt::format(
         "a connection to owner {} takes long to open, fencing token {}", owner,
         entry->fence);
+  if (choice.reason == Unavailability::kWarmingUp)
+    return fmt::format("owner {} {}, fencing token {}", owner, warming_up_text,
+                       entry->fence);
   if (choice.reason == Unavailability::kRateLimited ||
       choice.reason == Unavailability::kAwaitingCredit)
     return fmt::format("owner {} {}, fencing token {}", owner, limited_text,
--- a/test/send_credits_test.cc
+++ b/test/send_credits_test.cc
@@ -93,6 +93,7 @@
     VmId vm;
     ZoneId zone;
     TargetNotices notices;
+    WarmUpLimits warm_ups;
     std::unique_ptr<SendCredits> credits;
     double weight = 1;
     bool alive = true;
@@ -131,8 +132,8 @@
       members_[index]->notices.OnReportedLimit(target, limit);
     };
     handlers.on_issuer = [](const auto&...) {};
-    member->credits = std::make_unique<SendCredits>(member->vm, member->notices,
-                                                    std::move(handlers));
+    member->credits = std::make_unique<SendCredits>(
+        member->vm, member->notices, member->warm_ups, std::move(handlers));
     members_.push_back(std::move(member));
     return index;
   }
@@ -411,6 +412,7 @@
 
 TEST_CASE("a credit expires, counted from its request") {
   TargetNotices notices;
+  const WarmUpLimits warm_ups;
   notices.OnReportedLimit(kTarget, {4.0, Instant{}});
   std::vector<CreditRequest> requests;
   SendCredits::Handlers handlers;
@@ -419,7 +421,7 @@
   };
   handlers.on_limit = [](const auto&...) {};
   handlers.on_issuer = [](const auto&...) {};
-  SendCredits credits(VmId("m-1"), notices, handlers);
+  SendCredits credits(VmId("m-1"), notices, warm_ups, handlers);
   credits.SetMembers({{VmId("m-0"), kTargetZone}});
   const Instant sent_at = Instant{} + seconds(1);
   CHECK(credits.Check(sent_at, kTarget, kTargetZone) == CreditState::kPending);
@@ -442,6 +444,7 @@
 // of a lost response are lost with it.
 TEST_CASE("a repeated request is granted the credits of a lost response") {
   TargetNotices notices;
+  const WarmUpLimits warm_ups;
   notices.OnReportedLimit(kTarget, {0.5, Instant{}});
   std::vector<CreditMessage> sent;
   SendCredits::Handlers handlers;
@@ -452,9 +455,9 @@
   handlers.on_issuer = [](const auto&...) {};
   const std::map<VmId, ZoneId> members = {{VmId("m-0"), kTargetZone},
                                           {VmId("m-1"), ZoneId("zone-1")}};
-  SendCredits issuer(VmId("m-0"), notices, handlers);
+  SendCredits issuer(VmId("m-0"), notices, warm_ups, handlers);
   issuer.SetMembers(members);
-  SendCredits member(VmId("m-1"), notices, handlers);
+  SendCredits member(VmId("m-1"), notices, warm_ups, handlers);
   member.SetMembers(members);
   const auto issue = [&](Instant now) {
     return issuer.OnRequest(now, std::get<CreditRequest>(sent.back()),
@@ -489,6 +492,7 @@
 
 TEST_CASE("a statement that a limit has ended reaches those who ask") {
   TargetNotices notices;
+  const WarmUpLimits warm_ups;
   notices.OnReportedLimit(kTarget, {4.0, Instant{}});
   std::vector<CreditMessage> sent;
   SendCredits::Handlers handlers;
@@ -500,7 +504,7 @@
     notices.OnReportedLimit(target, limit);
   };
   handlers.on_issuer = [](const auto&...) {};
-  SendCredits credits(VmId("m-1"), notices, handlers);
+  SendCredits credits(VmId("m-1"), notices, warm_ups, handlers);
   credits.SetMembers({{VmId("m-0"), kTargetZone}});
   const Instant now = Instant{} + seconds(9);
   CHECK(credits.Check(now, kTarget, kTargetZone) == CreditState::kPending);
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -51,7 +51,8 @@
   EntrySettings settings;
   EntryView view;
   TargetNotices notices;
-  SendCredits credits{VmId("self"), notices, {}};
+  WarmUpLimits warm_ups;
+  SendCredits credits{VmId("self"), notices, warm_ups, {}};
   TargetSelector selector{io, settings, view, notices, credits};
 };
 
