--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -263,6 +263,7 @@
         if (view_.routes && state.version <= known)
           return ItemOutcome::kChanged;
         view_.routes = std::make_shared<const RouteIndex>(std::move(state));
+        notices_.OnServices(BootNow(), view_.routes->state().services);
         MarkViewChanged();
         const DesiredState& in_force = view_.routes->state();
         LogAllowedRegions(in_force);
@@ -374,6 +375,7 @@
                                      Instant known_since,
                                      const char* source) {
   view_.evacuations = evacuations_->in_force();
+  notices_.OnZoneReturned(now, zone, view_.targets);
   MarkViewChanged();
   const auto max_age = evacuations_->MaxAge(now);
   log_.Write(
@@ -431,6 +433,7 @@
           return ItemOutcome::kUnchanged;
         }
         const bool was_absent = absence_.OnEntryPresent(target);
+        notices_.OnListed(BootNow(), entry);
         const bool listed_otherwise = notices_.notices().OnListed(
             BootNow(), entry.incarnation, entry.leaving);
         // An entry may still say ready after the target's answers said that it
@@ -552,6 +555,7 @@
   RemoveAbsentTargets(now);
   UpdateEvacuations(now);
   MarkLeavingTargets();
+  notices_.Advance(now);
   RenewMoverLease(now);
   Campaign(now);
   ConfirmTables(now);
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -189,6 +189,7 @@
   // What is over a target's limit is refused at once, and so is what would have
   // to wait too long for the end of a pause.
   if (last_choice_.reason == Unavailability::kRateLimited ||
+      last_choice_.reason == Unavailability::kWarmingUp ||
       last_choice_.reason == Unavailability::kOutsideRegions)
     return false;
   // Its owner has not been replaced in time, or no zone is left.
@@ -256,6 +257,11 @@
 bool Exchange::PrepareDelayedSend(TargetRequest& request) {
   const Instant now = BootNow();
   attempt_->withdrawn_for = WhyNotSent(now);
+  const TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
+  if (attempt_->withdrawn_for.empty() && client &&
+      !traffic_.credits_.MaySendDelayed(
+          now, attempt_->target, client->entry().zone, attempt_->credit_until))
+    attempt_->withdrawn_for = ToString(Unavailability::kWarmingUp);
   if (!attempt_->withdrawn_for.empty())
     return false;
   if (SlowToSend(now))
@@ -272,7 +278,8 @@
   const Instant now = BootNow();
   if (!HasTimeLeft(now))
     return Refuse("no-time-left");
-  traffic_.credits_.Consume(now, client->entry().incarnation);
+  const auto credit_until =
+      traffic_.credits_.Consume(now, client->entry().incarnation);
   ++attempts_sent_;
   ++possible_executions_;
   attempt_.emplace();
@@ -280,6 +287,7 @@
   attempt.client = client;
   attempt.target = client->entry().incarnation;
   attempt.address = client->entry().address;
+  attempt.credit_until = credit_until;
   last_target_ = attempt.target.id;
   in_flight_when_sent_ = client->load().in_flight();
   if (keyed_) {
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -55,7 +55,8 @@
   EntrySettings settings;
   EntryView view;
   TargetNotices notices;
-  SendCredits credits{VmId("self"), notices, {}};
+  WarmUpLimits warm_ups;
+  SendCredits credits{VmId("self"), notices, warm_ups, {}};
   RegionLinks region_links;
   TargetSelector selector{io, settings, view, notices, credits, region_links};
 };
