--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -271,7 +271,7 @@
     const TargetChoice checked = CheckNotices(now, query, client);
     // It is no candidate at any time, so there is no waiting for it.
     if (checked.reason == Unavailability::kOutsideRegions)
-      return;
+      return checked.reason;
     const TargetEntry& entry = client.entry();
     if (checked.client) {
       candidates.push_back({&entry, &client.load(), DistanceTo(entry.zone),
