--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -44,6 +44,10 @@
   // Starts to accept callers. Throws boost::system::system_error if it cannot
   // listen on the address.
   void Listen();
+  // Where callers connect. The system chose the port if the settings state 0.
+  boost::asio::ip::tcp::endpoint callers_endpoint() const {
+    return acceptor_.local_endpoint();
+  }
   // Applies a changed view; EntryControl calls this after each change.
   void OnViewChanged();
   // From now on connections are closed after their current response, and a
--- a/src/region_rules.cc
+++ b/src/region_rules.cc
@@ -38,7 +38,8 @@
       unknown.push_back({&route, nullptr, region});
     });
   }
-  for (const auto& [id, account] : state.accounts) {
+  for (const auto& item : state.accounts) {
+    const ClientAccount& account = item.second;
     ForEachUnknown(account.allowed_regions, known, [&](const RegionId& region) {
       unknown.push_back({nullptr, &account, region});
     });
