Take no response with a status outside 200 to 599

Cause: the parser takes any three digits, and a target's status 000, 001, 099, 600, 777 or 999 was forwarded to the caller on all kinds of routes.

Change: TargetConnection, where the head of a response is taken in, fails such a response like any malformed one: another attempt if the request may be repeated, else 502. Not-Executed beside such a status counts for nothing. The body of a 205 is dropped, and a connection on which a body may follow a 204 or 304 is not used again.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -35,7 +35,7 @@
   // Forwarded while it is received. CallerSession marks its end so that the
   // caller detects a truncated one.
   kStream,
-  // Discarded.
+  // Discarded. The response, if it is passed on, has no body.
   kDrop,
 };
 
--- a/include/figstall/http_message.h
+++ b/include/figstall/http_message.h
@@ -14,6 +14,14 @@
 using HttpFields = boost::beast::http::fields;
 using ResponseHead = boost::beast::http::response_header<>;
 
+// Whether HTTP defines this status for a final response. The parser takes any
+// three digits.
+inline bool IsFinalStatus(unsigned status) {
+  constexpr unsigned kMin = 200;
+  constexpr unsigned kMax = 599;
+  return kMin <= status && status <= kMax;
+}
+
 inline std::string_view View(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -47,7 +47,9 @@
 }
 
 BodyHandling BodyHandlingFor(const ResponseHead& head, std::size_t bytes) {
-  if (head.count(platform::kNotRunHeader) > 0)
+  // A caller may take the body of a 205, which has none, for the next response.
+  if (head.count(platform::kNotRunHeader) > 0 ||
+      head.result() == http::status::reset_content)
     return BodyHandling::kDrop;
   return bytes <= kMaxBufferedBytes ? BodyHandling::kBuffer
                                     : BodyHandling::kStream;
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -2,6 +2,7 @@
 // all connections.
 #include "figstall/http_channel.h"
 
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -260,6 +261,8 @@
   const ChannelRequest& call = calls_.front().call;
   const int status = static_cast<int>(message->result_int());
   const bool interim = status / 100 == 1;
+  if (!interim && !IsFinalStatus(message->result_int()))
+    return Fail(fmt::format("status {:03} is none of HTTP", status));
   if (interim || (call.is_response && !call.is_response(status, *message))) {
     if (!interim) {
       saw_other_response_ = true;
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -3,6 +3,8 @@
 // the target closes it.
 #include "figstall/target_connection.h"
 
+#include <fmt/format.h>
+
 #include <boost/asio/write.hpp>
 #include <charconv>
 
@@ -49,6 +51,19 @@
   return std::chrono::seconds(seconds);
 }
 
+// Whether a body may follow a response that has none by its status, and which
+// the parser does not read.
+template <typename Response>
+bool AnnouncesSkippedBody(const Response& response) {
+  const auto status = response.result();
+  // The length in a 304 is that of the response which it stands for.
+  return (status == http::status::no_content && response.has_content_length() &&
+          response[http::field::content_length] != "0") ||
+         ((status == http::status::no_content ||
+           status == http::status::not_modified) &&
+          response.chunked());
+}
+
 }  // namespace
 
 TargetConnection::TargetConnection(boost::asio::io_context& io,
@@ -172,6 +187,10 @@
   discarding_ = head.result_int() / 100 == 1;
   if (discarding_)
     return;
+  // The parser takes any three digits. What else the response says, such as
+  // that the request was not run, is not relied on.
+  if (!IsFinalStatus(head.result_int()))
+    return Fail(fmt::format("status {:03} is none of HTTP", head.result_int()));
   const auto observer = observer_.on_head;
   discarding_ = !observer(head);
   saw_mismatched_response_ = saw_mismatched_response_ || discarding_;
@@ -256,7 +275,7 @@
   // if the target responded before it was sent the whole request.
   const bool reusable = request_written_ && !saw_mismatched_response_ &&
                         response.keep_alive() && buffer_.size() == 0 &&
-                        !parser_->need_eof();
+                        !parser_->need_eof() && !AnnouncesSkippedBody(response);
   const Duration idle_timeout = KeepAliveTimeout(
       std::string_view(response[http::field::keep_alive].data(),
                        response[http::field::keep_alive].size()));
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -402,6 +402,19 @@
   CHECK(bodies == std::vector<std::string>{"0", "1"});
 }
 
+// Guards against a status that HTTP does not have, which says nothing of what
+// the store or a target did.
+TEST_CASE("a status outside 200 to 599 is the response to no call") {
+  const std::string status = GENERATE("000 X", "099 X", "777 X");
+  ChannelFixture fixture(
+      [&](const ReceivedRequest&) { return ResponseText("body", "", status); });
+  std::vector<std::string> outcomes;
+  fixture.Call(outcomes);
+  fixture.Grant(outcomes);
+  fixture.RunUntilCount(outcomes, 2);
+  CHECK(outcomes == std::vector<std::string>{"none", "unknown"});
+}
+
 // Guards against OWNER (review/4): the late second answer to a grant was taken
 // for the answer to a release, and the range moved while its owner worked.
 TEST_CASE("a late second answer to a grant is no answer to a release") {
