--- a/src/evacuation.cc
+++ b/src/evacuation.cc
@@ -1,6 +1,7 @@
-// The time for which owners may get requests counts from when this process's
-// copy of the store last certainly lacked the evacuation, so that a process
-// which was disconnected, or has just started, sends nothing too late.
+// The time for which owners may get requests is bounded from when this process
+// learned of the evacuation, and from when its copy of the store last certainly
+// lacked it, so that a process which was disconnected, or has just started,
+// sends nothing too late.
 #include "figstall/evacuation.h"
 
 #include <algorithm>
@@ -8,9 +9,12 @@
 namespace figstall {
 namespace {
 
-// Share of the limit in which owners get requests. The rest covers the time for
-// which a request is on its way, and the confirmation of the copy.
-constexpr double kOwnerShare = 0.5;
+// Shares of the limit in which owners get requests: from when this process
+// learned of the evacuation, and from the earliest time at which the store may
+// have acknowledged it. The rest covers the time for which a request is on its
+// way, up to a second on a link with full queues.
+constexpr double kOwnerShareSinceKnown = 0.5;
+constexpr double kOwnerShareSinceWritten = 0.75;
 
 }  // namespace
 
@@ -30,7 +34,9 @@
     return false;
   const Instant owners_until =
       confirmed_at_
-          ? std::min(now, *confirmed_at_) + Scaled(timing_.limit, kOwnerShare)
+          ? std::min(
+                now + Scaled(timing_.limit, kOwnerShareSinceKnown),
+                *confirmed_at_ + Scaled(timing_.limit, kOwnerShareSinceWritten))
           : now;
   in_force_[zone] = {now, owners_until};
   return true;
--- a/support/entry_fleet.py
+++ b/support/entry_fleet.py
@@ -75,7 +75,7 @@
 class Entry:
     """A figstall-entry process that can receive signals and be restarted."""
 
-    def __init__(self, directory, name, zone, regions, store):
+    def __init__(self, directory, name, zone, regions, store, settings):
         callers, ready, metrics, peers = free_ports(4)
         self.name = name
         self.store = store
@@ -89,7 +89,7 @@
                        "metrics": address(metrics), "peers": address(peers)},
             "store": store, "regions": regions,
             "log": {"level": "info", "format": "json"},
-            "stop_grace_s": STOP_GRACE_S}))
+            "stop_grace_s": STOP_GRACE_S, **settings}))
         self.process = None
 
     def start(self, first_start=True):
@@ -156,14 +156,14 @@
     """The entries of several zones, and the emulator that provides their store,
     targets and callers."""
 
-    def __init__(self, zones, entries):
+    def __init__(self, zones, entries, settings=None):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="figstall-"))
         self.zones = zones
         # The store has an address of its own for each entry, so that it can
         # reject single ones.
         self.entries = [
             Entry(self.directory, f"{zone}-e{i + 1}", zone, zones,
-                  address(free_ports(1)[0]))
+                  address(free_ports(1)[0]), settings or {})
             for zone in zones for i in range(entries)]
         self.plot_path = self.directory / "plot.svg"
         self.emulator = None
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -219,6 +219,65 @@
     assert events.count("ranges-continued") >= 2, events
 
 
+EVACUATE_S = 5
+
+
+# Returns the fleet and the report of a run in which zones are evacuated, and
+# checks that they get nothing after half of the limit.
+def run_evacuations(faults, actions=(), length_s=12):
+    fleet = EntryFleet(ZONES, 2, {"evacuation": {"limit_s": EVACUATE_S}})
+    report, status = fleet.run(
+        small_scenario(fleet, length_s=length_s, faults=faults), actions)
+    assert report["violations"] == [] and status == 0, report["violations"]
+    latest_ms = report["latest_evacuated_arrival_ms"]
+    assert latest_ms <= EVACUATE_S * 1000 / 2, latest_ms
+    return fleet, report
+
+
+# Guards against EVACUATE: requests to an evacuated zone, also of an entry that
+# starts meanwhile, and against a zone that stays unused after the end.
+def an_evacuated_zone_gets_nothing():
+    fleet, report = run_evacuations(
+        [{"at_s": 1, "kind": "zone-evacuated", "zone": "nowhere", "for_s": 1},
+         {"at_s": 2, "kind": "zone-evacuated", "zone": "south-a", "for_s": 6}],
+        [restart_entry(LEAD_S + 4, 0)])
+    assert served_fraction(report) > 0.85, report["routes"]
+    assert report["owner_changes"] > 0
+    for index, entry in enumerate(fleet.entries):
+        lines = entry.log()
+        started = [line for line in lines
+                   if line["event"] == "evacuation-started" and
+                   line["zone"] == "south-a"]
+        assert len(started) == (2 if index == 0 else 1), started
+        assert started[0]["source"] in ("watch", "relay"), started
+        if index == 0:
+            # It can't tell how long ago the evacuation was written.
+            assert started[1]["source"] == "read", started
+            assert started[1]["owners_ms"] == "0", started
+        ended = [line for line in lines if line["event"] == "evacuation-ended"
+                 and line["zone"] == "south-a"]
+        assert len(ended) == 1, ended
+        unknown = [line["zone"] for line in lines
+                   if line["event"] == "evacuation-of-unknown-zone"]
+        assert unknown == ["nowhere"], unknown
+
+
+# Guards against EVACUATE: requests to a zone whose evacuation is missing from
+# the copy that the store came back from, until the operator writes it again.
+def an_evacuation_outlasts_a_restored_store():
+    fleet, report = run_evacuations(
+        [{"at_s": 2, "kind": "zone-evacuated", "zone": "south-a", "for_s": 9},
+         {"at_s": 5, "kind": "store-restored", "for_s": 1, "value": 6}],
+        length_s=13)
+    assert served_fraction(report) > 0.8, report["routes"]
+    for entry in fleet.entries:
+        sources = [line["source"] for line in entry.log()
+                   if line["event"] in ("evacuation-started",
+                                        "evacuation-ended")]
+        assert len(sources) == 2, sources
+        assert sources[1] in ("watch", "relay"), sources
+
+
 # Guards against OWNER: the mover grants the ranges of a zone whose entries are
 # all gone, and gave them on while their owner still worked.
 def a_zone_without_entries_keeps_one_owner_for_each_key():
@@ -1307,6 +1366,8 @@
          a_dropped_history_is_read_anew,
          a_restored_store_is_followed_in_its_new_era,
          a_zone_without_entries_keeps_one_owner_for_each_key,
+         an_evacuated_zone_gets_nothing,
+         an_evacuation_outlasts_a_restored_store,
          a_rejected_entry_grants_nothing_to_the_next_incarnation,
          a_mover_whose_keys_are_taken_early_is_waited_for,
          an_entry_that_hears_that_its_key_is_gone_stops_granting,
--- a/test/fakes/emulator_report.h
+++ b/test/fakes/emulator_report.h
@@ -43,6 +43,9 @@
   // Highest number of requests in 4 s at a target with a limit, as a share of
   // what the limit allows.
   double highest_limit_use = 0;
+  // Longest time from the store's acknowledgement of an evacuation to a request
+  // that reached a target of the zone before its end; 0 without any.
+  Duration latest_evacuated_arrival{0};
 };
 
 }  // namespace figstall::detail
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -41,6 +41,8 @@
   double value = 0;
   // Of target-stopped: whether the target's entry stays in the store.
   bool keeps_entry = false;
+  // Of zone-evacuated.
+  std::string zone;
   // Index into Scenario::entries, for faults of an entry.
   std::size_t entry = 0;
   // Of desired-state: the limits that change, the timeout of all routes, the
--- a/test/fakes/notice_checker.cc
+++ b/test/fakes/notice_checker.cc
@@ -25,12 +25,14 @@
 }
 
 void NoticeChecker::OnArrival(const std::string& target_id,
+                              const std::string& zone,
                               const std::string& request_id,
                               Instant now) {
   const auto found = requests_.find(request_id);
   if (found == requests_.end())
     return;
   const SentRequest& request = found->second;
+  CheckEvacuation(target_id, zone, request_id, request.entry, now);
   Target& target = targets_[target_id];
   const auto leaving = target.told_leaving.find(request.entry);
   if (leaving != target.told_leaving.end() &&
@@ -65,6 +67,23 @@
   }
 }
 
+void NoticeChecker::CheckEvacuation(const std::string& target_id,
+                                    const std::string& zone,
+                                    const std::string& request_id,
+                                    std::size_t entry,
+                                    Instant now) {
+  const auto evacuated = evacuated_at_.find(zone);
+  if (evacuated == evacuated_at_.end() || disturbed_entries_.contains(entry))
+    return;
+  const Duration age = now - evacuated->second;
+  latest_evacuated_arrival_ = std::max(latest_evacuated_arrival_, age);
+  if (age > bounds_.evacuation)
+    violations_.push_back(
+        fmt::format("request {} from entry {} reached {} {} ms after the store "
+                    "acknowledged the evacuation of {}",
+                    request_id, entry, target_id, ToMillis(age), zone));
+}
+
 void NoticeChecker::CheckLimit(const std::string& id,
                                Target& target,
                                Instant now) {
--- a/test/fakes/notice_checker.h
+++ b/test/fakes/notice_checker.h
@@ -32,6 +32,9 @@
   Duration drain = std::chrono::seconds(2);
   // A limit applies from this time after the target first named it.
   Duration stability = std::chrono::seconds(3);
+  // No request may reach a target later than this after the store acknowledged
+  // that its zone is evacuated.
+  Duration evacuation = std::chrono::seconds(5);
 };
 
 class NoticeChecker {
@@ -48,11 +51,18 @@
   void OnListedLeaving(const std::string& target, Instant now) {
     targets_[target].listed_leaving_at = now;
   }
+  // The store acknowledged the evacuation of the zone, or its end. An entry
+  // that is disturbed in this run is not bound.
+  void OnEvacuated(const std::string& zone, Instant now) {
+    evacuated_at_.try_emplace(zone, now);
+  }
+  void OnEvacuationEnded(const std::string& zone) { evacuated_at_.erase(zone); }
   // From now on, what the store acknowledges binds no entry, or not this one.
   void OnStoreDisturbed() { store_disturbed_ = true; }
   void OnEntryDisturbed(std::size_t entry) { disturbed_entries_.insert(entry); }
-  // The request reaches a target.
+  // The request reaches a target in the zone.
   void OnArrival(const std::string& target,
+                 const std::string& zone,
                  const std::string& request_id,
                  Instant now);
   // The target answers the request, and `said` is in the answer's head.
@@ -68,6 +78,11 @@
   bool Excused(std::size_t entry, Instant now) const;
 
   const std::vector<std::string>& violations() const { return violations_; }
+  // Longest time from an evacuation to a request that reached the zone, from an
+  // entry that is not disturbed.
+  Duration latest_evacuated_arrival() const {
+    return latest_evacuated_arrival_;
+  }
   // Highest number of counted requests in 4 s, as a share of what the target's
   // limit allows.
   double highest_limit_use() const { return highest_limit_use_; }
@@ -99,12 +114,19 @@
     bool limit_broken = false;
   };
 
+  void CheckEvacuation(const std::string& target_id,
+                       const std::string& zone,
+                       const std::string& request_id,
+                       std::size_t entry,
+                       Instant now);
   void CheckLimit(const std::string& id, Target& target, Instant now);
 
   const NoticeBounds bounds_;
   std::map<std::string, SentRequest> requests_;
   std::map<std::string, Target> targets_;
   std::map<std::size_t, Instant> excused_until_;
+  std::map<std::string, Instant> evacuated_at_;
+  Duration latest_evacuated_arrival_{0};
   bool store_disturbed_ = false;
   std::set<std::size_t> disturbed_entries_;
   std::vector<std::string> violations_;
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -3,7 +3,8 @@
 // to members or only to the store, finish running work before they respond to a
 // release, and start again under their id right after it; members freeze,
 // restart and lose the store, and a zone loses all its members; calls are
-// delayed, are applied seconds after their arrival or lose their responses.
+// delayed, are applied seconds after their arrival or lose their responses;
+// zones are evacuated.
 // After each step at most one running target may hold a key or work on it.
 // Mutations of the protocol check that the runs detect a violated rule.
 #include <catch2/catch.hpp>
@@ -87,6 +88,8 @@
   // Members, too, release ranges that have left an owner which does not
   // respond. Without that, the waits of the mover have to suffice.
   bool members_release = false;
+  // An operator evacuates zones, at times all of them, and ends that again.
+  bool zones_evacuated = false;
 };
 
 constexpr int kMembers = 4;
@@ -179,6 +182,7 @@
     std::unique_ptr<RangeGranter> granter;
     std::unique_ptr<RangeMover> mover;
     TargetDirectory directory;
+    Evacuations evacuations;
     MemberReports reports;
     std::set<ReleaseRequest> releases_in_flight;
   };
@@ -274,6 +278,11 @@
       if (members_[i].running)
         StartMember(i);
     }
+    if (options_.zones_evacuated && Chance(0.01)) {
+      const ZoneId zone = ZoneOf(static_cast<int>(RandomBelow(2)));
+      if (evacuations_.erase(zone) == 0)
+        evacuations_[zone] = {now_, now_};
+    }
     if (options_.keys_taken_early && Chance(0.01))
       TakeKeysEarly();
     if (options_.second_answer_share > 0 && Chance(0.01))
@@ -438,6 +447,7 @@
     if (member.members_known_since == Instant{})
       member.members_known_since = now_;
     member.directory = directory_;
+    member.evacuations = evacuations_;
     for (auto& [id, report] : member.reports) {
       if (!membership_expiries_.contains(id) && !report.departed_at)
         report.departed_at = now_;
@@ -783,6 +793,7 @@
     }
     input.capacity = &no_capacity;
     input.load = &no_load;
+    input.evacuations = &member.evacuations;
     const auto next = member.mover->Plan(input);
     if (!next)
       return;
@@ -857,6 +868,7 @@
   RangeTable table_;
   std::uint64_t revision_ = 0;
   TargetDirectory directory_;
+  Evacuations evacuations_;
   std::map<TargetId, Instant> last_heartbeat_at_;
   std::map<std::string, Instant> membership_expiries_;
   std::string mover_id_;
@@ -946,6 +958,16 @@
   CHECK(FindsViolation(Mutation::kNoOwnHolds, 400, options));
 }
 
+// Guards against OWNER: owners that are alive and hold their ranges lose them,
+// in pieces, and get them back soon after.
+TEST_CASE("no key has two holders when zones are evacuated") {
+  const RunOptions options{.granters = Granters::kZoneMembers,
+                           .zones_evacuated = true};
+  CHECK(CountViolations(RunCount(400), options) == 0);
+  CHECK(FindsViolation(Mutation::kReleaseAtOldToken, 100, options));
+  CHECK(FindsViolation(Mutation::kNoEarlierMoverWait, 4000, options));
+}
+
 // Guards against OWNER: a late second answer to a grant passed for the answer
 // to a later grant that was still under way, or to a release.
 TEST_CASE("no key has two holders when answers come twice") {
