--- a/test/fakes/emulator_report.h
+++ b/test/fakes/emulator_report.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "figstall/types.h"
+
 namespace figstall::detail {
 
 struct EmulatorReport {
