Test the decoding of stated loads and warm-ups, and keys of warming owners

Backend-Load and Warmup-Ms with good, malformed and repeated values; an invalid field of either is reported once per target in ten seconds. The capacity of a target that warms up is a function with a test of its own: it gets few keys, none of a lost target's, and its part once it is warm.

--- a/include/figstall/warm_up_limits.h
+++ b/include/figstall/warm_up_limits.h
@@ -51,6 +51,10 @@
 // is never above it.
 WarmUpIssue ComputeWarmUpIssue(double per_second, const WarmUpBounds& bounds);
 
+// Capacity of a target that is warming up, in requests that it works on at
+// once, from the rate that it tolerates.
+double WarmUpCapacity(double per_second, Duration processing_time);
+
 // A warm-up that begins or ends, for the log.
 struct WarmUpChange {
   TargetIncarnation target;
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -26,10 +26,6 @@
 // Capacity of a target that takes nearly no requests. It is above zero because
 // loads are compared in proportion to capacities.
 constexpr double kMinLimitedCapacity = 0.01;
-// Capacity of a target that is warming up, as a share of the load that its rate
-// allows. Its keys' requests come unevenly, and those beyond the rate are
-// refused.
-constexpr double kWarmUpCapacityShare = 0.5;
 // Releases that one owner gets at once, each on a connection of its own.
 constexpr std::size_t kMaxReleasesInFlight = 4;
 constexpr Duration kReleaseRetryInterval = std::chrono::milliseconds(200);
@@ -51,22 +47,21 @@
     Instant now,
     const ServiceId& service) {
   std::map<TargetId, double> capacities = TargetCapacities(now, service);
+  const Duration processing_time = traffic_.MeanProcessingTime(service);
   const double busy_per_request =
-      std::chrono::duration<double>(traffic_.MeanProcessingTime(service))
-          .count();
+      std::chrono::duration<double>(processing_time).count();
   for (const auto& [id, entry] : view_.targets) {
     const RateLimit* limit = notices_.notices().LimitOf(entry.incarnation);
     if (entry.service != service)
       continue;
-    const auto reduce_to = [&, &target = id, &each = entry](double rate) {
-      capacities[target] =
-          std::min(CapacityOf(each, &capacities),
-                   std::max(kMinLimitedCapacity, rate * busy_per_request));
+    const auto reduce_to = [&, &target = id, &each = entry](double capacity) {
+      capacities[target] = std::min(CapacityOf(each, &capacities),
+                                    std::max(kMinLimitedCapacity, capacity));
     };
     if (limit && limit->per_second)
-      reduce_to(*limit->per_second);
+      reduce_to(*limit->per_second * busy_per_request);
     if (const auto rate = notices_.warm_ups().RateOf(now, entry.incarnation))
-      reduce_to(*rate * kWarmUpCapacityShare);
+      reduce_to(WarmUpCapacity(*rate, processing_time));
   }
   return capacities;
 }
--- a/src/warm_up_limits.cc
+++ b/src/warm_up_limits.cc
@@ -19,6 +19,9 @@
 // Requests that were sent within this much more than a second may arrive within
 // one.
 constexpr Duration kArrivalSpread = std::chrono::milliseconds(50);
+// Share of the load that the rate allows. The requests of a key come unevenly,
+// and those beyond the rate are refused.
+constexpr double kCapacityShare = 0.5;
 // A larger burst would only serve requests that arrive together.
 constexpr double kMaxBurst = 2;
 constexpr double kMinBurst = 1;
@@ -47,6 +50,11 @@
   return issue;
 }
 
+double WarmUpCapacity(double per_second, Duration processing_time) {
+  return per_second * std::chrono::duration<double>(processing_time).count() *
+         kCapacityShare;
+}
+
 const WarmUpLimits::Active* WarmUpLimits::Find(
     Instant now,
     const TargetIncarnation& target) const {
--- a/test/message_fuzz_test.cc
+++ b/test/message_fuzz_test.cc
@@ -114,8 +114,12 @@
   CountRejected(EncodePeerDatagram(report), [](const std::string& text) {
     return DecodePeerDatagram(text);
   });
-  const CreditRequest request{
-      VmId("m1"), 7, {TargetId("t1"), 5}, 2, LimitStatement{3.8, {}}};
+  const CreditRequest request{VmId("m1"),
+                              7,
+                              {TargetId("t1"), 5},
+                              2,
+                              LimitStatement{3.8, {}},
+                              WarmUpStatement{std::chrono::seconds(2), 4.5}};
   CountRejected(EncodePeerDatagram(request), [](const std::string& text) {
     return DecodePeerDatagram(text);
   });
--- a/test/peer_datagram_test.cc
+++ b/test/peer_datagram_test.cc
@@ -2,6 +2,7 @@
 #include "figstall/peer_datagram.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 
 #include "packed_zeros.h"
 
@@ -91,6 +92,17 @@
       {TargetId("t1"), 5}, 1,
       milliseconds(260),   LimitStatement{{}, milliseconds(1)}};
   CHECK(Decoded(response) == response);
+  CreditRequest warming_up = request;
+  warming_up.warm_up = WarmUpStatement{milliseconds(1200), 4.5};
+  CHECK(Decoded(warming_up) == warming_up);
+  // Guards against a damaged statement that limits a target for good.
+  for (const WarmUpStatement& damaged :
+       {WarmUpStatement{std::chrono::hours(25), 4.5},
+        WarmUpStatement{milliseconds(1), -1},
+        WarmUpStatement{milliseconds(1), std::nan("")}}) {
+    warming_up.warm_up = damaged;
+    CHECK(Decoded(warming_up) == request);
+  }
 }
 
 }  // namespace figstall
--- a/test/target_notices_test.cc
+++ b/test/target_notices_test.cc
@@ -85,11 +85,91 @@
             .retry_after == std::chrono::hours(24));
 }
 
+TEST_CASE("a target states its load and its warm-up") {
+  CHECK(Decode(kOk, {{"Backend-Load", "3,12,4"}}).load ==
+        StatedLoad{3, 12, 4, 1});
+  CHECK(Decode(kUnavailable, {{"backend-load", "4,16,4,285"}}).load ==
+        StatedLoad{4, 16, 4, 2.85});
+  CHECK(Decode(kOk, {{"Backend-Load", "0,0,1,1"}}).load ==
+        StatedLoad{0, 0, 1, 0.01});
+  CHECK(Decode(kOk, {{"Warmup-Ms", "1500"}}).warm_up_left ==
+        std::chrono::milliseconds(1500));
+  CHECK(Decode(kOk, {{"warmup-ms", "0.5"}}).warm_up_left ==
+        std::chrono::microseconds(500));
+  CHECK(Decode(kOk, {{"Warmup-Ms", "0"}}).warm_up_left == Duration{0});
+  // Too long for a Duration.
+  CHECK(Decode(kOk, {{"Warmup-Ms", std::string(300, '9')}}).warm_up_left ==
+        std::chrono::hours(24));
+  const TargetNotice none = Decode(kOk, {});
+  CHECK_FALSE(none.load);
+  CHECK_FALSE(none.warm_up_left);
+  // Neither says anything of a limit.
+  CHECK(Decode(kOk, {{"Backend-Load", "1,2"}, {"Warmup-Ms", "x"}}).complete);
+}
+
+// Guards against a load or a warm-up that no target has, which would draw all
+// requests to it or keep them away.
+TEST_CASE("an invalid load or warm-up is listed and otherwise ignored") {
+  for (const char* value : {"",
+                            ",",
+                            "3",
+                            "3,1",
+                            "3,1,4,100,0",
+                            "3,1,4,",
+                            ",1,4",
+                            "3,,4",
+                            "3;1;4",
+                            "3, 1, 4",
+                            "-3,1,4",
+                            "3,-1,4",
+                            "3,1,-4",
+                            "3,1,4,-100",
+                            "+3,1,4",
+                            "3.5,1,4",
+                            "3,1,4,99.5",
+                            "3,1,4,1e2",
+                            "nan,1,4",
+                            "3,inf,4",
+                            "a,b,c",
+                            "3,1,0",
+                            "3,1,1000001",
+                            "3,1,4,0",
+                            "4294967296,1,4",
+                            "3,1,4,99999999999",
+                            "0x3,1,4",
+                            "3,1,4 100"}) {
+    CAPTURE(value);
+    const TargetNotice notice = Decode(kOk, {{"Backend-Load", value}});
+    CHECK_FALSE(notice.load);
+    CHECK(notice.invalid_fields ==
+          std::vector{"Backend-Load: " + std::string(value)});
+    // The other fields count.
+    CHECK(Decode(kOk, {{"Backend-Load", value}, {"Warmup-Ms", "20"}})
+              .warm_up_left == std::chrono::milliseconds(20));
+  }
+  for (const char* value : {"", "-1", "nan", "inf", "1e3", "2 s", "1,5"}) {
+    CAPTURE(value);
+    const TargetNotice notice = Decode(kOk, {{"Warmup-Ms", value}});
+    CHECK_FALSE(notice.warm_up_left);
+    CHECK(notice.invalid_fields ==
+          std::vector{"Warmup-Ms: " + std::string(value)});
+  }
+  const TargetNotice repeated = Decode(kOk, {{"Backend-Load", "3,1,4"},
+                                             {"Backend-Load", "0,0,4"},
+                                             {"Warmup-Ms", "0"},
+                                             {"Warmup-Ms", "900"}});
+  CHECK_FALSE(repeated.load);
+  CHECK_FALSE(repeated.warm_up_left);
+  CHECK(repeated.invalid_fields.size() == 2);
+}
+
 // Guards against taking the word of another target at the same address.
 TEST_CASE("an answer that the request reached the wrong target says nothing") {
   CHECK(Decode(kMisdirected, {{"Server-Leaving", "1"},
                               {"Server-Limit", "2"},
-                              {"Retry-After", "9"}}) == TargetNotice{});
+                              {"Retry-After", "9"},
+                              {"Backend-Load", "0,0,4"},
+                              {"Warmup-Ms", "900"}}) == TargetNotice{});
 }
 
 TEST_CASE("a target that said it leaves never comes back, its restart does") {
@@ -170,6 +250,12 @@
   CHECK(notices.OnAnswer(At(10.9), kTarget, other).empty());
   CHECK(Kinds(notices.OnAnswer(At(11), kTarget, other)) ==
         std::vector{Kind::kInvalid});
+  // Whichever field it is, for each target on its own.
+  const TargetNotice load = Decode(kOk, {{"Backend-Load", "1,2"}});
+  CHECK(notices.OnAnswer(At(12), kTarget, load).empty());
+  const auto changes = notices.OnAnswer(At(12), kRestarted, load);
+  REQUIRE(Kinds(changes) == std::vector{Kind::kInvalid});
+  CHECK(changes[0].text == "Backend-Load: 1,2");
 }
 
 }  // namespace figstall
--- a/test/warm_up_limits_test.cc
+++ b/test/warm_up_limits_test.cc
@@ -10,6 +10,7 @@
 #include <memory>
 #include <random>
 
+#include "figstall/range_balance.h"
 #include "figstall/send_credits.h"
 #include "iteration_factor.h"
 
@@ -444,6 +445,58 @@
   CHECK_FALSE(no_rate.IsWarmingUp(At(1), kTarget));
 }
 
+// Guards against all keys of a lost target that move to one which has nothing
+// to do because it warms up.
+TEST_CASE("an owner that warms up gets few keys, and its part afterwards") {
+  constexpr int kTargets = 8;
+  constexpr Duration kProcessingTime = milliseconds(260);
+  constexpr std::size_t kParts = 1024;
+  std::vector<TargetEntry> targets(kTargets, Entry(Duration{0}));
+  RangeTable table;
+  std::map<TargetId, double> capacity;
+  std::vector<const TargetEntry*> usable;
+  for (int i = 0; i < kTargets; ++i) {
+    TargetEntry& target = targets[static_cast<std::size_t>(i)];
+    target.incarnation.id = TargetId("t-" + std::to_string(i));
+    target.slots = 4;
+    capacity[target.incarnation.id] = 4;
+    usable.push_back(&target);
+    // The last one is new.
+    if (i == kTargets - 1)
+      continue;
+    RangeEntry entry;
+    const int size = kKeySpaceSize / (kTargets - 1);
+    entry.range = {
+        static_cast<ShardKey>(i * size),
+        static_cast<ShardKey>(i == kTargets - 2 ? kKeySpaceSize - 1
+                                                : (i + 1) * size - 1)};
+    entry.owner = target.incarnation;
+    table.entries.push_back(entry);
+  }
+  const TargetId added("t-7");
+  // Of a capacity of 32.
+  const RangeLoad load(std::vector<double>(kParts, 14.0 / kParts));
+  const auto load_moved = [&] {
+    double moved = 0;
+    const auto shares = ComputeTargetShares(table, usable, &capacity, load, {});
+    for (const PlannedMove& move : PlanBalance(table, shares, load, {})) {
+      CHECK(move.to == added);
+      moved += load.Of(move.range);
+    }
+    return moved;
+  };
+  capacity[added] = WarmUpCapacity(kRate, kProcessingTime);
+  const double while_warming_up = load_moved();
+  CHECK(while_warming_up < 0.5 * kRate * 0.26);
+  auto shares = ComputeTargetShares(table, usable, &capacity, load, {});
+  CHECK(LeastLoaded(shares, 2)->target->incarnation.id != added);
+  capacity[added] = 4;
+  // One change of the table moves at most twelve ranges.
+  CHECK(load_moved() > 4 * while_warming_up);
+  shares = ComputeTargetShares(table, usable, &capacity, load, {});
+  CHECK(LeastLoaded(shares, 2)->target->incarnation.id == added);
+}
+
 // Guards against a request that is sent long after its credit, because its
 // connection took long to open.
 TEST_CASE("a request that waited for its connection needs a valid credit") {
