--- a/test/fakes/traffic_harness.h
+++ b/test/fakes/traffic_harness.h
@@ -224,8 +224,9 @@
   EntryView view;
   Log log{"test", LogLevel::kError, LogFormat::kJson, log_file_.get()};
   Metrics metrics;
-  TargetNoticeRecorder notices{log, metrics};
-  SendCredits credits{VmId("self"), notices.notices(), {}};
+  TargetNoticeRecorder notices{log, metrics, std::nullopt};
+  SendCredits credits{
+      VmId("self"), notices.notices(), notices.warm_ups(), {}};
   EntryTraffic traffic{io_, settings, view, notices, credits, log, metrics};
 };
 
