Choose among targets by the load that they state

Cause: an entry's view of a target is stale where 72 entries share it. Its own requests say little, the least loaded target attracts all entries, and an entry's share of a target's limit is one request, so targets idle while requests wait.

Change: LoadEstimator ages what a target stated; PickTarget prefers a subset of targets for each entry and chooses at random among those of about equal expected time; HasSpareCapacity follows the estimate. Services whose targets state nothing are chosen for as before.

Process tests not run.

--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -85,6 +85,10 @@
   SharedRetryBudget& RetryBudgetFor(const ServiceId& service);
   Duration MeanLatency(const ServiceId& service) const;
   void UpdateProcessingTimes(Instant now);
+  // Random number from 0 up to 1 for the choice of a target.
+  double DrawForChoice() {
+    return std::uniform_real_distribution<>()(choice_random_);
+  }
   // Whether the limits on hot keys admit a request.
   bool Admits(const ServiceId& service, ShardKey key);
 
@@ -115,6 +119,8 @@
   // Mean processing time by service, as of the last periodic update.
   std::map<ServiceId, Duration> mean_processing_time_;
   std::mt19937_64 random_;
+  // For the choice of targets, apart from `random_`.
+  std::mt19937_64 choice_random_;
   std::uint64_t requests_received_ = 0;
   Instant last_housekeeping_at_{};
 };
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "figstall/stated_load.h"
 #include "figstall/target_entry.h"
 #include "figstall/types.h"
 
@@ -98,7 +99,14 @@
               Duration latency,
               double queueing_factor = 1);
 
+  // The target responded, and stated its load or did not.
+  void OnStated(Instant now, const std::optional<StatedLoad>& load);
+
   std::uint32_t in_flight() const { return in_flight_; }
+  // Whether the last response stated the target's load.
+  bool StatesLoad() const { return estimator_.states_load(); }
+  // None unless the target stated its load recently.
+  std::optional<LoadEstimate> EstimatedLoad(Instant now) const;
   // Recent mean of this router's requests in flight. Each of the other routers
   // that share the target is assumed to have as many.
   double mean_in_flight(Instant now) const { return mean_in_flight_.At(now); }
@@ -119,8 +127,9 @@
   // responded since. It may then have one request in flight at a time.
   bool Probing() const { return failures_ >= limits_.failures_to_eject; }
   // Whether this router, one of `sharing_routers`, may send the target another
-  // request: within its share of the limit for all routers, or while the target
-  // is nearly idle.
+  // request: while the target's estimated load is below the limit for all
+  // routers. Without an estimate: within its share of that limit, or while the
+  // target is nearly idle.
   bool HasSpareCapacity(Instant now,
                         std::uint32_t slots,
                         std::uint32_t sharing_routers) const;
@@ -141,6 +150,7 @@
   double total_processing_samples_ = 0;
   Instant processing_sampled_at_{};
   Instant ejected_until_{};
+  LoadEstimator estimator_;
 };
 
 enum class Distance { kSameZone, kSameRegion, kOtherRegion };
@@ -153,6 +163,9 @@
   std::uint32_t sharing_routers = 1;
   // Whether an idle open connection to the target exists.
   bool connected = true;
+  // Hash of router and target. Where targets state their load, a router prefers
+  // those of highest affinity, and hears more often from these.
+  std::uint64_t affinity = 0;
 };
 
 struct SelectionOptions {
@@ -169,10 +182,13 @@
 
 // Returns the candidate with the lowest expected latency plus costs, or null if
 // none has spare capacity. An ejected target is chosen only if no other has
-// spare capacity.
+// spare capacity. Among candidates of which one states its load, the choice is
+// random, with a probability that falls with the expected latency plus costs;
+// `random` is from 0 up to 1, and not used otherwise.
 const Candidate* PickTarget(const std::vector<Candidate>& candidates,
                             const SelectionOptions& options,
-                            Instant now);
+                            Instant now,
+                            double random = 0);
 
 }  // namespace figstall
 
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -29,6 +29,8 @@
   Duration mean_latency{0};
   // Not chosen again for a request without a key.
   std::set<TargetId> tried_targets;
+  // From 0 up to 1; decides among targets that state their load.
+  double random = 0;
 };
 
 // Why no target may get a request now.
@@ -116,6 +118,8 @@
   std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
 
  private:
+  // Of this router to the target, zero unless the target states its load.
+  std::uint64_t Affinity(const TargetClient& client) const;
   TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
   TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query);
   // Whether a target of the service may get the request now, whatever its load.
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -54,7 +54,9 @@
       acceptor_(io),
       request_memory_(
           std::make_shared<RequestMemory>(settings.max_request_bytes)),
-      random_(std::hash<std::string>()(settings.vm.value())) {}
+      random_(std::hash<std::string>()(settings.vm.value())),
+      choice_random_(
+          std::hash<std::string>()(settings.vm.value() + "/choice")) {}
 
 EntryTraffic::~EntryTraffic() = default;
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -144,8 +144,10 @@
 
 TargetClient* Exchange::ChooseTarget() {
   const Instant now = BootNow();
+  TargetQuery query = MakeTargetQuery();
+  query.random = traffic_.DrawForChoice();
   last_choice_ = traffic_.standstill_.MaySend(now)
-                     ? traffic_.targets_.Choose(now, MakeTargetQuery())
+                     ? traffic_.targets_.Choose(now, query)
                      : TargetChoice{nullptr, Unavailability::kStandstill, {}};
   return last_choice_.client;
 }
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -54,10 +54,12 @@
     return;
   attempt_->head = head;
   attempt_->head_seen = true;
-  traffic_.notices_.OnAnswer(
-      BootNow(), attempt_->target,
-      platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head),
-      "response");
+  const TargetNotice notice =
+      platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head);
+  traffic_.notices_.OnAnswer(BootNow(), attempt_->target, notice, "response");
+  TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
+  if (client && client == attempt_->client)
+    client->load().OnStated(BootNow(), notice.load);
 }
 
 ResponseHead Exchange::MakeCallerHead() const {
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -1,11 +1,15 @@
 // Latency and failure rate are exponentially weighted means. Targets that fail
 // repeatedly are ejected with exponential backoff. PickTarget() scans all
-// candidates for the lowest expected latency plus costs such as distance.
+// candidates for the lowest expected latency plus costs such as distance. Where
+// targets state their load, it avoids herding: many routers that see the same
+// least loaded target do not all choose it (docs/design/even-load.md).
 #include "figstall/target_load.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
+#include <utility>
 
 namespace figstall {
 namespace {
@@ -22,6 +26,20 @@
 // At a failure rate of 1, the expected latency increases by this multiple of
 // itself.
 constexpr double kFailureCost = 6;
+// Assumed of a target that stated its load before a response was complete.
+constexpr Duration kInitialResponseTime = std::chrono::milliseconds(300);
+// A target that takes longer than the best one by this multiple of its
+// processing time for one slot is chosen e times less often.
+constexpr double kSoftness = 0.3;
+// Requests that wait at a target make its time less certain.
+constexpr double kQueueingCost = 0.2;
+// Routers that use each target first, where targets state their load. Fewer
+// would leave the load of some targets uneven; with more each router hears too
+// seldom from each target.
+constexpr double kRoutersPreferringTarget = 12;
+// Added for a target that is not one of those that this router uses first.
+// Fraction of the latency objective.
+constexpr double kNotPreferredCost = 1;
 
 double DistanceCost(Distance distance, const SelectionOptions& options) {
   const auto objective = static_cast<double>(options.latency_objective.count());
@@ -36,11 +54,55 @@
   return 0;
 }
 
+double ConnectCost(const Candidate& candidate,
+                   const SelectionOptions& options) {
+  return candidate.connected
+             ? 0
+             : kConnectCost *
+                   static_cast<double>(options.latency_objective.count());
+}
+
+double ProcessingTimeOf(const Candidate& candidate,
+                        const SelectionOptions& options,
+                        Instant now) {
+  const auto known = candidate.load->processing_time(now);
+  return static_cast<double>(
+      (known ? known->mean : options.mean_latency).count());
+}
+
+// By this router's requests only. The target counts as idle otherwise, so that
+// one that was not heard for a while is tried.
+double OwnQueueingFactor(const Candidate& candidate) {
+  const double slots = std::max<std::uint32_t>(1, candidate.entry->slots);
+  const double own_weight =
+      std::min(slots, static_cast<double>(candidate.sharing_routers));
+  return std::max(1.0, (candidate.load->in_flight() * own_weight + 1) / slots);
+}
+
+// Of a target that states its load.
+double EstimatedTime(const Candidate& candidate,
+                     const SelectionOptions& options,
+                     Instant now) {
+  const auto estimate = candidate.load->EstimatedLoad(now);
+  const double queueing_factor =
+      estimate ? estimate->QueueingFactor() : OwnQueueingFactor(candidate);
+  const double slow_delay =
+      estimate ? static_cast<double>(estimate->slow_delay.count()) : 0;
+  return (ProcessingTimeOf(candidate, options, now) * queueing_factor *
+              (1 + kQueueingCost * queueing_factor) +
+          slow_delay) *
+             (1 + kFailureCost * candidate.load->failure_rate()) +
+         DistanceCost(candidate.distance, options) +
+         ConnectCost(candidate, options);
+}
+
 double ExpectedTime(const Candidate& candidate,
                     const SelectionOptions& options,
                     Instant now) {
   const double latency = static_cast<double>(
       candidate.load->latency().value_or(options.mean_latency).count());
+  if (candidate.load->StatesLoad())
+    return EstimatedTime(candidate, options, now);
   const double slots = std::max<std::uint32_t>(1, candidate.entry->slots);
   const double in_flight_elsewhere =
       (static_cast<double>(candidate.sharing_routers) - 1) *
@@ -51,10 +113,69 @@
              (1 + 0.2 * queueing_factor) *
              (1 + kFailureCost * candidate.load->failure_rate()) +
          DistanceCost(candidate.distance, options) +
-         (candidate.connected
-              ? 0
-              : kConnectCost *
-                    static_cast<double>(options.latency_objective.count()));
+         ConnectCost(candidate, options);
+}
+
+struct TimedCandidate {
+  const Candidate* candidate = nullptr;
+  double expected_time = 0;
+};
+
+// Adds the cost of targets outside this router's subset: in each zone the
+// targets of highest affinity.
+void AddSubsetCost(std::vector<TimedCandidate>& candidates,
+                   const SelectionOptions& options) {
+  std::sort(candidates.begin(), candidates.end(),
+            [](const TimedCandidate& left, const TimedCandidate& right) {
+              return std::tie(left.candidate->entry->zone,
+                              right.candidate->affinity) <
+                     std::tie(right.candidate->entry->zone,
+                              left.candidate->affinity);
+            });
+  for (auto zone = candidates.begin(); zone != candidates.end();) {
+    const auto end =
+        std::find_if(zone, candidates.end(), [&](const auto& each) {
+          return each.candidate->entry->zone != zone->candidate->entry->zone;
+        });
+    const auto size = static_cast<std::ptrdiff_t>(
+        std::ceil(kRoutersPreferringTarget * static_cast<double>(end - zone) /
+                  std::max(1U, zone->candidate->sharing_routers)));
+    for (auto each = zone + std::min(size, end - zone); each != end; ++each)
+      each->expected_time +=
+          kNotPreferredCost *
+          static_cast<double>(options.latency_objective.count());
+    zone = end;
+  }
+}
+
+// The more entries choose by similar views, the more of them would send their
+// next request to the same best target.
+const Candidate* PickAtRandom(std::vector<TimedCandidate> candidates,
+                              const SelectionOptions& options,
+                              Instant now,
+                              double random) {
+  AddSubsetCost(candidates, options);
+  const auto best = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const TimedCandidate& left, const TimedCandidate& right) {
+        return left.expected_time < right.expected_time;
+      });
+  const double best_time = best->expected_time;
+  std::vector<double> cumulative;
+  double sum = 0;
+  for (const auto& [candidate, time] : candidates) {
+    const double time_per_slot =
+        ProcessingTimeOf(*candidate, options, now) /
+        std::max<std::uint32_t>(1, candidate->entry->slots);
+    sum += std::exp((best_time - time) / (kSoftness * time_per_slot));
+    cumulative.push_back(sum);
+  }
+  const auto found =
+      std::upper_bound(cumulative.begin(), cumulative.end(), random * sum);
+  const auto index = std::min<std::size_t>(
+      static_cast<std::size_t>(found - cumulative.begin()),
+      candidates.size() - 1);
+  return candidates[index].candidate;
 }
 
 }  // namespace
@@ -124,6 +245,18 @@
   ejected_until_ = now + ejection_duration;
 }
 
+void TargetLoad::OnStated(Instant now, const std::optional<StatedLoad>& load) {
+  if (load)
+    estimator_.OnStated(now, *load, in_flight_);
+  else
+    estimator_.OnUnstated();
+}
+
+std::optional<LoadEstimate> TargetLoad::EstimatedLoad(Instant now) const {
+  return estimator_.At(now, in_flight_,
+                       latency().value_or(kInitialResponseTime));
+}
+
 std::optional<Duration> TargetLoad::latency() const {
   if (latency_us_ == 0)
     return std::nullopt;
@@ -149,6 +282,8 @@
 double TargetLoad::QueueingFactor(Instant now,
                                   std::uint32_t slots,
                                   std::uint32_t sharing_routers) const {
+  if (const auto estimate = EstimatedLoad(now))
+    return estimate->QueueingFactor();
   const double in_flight_elsewhere =
       (static_cast<double>(sharing_routers) - 1) * mean_in_flight(now);
   return std::max(1.0,
@@ -160,6 +295,8 @@
                                   std::uint32_t sharing_routers) const {
   if (Probing())
     return in_flight_ == 0;
+  if (const auto estimate = EstimatedLoad(now))
+    return estimate->FreeCapacity(limits_.max_in_flight_per_slot) >= 1;
   const double in_flight_share = std::ceil(
       limits_.max_in_flight_per_slot * slots / std::max(1U, sharing_routers));
   if (in_flight_ < in_flight_share)
@@ -173,14 +310,17 @@
 
 const Candidate* PickTarget(const std::vector<Candidate>& candidates,
                             const SelectionOptions& options,
-                            Instant now) {
-  const Candidate* best = nullptr;
-  double best_expected_time = std::numeric_limits<double>::infinity();
+                            Instant now,
+                            double random) {
   const bool same_region_exists = std::any_of(
       candidates.begin(), candidates.end(), [](const Candidate& each) {
         return each.distance != Distance::kOtherRegion;
       });
   for (const bool ejected : {false, true}) {
+    const Candidate* best = nullptr;
+    double best_expected_time = std::numeric_limits<double>::infinity();
+    std::vector<TimedCandidate> usable;
+    bool load_stated = false;
     for (const Candidate& candidate : candidates) {
       if (candidate.load->Ejected(now) != ejected)
         continue;
@@ -191,15 +331,19 @@
                                             candidate.sharing_routers))
         continue;
       const double expected_time = ExpectedTime(candidate, options, now);
+      usable.push_back({&candidate, expected_time});
+      load_stated |= candidate.load->StatesLoad();
       if (expected_time < best_expected_time) {
         best = &candidate;
         best_expected_time = expected_time;
       }
     }
+    if (best && load_stated && best->sharing_routers > 1)
+      return PickAtRandom(std::move(usable), options, now, random);
     if (best)
-      break;
+      return best;
   }
-  return best;
+  return nullptr;
 }
 
 }  // namespace figstall
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -3,6 +3,7 @@
 #include "figstall/target_selector.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <vector>
@@ -85,6 +86,15 @@
              : Distance::kOtherRegion;
 }
 
+std::uint64_t TargetSelector::Affinity(const TargetClient& client) const {
+  if (!client.load().StatesLoad())
+    return 0;
+  const std::string& vm = settings_.vm.value();
+  const std::string& target = client.entry().incarnation.id.value();
+  return XXH3_64bits_withSeed(target.data(), target.size(),
+                              XXH3_64bits(vm.data(), vm.size()));
+}
+
 std::uint32_t TargetSelector::RouterCount() const {
   return view_.member_counts.total();
 }
@@ -189,8 +199,8 @@
     const TargetEntry& entry = client.entry();
     if (checked.client) {
       candidates.push_back({&entry, &client.load(), DistanceTo(entry.zone),
-                            SharingRouters(entry, false),
-                            client.Connected(now)});
+                            SharingRouters(entry, false), client.Connected(now),
+                            Affinity(client)});
     } else if (first_available.reason == Unavailability::kNoCapacity ||
                checked.available_at < first_available.available_at) {
       first_available = checked;
@@ -200,7 +210,7 @@
     return PickTarget(candidates,
                       SelectionOptions{query.bulk, query.mean_latency,
                                        query.latency_objective},
-                      now);
+                      now, query.random);
   };
   // Credits of a target in another zone are left to the members there unless no
   // other target may get the request.
