--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -33,6 +33,8 @@
   // Not chosen again for a request without a key.
   std::set<TargetId> tried_targets;
   AllowedRegions allowed_regions;
+  // From 0 up to 1; decides among targets that state their load.
+  double random = 0;
 };
 
 // Why no target may get a request now.
@@ -131,6 +133,8 @@
   bool InAllowedRegion(const TargetQuery& query,
                        const TargetEntry& entry) const;
   std::string DescribeOutside(const TargetQuery& query) const;
+  // Of this router to the target, zero unless the target states its load.
+  std::uint64_t Affinity(const TargetClient& client) const;
   TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
   TargetChoice ChooseUnkeyed(Instant now, const TargetQuery& query);
   // Whether another request would wait at the target for a slot.
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -14,6 +14,7 @@
 
 namespace http = boost::beast::http;
 
+constexpr int kMisdirected = 421;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -61,10 +62,13 @@
   attempt_->head = head;
   attempt_->head_seen = true;
   attempt_->head_seen_at = BootNow();
-  traffic_.notices_.OnAnswer(
-      BootNow(), attempt_->target,
-      platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head),
-      "response");
+  const int status = static_cast<int>(head.result_int());
+  const TargetNotice notice = platform::DecodeTargetNotice(status, head);
+  traffic_.notices_.OnAnswer(BootNow(), attempt_->target, notice, "response");
+  TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
+  // A 421 may come from another target at the address.
+  if (client && client == attempt_->client && status != kMisdirected)
+    client->load().OnStated(BootNow(), notice.load);
 }
 
 ResponseHead Exchange::MakeCallerHead() const {
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -3,6 +3,7 @@
 #include "figstall/target_selector.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <vector>
@@ -95,6 +96,15 @@
   return &region_links_[region->second];
 }
 
+std::uint64_t TargetSelector::Affinity(const TargetClient& client) const {
+  if (!client.load().StatesLoad())
+    return 0;
+  const std::string& vm = settings_.vm.value();
+  const std::string& target = client.entry().incarnation.id.value();
+  return XXH3_64bits_withSeed(target.data(), target.size(),
+                              XXH3_64bits(vm.data(), vm.size()));
+}
+
 std::uint32_t TargetSelector::RouterCount() const {
   return view_.member_counts.total();
 }
@@ -275,8 +285,8 @@
     const TargetEntry& entry = client.entry();
     if (checked.client) {
       candidates.push_back({&entry, &client.load(), DistanceTo(entry.zone),
-                            SharingRouters(entry, false),
-                            client.Connected(now)});
+                            SharingRouters(entry, false), client.Connected(now),
+                            Affinity(client)});
     } else if (first_available.reason == Unavailability::kNoCapacity ||
                checked.available_at < first_available.available_at) {
       first_available = checked;
@@ -287,7 +297,7 @@
     return PickTarget(candidates,
                       SelectionOptions{query.bulk, query.mean_latency,
                                        query.latency_objective},
-                      now);
+                      now, query.random);
   };
   std::vector<TargetClient*> warming_up;
   std::vector<TargetClient*> warming_up_elsewhere;
