Serve the other keys of an owner beside a hot one

Cause: if the keys beside a hot one exceeded 0.85 of the owner's estimated capacity, all keys of the owner had one share, which the hot key made as small as 2 %. The callers' repeats raised the load that was counted for the others, and the owner's capacity, which follows from what it is seen to serve, stayed low. The owner was idle while its keys were refused.

Change: the hot key keeps a tenth of the capacity in that case, and the others are limited only above 2.5 times the capacity, as without a hot key. A fall of a key's load replaces its average if larger than one request, so that a limit does not outlast its cause.

--- a/include/figstall/hot_key_limits.h
+++ b/include/figstall/hot_key_limits.h
@@ -46,8 +46,14 @@
 
 // Limits each owner whose load exceeds these utilizations. Its hottest keys
 // are reduced to one common load, such that the admitted load fits, and all
-// other keys are admitted in full. If these alone do not fit, all keys of the
-// owner have the same share. `load` has a part for each key.
+// other keys are admitted in full. If these alone do not fit, a hot key keeps a
+// tenth of the capacity, and the others are limited only above
+// kOverloadUtilization. `load` has a part for each key.
+//
+// Load pattern: one key has 16 % of the traffic of a slow owner. With one share
+// for all keys of the owner, the other keys got as little as the hot one, their
+// callers' repeats raised the load that was counted for them, and the owner's
+// capacity, which follows from what it is seen to serve, did not recover.
 AdmittedShares ComputeAdmittedShares(
     const RangeTable& table,
     const RangeLoad& load,
--- a/src/hot_key_limits.cc
+++ b/src/hot_key_limits.cc
@@ -4,6 +4,7 @@
 #include "figstall/hot_key_limits.h"
 
 #include <algorithm>
+#include <set>
 
 #include "figstall/range_balance.h"
 
@@ -13,6 +14,31 @@
 // A key with a smaller load, as a share of its owner's capacity, is not limited
 // by itself.
 constexpr double kMinHotLoad = 0.1;
+// What is left to the hot keys at least, as a share of their owner's capacity.
+constexpr double kMinLeftToHotKeys = 0.1;
+
+// Limits all keys of `ranges` but the hot ones to `share`.
+void LimitOthers(const std::vector<KeyRange>& ranges,
+                 const std::vector<std::pair<double, ShardKey>>& hot_keys,
+                 double share,
+                 AdmittedShares& shares) {
+  std::set<std::uint32_t> hot;
+  for (const auto& [load, key] : hot_keys)
+    hot.insert(key);
+  for (const KeyRange& range : ranges) {
+    std::uint32_t first = range.first;
+    const auto end = hot.upper_bound(range.last);
+    for (auto each = hot.lower_bound(first); each != end; ++each) {
+      if (*each > first)
+        shares.push_back(
+            {{static_cast<ShardKey>(first), static_cast<ShardKey>(*each - 1)},
+             share});
+      first = *each + 1;
+    }
+    if (first <= range.last)
+      shares.push_back({{static_cast<ShardKey>(first), range.last}, share});
+  }
+}
 
 // Limits one owner of `capacity`, which owns `ranges`.
 void Limit(const std::vector<KeyRange>& ranges,
@@ -43,12 +69,21 @@
   const double total_load = hot_load + other_load;
   if (total_load <= admissible_load)
     return;
-  if (other_load >= admissible_load) {
-    for (const KeyRange& range : ranges)
-      shares.push_back({range, admissible_load / total_load});
-    return;
-  }
+  const double min_left = kMinLeftToHotKeys * capacity;
   double hot_load_left = admissible_load - other_load;
+  if (!has_hot_key) {
+    if (hot_load_left <= 0) {
+      for (const KeyRange& range : ranges)
+        shares.push_back({range, admissible_load / total_load});
+      return;
+    }
+  } else if (hot_load_left < min_left) {
+    hot_load_left = min_left;
+    if (other_load > kOverloadUtilization * capacity) {
+      LimitOthers(ranges, hot_keys, (admissible_load - min_left) / other_load,
+                  shares);
+    }
+  }
   // In order of load, so that each key with less load than its equal share of
   // what is left is admitted in full.
   std::size_t keys_left = hot_keys.size();
--- a/src/load_report.cc
+++ b/src/load_report.cc
@@ -23,7 +23,7 @@
 constexpr double kMinLoadChange = 0.6;
 constexpr double kMinRequestsRise = 4;
 // Less than for a rise, so that a rise by chance is soon undone.
-constexpr double kMinRequestsFall = 2;
+constexpr double kMinRequestsFall = 1;
 // KeyLoad::Decay() does nothing if called again within this time.
 constexpr double kMinDecaySeconds = 0.2;
 // Limit of the request count in a report.
