Leave each key beside a hot one a tenth of its owner's capacity

Cause: a key with a tenth of the owner's capacity or more is limited together with the hot key. When the other keys filled the owner, all of these shared one tenth, so that a key which a few requests had raised was admitted to a fourth.

Change: each of them keeps a tenth, up to 0.425 in all.

--- a/include/figstall/hot_key_limits.h
+++ b/include/figstall/hot_key_limits.h
@@ -46,8 +46,8 @@
 
 // Limits each owner whose load exceeds these utilizations. Its hottest keys
 // are reduced to one common load, such that the admitted load fits, and all
-// other keys are admitted in full. If these alone do not fit, a hot key keeps a
-// tenth of the capacity, and the others are limited only above
+// other keys are admitted in full. If these alone do not fit, each hot key
+// keeps a tenth of the capacity, and the others are limited only above
 // kOverloadUtilization. `load` has a part for each key.
 //
 // Load pattern: one key has 16 % of the traffic of a slow owner. With one share
--- a/src/hot_key_limits.cc
+++ b/src/hot_key_limits.cc
@@ -14,8 +14,10 @@
 // A key with a smaller load, as a share of its owner's capacity, is not limited
 // by itself.
 constexpr double kMinHotLoad = 0.1;
-// What is left to the hot keys at least, as a share of their owner's capacity.
-constexpr double kMinLeftToHotKeys = 0.1;
+// What is left at least to each key that may be limited by itself, and the most
+// that is kept for all of these, as shares of their owner's capacity.
+constexpr double kMinLeftToKey = kMinHotLoad;
+constexpr double kMaxKeptForKeys = kHotKeyUtilization / 2;
 
 // Limits all keys of `ranges` but the hot ones to `share`.
 void LimitOthers(const std::vector<KeyRange>& ranges,
@@ -69,7 +71,9 @@
   const double total_load = hot_load + other_load;
   if (total_load <= admissible_load)
     return;
-  const double min_left = kMinLeftToHotKeys * capacity;
+  const double min_left =
+      capacity * std::min(kMinLeftToKey * static_cast<double>(hot_keys.size()),
+                          kMaxKeptForKeys);
   double hot_load_left = admissible_load - other_load;
   if (!has_hot_key) {
     if (hot_load_left <= 0) {
--- a/test/hot_key_limits_test.cc
+++ b/test/hot_key_limits_test.cc
@@ -99,6 +99,19 @@
   CHECK(admitted == Approx(kHotKeyUtilization * 4).epsilon(0.01));
 }
 
+// Guards against refusals of a key with a few requests beside a hot one, which
+// had the same share of nothing when the other keys filled the owner.
+TEST_CASE("keys beside a hot one keep a tenth of their owner's capacity") {
+  const OneOwner owner;
+  std::vector<double> loads(kKeySpaceSize, 3.6 / kKeySpaceSize);
+  loads[100] = 30;
+  loads[200] = 0.5;
+  const AdmittedShares shares = owner.Shares(RangeLoad(loads));
+  CHECK(AdmittedShareOf(shares, 100) == Approx(0.4 / 30).epsilon(0.01));
+  CHECK(AdmittedShareOf(shares, 200) == Approx(0.4 / 0.5).epsilon(0.01));
+  CHECK(AdmittedShareOf(shares, 300) == 1);
+}
+
 // Guards against limits that begin while owners shed or a link delays responses
 // and never end. On such a day, limits refused 10,164 requests for 6,358 keys
 // when none was hot.
