Announce warm-ups that answers begin, and test the rule with real processes

A member that first reads in an answer that a target warms up tells the others, which otherwise send at the normal rate until the store's entry says so. While most members vanish from the list together, those of the last 2 s share the credits, so that members whose leases lapse do not each issue their own.

The emulator's targets may warm up and count what reaches them in one second.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -25,6 +25,7 @@
 #include "figstall/metrics.h"
 #include "figstall/range_granter.h"
 #include "figstall/range_mover.h"
+#include "figstall/recent_members.h"
 #include "figstall/send_credits.h"
 #include "figstall/store_connectivity.h"
 #include "figstall/store_copy.h"
@@ -174,6 +175,7 @@
 
   void Join();
   void RecordMemberCounts(Instant now);
+  void UpdateCreditMembers(Instant now);
   void WriteMember(bool then_read);
   // Whether this member has a table that the store lost in an earlier era.
   bool HasEarlierTables() const;
@@ -373,6 +375,9 @@
   EntryTraffic& traffic_;
   TargetNoticeRecorder& notices_;
   SendCredits& credits_;
+  // The members that share credits, and where they receive messages about them.
+  RecentMembers credit_members_;
+  std::map<VmId, Endpoint> credit_endpoints_;
   Log& log_;
   Metrics& metrics_;
   platform::StoreClient store_;
--- a/include/figstall/send_credits.h
+++ b/include/figstall/send_credits.h
@@ -147,6 +147,10 @@
   // From now on this member issues no credits.
   void StopIssuing() { issuing_ = false; }
 
+  // Tells the other members of a warm-up that this one learned from the target
+  // itself, unless it did so often just now.
+  void AnnounceWarmUp(Instant now, const TargetIncarnation& target);
+
   // Whether a request may be sent to the target now. If that needs a credit and
   // none is at hand, requests some, unless that was just refused.
   CreditState Check(Instant now,
@@ -248,6 +252,8 @@
   std::map<TargetIncarnation, Account> accounts_;
   std::map<TargetIncarnation, CreditBucket> buckets_;
   std::uint64_t last_serial_ = 0;
+  // Of the last second.
+  std::deque<Instant> announcements_;
   std::uint64_t granted_ = 0;
 };
 
--- a/include/figstall/target_notice_recorder.h
+++ b/include/figstall/target_notice_recorder.h
@@ -3,6 +3,9 @@
 #ifndef FIGSTALL_TARGET_NOTICE_RECORDER_H_
 #define FIGSTALL_TARGET_NOTICE_RECORDER_H_
 
+#include <functional>
+#include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -16,10 +19,18 @@
 
 class TargetNoticeRecorder {
  public:
+  // A target's answer was the first to say that it warms up.
+  using WarmUpHandler =
+      std::function<void(Instant now, const TargetIncarnation& target)>;
+
   TargetNoticeRecorder(Log& log,
                        Metrics& metrics,
-                       std::optional<WarmUpBounds> warm_up_bounds)
-      : log_(log), metrics_(metrics), warm_ups_(warm_up_bounds) {}
+                       std::optional<WarmUpBounds> warm_up_bounds,
+                       WarmUpHandler on_warm_up)
+      : log_(log),
+        metrics_(metrics),
+        on_warm_up_(std::move(on_warm_up)),
+        warm_ups_(warm_up_bounds) {}
 
   // `source`: the kind of request that the target answered.
   void OnAnswer(Instant now,
@@ -60,6 +71,7 @@
 
   Log& log_;
   Metrics& metrics_;
+  const WarmUpHandler on_warm_up_;
   TargetNotices notices_;
   WarmUpLimits warm_ups_;
 };
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -393,10 +393,7 @@
   if (view_changed_) {
     view_changed_ = false;
     grants_check_due_ = true;
-    std::map<VmId, ZoneId> members;
-    for (const auto& [vm, member] : view_.members)
-      members[vm] = member.zone;
-    credits_.SetMembers(std::move(members));
+    UpdateCreditMembers(BootNow());
     RecordMemberCounts(BootNow());
     traffic_.OnViewChanged();
   }
@@ -411,6 +408,20 @@
   ReleaseLeftRanges(now);
 }
 
+void EntryControl::UpdateCreditMembers(Instant now) {
+  std::map<VmId, ZoneId> members;
+  for (const auto& [vm, member] : view_.members) {
+    members[vm] = member.zone;
+    credit_endpoints_[vm] = member.peer_endpoint;
+  }
+  if (settings_.warm_up)
+    members = credit_members_.Update(now, members);
+  std::erase_if(credit_endpoints_, [&members](const auto& each) {
+    return !members.contains(each.first);
+  });
+  credits_.SetMembers(std::move(members));
+}
+
 void EntryControl::RecordMemberCounts(Instant now) {
   std::map<ZoneId, std::uint32_t> by_zone;
   for (const auto& [vm, member] : view_.members)
@@ -428,6 +439,8 @@
   RemoveAbsentTargets(now);
   MarkLeavingTargets();
   notices_.Advance(now);
+  if (!credit_members_.settled())
+    UpdateCreditMembers(now);
   RenewMoverLease(now);
   Campaign(now);
   ConfirmTables(now);
--- a/src/entry_control_peers.cc
+++ b/src/entry_control_peers.cc
@@ -128,11 +128,11 @@
 
 void EntryControl::SendCreditMessage(const VmId& to,
                                      const CreditMessage& message) {
-  const auto member = view_.members.find(to);
-  if (member == view_.members.end() || member->second.peer_endpoint.port == 0)
+  const auto endpoint = credit_endpoints_.find(to);
+  if (endpoint == credit_endpoints_.end() || endpoint->second.port == 0)
     return;
   SendDatagram(
-      member->second.peer_endpoint,
+      endpoint->second,
       std::make_shared<std::string>(std::visit(
           [](const auto& each) { return EncodePeerDatagram(each); }, message)));
 }
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -89,7 +89,13 @@
              settings.log.level,
              settings.log.format,
              stdout),
-        notices_(log_, metrics_, settings.warm_up),
+        notices_(
+            log_,
+            metrics_,
+            settings.warm_up,
+            [this](Instant now, const figstall::TargetIncarnation& target) {
+              credits_.AnnounceWarmUp(now, target);
+            }),
         credits_(settings.vm,
                  notices_.notices(),
                  notices_.warm_ups(),
--- a/src/send_credits.cc
+++ b/src/send_credits.cc
@@ -13,6 +13,10 @@
 // An account that was not used for this long is dropped.
 constexpr Duration kRetention = std::chrono::seconds(30);
 
+// Each is a message to every member and a response. Many targets that warm up
+// at once have entries in the store that say so.
+constexpr std::size_t kMaxAnnouncementsPerSecond = 8;
+
 Duration FromSeconds(double seconds) {
   return Duration(static_cast<Duration::rep>(seconds * 1e6));
 }
@@ -190,6 +194,19 @@
   SendRequest(now, member, request);
 }
 
+void SendCredits::AnnounceWarmUp(Instant now, const TargetIncarnation& target) {
+  while (!announcements_.empty() &&
+         now - announcements_.front() >= std::chrono::seconds(1))
+    announcements_.pop_front();
+  if (announcements_.size() >= kMaxAnnouncementsPerSecond)
+    return;
+  announcements_.push_back(now);
+  for (const auto& [member, zone] : members_) {
+    if (member != self_)
+      Probe(now, member, target, Duration{0});
+  }
+}
+
 VmId SendCredits::FindIssuer(Instant now,
                              const TargetIncarnation& target,
                              const ZoneId& target_zone) {
--- a/src/target_notice_recorder.cc
+++ b/src/target_notice_recorder.cc
@@ -12,8 +12,13 @@
                                     const TargetNotice& notice,
                                     std::string_view source) {
   LogChanges(target, notices_.OnAnswer(now, target, notice), source);
-  if (notice.warm_up_left)
-    LogWarmUps(warm_ups_.OnAnswer(now, target, *notice.warm_up_left, source));
+  if (!notice.warm_up_left)
+    return;
+  const auto changes =
+      warm_ups_.OnAnswer(now, target, *notice.warm_up_left, source);
+  LogWarmUps(changes);
+  if (!changes.empty() && changes.back().started)
+    on_warm_up_(now, target);
 }
 
 void TargetNoticeRecorder::OnReport(Instant now,
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -759,6 +759,63 @@
     assert served_fraction(report) > 0.1, report["routes"]
 
 
+# Runs with entries and services that have the rule for targets that warm up.
+# The emulator counts what reaches such a target in any second.
+def run_with_warm_up(faults, rate, entries=2, actions=()):
+    fleet = EntryFleet(ZONES, entries)
+    for entry in fleet.entries:
+        settings = json.loads(entry.settings_path.read_text())
+        settings["warm_up"] = {"overshoot": 1.5, "slack": 8}
+        entry.settings_path.write_text(json.dumps(settings))
+    scenario = small_scenario(fleet, length_s=12, faults=faults, rate=rate)
+    for service in scenario["services"].values():
+        service["warm_up"] = {"time_s": 3, "per_second": 4.5,
+                              "max_requests": 4.5 * 1.5 + 8}
+    report, status = fleet.run(scenario, actions)
+    assert report["violations"] == [] and status == 0, report["violations"]
+    # The targets that warm up are used.
+    assert report["most_in_warm_up"] >= 3, report["most_in_warm_up"]
+    started = [line for line in fleet.entries[0].log()
+               if line["event"] == "warm-up-started"]
+    ended = [line for line in fleet.entries[0].log()
+             if line["event"] == "warm-up-ended"]
+    assert started and ended, (started, ended)
+    return report, started
+
+
+# Guards against all entries that send at the normal rate to targets that return
+# together, as those of a zone do: there are no others.
+def targets_that_return_together_get_what_they_tolerate():
+    report, _ = run_with_warm_up(rate=2.0, faults=[
+        {"at_s": 1, "kind": "target-crash", "service": service, "count": count,
+         "for_s": 1} for service, count in (("accounts", 6), ("orders", 4))])
+    assert served_fraction(report) > 0.5, report["routes"]
+
+
+# The same for the next incarnation under the same id, while an entry that may
+# issue the credits is frozen or killed, and the store is silent.
+def a_warm_up_is_respected_while_entries_fail():
+    report, _ = run_with_warm_up(rate=2.0, faults=[
+        {"at_s": 1, "kind": "target-reborn", "service": "accounts",
+         "count": 6, "for_s": 0.5},
+        {"at_s": 1, "kind": "target-reborn", "service": "orders",
+         "count": 4, "for_s": 0.5},
+        {"at_s": 5, "kind": "store-silent", "for_s": 4}],
+        actions=[*freeze_entry(LEAD_S + 2, 0, for_s=1.2),
+                 restart_entry(LEAD_S + 3, 3)])
+    assert served_fraction(report) > 0.4, report["routes"]
+
+
+# Guards against a warm-up that begins again without a new incarnation, and is
+# known by the headers of answers before the store says so.
+def a_warm_up_that_begins_again_is_respected():
+    report, _ = run_with_warm_up(rate=0.6, faults=[
+        {"at_s": at_s, "kind": "target-warm-up", "service": service,
+         "count": count} for at_s in (1, 6) for service, count in (
+             ("accounts", 6), ("orders", 4))])
+    assert served_fraction(report) > 0.5, report["routes"]
+
+
 # Guards against an invalid notice that holds requests up or ends the process.
 def invalid_notices_hold_nobody_up():
     fleet, report = run(faults=[
@@ -1323,6 +1380,9 @@
          targets_that_accept_late_get_nothing_after_they_left,
          a_frozen_entry_reads_before_it_sends,
          a_target_that_asks_for_a_pause_is_left_alone,
+         targets_that_return_together_get_what_they_tolerate,
+         a_warm_up_is_respected_while_entries_fail,
+         a_warm_up_that_begins_again_is_respected,
          a_named_limit_bounds_the_sum_over_entries,
          a_named_limit_holds_while_entries_fail,
          a_named_limit_holds_while_memberships_lapse,
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -206,6 +206,9 @@
   abort_ratio_ = 0;
   said_ = {};
   rejects_for_.reset();
+  warm_up_until_ = {};
+  if (incarnation_ > 1)
+    WarmUp();
   highest_token_.assign(kKeySpaceSize, 0);
   held_until_.assign(kKeySpaceSize, {});
   if (options_.external)
@@ -221,6 +224,13 @@
   Accept();
 }
 
+void EmulatedTarget::WarmUp() {
+  if (options_.warm_up_time == Duration{0})
+    return;
+  warm_up_until_ = BootNow() + options_.warm_up_time;
+  notice_checker_.OnWarmUp(id_, warm_up_until_, options_.max_warm_up_requests);
+}
+
 void EmulatedTarget::Crash() {
   acceptor_.reset();
   queue_fillers_.clear();
@@ -238,17 +248,18 @@
 }
 
 std::string EmulatedTarget::StoreEntry() const {
-  return json{{"addr", options_.address.ToString()},
-              {"born", started_at_ms_},
-              {"info",
-               {{"service", options_.service},
-                {"version", "v1"},
-                {"zone", options_.zone},
-                {"slots", options_.slots}}},
-              {"status",
-               {{"state", draining_ ? "draining" : "ready"},
-                {"seq", draining_ ? 2 : 1},
-                {"warmupLeftS", 0}}}}
+  return json{
+      {"addr", options_.address.ToString()},
+      {"born", started_at_ms_},
+      {"info",
+       {{"service", options_.service},
+        {"version", "v1"},
+        {"zone", options_.zone},
+        {"slots", options_.slots}}},
+      {"status",
+       {{"state", draining_ ? "draining" : "ready"},
+        {"seq", draining_ ? 2 : 1},
+        {"warmupLeftS", static_cast<double>(ToMillis(WarmUpLeft())) / 1e3}}}}
       .dump();
 }
 
@@ -304,6 +315,9 @@
     response.set(platform::kLeavingHeader, "1");
   if (said.limit)
     response.set(platform::kRateLimitHeader, fmt::format("{}", *said.limit));
+  if (WarmUpLeft() > Duration{0})
+    response.set(platform::kWarmUpHeader,
+                 std::to_string(ToMillis(WarmUpLeft())));
   if (response.result_int() == kUnavailable && rejects_for_) {
     said.retry_after = rejects_for_;
     response.set(
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -97,6 +97,10 @@
   Duration nominal_work_time = std::chrono::milliseconds(20);
   std::size_t response_bytes = 2'000;
   bool keyed = false;
+  // Of each incarnation but the first, and the requests that it tolerates in
+  // any second meanwhile.
+  Duration warm_up_time{0};
+  double max_warm_up_requests = 0;
   // The test serves the target's address itself; only the target's entry in the
   // store is emulated.
   bool external = false;
@@ -136,6 +140,8 @@
   void SayLeaving() { said_.leaving = true; }
   // The target's answers name this limit in requests per second, or none.
   void SayLimit(std::optional<double> limit) { said_.limit = limit; }
+  // The target warms up once more.
+  void WarmUp();
   // The target rejects all requests and asks for a pause of this length.
   void RejectFor(std::optional<Duration> pause) { rejects_for_ = pause; }
   // The target's answers carry notices with invalid values.
@@ -176,6 +182,9 @@
   // a caller's request.
   void AddNotices(HttpResponse& response, const std::string& request_id);
   bool HoldsKey(ShardKey key) const;
+  Duration WarmUpLeft() const {
+    return std::max(Duration{0}, warm_up_until_ - BootNow());
+  }
 
   boost::asio::io_context& io_;
   const EmulatedTargetOptions options_;
@@ -192,6 +201,7 @@
   double abort_ratio_ = 0;
   SaidNotices said_;
   std::optional<Duration> rejects_for_;
+  Instant warm_up_until_{};
   bool says_invalid_ = false;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   // Connections of this process that fill the accept queue.
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -114,6 +114,7 @@
                               notice_checker_.violations().end());
     report_.store_calls = store_server_.calls();
     report_.highest_limit_use = notice_checker_.highest_limit_use();
+    report_.most_in_warm_up = notice_checker_.most_in_warm_up();
     report_.owner_changes = checker_.owner_changes();
     for (const auto& target : targets_)
       report_.requests_run[target->options().service] += target->requests_run();
@@ -284,6 +285,9 @@
           target.Crash();
       } else if (fault.kind == "target-limit") {
         target.SayLimit(starts ? std::optional(fault.value) : std::nullopt);
+      } else if (fault.kind == "target-warm-up") {
+        if (starts)
+          target.WarmUp();
       } else if (fault.kind == "target-retry-after") {
         target.RejectFor(starts ? std::optional(FromSeconds(fault.value))
                                 : std::nullopt);
--- a/test/fakes/emulator_report.cc
+++ b/test/fakes/emulator_report.cc
@@ -78,6 +78,7 @@
           {"store_calls", store_calls},
           {"desired_state_versions", desired_state_versions},
           {"highest_limit_use", highest_limit_use},
+          {"most_in_warm_up", most_in_warm_up},
           {"happened", injected_faults},
           {"violations", violations}};
 }
--- a/test/fakes/emulator_report.h
+++ b/test/fakes/emulator_report.h
@@ -43,6 +43,8 @@
   // Highest number of requests in 4 s at a target with a limit, as a share of
   // what the limit allows.
   double highest_limit_use = 0;
+  // Highest number of requests in one second at a target that warms up.
+  std::size_t most_in_warm_up = 0;
 };
 
 }  // namespace figstall::detail
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -37,6 +37,13 @@
                            "external": {"type": "boolean"}}}},
           "keyed": {"type": "boolean"},
           "slots": {"type": "integer", "minimum": 1},
+          "warm_up": {
+            "type": "object", "additionalProperties": false,
+            "required": ["time_s", "per_second", "max_requests"],
+            "properties": {
+              "time_s": {"type": "number", "exclusiveMinimum": 0},
+              "per_second": {"type": "number", "exclusiveMinimum": 0},
+              "max_requests": {"type": "number", "exclusiveMinimum": 0}}},
           "queue": {"type": "integer", "minimum": 0},
           "work_ms": {"type": "number", "exclusiveMinimum": 0},
           "answer_bytes": {"type": "integer", "minimum": 40}}}},
@@ -62,6 +69,7 @@
                           "target-accepts-late",
                           "target-garble", "target-says-leaving",
                           "target-limit", "target-retry-after",
+                          "target-warm-up",
                           "target-says-invalid", "entry-frozen",
                           "entry-killed", "entry-stopping", "store-rejects-entry",
                           "store-revokes-entry", "store-silent", "store-busy",
@@ -144,6 +152,12 @@
     const bool keyed = service.value("keyed", false);
     scenario.desired_state["services"][name] = {
         {"healthPath", "/healthz"}, {"maxConns", 120}, {"sharded", keyed}};
+    const json warm_up = service.value("warm_up", json());
+    if (!warm_up.is_null()) {
+      json& state = scenario.desired_state["services"][name];
+      state["warmupS"] = warm_up.at("time_s");
+      state["warmupPerS"] = warm_up.at("per_second");
+    }
     for (const json& target : service.at("targets")) {
       EmulatedTargetOptions options;
       options.service = name;
@@ -158,6 +172,10 @@
           FromSeconds(service.value("work_ms", 20.0) / 1e3);
       options.response_bytes =
           service.value("answer_bytes", options.response_bytes);
+      if (!warm_up.is_null()) {
+        options.warm_up_time = FromSeconds(warm_up.at("time_s"));
+        options.max_warm_up_requests = warm_up.at("max_requests");
+      }
       scenario.targets.push_back(std::move(options));
     }
   }
--- a/test/fakes/notice_checker.cc
+++ b/test/fakes/notice_checker.cc
@@ -9,6 +9,7 @@
 namespace figstall::detail {
 namespace {
 
+constexpr Duration kWarmUpWindow = std::chrono::seconds(1);
 constexpr Duration kLimitWindow = std::chrono::seconds(4);
 // Time that an entry has to act on an answer. Source: the users' rules.
 constexpr Duration kReactionTime = std::chrono::milliseconds(500);
@@ -32,6 +33,7 @@
     return;
   const SentRequest& request = found->second;
   Target& target = targets_[target_id];
+  CheckWarmUp(target_id, target, now);
   const auto leaving = target.told_leaving.find(request.entry);
   if (leaving != target.told_leaving.end() &&
       request.sent_at > leaving->second + bounds_.drain)
@@ -65,6 +67,29 @@
   }
 }
 
+void NoticeChecker::OnWarmUp(const std::string& target,
+                             Instant until,
+                             double max_requests) {
+  targets_[target].warm_up_until = until;
+  targets_[target].max_warm_up_requests = max_requests;
+}
+
+// No entry is excused: the rule holds whatever an entry was told.
+void NoticeChecker::CheckWarmUp(const std::string& id,
+                                Target& target,
+                                Instant now) {
+  target.arrivals.push_back(now);
+  while (now - target.arrivals.front() >= kWarmUpWindow)
+    target.arrivals.pop_front();
+  if (now >= target.warm_up_until)
+    return;
+  most_in_warm_up_ = std::max(most_in_warm_up_, target.arrivals.size());
+  if (static_cast<double>(target.arrivals.size()) > target.max_warm_up_requests)
+    violations_.push_back(
+        fmt::format("{} warms up and got {} requests in 1 s, allowed {:.2f}",
+                    id, target.arrivals.size(), target.max_warm_up_requests));
+}
+
 void NoticeChecker::CheckLimit(const std::string& id,
                                Target& target,
                                Instant now) {
--- a/test/fakes/notice_checker.h
+++ b/test/fakes/notice_checker.h
@@ -44,6 +44,9 @@
                      Instant now);
   // A new incarnation under this id has said nothing yet.
   void OnTargetStarted(const std::string& target) { targets_.erase(target); }
+  // From now until then the target tolerates this many requests in any second,
+  // from all entries together.
+  void OnWarmUp(const std::string& target, Instant until, double max_requests);
   // The store acknowledged an entry of the target that says that it leaves.
   void OnListedLeaving(const std::string& target, Instant now) {
     targets_[target].listed_leaving_at = now;
@@ -71,6 +74,8 @@
   // Highest number of counted requests in 4 s, as a share of what the target's
   // limit allows.
   double highest_limit_use() const { return highest_limit_use_; }
+  // Highest number of requests to a target that warms up in one second.
+  std::size_t most_in_warm_up() const { return most_in_warm_up_; }
 
  private:
   struct SentRequest {
@@ -97,9 +102,14 @@
     std::deque<std::pair<Instant, double>> limits;
     std::deque<Instant> counted_arrivals;
     bool limit_broken = false;
+    Instant warm_up_until{};
+    double max_warm_up_requests = 0;
+    // Of the last second.
+    std::deque<Instant> arrivals;
   };
 
   void CheckLimit(const std::string& id, Target& target, Instant now);
+  void CheckWarmUp(const std::string& id, Target& target, Instant now);
 
   const NoticeBounds bounds_;
   std::map<std::string, SentRequest> requests_;
@@ -108,6 +118,7 @@
   bool store_disturbed_ = false;
   std::set<std::size_t> disturbed_entries_;
   std::vector<std::string> violations_;
+  std::size_t most_in_warm_up_ = 0;
   double highest_limit_use_ = 0;
 };
 
--- a/test/warm_up_limits_test.cc
+++ b/test/warm_up_limits_test.cc
@@ -334,6 +334,36 @@
   });
 }
 
+// Guards against members that send at the normal rate until the store tells
+// them, since one alone read in an answer that the target warms up again.
+TEST_CASE("a warm-up that one member learns of reaches the others") {
+  TargetNotices notices;
+  std::vector<std::pair<VmId, CreditMessage>> sent;
+  SendCredits::Handlers handlers;
+  handlers.send = [&](const VmId& to, const CreditMessage& message) {
+    sent.emplace_back(to, message);
+  };
+  WarmUpLimits limits(kBounds);
+  limits.OnServices(At(0), Services());
+  limits.OnListed(At(0), Entry(Duration{0}));
+  limits.OnAnswer(At(20), kTarget, seconds(2), "response");
+  SendCredits credits(VmId("m-0"), notices, limits, handlers);
+  credits.SetMembers(
+      {{VmId("m-0"), kZone}, {VmId("m-1"), kZone}, {VmId("m-2"), kZone}});
+  credits.AnnounceWarmUp(At(20), kTarget);
+  REQUIRE(sent.size() == 2);
+  CHECK(sent[0].first == VmId("m-1"));
+  const auto& request = std::get<CreditRequest>(sent[0].second);
+  CHECK(request.wanted == 0);
+  CHECK(request.warm_up == WarmUpStatement{seconds(2), kRate});
+  // Many at once are left to the store's entries.
+  for (int i = 0; i < 100; ++i)
+    credits.AnnounceWarmUp(At(20.5), kTarget);
+  CHECK(sent.size() == 16);
+  credits.AnnounceWarmUp(At(21.5), kTarget);
+  CHECK(sent.size() == 18);
+}
+
 TEST_CASE("rate and burst follow from the bounds") {
   const WarmUpIssue issue = ComputeWarmUpIssue(kRate, kBounds);
   CHECK(issue.per_second == kRate);
