--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -39,6 +39,34 @@
     view.tables[kService] = table;
   }
 
+  // The targets warm up for two seconds from here on.
+  void WarmUp(const std::vector<std::string>& ids) {
+    TargetService service;
+    service.warm_up_rate = 4.5;
+    warm_ups.OnServices(kStart, {{kService, service}});
+    for (const std::string& id : ids) {
+      TargetEntry entry = MakeEntry(id, 1);
+      entry.warm_up_left = std::chrono::seconds(2);
+      warm_ups.OnListed(kStart, entry);
+    }
+  }
+
+  // The target that gets a request now, or why there is none.
+  std::string Choose(Instant now, std::optional<ShardKey> key) {
+    TargetQuery query;
+    query.service = kService;
+    query.key = key;
+    query.mean_latency = std::chrono::milliseconds(100);
+    query.latency_objective = std::chrono::milliseconds(300);
+    const TargetChoice choice = selector.Choose(now, query);
+    if (!choice.client)
+      return std::string(ToString(choice.reason));
+    const TargetIncarnation& target = choice.client->entry().incarnation;
+    credits.Consume(now, target);
+    choice.client->load().OnSent(now);
+    return target.id.value();
+  }
+
   Unavailability Check(Instant now, std::optional<ShardKey> key) const {
     TargetQuery query;
     query.service = kService;
@@ -51,8 +79,11 @@
   EntrySettings settings;
   EntryView view;
   TargetNotices notices;
-  WarmUpLimits warm_ups;
-  SendCredits credits{VmId("self"), notices, warm_ups, {}};
+  WarmUpLimits warm_ups{WarmUpBounds{1.5, 8}};
+  SendCredits credits{VmId("self"),
+                      notices,
+                      warm_ups,
+                      {{}, {}, {}, [](const auto&...) {}}};
   TargetSelector selector{io, settings, view, notices, credits};
 };
 
@@ -126,4 +157,49 @@
         Unavailability::kNone);
 }
 
+// Guards against requests that all go to a target that warms up, since it is
+// idle.
+TEST_CASE("a target that warms up gets what would queue at others") {
+  TestSelector test;
+  test.view.member_counts.Record(kStart, {{ZoneId(), 1}}, kStart);
+  test.WarmUp({"a"});
+  for (int i = 0; i < 4; ++i)
+    CHECK(test.Choose(kStart, std::nullopt) == "b");
+  // Its slots are taken. The first credit for the other one comes later.
+  CHECK(test.Choose(kStart, std::nullopt) == "b");
+  const Instant later = kStart + std::chrono::milliseconds(500);
+  CHECK(test.Choose(later, std::nullopt) == "a");
+  CHECK(test.Choose(later, std::nullopt) == "b");
+  // Once it is warm it gets its part.
+  const Instant warm = kStart + std::chrono::milliseconds(2500);
+  for (int i = 0; i < 3; ++i)
+    CHECK(test.Choose(warm, std::nullopt) == "a");
+}
+
+TEST_CASE("requests beyond the rate of targets that warm up are refused") {
+  TestSelector test;
+  test.WarmUp({"a", "b"});
+  test.SetOwner("a", 1, RangePhase::kSettled);
+  const auto key = GENERATE(std::optional<ShardKey>(), std::optional(7));
+  CHECK(test.Choose(kStart, key) == "warming-up");
+  const Instant later = kStart + std::chrono::milliseconds(600);
+  if (key) {
+    CHECK(test.Choose(later, key) == "a");
+  } else {
+    const std::set<std::string> chosen = {test.Choose(later, key),
+                                          test.Choose(later, key)};
+    CHECK(chosen == std::set<std::string>{"a", "b"});
+  }
+  TargetQuery query;
+  query.service = kService;
+  query.key = key;
+  const TargetChoice refused = test.selector.Choose(later, query);
+  REQUIRE(refused.reason == Unavailability::kWarmingUp);
+  REQUIRE(refused.available_at);
+  CHECK(*refused.available_at > later);
+  CHECK(*refused.available_at <= later + std::chrono::milliseconds(500));
+  CHECK(test.selector.Explain(later, query, refused).find("warming up") !=
+        std::string::npos);
+}
+
 }  // namespace figstall
