Give no keys to idle targets that warm up while there are others

A target without load is the least loaded one whatever its capacity, so that ranges without known load went to one that warms up; and while it can carry next to nothing, the balance found no range small enough for it and moved none to others either. Guarded by a test of the mover.

--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -138,6 +138,9 @@
   const std::map<TargetId, double>* capacity = nullptr;
   // Null without samples.
   const RangeLoad* load = nullptr;
+  // Targets that are warming up; may be null. While there are others, they get
+  // no ranges of a lost owner, and no first range by the balance.
+  const std::set<TargetId>* warming_up = nullptr;
 };
 
 // A range that the last plan gave to its next owner.
@@ -231,6 +234,11 @@
     std::string handover;
   };
 
+  // Erases targets that are warming up, unless no others remain. `idle_only`:
+  // only those without load.
+  static void EraseWarmingUp(TargetShares& shares,
+                             const MoverInput& input,
+                             bool idle_only);
   std::vector<const TargetEntry*> UsableTargets(const MoverInput& input) const;
   RangeTable FirstAssignment(const std::vector<const TargetEntry*>& usable,
                              const MoverInput& input) const;
--- a/include/figstall/warm_up_limits.h
+++ b/include/figstall/warm_up_limits.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -121,6 +122,8 @@
       const TargetIncarnation& target) const;
   // Targets of which this process knows a warm-up by their answers alone.
   std::vector<TargetIncarnation> Reportable(Instant now) const;
+  // All targets that are warming up.
+  std::set<TargetId> Targets(Instant now) const;
   std::size_t count() const { return active_.size(); }
   // Forgets targets that have been missing from the directory for a long time.
   void Prune(Instant now, const TargetDirectory& directory);
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -172,6 +172,7 @@
     }
     const RangeLoad& load = smoothed_load_[service].load();
     const auto capacity = LimitedCapacities(now, service);
+    const std::set<TargetId> warming_up = notices_.warm_ups().Targets(now);
     MoverInput input;
     input.now = now;
     input.directory = &view_.targets;
@@ -184,6 +185,7 @@
     };
     input.capacity = &capacity;
     input.load = &load;
+    input.warming_up = &warming_up;
     const auto next = state.mover->Plan(input);
     if (!next)
       continue;
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -204,6 +204,21 @@
   return now - usable_ids_unchanged_since_ >= options_.stabilization_window;
 }
 
+void RangeMover::EraseWarmingUp(TargetShares& shares,
+                                const MoverInput& input,
+                                bool idle_only) {
+  if (!input.warming_up)
+    return;
+  TargetShares others = shares;
+  std::erase_if(others, [&](const auto& each) {
+    const auto& [id, share] = each;
+    return input.warming_up->contains(id) &&
+           (!idle_only || (share.load <= 0 && share.hot_load <= 0));
+  });
+  if (!others.empty())
+    shares = std::move(others);
+}
+
 bool RangeMover::AssignUnheldRanges(RangeTable& next, const MoverInput& input) {
   const auto usable = UsableTargets(input);
   if (usable.empty())
@@ -226,6 +241,7 @@
     return false;
   auto shares = ComputeTargetShares(next, usable, input.capacity, LoadIn(input),
                                     options_.balance);
+  EraseWarmingUp(shares, input, /*idle_only=*/false);
   bool changed = false;
   for (RangeEntry& entry : next.entries) {
     if (entry.phase == RangePhase::kSettled || !HasNoHolder(entry, input))
@@ -269,8 +285,11 @@
     return false;
   last_balance_evaluation_at_ = input.now;
   ++balance_evaluations_;
-  const auto shares = ComputeTargetShares(next, usable, input.capacity,
-                                          *input.load, options_.balance);
+  auto shares = ComputeTargetShares(next, usable, input.capacity, *input.load,
+                                    options_.balance);
+  // The little that an idle one should carry is worth no move, and would stop
+  // the moves to others while no range is small enough.
+  EraseWarmingUp(shares, input, /*idle_only=*/true);
   std::set<TargetId> hot_owners;
   for (const auto& [id, share] : shares) {
     if (share.hot_load > 0)
--- a/src/warm_up_limits.cc
+++ b/src/warm_up_limits.cc
@@ -241,6 +241,15 @@
   return WarmUpStatement{until - now, active->per_second};
 }
 
+std::set<TargetId> WarmUpLimits::Targets(Instant now) const {
+  std::set<TargetId> targets;
+  for (const auto& [target, active] : active_) {
+    if (IsAhead(now, active.until))
+      targets.insert(target.id);
+  }
+  return targets;
+}
+
 std::vector<TargetIncarnation> WarmUpLimits::Reportable(Instant now) const {
   std::vector<TargetIncarnation> reportable;
   for (const auto& [target, active] : active_) {
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -68,6 +68,7 @@
     input.capacity = &capacity;
     load_ = RangeLoad(parts);
     input.load = &load_;
+    input.warming_up = &warming_up;
     return input;
   }
   std::string OwnerOf(ShardKey key) const {
@@ -81,6 +82,7 @@
   MemberReports members;
   std::map<TargetId, double> capacity;
   std::vector<double> parts;
+  std::set<TargetId> warming_up;
   int writes = 0;
   // Ranges that the last written plan settled.
   std::vector<SettledRange> last_settled;
@@ -129,6 +131,38 @@
   CHECK(first->Find(0)->owner.id != first->Find(65'535)->owner.id);
 }
 
+// Guards against all keys of a lost owner that move to a target which has no
+// load because it warms up.
+TEST_CASE("a target that warms up gets no keys while there are others") {
+  MoverFixture fixture({"t1", "t2"});
+  fixture.parts.assign(1024, 2.0 / 1024);
+  for (const char* id : {"t3", "t4"}) {
+    fixture.directory[TargetId(id)] = Target(id);
+    fixture.warming_up.insert(TargetId(id));
+  }
+  fixture.Advance(std::chrono::seconds(3));
+  fixture.LoseOwnerOf(0);
+  const std::string other =
+      fixture.directory.contains(TargetId("t1")) ? "t1" : "t2";
+  fixture.Advance(std::chrono::seconds(20));
+  CHECK(LoadByOwner(fixture)[other] == Approx(2));
+  SECTION("and its part once it is warm") {
+    fixture.warming_up.clear();
+    for (int i = 0; i < 200; ++i) {
+      fixture.Advance(milliseconds(200));
+      fixture.ReleaseAll("");
+    }
+    CHECK(LoadByOwner(fixture)["t3"] > 0.3);
+    CHECK(LoadByOwner(fixture)["t4"] > 0.3);
+  }
+  SECTION("but all of them if there is no other") {
+    fixture.LoseOwnerOf(0);
+    fixture.Advance(std::chrono::seconds(20));
+    auto loads = LoadByOwner(fixture);
+    CHECK(loads["t3"] + loads["t4"] == Approx(2));
+  }
+}
+
 TEST_CASE("a leaving owner hands over under a greater token") {
   MoverFixture fixture({"t1", "t2"});
   // A member that has not seen the move yet.
