Keep large responses in a region whose targets warm up

Targets that warm up are not among the candidates at first, so that those of another region seemed to be the only ones for a bulk request. Also a warm-up that begins before the end of the last one was noted is logged as an end and a start.

--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -230,14 +230,21 @@
     }
     return checked.reason;
   };
+  std::vector<TargetClient*> warming_up;
+  std::vector<TargetClient*> warming_up_elsewhere;
+  bool warming_up_in_region = false;
   const auto pick = [&] {
+    // Large responses stay in the region also while its targets warm up.
+    if (query.bulk && warming_up_in_region) {
+      std::erase_if(candidates, [](const Candidate& each) {
+        return each.distance == Distance::kOtherRegion;
+      });
+    }
     return PickTarget(candidates,
                       SelectionOptions{query.bulk, query.mean_latency,
                                        query.latency_objective},
                       now);
   };
-  std::vector<TargetClient*> warming_up;
-  std::vector<TargetClient*> warming_up_elsewhere;
   // Credits of a target in another zone are left to the members there unless no
   // other target may get the request.
   std::vector<TargetClient*> limited_elsewhere;
@@ -246,14 +253,17 @@
     if (entry.service != query.service || query.tried_targets.contains(id) ||
         notices_.LeavingSince(entry.incarnation))
       continue;
-    if (credits_.IsWarmingUp(now, entry.incarnation))
+    if (credits_.IsWarmingUp(now, entry.incarnation)) {
+      warming_up_in_region = warming_up_in_region ||
+                             DistanceTo(entry.zone) != Distance::kOtherRegion;
       (entry.zone == settings_.zone ? warming_up : warming_up_elsewhere)
           .push_back(client.get());
-    else if (entry.zone == settings_.zone ||
-             credits_.HasCredit(now, entry.incarnation))
+    } else if (entry.zone == settings_.zone ||
+               credits_.HasCredit(now, entry.incarnation)) {
       consider(*client);
-    else
+    } else {
       limited_elsewhere.push_back(client.get());
+    }
   }
   const Candidate* best = pick();
   if (!best && !limited_elsewhere.empty()) {
--- a/src/warm_up_limits.cc
+++ b/src/warm_up_limits.cc
@@ -88,16 +88,17 @@
   const TargetService* service = ServiceOf(record);
   const double rate = service ? service->warm_up_rate : record.reported_rate;
   const Instant until = std::max(OwnUntil(record), record.reported_until);
+  const bool warming_up = rate > 0 && IsAhead(now, until);
   const auto found = active_.find(target);
-  if (rate <= 0 || !IsAhead(now, until)) {
-    if (found == active_.end())
-      return;
+  if (found != active_.end() &&
+      (!warming_up || !IsAhead(now, found->second.until))) {
     changes.push_back({target, false, now - found->second.since,
                        found->second.per_second, std::string(source)});
     active_.erase(found);
-    return;
   }
-  const bool started = found == active_.end() || found->second.until <= now;
+  if (!warming_up)
+    return;
+  const bool started = !active_.contains(target);
   Active& active = active_[target];
   if (started)
     active.since = now;
