State only warm-ups that a target or its entry names

A member that returns after a long cut takes all targets that are new to it to warm up; told to an issuer, that would have limited them for all members. An issuer that does not know a target at all issues no credits for it. All unit tests pass.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -100,6 +100,9 @@
   // Limits on hot keys expire after this time unless the mover sends them
   // again.
   Duration hot_key_limits_duration = std::chrono::milliseconds(1000);
+  // A member that asks for credits for a target that this one does not know
+  // asks again after this time.
+  Duration unknown_target_backoff = std::chrono::milliseconds(100);
   // A member writes its grant report to the store if a moving range still
   // awaits reports after this time. If the mover receives the reports of all
   // members directly, the move has ended by then, because their grants have
--- a/include/figstall/warm_up_limits.h
+++ b/include/figstall/warm_up_limits.h
@@ -116,7 +116,8 @@
                                const TargetIncarnation& target) const;
   // Only what this process learned from the target or its entry. Members that
   // passed on what others told them would prolong a warm-up by the delay of
-  // each message.
+  // each message; one that has just heard of old targets must not make others
+  // limit them.
   std::optional<WarmUpStatement> StatementOf(
       Instant now,
       const TargetIncarnation& target) const;
@@ -158,8 +159,10 @@
 
   const Active* Find(Instant now, const TargetIncarnation& target) const;
   const TargetService* ServiceOf(const Record& record) const;
-  // End of the warm-up by what this process itself learned.
-  Instant OwnUntil(const Record& record) const;
+  // End of the warm-up by the target's entry and answers, and by all that is
+  // known.
+  static Instant StatedUntil(const Record& record);
+  Instant UntilOf(const Record& record) const;
   // Brings the target's entry in `active_` up to date.
   void Update(Instant now,
               const TargetIncarnation& target,
--- a/src/entry_control_peers.cc
+++ b/src/entry_control_peers.cc
@@ -142,9 +142,15 @@
     const CreditRequest& request,
     const boost::asio::ip::udp::endpoint& sender) {
   const auto target = view_.targets.find(request.target.id);
-  const CreditResponse response = credits_.OnRequest(
-      now, request,
-      target == view_.targets.end() ? ZoneId() : target->second.zone);
+  const bool known = target != view_.targets.end();
+  CreditRequest considered = request;
+  // A target that this process has not heard of may be warming up.
+  if (!known && settings_.warm_up)
+    considered.wanted = 0;
+  CreditResponse response = credits_.OnRequest(
+      now, considered, known ? target->second.zone : ZoneId());
+  if (considered.wanted < request.wanted)
+    response.backoff = timing_.unknown_target_backoff;
   ++metrics_.Counter(
       "figstall_credit_requests_total",
       response.granted > 0 ? "outcome=\"granted\"" : "outcome=\"refused\"");
--- a/src/warm_up_limits.cc
+++ b/src/warm_up_limits.cc
@@ -70,8 +70,12 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
-Instant WarmUpLimits::OwnUntil(const Record& record) const {
-  Instant until = std::max(record.listed_until, record.heard_until);
+Instant WarmUpLimits::StatedUntil(const Record& record) {
+  return std::max(record.listed_until, record.heard_until);
+}
+
+Instant WarmUpLimits::UntilOf(const Record& record) const {
+  Instant until = std::max(StatedUntil(record), record.reported_until);
   const TargetService* service = ServiceOf(record);
   if (record.assumed_since && service)
     until = std::max(until, *record.assumed_since + service->warm_up_time);
@@ -87,7 +91,7 @@
     return;
   const TargetService* service = ServiceOf(record);
   const double rate = service ? service->warm_up_rate : record.reported_rate;
-  const Instant until = std::max(OwnUntil(record), record.reported_until);
+  const Instant until = UntilOf(record);
   const bool warming_up = rate > 0 && IsAhead(now, until);
   const auto found = active_.find(target);
   if (found != active_.end() &&
@@ -236,7 +240,7 @@
   const auto record = records_.find(target);
   if (record == records_.end())
     return std::nullopt;
-  const Instant until = OwnUntil(record->second);
+  const Instant until = StatedUntil(record->second);
   if (!IsAhead(now, until))
     return std::nullopt;
   return WarmUpStatement{until - now, active->per_second};
--- a/test/warm_up_limits_test.cc
+++ b/test/warm_up_limits_test.cc
@@ -390,6 +390,8 @@
     CHECK(changes[0].source == "first-seen");
     CHECK(limits.IsWarmingUp(At(22.9), kTarget));
     CHECK_FALSE(limits.IsWarmingUp(At(23), kTarget));
+    // Others know for themselves whether the target is new.
+    CHECK_FALSE(limits.StatementOf(At(21), kTarget));
     REQUIRE(limits.Advance(At(23)).size() == 1);
     CHECK(limits.count() == 0);
   }
