--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -26,6 +26,7 @@
 #include "figstall/metrics.h"
 #include "figstall/range_granter.h"
 #include "figstall/range_mover.h"
+#include "figstall/recent_members.h"
 #include "figstall/send_credits.h"
 #include "figstall/store_connectivity.h"
 #include "figstall/store_copy.h"
@@ -100,6 +101,9 @@
   // Limits on hot keys expire after this time unless the mover sends them
   // again.
   Duration hot_key_limits_duration = std::chrono::milliseconds(1000);
+  // A member that asks for credits for a target that this one does not know
+  // asks again after this time.
+  Duration unknown_target_backoff = std::chrono::milliseconds(100);
   // A member writes its grant report to the store if a moving range still
   // awaits reports after this time. If the mover receives the reports of all
   // members directly, the move has ended by then, because their grants have
@@ -175,6 +179,7 @@
 
   void Join();
   void RecordMemberCounts(Instant now);
+  void UpdateCreditMembers(Instant now);
   void WriteMember(bool then_read);
   // Whether this member has a table that the store lost in an earlier era.
   bool HasEarlierTables() const;
@@ -386,6 +391,9 @@
   EntryTraffic& traffic_;
   TargetNoticeRecorder& notices_;
   SendCredits& credits_;
+  // The members that share credits, and where they receive messages about them.
+  RecentMembers credit_members_;
+  std::map<VmId, Endpoint> credit_endpoints_;
   Log& log_;
   Metrics& metrics_;
   platform::StoreClient store_;
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -145,6 +145,9 @@
   bool IsEvacuated(const ZoneId& zone) const {
     return evacuations && evacuations->contains(zone);
   }
+  // Targets that are warming up; may be null. While there are others, they get
+  // no ranges of a lost owner, and no first range by the balance.
+  const std::set<TargetId>* warming_up = nullptr;
 };
 
 // A range that the last plan gave to its next owner.
@@ -238,6 +241,11 @@
     std::string handover;
   };
 
+  // Erases targets that are warming up, unless no others remain. `idle_only`:
+  // only those without load.
+  static void EraseWarmingUp(TargetShares& shares,
+                             const MoverInput& input,
+                             bool idle_only);
   std::vector<const TargetEntry*> UsableTargets(const MoverInput& input) const;
   RangeTable FirstAssignment(const std::vector<const TargetEntry*>& usable,
                              const MoverInput& input) const;
--- a/include/figstall/warm_up_limits.h
+++ b/include/figstall/warm_up_limits.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -115,12 +116,15 @@
                                const TargetIncarnation& target) const;
   // Only what this process learned from the target or its entry. Members that
   // passed on what others told them would prolong a warm-up by the delay of
-  // each message.
+  // each message; one that has just heard of old targets must not make others
+  // limit them.
   std::optional<WarmUpStatement> StatementOf(
       Instant now,
       const TargetIncarnation& target) const;
   // Targets of which this process knows a warm-up by their answers alone.
   std::vector<TargetIncarnation> Reportable(Instant now) const;
+  // All targets that are warming up.
+  std::set<TargetId> Targets(Instant now) const;
   std::size_t count() const { return active_.size(); }
   // Forgets targets that have been missing from the directory for a long time.
   void Prune(Instant now, const TargetDirectory& directory);
@@ -155,8 +159,10 @@
 
   const Active* Find(Instant now, const TargetIncarnation& target) const;
   const TargetService* ServiceOf(const Record& record) const;
-  // End of the warm-up by what this process itself learned.
-  Instant OwnUntil(const Record& record) const;
+  // End of the warm-up by the target's entry and answers, and by all that is
+  // known.
+  static Instant StatedUntil(const Record& record);
+  Instant UntilOf(const Record& record) const;
   // Brings the target's entry in `active_` up to date.
   void Update(Instant now,
               const TargetIncarnation& target,
--- a/src/entry_control_peers.cc
+++ b/src/entry_control_peers.cc
@@ -128,11 +128,11 @@
 
 void EntryControl::SendCreditMessage(const VmId& to,
                                      const CreditMessage& message) {
-  const auto member = view_.members.find(to);
-  if (member == view_.members.end() || member->second.peer_endpoint.port == 0)
+  const auto endpoint = credit_endpoints_.find(to);
+  if (endpoint == credit_endpoints_.end() || endpoint->second.port == 0)
     return;
   SendDatagram(
-      member->second.peer_endpoint,
+      endpoint->second,
       std::make_shared<std::string>(std::visit(
           [](const auto& each) { return EncodePeerDatagram(each); }, message)));
 }
@@ -142,9 +142,15 @@
     const CreditRequest& request,
     const boost::asio::ip::udp::endpoint& sender) {
   const auto target = view_.targets.find(request.target.id);
-  const CreditResponse response = credits_.OnRequest(
-      now, request,
-      target == view_.targets.end() ? ZoneId() : target->second.zone);
+  const bool known = target != view_.targets.end();
+  CreditRequest considered = request;
+  // A target that this process has not heard of may be warming up.
+  if (!known && settings_.warm_up)
+    considered.wanted = 0;
+  CreditResponse response = credits_.OnRequest(
+      now, considered, known ? target->second.zone : ZoneId());
+  if (considered.wanted < request.wanted)
+    response.backoff = timing_.unknown_target_backoff;
   ++metrics_.Counter(
       "figstall_credit_requests_total",
       response.granted > 0 ? "outcome=\"granted\"" : "outcome=\"refused\"");
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -179,6 +179,7 @@
     }
     const RangeLoad& load = smoothed_load_[service].load();
     const auto capacity = LimitedCapacities(now, service);
+    const std::set<TargetId> warming_up = notices_.warm_ups().Targets(now);
     MoverInput input;
     input.now = now;
     input.directory = &view_.targets;
@@ -192,6 +193,7 @@
     input.capacity = &capacity;
     input.load = &load;
     input.evacuations = &view_.evacuations;
+    input.warming_up = &warming_up;
     const auto next = state.mover->Plan(input);
     if (!next)
       continue;
--- a/src/warm_up_limits.cc
+++ b/src/warm_up_limits.cc
@@ -70,8 +70,12 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
-Instant WarmUpLimits::OwnUntil(const Record& record) const {
-  Instant until = std::max(record.listed_until, record.heard_until);
+Instant WarmUpLimits::StatedUntil(const Record& record) {
+  return std::max(record.listed_until, record.heard_until);
+}
+
+Instant WarmUpLimits::UntilOf(const Record& record) const {
+  Instant until = std::max(StatedUntil(record), record.reported_until);
   const TargetService* service = ServiceOf(record);
   if (record.assumed_since && service)
     until = std::max(until, *record.assumed_since + service->warm_up_time);
@@ -87,17 +91,18 @@
     return;
   const TargetService* service = ServiceOf(record);
   const double rate = service ? service->warm_up_rate : record.reported_rate;
-  const Instant until = std::max(OwnUntil(record), record.reported_until);
+  const Instant until = UntilOf(record);
+  const bool warming_up = rate > 0 && IsAhead(now, until);
   const auto found = active_.find(target);
-  if (rate <= 0 || !IsAhead(now, until)) {
-    if (found == active_.end())
-      return;
+  if (found != active_.end() &&
+      (!warming_up || !IsAhead(now, found->second.until))) {
     changes.push_back({target, false, now - found->second.since,
                        found->second.per_second, std::string(source)});
     active_.erase(found);
-    return;
   }
-  const bool started = found == active_.end() || found->second.until <= now;
+  if (!warming_up)
+    return;
+  const bool started = !active_.contains(target);
   Active& active = active_[target];
   if (started)
     active.since = now;
@@ -235,12 +240,21 @@
   const auto record = records_.find(target);
   if (record == records_.end())
     return std::nullopt;
-  const Instant until = OwnUntil(record->second);
+  const Instant until = StatedUntil(record->second);
   if (!IsAhead(now, until))
     return std::nullopt;
   return WarmUpStatement{until - now, active->per_second};
 }
 
+std::set<TargetId> WarmUpLimits::Targets(Instant now) const {
+  std::set<TargetId> targets;
+  for (const auto& [target, active] : active_) {
+    if (IsAhead(now, active.until))
+      targets.insert(target.id);
+  }
+  return targets;
+}
+
 std::vector<TargetIncarnation> WarmUpLimits::Reportable(Instant now) const {
   std::vector<TargetIncarnation> reportable;
   for (const auto& [target, active] : active_) {
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -116,6 +116,7 @@
     report_.highest_limit_use = notice_checker_.highest_limit_use();
     report_.latest_evacuated_arrival =
         notice_checker_.latest_evacuated_arrival();
+    report_.most_in_warm_up = notice_checker_.most_in_warm_up();
     report_.owner_changes = checker_.owner_changes();
     for (const auto& target : targets_)
       report_.requests_run[target->options().service] += target->requests_run();
@@ -291,6 +292,9 @@
           target.Crash();
       } else if (fault.kind == "target-limit") {
         target.SayLimit(starts ? std::optional(fault.value) : std::nullopt);
+      } else if (fault.kind == "target-warm-up") {
+        if (starts)
+          target.WarmUp();
       } else if (fault.kind == "target-retry-after") {
         target.RejectFor(starts ? std::optional(FromSeconds(fault.value))
                                 : std::nullopt);
--- a/test/fakes/emulator_report.cc
+++ b/test/fakes/emulator_report.cc
@@ -79,6 +79,7 @@
           {"desired_state_versions", desired_state_versions},
           {"highest_limit_use", highest_limit_use},
           {"latest_evacuated_arrival_ms", ToMillis(latest_evacuated_arrival)},
+          {"most_in_warm_up", most_in_warm_up},
           {"happened", injected_faults},
           {"violations", violations}};
 }
--- a/test/fakes/emulator_report.h
+++ b/test/fakes/emulator_report.h
@@ -48,6 +48,8 @@
   // Longest time from the store's acknowledgement of an evacuation to a request
   // that reached a target of the zone before its end; 0 without any.
   Duration latest_evacuated_arrival{0};
+  // Highest number of requests in one second at a target that warms up.
+  std::size_t most_in_warm_up = 0;
 };
 
 }  // namespace figstall::detail
--- a/test/warm_up_limits_test.cc
+++ b/test/warm_up_limits_test.cc
@@ -334,6 +334,36 @@
   });
 }
 
+// Guards against members that send at the normal rate until the store tells
+// them, since one alone read in an answer that the target warms up again.
+TEST_CASE("a warm-up that one member learns of reaches the others") {
+  TargetNotices notices;
+  std::vector<std::pair<VmId, CreditMessage>> sent;
+  SendCredits::Handlers handlers;
+  handlers.send = [&](const VmId& to, const CreditMessage& message) {
+    sent.emplace_back(to, message);
+  };
+  WarmUpLimits limits(kBounds);
+  limits.OnServices(At(0), Services());
+  limits.OnListed(At(0), Entry(Duration{0}));
+  limits.OnAnswer(At(20), kTarget, seconds(2), "response");
+  SendCredits credits(VmId("m-0"), notices, limits, handlers);
+  credits.SetMembers(
+      {{VmId("m-0"), kZone}, {VmId("m-1"), kZone}, {VmId("m-2"), kZone}});
+  credits.AnnounceWarmUp(At(20), kTarget);
+  REQUIRE(sent.size() == 2);
+  CHECK(sent[0].first == VmId("m-1"));
+  const auto& request = std::get<CreditRequest>(sent[0].second);
+  CHECK(request.wanted == 0);
+  CHECK(request.warm_up == WarmUpStatement{seconds(2), kRate});
+  // Many at once are left to the store's entries.
+  for (int i = 0; i < 100; ++i)
+    credits.AnnounceWarmUp(At(20.5), kTarget);
+  CHECK(sent.size() == 16);
+  credits.AnnounceWarmUp(At(21.5), kTarget);
+  CHECK(sent.size() == 18);
+}
+
 TEST_CASE("rate and burst follow from the bounds") {
   const WarmUpIssue issue = ComputeWarmUpIssue(kRate, kBounds);
   CHECK(issue.per_second == kRate);
@@ -360,6 +390,8 @@
     CHECK(changes[0].source == "first-seen");
     CHECK(limits.IsWarmingUp(At(22.9), kTarget));
     CHECK_FALSE(limits.IsWarmingUp(At(23), kTarget));
+    // Others know for themselves whether the target is new.
+    CHECK_FALSE(limits.StatementOf(At(21), kTarget));
     REQUIRE(limits.Advance(At(23)).size() == 1);
     CHECK(limits.count() == 0);
   }
@@ -401,7 +433,12 @@
   limits.OnAnswer(At(50.2), kTarget, milliseconds(100), "response");
   CHECK(limits.IsWarmingUp(At(51.9), kTarget));
   CHECK_FALSE(limits.IsWarmingUp(At(52), kTarget));
-  CHECK(limits.Reportable(At(51)) == std::vector{kTarget});
+  // Once more, before anything noted the end of the last one.
+  const auto changes = limits.OnAnswer(At(60), kTarget, seconds(1), "grant");
+  REQUIRE(changes.size() == 2);
+  CHECK_FALSE(changes[0].started);
+  CHECK(changes[1].started);
+  CHECK(limits.Reportable(At(60)) == std::vector{kTarget});
 }
 
 // Guards against a warm-up that never ends, because members tell each other of
