--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -303,8 +303,9 @@
       LogLevel::kInfo, "evacuation-started",
       {{"zone", zone.value()},
        {"max_age_ms", max_age ? std::to_string(ToMillis(*max_age)) : "unknown"},
-       {"owners_ms", std::to_string(ToMillis(
-                         view_.evacuations.at(zone).owners_until - now))},
+       {"owners_ms",
+        std::to_string(ToMillis(std::max(
+            Duration{0}, view_.evacuations.at(zone).owners_until - now)))},
        {"source", change_source_},
        {"revision", RevisionText(item.revision)}});
   // A name that is not a zone of the deployment is likely a mistake.
