--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -262,7 +262,7 @@
   const int status = static_cast<int>(message->result_int());
   const bool interim = status / 100 == 1;
   if (!interim && !IsFinalStatus(message->result_int()))
-    return Fail(fmt::format("status {:03} is none of HTTP", status));
+    return Fail(fmt::format("status {:03} is outside 200 to 599", status));
   if (interim || (call.is_response && !call.is_response(status, *message))) {
     if (!interim) {
       saw_other_response_ = true;
--- a/src/region_rules.cc
+++ b/src/region_rules.cc
@@ -66,7 +66,7 @@
     return "any";
   std::string text;
   for (const RegionId& region : *regions.regions())
-    text += (text.empty() ? "" : ",") + region.value();
+    text.append(text.empty() ? "" : ",").append(region.value());
   return text.empty() ? "none" : text;
 }
 
--- a/src/target_connection.cc
+++ b/src/target_connection.cc
@@ -190,7 +190,8 @@
   // The parser takes any three digits. What else the response says, such as
   // that the request was not run, is not relied on.
   if (!IsFinalStatus(head.result_int()))
-    return Fail(fmt::format("status {:03} is none of HTTP", head.result_int()));
+    return Fail(
+        fmt::format("status {:03} is outside 200 to 599", head.result_int()));
   const auto observer = observer_.on_head;
   discarding_ = !observer(head);
   saw_mismatched_response_ = saw_mismatched_response_ || discarding_;
--- a/test/exchange_response_test.cc
+++ b/test/exchange_response_test.cc
@@ -78,8 +78,10 @@
 // Guards against a body that the caller takes for the next response, and
 // against a length without the body that it announces.
 TEST_CASE("a status without a body is passed on without one") {
-  const auto& [status, size] = GENERATE(table<std::string, std::size_t>(
+  const auto response = GENERATE(table<std::string, std::size_t>(
       {{"204", 5}, {"204", kLong}, {"205", 5}, {"304", 5}, {"304", kLong}}));
+  const std::string& status = std::get<0>(response);
+  const std::size_t size = std::get<1>(response);
   CAPTURE(status, size);
   TrafficHarness test(kState);
   test.AddTarget("a", "s", "north-a", [&](const std::string& request) {
--- a/test/region_rules_test.cc
+++ b/test/region_rules_test.cc
@@ -36,9 +36,10 @@
 // its account was looked at.
 TEST_CASE("the regions of the route and of each account apply") {
   const RouteIndex routes(Decode(kState));
-  const auto allowed = [&](const char* path, std::vector<AccountId> accounts) {
-    return ToString(RegionsForRequest(routes.state(), routes.Find("h", path),
-                                      std::move(accounts)));
+  const auto allowed = [&](const char* path,
+                           const std::vector<AccountId>& accounts) {
+    return ToString(
+        RegionsForRequest(routes.state(), routes.Find("h", path), accounts));
   };
   CHECK(allowed("/c/", {}) == "north");
   CHECK(allowed("/c/", {AccountId("both")}) == "north");
@@ -66,6 +67,27 @@
         "/tenants/southern/allowedRegions");
 }
 
+TEST_CASE("regions that are no list of names are refused with their place") {
+  for (const char* regions : {R"("north")", "[1]", "null"}) {
+    const std::string text =
+        R"({"version":1,"services":{},"routes":{},"tenants":{"a":)"
+        R"({"allowedRegions":)" +
+        std::string(regions) + "}}}";
+    const std::string places = HandleError(
+        [&]() -> Result<std::string> {
+          BOOST_LEAF_CHECK(platform::DecodeDesiredState(text));
+          return std::string("accepted");
+        },
+        [](const Error& error) {
+          std::string all;
+          for (const Finding& finding : error.findings)
+            all += finding.place + " ";
+          return all;
+        });
+    CHECK(places.find("/tenants/a/allowedRegions") != std::string::npos);
+  }
+}
+
 TEST_CASE("a route and an account without a common region are found") {
   const DesiredState state = Decode(kState);
   const auto disjoint = FindDisjointRegions(state);
