Explain where a request would go

Cause: nothing told an operator why a request would get a target or none, before one failed.

Change: figstallctl explain-request asks the operator endpoint of a running entry. The entry answers by TargetSelector::Choose, which with a trace reads the credits at hand instead of asking for some and records its verdict on each target; the answer has the age of what each verdict rests on. The emulator takes allowed regions of a route.

--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -20,6 +20,7 @@
 #include "figstall/load_report.h"
 #include "figstall/log.h"
 #include "figstall/metrics.h"
+#include "figstall/request_explanation.h"
 #include "figstall/send_credits.h"
 #include "figstall/shared_retry_budget.h"
 #include "figstall/standstill_gate.h"
@@ -69,6 +70,8 @@
   void RetryWaiting();
   // Processing time of a request at a target of mean speed, without queueing.
   Duration MeanProcessingTime(const ServiceId& service) const;
+  // Where a request would be sent now, and why. Sends and changes nothing.
+  RequestExplanation Explain(Instant now, const RequestDescription& request);
   // Returns the load that this router has observed, for the mover.
   LoadReport MakeLoadReport(Instant now, const std::string& incarnation) const;
 
@@ -89,6 +92,15 @@
   SharedRetryBudget& RetryBudgetFor(const ServiceId& service);
   Duration MeanLatency(const ServiceId& service) const;
   void UpdateProcessingTimes(Instant now);
+  // Share of the requests for a key that the limits on hot keys admit.
+  double AdmittedShare(Instant now,
+                       const ServiceId& service,
+                       ShardKey key) const;
+  ServiceExplanation ExplainService(Instant now,
+                                    const IngressRoute& route,
+                                    const WeightedService& part,
+                                    const RequestDescription& request,
+                                    const AllowedRegions& regions);
   // Whether the limits on hot keys admit a request.
   bool Admits(const ServiceId& service, ShardKey key);
 
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -52,6 +52,8 @@
   Instant sent_at;
   // Why the request was not sent once its connection was open.
   std::string_view withdrawn_for;
+  // Why its connection failed, for the log.
+  std::string error;
   bool reused = false;
   // TargetLoad::QueueingFactor() when the request was sent.
   double queueing_factor = 1;
--- a/include/figstall/send_credits.h
+++ b/include/figstall/send_credits.h
@@ -142,6 +142,13 @@
   CreditState Check(Instant now,
                     const TargetIncarnation& target,
                     const ZoneId& target_zone);
+  // What Check() would find, without a request for credits.
+  CreditState Peek(Instant now, const TargetIncarnation& target) const {
+    if (HasCredit(now, target))
+      return CreditState::kAvailable;
+    return now < RefusedUntil(target) ? CreditState::kRefused
+                                      : CreditState::kPending;
+  }
   // Whether a request may be sent now without requesting credits.
   bool HasCredit(Instant now, const TargetIncarnation& target) const;
   // When credits may be requested again after a refusal.
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -104,6 +104,11 @@
   double mean_in_flight(Instant now) const { return mean_in_flight_.At(now); }
   // Mean latency of responses and timeouts; none until the first.
   std::optional<Duration> latency() const;
+  // When the last response came; none until the first.
+  std::optional<Instant> answered_at() const {
+    return processing_samples_ == 0 ? std::nullopt
+                                    : std::optional(processing_sampled_at_);
+  }
   // None until the first response.
   std::optional<ProcessingTime> processing_time(Instant now) const;
   // Estimated requests at the target for each of its slots, including one that
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -19,6 +19,8 @@
 
 namespace figstall {
 
+struct SelectionTrace;
+
 struct TargetQuery {
   ServiceId service;
   // None for a service without keys.
@@ -31,6 +33,9 @@
   // Not chosen again for a request without a key.
   std::set<TargetId> tried_targets;
   AllowedRegions allowed_regions;
+  // If set, the choice is only explained: it requests no credits and records
+  // its verdict on each target.
+  SelectionTrace* trace = nullptr;
 };
 
 // Why no target may get a request now.
@@ -71,6 +76,21 @@
 
 std::string_view ToString(Unavailability reason);
 
+struct TargetVerdict {
+  TargetIncarnation target;
+  // None if the target may get the request now, chosen or not.
+  Unavailability reason = Unavailability::kNone;
+  std::optional<Instant> available_at;
+
+  friend bool operator==(const TargetVerdict&, const TargetVerdict&) = default;
+};
+
+// The verdicts of one choice on the targets of the service. A later one on the
+// same target replaces an earlier one.
+struct SelectionTrace {
+  std::map<TargetId, TargetVerdict> verdicts;
+};
+
 struct TargetChoice {
   // Null if no target may get the request now.
   TargetClient* client = nullptr;
@@ -133,10 +153,15 @@
                              const TargetQuery& query,
                              const TargetEntry& entry) const;
   // The same with the limit that the target states, and with the time until
-  // which it wants no requests.
+  // which it wants no requests. Records the result if the choice is explained.
   TargetChoice CheckNotices(Instant now,
                             const TargetQuery& query,
                             TargetClient& client);
+  TargetChoice CheckUntraced(Instant now,
+                             const TargetQuery& query,
+                             TargetClient& client);
+  // Records verdicts on the targets that the choice did not have to check.
+  void CompleteTrace(Instant now, const TargetQuery& query);
 
   boost::asio::io_context& io_;
   const EntrySettings& settings_;
--- a/src/ctl_main.cc
+++ b/src/ctl_main.cc
@@ -3,9 +3,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 #include "figstall/configuration.h"
+#include "figstall/http_client.h"
+#include "figstall/request_explanation.h"
 #include "figstall/schema_check.h"
 #include "figstall/steward_node.h"
 #include "figstall/store.h"
@@ -26,6 +29,8 @@
   figstallctl history --store URL [--json] [--last N]
   figstallctl (join | leave | lost) VM --store URL [--json]
   figstallctl explain SERVICE KEY --store URL [--json]
+  figstallctl explain-request --entry URL --host HOST --path PATH
+              [--method METHOD] [--key KEY] [--account NAME] [--json]
   figstallctl --help
 
 Commands:
@@ -39,9 +44,19 @@
             Never do this to a VM that may still run.
   explain   Tells which partition a key has, its home zone, its owner, the
             owner's term, and who decided it.
+  explain-request
+            Asks a running figstall-entry where it would send a request now,
+            and what rules out each other target. Sends no request.
 
 Options:
   --store URL        Base URL of the platform's store, as http://IP:PORT.
+  --entry URL        Operator endpoint of an entry, as http://IP:PORT: the
+                     address of "metrics" in its settings.
+  --host HOST        Host of the request.
+  --path PATH        Path of the request.
+  --method METHOD    Method of the request; a route takes any [default: GET].
+  --key KEY          Key of the request, if its service has keys.
+  --account NAME     Client account of the request.
   --expect REVISION  Apply only if this revision is in force.
   --last N           How many revisions to print [default: 10].
   --json             Prints JSON instead of text.
@@ -53,6 +68,7 @@
 )";
 
 constexpr int kExitConflict = 3;
+constexpr int kHttpOk = 200;
 constexpr Duration kStoreTimeout = std::chrono::seconds(5);
 
 std::string HistoryKey(std::uint64_t revision) {
@@ -308,6 +324,43 @@
   return 0;
 }
 
+std::string PercentEncode(const std::string& text) {
+  std::string encoded;
+  for (const char each : text) {
+    const auto byte = static_cast<unsigned char>(each);
+    encoded += std::isalnum(byte) != 0 ? std::string(1, each)
+                                       : fmt::format("%{:02X}", byte);
+  }
+  return encoded;
+}
+
+Result<int> ExplainRequest(
+    const std::map<std::string, docopt::value>& arguments,
+    bool as_json) {
+  std::string query;
+  for (const char* name : {"host", "path", "key", "account"}) {
+    const docopt::value& value = arguments.at(std::string("--") + name);
+    if (value)
+      query += fmt::format("{}{}={}", query.empty() ? '?' : '&', name,
+                           PercentEncode(value.asString()));
+  }
+  HttpClientRequest request;
+  request.url = arguments.at("--entry").asString() + kExplainPath + query;
+  const HttpResult result = HttpClient(1).Perform(request);
+  if (result.failure != HttpFailure::kNone)
+    return Fail(ErrorCode::kUnreachable,
+                fmt::format("no answer from {}: {}",
+                            arguments.at("--entry").asString(), result.error));
+  if (result.response.status != kHttpOk)
+    return Fail(ErrorCode::kProtocol,
+                fmt::format("{} answered with status {}",
+                            arguments.at("--entry").asString(),
+                            result.response.status));
+  fmt::print("{}\n", as_json ? result.response.body
+                             : ExplanationTable(result.response.body));
+  return 0;
+}
+
 Result<int> Dispatch(const std::map<std::string, docopt::value>& arguments) {
   const auto is_set = [&](const char* name) {
     return arguments.at(name).asBool();
@@ -315,6 +368,8 @@
   const bool as_json = is_set("--json");
   if (is_set("validate"))
     return Validate(arguments.at("FILE").asStringList(), as_json);
+  if (is_set("explain-request"))
+    return ExplainRequest(arguments, as_json);
   HttpStore store(arguments.at("--store").asString());
   if (is_set("apply"))
     return Apply(store, arguments.at("FILE").asStringList(),
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fstream>
+#include <future>
 #include <random>
 
 #include "figstall/entry_control.h"
@@ -62,6 +63,8 @@
 // A tick that comes later than this is logged.
 constexpr Duration kMaxTickDelay = std::chrono::milliseconds(100);
 constexpr unsigned kMaxStatusConnections = 16;
+// An operator's request for an explanation waits this long for the loop.
+constexpr Duration kMaxExplainTime = std::chrono::seconds(1);
 // The process tolerates this many unexpected errors. One more makes it exit
 // with a failure, so that a new process replaces it.
 constexpr int kMaxUnexpectedErrors = 100;
@@ -111,7 +114,12 @@
       return HandleStatusRequest(call);
     };
     const figstall::HttpServer ready(settings_.ready, limits, handler);
-    const figstall::HttpServer metrics(settings_.metrics, limits, handler);
+    const auto operator_handler = [this](const figstall::ServerRequest& call) {
+      return call.path == figstall::kExplainPath ? HandleExplainRequest(call)
+                                                 : HandleStatusRequest(call);
+    };
+    const figstall::HttpServer metrics(settings_.metrics, limits,
+                                       operator_handler);
     traffic_.Listen();
     control_.Start();
     WaitForSignal();
@@ -190,6 +198,35 @@
     return response;
   }
 
+  // Runs on a thread of the server; the loop makes the explanation.
+  figstall::ServerResponse HandleExplainRequest(
+      const figstall::ServerRequest& call) {
+    figstall::RequestDescription request;
+    request.host = call.parameter("host");
+    request.path = call.parameter("path");
+    request.key = call.parameter("key");
+    if (const std::string account = call.parameter("account"); !account.empty())
+      request.accounts.emplace_back(account);
+    const auto promise = std::make_shared<std::promise<std::string>>();
+    std::future<std::string> result = promise->get_future();
+    boost::asio::post(io_, [this, request, promise] {
+      promise->set_value(
+          figstall::ToJson(traffic_.Explain(BootNow(), request)));
+    });
+    figstall::ServerResponse response;
+    if (result.wait_for(kMaxExplainTime) != std::future_status::ready) {
+      response.status = 503;
+      return response;
+    }
+    try {
+      response.body = result.get();
+    } catch (const std::future_error&) {
+      // The loop logged the exception that ended its handler.
+      response.status = 500;
+    }
+    return response;
+  }
+
   void WaitForSignal() {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
       if (error)
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -276,13 +276,19 @@
   }
 }
 
-bool EntryTraffic::Admits(const ServiceId& service, ShardKey key) {
-  if (BootNow() >= view_.hot_key_limits_until)
-    return true;
+double EntryTraffic::AdmittedShare(Instant now,
+                                   const ServiceId& service,
+                                   ShardKey key) const {
+  if (now >= view_.hot_key_limits_until)
+    return 1;
   const auto shares = view_.hot_key_limits.services.find(service);
-  if (shares == view_.hot_key_limits.services.end())
-    return true;
-  const double share = AdmittedShareOf(shares->second, key);
+  return shares == view_.hot_key_limits.services.end()
+             ? 1
+             : AdmittedShareOf(shares->second, key);
+}
+
+bool EntryTraffic::Admits(const ServiceId& service, ShardKey key) {
+  const double share = AdmittedShare(BootNow(), service, key);
   return share >= 1 || std::uniform_real_distribution<>()(random_) < share;
 }
 
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -6,10 +6,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
 
 #include "figstall/region_rules.h"
 #include "hop_by_hop.h"
+#include "parse_number.h"
 #include "platform/headers.h"
 
 namespace figstall {
@@ -40,16 +40,6 @@
 // Retry-After while this process has no desired state.
 constexpr Duration kRetryAfterNoDesiredState = std::chrono::milliseconds(300);
 
-template <typename Number>
-std::optional<Number> ParseNumber(std::string_view text) {
-  Number value{};
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size())
-    return std::nullopt;
-  return value;
-}
-
 }  // namespace
 
 Exchange::Exchange(EntryTraffic& traffic,
@@ -84,8 +74,8 @@
   const TargetService* service = routes_->FindService(service_);
   keyed_ = service && service->keyed;
   if (keyed_) {
-    const auto key =
-        ParseNumber<ShardKey>(View(request_[platform::kShardKeyHeader]));
+    const auto key = detail::ParseNumber<ShardKey>(
+        View(request_[platform::kShardKeyHeader]));
     if (!key)
       return FinishWithLocalResponse(kBadRequest, "no-key", std::nullopt);
     key_ = *key;
@@ -113,8 +103,8 @@
 
 Instant Exchange::DeadlineUnder(const IngressRoute& route) const {
   Duration timeout = route.request_timeout;
-  const auto time_left_ms =
-      ParseNumber<std::int64_t>(View(request_[platform::kTimeLeftHeader]));
+  const auto time_left_ms = detail::ParseNumber<std::int64_t>(
+      View(request_[platform::kTimeLeftHeader]));
   if (time_left_ms)
     timeout =
         std::min<Duration>(timeout, std::chrono::milliseconds(*time_left_ms));
@@ -386,6 +376,7 @@
                               const std::string& error_text) {
   if (!attempt_)
     return;
+  attempt_->error = error_text;
   if (attempt_->streaming) {
     EndAttempt(AttemptOutcome::kBroken);
     caller_.Truncate();
@@ -508,6 +499,7 @@
         {{"id", id_},
          {"target", attempt_->target.id.value()},
          {"how", kNames[static_cast<int>(outcome)]},
+         {"error", attempt_->error},
          {"status", std::to_string(
                         attempt_->head_seen ? attempt_->head.result_int() : 0)},
          {"took_us", std::to_string(latency.count())},
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -18,6 +18,14 @@
 // is leaving.
 constexpr double kLeavingOwnerShare = 0.5;
 
+void Record(const TargetQuery& query,
+            const TargetClient& client,
+            const TargetChoice& checked) {
+  if (query.trace)
+    query.trace->verdicts[client.entry().incarnation.id] = {
+        client.entry().incarnation, checked.reason, checked.available_at};
+}
+
 }  // namespace
 
 std::string_view ToString(Unavailability reason) {
@@ -136,9 +144,14 @@
 }
 
 TargetChoice TargetSelector::Choose(Instant now, const TargetQuery& query) {
-  if (IsOutsideRegions(query))
-    return {nullptr, Unavailability::kOutsideRegions, {}};
-  return query.key ? ChooseOwner(now, query) : ChooseUnkeyed(now, query);
+  const TargetChoice choice =
+      IsOutsideRegions(query)
+          ? TargetChoice{nullptr, Unavailability::kOutsideRegions, {}}
+      : query.key ? ChooseOwner(now, query)
+                  : ChooseUnkeyed(now, query);
+  if (query.trace)
+    CompleteTrace(now, query);
+  return choice;
 }
 
 Unavailability TargetSelector::CheckTarget(Instant now,
@@ -181,6 +194,29 @@
 TargetChoice TargetSelector::CheckNotices(Instant now,
                                           const TargetQuery& query,
                                           TargetClient& client) {
+  const TargetChoice checked = CheckUntraced(now, query, client);
+  Record(query, client, checked);
+  return checked;
+}
+
+void TargetSelector::CompleteTrace(Instant now, const TargetQuery& query) {
+  for (const auto& [id, client] : clients_) {
+    const TargetEntry& entry = client->entry();
+    if (entry.service != query.service)
+      continue;
+    if (!query.trace->verdicts.contains(id))
+      CheckNotices(now, query, *client);
+    // PickTarget() leaves such targets out.
+    if (query.trace->verdicts[id].reason == Unavailability::kNone &&
+        !client->load().HasSpareCapacity(
+            now, entry.slots, SharingRouters(entry, query.key.has_value())))
+      Record(query, *client, {nullptr, Unavailability::kNoCapacity, {}});
+  }
+}
+
+TargetChoice TargetSelector::CheckUntraced(Instant now,
+                                           const TargetQuery& query,
+                                           TargetClient& client) {
   const TargetEntry& entry = client.entry();
   const Unavailability reason = CheckTarget(now, query, entry);
   if (reason == Unavailability::kPaused)
@@ -189,7 +225,8 @@
     return {nullptr, reason, {}};
   if (client.OpensSlowly(now))
     return {nullptr, Unavailability::kOpensSlowly, {}};
-  switch (credits_.Check(now, entry.incarnation, entry.zone)) {
+  switch (query.trace ? credits_.Peek(now, entry.incarnation)
+                      : credits_.Check(now, entry.incarnation, entry.zone)) {
     case CreditState::kAvailable:
       break;
     case CreditState::kPending:
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -1299,6 +1299,44 @@
     assert "extra" in result.stderr, result.stderr
 
 
+# Guards against an operator who is told nothing of a region that does not exist,
+# and against an explanation that only a test of one process gives.
+def an_operator_is_told_of_regions_and_where_a_request_goes():
+    fleet = EntryFleet(ZONES, 1)
+    entry = next(each for each in fleet.entries if each.name.startswith("north"))
+    metrics = json.loads(entry.settings_path.read_text())["listen"]["metrics"]
+    results = []
+
+    def explain(_):
+        for arguments in (["--path", "/order/1", "--json"],
+                          ["--path", "/order/1"],
+                          ["--path", "/balance/1", "--key", "x", "--json"]):
+            results.append(subprocess.run(
+                [str(BIN / "figstallctl"), "explain-request", "--entry",
+                 f"http://{metrics}", "--host", "a.example", *arguments],
+                capture_output=True, text=True, check=False))
+
+    scenario = small_scenario(fleet, length_s=4)
+    scenario["routes"]["order"]["allowed_regions"] = ["north", "soth"]
+    report, status = fleet.run(scenario, [Action(LEAD_S + 2, explain)])
+    assert report["violations"] == [] and status == 0, report["violations"]
+    unknown = [line for line in entry.log()
+               if line["event"] == "allowed-region-unknown"]
+    assert [(line["route"], line["region"], line["place"])
+            for line in unknown] == [
+                ("order", "soth", "/routes/order/allowedRegions")], unknown
+    assert all(result.returncode == 0 for result in results), results
+    service, = json.loads(results[0].stdout)["services"]
+    zones = {target["target"]: target["zone"] for target in service["targets"]}
+    assert zones[service["chosen"]] == "north-a", service
+    for target in service["targets"]:
+        assert ((target["reason"] == "outside-regions") ==
+                (target["zone"] == "south-a")), service
+    assert " chosen " in results[1].stdout, results[1].stdout
+    service, = json.loads(results[2].stdout)["services"]
+    assert service["reason"] == "no-key", service
+
+
 TESTS = [a_quiet_run_serves_everything, crashed_targets_lose_no_promise,
          a_silent_store_stops_nothing,
          the_owner_timeline_tells_who_may_have_held_a_key,
@@ -1338,7 +1376,8 @@
          graceful_shutdown_completes_requests,
          requests_late_in_the_grace_are_answered,
          a_request_that_is_being_read_at_a_stop_is_answered,
-         invalid_input_is_refused_with_its_places]
+         invalid_input_is_refused_with_its_places,
+         an_operator_is_told_of_regions_and_where_a_request_goes]
 
 
 def main():
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -49,6 +49,7 @@
         "service": {"type": "string"},
         "per_second": {"type": "number", "exclusiveMinimum": 0},
         "keep_connections": {"type": "boolean"},
+        "allowed_regions": {"type": "array", "items": {"type": "string"}},
         "deadline_ms": {"type": "number", "exclusiveMinimum": 0}}}},
     "faults": {"type": "array", "items": {
       "type": "object", "additionalProperties": false,
@@ -196,6 +197,9 @@
         {"sloS", deadline_s / 2},
         {"attempts", 2},
         {"priority", traffic.idempotent ? 2 : 1}};
+    if (route.contains("allowed_regions"))
+      scenario.desired_state["routes"][name]["allowedRegions"] =
+          route.at("allowed_regions");
   }
 
   void ReadFault(const json& value, Scenario& scenario) {
--- a/test/fakes/traffic_harness.h
+++ b/test/fakes/traffic_harness.h
@@ -209,6 +209,12 @@
     return settings;
   }
 
+  static SendCredits::Handlers IgnoringHandlers() {
+    return {[](const VmId&, const CreditMessage&) {},
+            [](const VmId&, const TargetIncarnation&, const RateLimit&) {},
+            [](const TargetIncarnation&, const VmId&) {}};
+  }
+
   struct CloseFile {
     void operator()(std::FILE* file) const { std::fclose(file); }
   };
@@ -225,7 +231,7 @@
   Log log{"test", LogLevel::kError, LogFormat::kJson, log_file_.get()};
   Metrics metrics;
   TargetNoticeRecorder notices{log, metrics};
-  SendCredits credits{VmId("self"), notices.notices(), {}};
+  SendCredits credits{VmId("self"), notices.notices(), IgnoringHandlers()};
   EntryTraffic traffic{io_, settings, view, notices, credits, log, metrics};
 };
 
