--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -56,6 +56,8 @@
   Instant head_seen_at;
   // Why the request was not sent once its connection was open.
   std::string_view withdrawn_for;
+  // Why its connection failed, for the log.
+  std::string error;
   bool reused = false;
   // When the credit that the attempt consumed expires.
   std::optional<Instant> credit_until;
--- a/include/figstall/region_link.h
+++ b/include/figstall/region_link.h
@@ -64,9 +64,10 @@
   // Ends the limit if it is not needed any more. Call it now and then.
   LinkLimitChange Tick(Instant now);
 
-  // When a large response may be requested; none if it may be at once. Call it
-  // for requests that are to be sent only: a refusal shows that the rate binds.
-  std::optional<Instant> BlockedUntil(Instant now);
+  // When a large response may be requested; none if it may be at once.
+  std::optional<Instant> BlockedUntil(Instant now) const;
+  // A request was held back since BlockedUntil() returned a time.
+  void OnHeldBack(Instant now) { binding_at_ = now; }
   // Bytes per second; none if the rate is not limited.
   std::optional<double> rate() const { return rate_; }
   Duration queueing() const { return queueing_; }
--- a/src/region_link.cc
+++ b/src/region_link.cc
@@ -102,11 +102,10 @@
   return LinkLimitChange::kEnded;
 }
 
-std::optional<Instant> RegionLink::BlockedUntil(Instant now) {
+std::optional<Instant> RegionLink::BlockedUntil(Instant now) const {
   const double tokens = TokensAt(now);
   if (!rate_ || tokens >= 0)
     return std::nullopt;
-  binding_at_ = now;
   return now + Duration(static_cast<Duration::rep>(-tokens / *rate_ * 1e6));
 }
 
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -21,6 +21,14 @@
 // About the time for which a credit for a target that warms up is valid.
 constexpr Duration kWarmUpRequestInterval = std::chrono::milliseconds(300);
 
+void Record(const TargetQuery& query,
+            const TargetClient& client,
+            const TargetChoice& checked) {
+  if (query.trace)
+    query.trace->verdicts[client.entry().incarnation.id] = {
+        client.entry().incarnation, checked.reason, checked.available_at};
+}
+
 }  // namespace
 
 std::string_view ToString(Unavailability reason) {
@@ -155,9 +163,14 @@
 }
 
 TargetChoice TargetSelector::Choose(Instant now, const TargetQuery& query) {
-  if (IsOutsideRegions(query))
-    return {nullptr, Unavailability::kOutsideRegions, {}};
-  return query.key ? ChooseOwner(now, query) : ChooseUnkeyed(now, query);
+  const TargetChoice choice =
+      IsOutsideRegions(query)
+          ? TargetChoice{nullptr, Unavailability::kOutsideRegions, {}}
+      : query.key ? ChooseOwner(now, query)
+                  : ChooseUnkeyed(now, query);
+  if (query.trace)
+    CompleteTrace(now, query);
+  return choice;
 }
 
 Unavailability TargetSelector::CheckTarget(Instant now,
@@ -202,6 +215,29 @@
 TargetChoice TargetSelector::CheckNotices(Instant now,
                                           const TargetQuery& query,
                                           TargetClient& client) {
+  const TargetChoice checked = CheckUntraced(now, query, client);
+  Record(query, client, checked);
+  return checked;
+}
+
+void TargetSelector::CompleteTrace(Instant now, const TargetQuery& query) {
+  for (const auto& [id, client] : clients_) {
+    const TargetEntry& entry = client->entry();
+    if (entry.service != query.service)
+      continue;
+    if (!query.trace->verdicts.contains(id))
+      CheckNotices(now, query, *client);
+    // PickTarget() leaves such targets out.
+    if (query.trace->verdicts[id].reason == Unavailability::kNone &&
+        !client->load().HasSpareCapacity(
+            now, entry.slots, SharingRouters(entry, query.key.has_value())))
+      Record(query, *client, {nullptr, Unavailability::kNoCapacity, {}});
+  }
+}
+
+TargetChoice TargetSelector::CheckUntraced(Instant now,
+                                           const TargetQuery& query,
+                                           TargetClient& client) {
   const TargetEntry& entry = client.entry();
   const Unavailability reason = CheckTarget(now, query, entry);
   if (reason == Unavailability::kPaused)
@@ -211,10 +247,14 @@
   if (client.OpensSlowly(now))
     return {nullptr, Unavailability::kOpensSlowly, {}};
   if (RegionLink* link = query.bulk ? LinkTo(entry.zone) : nullptr) {
-    if (const auto blocked_until = link->BlockedUntil(now))
+    if (const auto blocked_until = link->BlockedUntil(now)) {
+      if (!query.trace)
+        link->OnHeldBack(now);
       return {nullptr, Unavailability::kLinkBusy, blocked_until};
+    }
   }
-  switch (credits_.Check(now, entry.incarnation, entry.zone)) {
+  switch (query.trace ? credits_.Peek(now, entry.incarnation)
+                      : credits_.Check(now, entry.incarnation, entry.zone)) {
     case CreditState::kAvailable:
       break;
     case CreditState::kPending:
--- a/test/fakes/traffic_harness.h
+++ b/test/fakes/traffic_harness.h
@@ -209,6 +209,12 @@
     return settings;
   }
 
+  static SendCredits::Handlers IgnoringHandlers() {
+    return {[](const VmId&, const CreditMessage&) {},
+            [](const VmId&, const TargetIncarnation&, const RateLimit&) {},
+            [](const TargetIncarnation&, const VmId&) {}};
+  }
+
   struct CloseFile {
     void operator()(std::FILE* file) const { std::fclose(file); }
   };
@@ -224,9 +230,10 @@
   EntryView view;
   Log log{"test", LogLevel::kError, LogFormat::kJson, log_file_.get()};
   Metrics metrics;
-  TargetNoticeRecorder notices{log, metrics, std::nullopt};
-  SendCredits credits{
-      VmId("self"), notices.notices(), notices.warm_ups(), {}};
+  TargetNoticeRecorder notices{log, metrics, std::nullopt,
+                               [](const auto&...) {}};
+  SendCredits credits{VmId("self"), notices.notices(), notices.warm_ups(),
+                      IgnoringHandlers()};
   EntryTraffic traffic{io_, settings, view, notices, credits, log, metrics};
 };
 
--- a/test/region_link_test.cc
+++ b/test/region_link_test.cc
@@ -54,6 +54,7 @@
       if ((now - start + offset) % interval >= kStep)
         continue;
       if (link.BlockedUntil(now)) {
+        link.OnHeldBack(now);
         ++blocked[i];
         continue;
       }
