--- a/test/fakes/traffic_harness.h
+++ b/test/fakes/traffic_harness.h
@@ -210,9 +210,11 @@
   }
 
   static SendCredits::Handlers IgnoringHandlers() {
-    return {[](const VmId&, const CreditMessage&) {},
-            [](const VmId&, const TargetIncarnation&, const RateLimit&) {},
-            [](const TargetIncarnation&, const VmId&) {}};
+    return {
+        [](const VmId&, const CreditMessage&) {},
+        [](const VmId&, const TargetIncarnation&, const RateLimit&) {},
+        [](const VmId&, const TargetIncarnation&, const WarmUpStatement&) {},
+        [](const TargetIncarnation&, const VmId&) {}};
   }
 
   struct CloseFile {
