--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -272,6 +272,9 @@
 // idle.
 TEST_CASE("a target that warms up gets what would queue at others") {
   TestSelector test;
+  for (const char* id : {"a", "b"})
+    test.view.targets[TargetId(id)].zone = ZoneId();
+  test.selector.OnViewChanged();
   test.view.member_counts.Record(kStart, {{ZoneId(), 1}}, kStart);
   test.WarmUp({"a"});
   for (int i = 0; i < 4; ++i)
@@ -294,6 +297,7 @@
   test.settings.region = RegionId("near");
   test.view.regions = {{ZoneId(), RegionId("near")},
                        {ZoneId("z"), RegionId("far")}};
+  test.view.targets[TargetId("a")].zone = ZoneId();
   test.view.targets[TargetId("b")].zone = ZoneId("z");
   test.selector.OnViewChanged();
   test.WarmUp({"a"});
