--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -114,6 +114,7 @@
 
 std::vector<std::string> Ids(int count) {
   std::vector<std::string> ids;
+  ids.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i)
     ids.push_back("t" + std::to_string(i));
   return ids;
