Admit less urgent requests only where more urgent ones have room

Cause: where routes of different priority share a service, less urgent requests take the slots for want of which more urgent ones are rejected. Only the entry's own queue was ordered by priority. Refused callers return at the same time.

Change: PriorityAdmission reserves room at each target for the more urgent requests that it may expect within one response time, with a guaranteed tenth for each class; waiting requests of such a service are ordered by rejection and deadline; a request that the queue of its target leaves no time is refused; Retry-After is spread. An owner that states its load tells when it has room. Entries log when a target begins or ceases to state its load.

--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -20,6 +20,7 @@
 #include "figstall/load_report.h"
 #include "figstall/log.h"
 #include "figstall/metrics.h"
+#include "figstall/priority_admission.h"
 #include "figstall/send_credits.h"
 #include "figstall/shared_retry_budget.h"
 #include "figstall/standstill_gate.h"
@@ -89,6 +90,7 @@
   double DrawForChoice() {
     return std::uniform_real_distribution<>()(choice_random_);
   }
+  void LogPriorityChange(const PriorityChange& change);
   // Whether the limits on hot keys admit a request.
   bool Admits(const ServiceId& service, ShardKey key);
 
@@ -109,11 +111,15 @@
       callers_;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges_;
   // Requests that wait for a target, sorted by ascending priority() and then by
-  // the time of their insertion.
+  // the time of their insertion, or by GoesBefore() where routes of different
+  // priority share a service.
   std::list<Exchange*> waiting_;
   bool retrying_waiting_ = false;
   std::map<std::string, WeightedRoundRobin> service_selectors_;
   std::map<ServiceId, SharedRetryBudget> retry_budgets_;
+  PriorityAdmission priority_;
+  // Version of the desired state that `priority_` takes into account.
+  std::optional<std::uint64_t> priority_version_;
   std::map<ServiceId, KeyLoad> key_load_;
   std::map<ServiceId, double> mean_latency_us_;
   // Mean processing time by service, as of the last periodic update.
--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -81,6 +81,9 @@
 
   std::uint32_t priority() const { return route_ ? route_->priority : 0; }
   bool waiting() const { return waiting_; }
+  // Whether this waiting request is sent before `other`, of the same priority:
+  // one that a target rejected goes first, then the one with less time left.
+  bool GoesBefore(const Exchange& other) const;
 
  private:
   // When the request must end under the timeout of `route`, or earlier if the
@@ -92,6 +95,13 @@
   // Whether a request that cannot be sent may keep waiting.
   bool MayWait(Instant now) const;
   TargetQuery MakeTargetQuery() const;
+  // More urgent requests that a target has to leave room for.
+  std::optional<double> ReservedAtTarget(Instant now) const;
+  // Records that the request yields to more urgent ones. Returns whether it is
+  // served nevertheless.
+  bool TakesMinimum(Instant now);
+  // Whether the target's queue leaves the request enough time.
+  bool MakesItsTimeAt(Instant now, const TargetClient& client) const;
   // Returns the target that may take the request now, or null.
   TargetClient* ChooseTarget();
   void Send(TargetClient* client);
@@ -115,6 +125,8 @@
   void EndUnsentAttempt(const std::string& reason, AttemptOutcome outcome);
   void WithdrawAttempt(const std::string& reason, AttemptOutcome outcome);
   void OnHead(const ResponseHead& head);
+  // Logs that the target begins or ceases to state its load.
+  void LogStatedLoad(const std::optional<StatedLoad>& load);
   void OnBody(std::string_view bytes);
   void OnEnd();
   void OnAttemptError(FailureStage stage, const std::string& error_text);
@@ -137,6 +149,8 @@
   void WaitForTarget();
   void Forward();
   ResponseHead MakeCallerHead() const;
+  // Retry-After of a refused request, from `earliest` on.
+  Duration SpreadReturn(Instant now, Duration earliest);
   void Refuse(const std::string& reason);
   void FinishWithLocalResponse(int status,
                                const std::string& reason,
@@ -166,6 +180,10 @@
   std::uint64_t deadline_version_ = 0;
   RequestWaits waits_;
   bool waiting_ = false;
+  // Whether it yielded to more urgent requests, and is of its class's
+  // guaranteed minimum.
+  bool yielded_ = false;
+  bool of_minimum_ = false;
   bool ended_ = false;
   ExecutionState execution_state_ = ExecutionState::kNotRun;
   // Attempts that may have run, and all attempts sent.
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -99,8 +99,9 @@
               Duration latency,
               double queueing_factor = 1);
 
-  // The target responded, and stated its load or did not.
-  void OnStated(Instant now, const std::optional<StatedLoad>& load);
+  // The target responded, and stated its load or did not. Returns whether it
+  // began or ceased to state it.
+  bool OnStated(Instant now, const std::optional<StatedLoad>& load);
 
   std::uint32_t in_flight() const { return in_flight_; }
   // Whether the last response stated the target's load.
@@ -133,8 +134,27 @@
   bool HasSpareCapacity(Instant now,
                         std::uint32_t slots,
                         std::uint32_t sharing_routers) const;
+  // Whether the target would still have room for `reserved` more urgent
+  // requests, beside a less urgent one that is sent now. A target with a free
+  // slot has room. Without an estimate: whether this router is within its share
+  // and the target has neither refused a request nor been slow to answer in the
+  // last `response_time`.
+  bool LeavesRoom(Instant now,
+                  std::uint32_t slots,
+                  std::uint32_t sharing_routers,
+                  double reserved,
+                  Duration response_time) const;
+  // How long a request that is sent now takes, if the target states its load.
+  // `mean_time`: processing time of a target without one of its own.
+  std::optional<Duration> ExpectedResponseTime(Instant now,
+                                               Duration mean_time) const;
+  // When the estimated load falls below the limit, if no other request is sent
+  // to the target.
+  std::optional<Instant> HasRoomAt(Instant now, Duration mean_time) const;
 
  private:
+  double InFlightShare(std::uint32_t slots,
+                       std::uint32_t sharing_routers) const;
   double DecayedSamples(Instant now) const;
   void SetInFlight(Instant now, std::uint32_t count);
 
@@ -150,6 +170,9 @@
   double total_processing_samples_ = 0;
   Instant processing_sampled_at_{};
   Instant ejected_until_{};
+  std::optional<Instant> refused_at_;
+  std::optional<Instant> answered_at_;
+  Duration last_latency_{0};
   LoadEstimator estimator_;
 };
 
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -31,6 +31,9 @@
   std::set<TargetId> tried_targets;
   // From 0 up to 1; decides among targets that state their load.
   double random = 0;
+  // More urgent requests that each target has to leave room for; none if the
+  // request yields to no other.
+  std::optional<double> reserved{};
 };
 
 // Why no target may get a request now.
@@ -115,9 +118,14 @@
   const Clients& clients() const { return clients_; }
   Distance DistanceTo(const ZoneId& zone) const;
   std::uint32_t RouterCount() const;
+  std::size_t TargetCount(const ServiceId& service) const;
   std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
 
  private:
+  // Whether the target leaves no room for more urgent requests.
+  bool Yields(Instant now,
+              const TargetQuery& query,
+              const TargetClient& client) const;
   // Of this router to the target, zero unless the target states its load.
   std::uint64_t Affinity(const TargetClient& client) const;
   TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
--- a/src/entry_traffic.cc
+++ b/src/entry_traffic.cc
@@ -175,7 +175,8 @@
   waiting_.remove(exchange);
   const auto position = std::find_if(
       waiting_.begin(), waiting_.end(), [exchange](const Exchange* other) {
-        return other->priority() > exchange->priority();
+        return other->priority() > exchange->priority() ||
+               exchange->GoesBefore(*other);
       });
   waiting_.insert(position, exchange);
 }
@@ -196,8 +197,13 @@
 }
 
 void EntryTraffic::OnViewChanged() {
-  if (view_.routes)
+  if (view_.routes) {
     caller_limits_->Set(BootNow(), view_.routes->state().limits);
+    if (priority_version_ != view_.routes->state().version) {
+      priority_version_ = view_.routes->state().version;
+      priority_.OnDesiredState(view_.routes->state());
+    }
+  }
   targets_.OnViewChanged();
   RetryWaiting();
 }
@@ -236,6 +242,8 @@
   UpdateProcessingTimes(now);
   notices_.notices().Prune(now, view_.targets);
   credits_.Prune(now);
+  for (const PriorityChange& change : priority_.TakeEnded(now))
+    LogPriorityChange(change);
   std::vector<std::shared_ptr<CallerConnection>> callers;
   for (const auto& [key, caller] : callers_)
     callers.push_back(caller);
@@ -278,6 +286,17 @@
   }
 }
 
+void EntryTraffic::LogPriorityChange(const PriorityChange& change) {
+  log_.Write(LogLevel::kInfo, "priority-admission",
+             {{"service", change.service.value()},
+              {"state", change.began ? "yielding" : "ended"},
+              {"yielded", std::to_string(change.yielded)},
+              {"lasted_ms", std::to_string(ToMillis(change.lasted))},
+              {"source", "own arrivals, load of targets"},
+              {"view_age_ms",
+               std::to_string(ToMillis(BootNow() - view_.last_update_at))}});
+}
+
 bool EntryTraffic::Admits(const ServiceId& service, ShardKey key) {
   if (BootNow() >= view_.hot_key_limits_until)
     return true;
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -97,6 +97,7 @@
   if (keyed_ && !traffic_.Admits(service_, key_))
     return FinishWithLocalResponse(kUnavailable, "hot-key",
                                    waits_.retry_after_moving);
+  traffic_.priority_.OnArrival(arrived_at_, service_, route_->priority);
   if (!TrySend())
     WaitForTarget();
 }
@@ -142,13 +143,59 @@
           tried_targets_};
 }
 
+bool Exchange::GoesBefore(const Exchange& other) const {
+  if (other.priority() != priority() || other.service_ != service_ ||
+      !traffic_.priority_.Applies(service_))
+    return false;
+  if ((attempts_sent_ > 0) != (other.attempts_sent_ > 0))
+    return attempts_sent_ > 0;
+  return deadline_ < other.deadline_;
+}
+
+std::optional<double> Exchange::ReservedAtTarget(Instant now) const {
+  if (of_minimum_ || !traffic_.priority_.Applies(service_))
+    return std::nullopt;
+  return traffic_.priority_.ReservedAtTarget(
+      now, service_, route_->priority, traffic_.MeanLatency(service_),
+      traffic_.targets_.RouterCount(), traffic_.targets_.TargetCount(service_));
+}
+
+bool Exchange::TakesMinimum(Instant now) {
+  if (yielded_)
+    return false;
+  yielded_ = true;
+  if (const auto change = traffic_.priority_.OnYield(now, service_))
+    traffic_.LogPriorityChange(*change);
+  of_minimum_ = traffic_.priority_.TakeMinimum(service_, route_->priority);
+  ++traffic_.metrics_.Counter(
+      "figstall_priority_yields_total",
+      fmt::format("service=\"{}\",priority=\"{}\",minimum=\"{}\"",
+                  service_.value(), route_->priority,
+                  of_minimum_ ? "yes" : "no"));
+  return of_minimum_;
+}
+
+bool Exchange::MakesItsTimeAt(Instant now, const TargetClient& client) const {
+  if (!traffic_.priority_.Applies(service_))
+    return true;
+  const auto expected = client.load().ExpectedResponseTime(
+      now, traffic_.MeanProcessingTime(service_));
+  return !expected || *expected <= TimeLeft(now);
+}
+
 TargetClient* Exchange::ChooseTarget() {
   const Instant now = BootNow();
   TargetQuery query = MakeTargetQuery();
   query.random = traffic_.DrawForChoice();
+  query.reserved = ReservedAtTarget(now);
   last_choice_ = traffic_.standstill_.MaySend(now)
                      ? traffic_.targets_.Choose(now, query)
                      : TargetChoice{nullptr, Unavailability::kStandstill, {}};
+  if (last_choice_.reason == Unavailability::kYieldsToPriority &&
+      TakesMinimum(now)) {
+    query.reserved.reset();
+    last_choice_ = traffic_.targets_.Choose(now, query);
+  }
   return last_choice_.client;
 }
 
@@ -233,7 +280,7 @@
 
 void Exchange::Send(TargetClient* client) {
   const Instant now = BootNow();
-  if (!HasTimeLeft(now))
+  if (!HasTimeLeft(now) || !MakesItsTimeAt(now, *client))
     return Refuse("no-time-left");
   traffic_.credits_.Consume(now, client->entry().incarnation);
   ++attempts_sent_;
@@ -461,6 +508,7 @@
   if (client && client == attempt_->client)
     client->load().OnDone(now, outcome, latency, attempt_->queueing_factor);
   if (outcome == AttemptOutcome::kAnswered) {
+    traffic_.priority_.OnServed(now, service_, route_->priority, of_minimum_);
     double& mean_latency = traffic_.mean_latency_us_[service_];
     constexpr double kWeight = 0.03;
     const auto sample = static_cast<double>(latency.count());
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -58,8 +58,25 @@
       platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head);
   traffic_.notices_.OnAnswer(BootNow(), attempt_->target, notice, "response");
   TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
-  if (client && client == attempt_->client)
-    client->load().OnStated(BootNow(), notice.load);
+  if (client && client == attempt_->client &&
+      client->load().OnStated(BootNow(), notice.load))
+    LogStatedLoad(notice.load);
+}
+
+void Exchange::LogStatedLoad(const std::optional<StatedLoad>& load) {
+  const char* state = load ? "stated" : "not-stated";
+  const StatedLoad value = load.value_or(StatedLoad{});
+  traffic_.log_.Write(
+      LogLevel::kInfo, "stated-load",
+      {{"target", attempt_->target.id.value()},
+       {"state", state},
+       {"value", load ? fmt::format("{},{},{},{:.2f}", value.running,
+                                    value.waiting, value.slots, value.slowness)
+                      : ""},
+       {"age_ms", "0"},
+       {"source", "response"}});
+  ++traffic_.metrics_.Counter("figstall_stated_load_changes_total",
+                              fmt::format("state=\"{}\"", state));
 }
 
 ResponseHead Exchange::MakeCallerHead() const {
@@ -156,11 +173,21 @@
   Finish("answered", status, "");
 }
 
+Duration Exchange::SpreadReturn(Instant now, Duration earliest) {
+  if (!traffic_.priority_.Applies(service_))
+    return earliest;
+  return traffic_.priority_.ReturnAfter(
+      now, service_, route_->priority, earliest,
+      Scaled(TimeLeft(now), kRetryAfterShare), traffic_.DrawForChoice());
+}
+
 void Exchange::Refuse(const std::string& reason) {
   const int status = LocalResponseStatus(execution_state_, false);
-  if (reason != "no-target-free")
-    return FinishWithLocalResponse(status, reason, waits_.retry_after);
   const Instant now = BootNow();
+  if (reason != "no-target-free") {
+    return FinishWithLocalResponse(status, reason,
+                                   SpreadReturn(now, waits_.retry_after));
+  }
   Duration wait = keyed_ ? waits_.retry_after_moving : waits_.retry_after;
   if (last_choice_.available_at)
     wait = std::max(wait, *last_choice_.available_at - now);
@@ -168,7 +195,7 @@
       status,
       reason + ": " +
           traffic_.targets_.Explain(now, MakeTargetQuery(), last_choice_),
-      wait);
+      SpreadReturn(now, wait));
 }
 
 void Exchange::FinishWithLocalResponse(int status,
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -37,6 +37,9 @@
 // would leave the load of some targets uneven; with more each router hears too
 // seldom from each target.
 constexpr double kRoutersPreferringTarget = 12;
+// Without an estimate, less urgent requests yield only where at least one in
+// ten targets expects a more urgent request within a response time.
+constexpr double kNegligibleReserve = 0.1;
 // Added for a target that is not one of those that this router uses first.
 // Fraction of the latency objective.
 constexpr double kNotPreferredCost = 1;
@@ -228,13 +231,17 @@
     processing_samples_ = decayed + 1;
     ++total_processing_samples_;
     processing_sampled_at_ = now;
+    answered_at_ = now;
+    last_latency_ = latency;
     failures_ = 0;
     ejections_ = 0;
     ejected_until_ = {};
     return;
   }
-  if (outcome == AttemptOutcome::kRefused)
+  if (outcome == AttemptOutcome::kRefused) {
+    refused_at_ = now;
     return;
+  }
   ++failures_;
   if (failures_ < limits_.failures_to_eject)
     return;
@@ -245,11 +252,13 @@
   ejected_until_ = now + ejection_duration;
 }
 
-void TargetLoad::OnStated(Instant now, const std::optional<StatedLoad>& load) {
+bool TargetLoad::OnStated(Instant now, const std::optional<StatedLoad>& load) {
+  const bool stated_before = StatesLoad();
   if (load)
     estimator_.OnStated(now, *load, in_flight_);
   else
     estimator_.OnUnstated();
+  return StatesLoad() != stated_before;
 }
 
 std::optional<LoadEstimate> TargetLoad::EstimatedLoad(Instant now) const {
@@ -290,6 +299,58 @@
                   (in_flight_ + in_flight_elsewhere + 1) / std::max(1U, slots));
 }
 
+double TargetLoad::InFlightShare(std::uint32_t slots,
+                                 std::uint32_t sharing_routers) const {
+  return std::ceil(limits_.max_in_flight_per_slot * slots /
+                   std::max(1U, sharing_routers));
+}
+
+bool TargetLoad::LeavesRoom(Instant now,
+                            std::uint32_t slots,
+                            std::uint32_t sharing_routers,
+                            double reserved,
+                            Duration response_time) const {
+  if (const auto estimate = EstimatedLoad(now)) {
+    const double most = (limits_.max_in_flight_per_slot - 1) * estimate->slots;
+    return estimate->FreeCapacity(limits_.max_in_flight_per_slot) - 1 >=
+           std::min(reserved, most);
+  }
+  if (reserved < kNegligibleReserve)
+    return true;
+  const auto recently = [&](const std::optional<Instant>& at) {
+    return at && now - *at < response_time;
+  };
+  if (in_flight_ >= InFlightShare(slots, sharing_routers) ||
+      recently(refused_at_))
+    return false;
+  return !recently(answered_at_) || processing_time_us_ == 0 ||
+         static_cast<double>(last_latency_.count()) / processing_time_us_ <
+             limits_.max_in_flight_per_slot - 1;
+}
+
+std::optional<Duration> TargetLoad::ExpectedResponseTime(
+    Instant now,
+    Duration mean_time) const {
+  const auto estimate = EstimatedLoad(now);
+  if (!estimate)
+    return std::nullopt;
+  const auto known = processing_time(now);
+  return Scaled(known ? known->mean : mean_time, estimate->QueueingFactor()) +
+         estimate->slow_delay;
+}
+
+std::optional<Instant> TargetLoad::HasRoomAt(Instant now,
+                                             Duration mean_time) const {
+  const auto estimate = EstimatedLoad(now);
+  if (!estimate)
+    return std::nullopt;
+  const auto known = processing_time(now);
+  const double excess =
+      1 - estimate->FreeCapacity(limits_.max_in_flight_per_slot);
+  return now + Scaled(known ? known->mean : mean_time,
+                      std::max(0.0, excess) / estimate->slots);
+}
+
 bool TargetLoad::HasSpareCapacity(Instant now,
                                   std::uint32_t slots,
                                   std::uint32_t sharing_routers) const {
@@ -297,9 +358,7 @@
     return in_flight_ == 0;
   if (const auto estimate = EstimatedLoad(now))
     return estimate->FreeCapacity(limits_.max_in_flight_per_slot) >= 1;
-  const double in_flight_share = std::ceil(
-      limits_.max_in_flight_per_slot * slots / std::max(1U, sharing_routers));
-  if (in_flight_ < in_flight_share)
+  if (in_flight_ < InFlightShare(slots, sharing_routers))
     return true;
   const double in_flight_elsewhere =
       (static_cast<double>(sharing_routers) - 1) * mean_in_flight(now);
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -99,6 +99,23 @@
   return view_.member_counts.total();
 }
 
+std::size_t TargetSelector::TargetCount(const ServiceId& service) const {
+  return static_cast<std::size_t>(std::count_if(
+      clients_.begin(), clients_.end(), [&service](const auto& each) {
+        return each.second->entry().service == service;
+      }));
+}
+
+bool TargetSelector::Yields(Instant now,
+                            const TargetQuery& query,
+                            const TargetClient& client) const {
+  const TargetEntry& entry = client.entry();
+  return query.reserved &&
+         !client.load().LeavesRoom(now, entry.slots,
+                                   SharingRouters(entry, query.key.has_value()),
+                                   *query.reserved, query.mean_latency);
+}
+
 std::uint32_t TargetSelector::SharingRouters(const TargetEntry& entry,
                                              bool keyed) const {
   if (keyed)
@@ -185,7 +202,10 @@
   if (reason == Unavailability::kNone &&
       !client->load().HasSpareCapacity(now, client->entry().slots,
                                        SharingRouters(client->entry(), true)))
-    return {nullptr, Unavailability::kNoCapacity, {}};
+    return {nullptr, Unavailability::kNoCapacity,
+            client->load().HasRoomAt(now, query.mean_latency)};
+  if (reason == Unavailability::kNone && Yields(now, query, *client))
+    return {nullptr, Unavailability::kYieldsToPriority, {}};
   return CheckNotices(now, query, *client);
 }
 
@@ -194,7 +214,13 @@
   std::vector<Candidate> candidates;
   // Of the targets that want no requests now, the one that may get some first.
   TargetChoice first_available{nullptr, Unavailability::kNoCapacity, {}};
+  bool yields = false;
   const auto consider = [&](TargetClient& client) {
+    // Before credits are requested, which would expire unused.
+    if (Yields(now, query, client)) {
+      yields = true;
+      return;
+    }
     const TargetChoice checked = CheckNotices(now, query, client);
     const TargetEntry& entry = client.entry();
     if (checked.client) {
@@ -234,6 +260,8 @@
   }
   if (best)
     return {Find(best->entry->incarnation.id), Unavailability::kNone, {}};
+  if (yields)
+    return {nullptr, Unavailability::kYieldsToPriority, {}};
   if (!candidates.empty())
     return {nullptr, Unavailability::kNoCapacity, {}};
   return first_available;
@@ -246,6 +274,9 @@
       choice.available_at ? ToMillis(*choice.available_at - now) : 0;
   if (choice.reason == Unavailability::kStandstill)
     return "this process stood still and reads first what arrived meanwhile";
+  if (choice.reason == Unavailability::kYieldsToPriority)
+    return fmt::format("targets of {} leave room for more urgent requests only",
+                       query.service.value());
   const char* limited_text =
       "limits its requests, and this router has no credit for another one";
   if (!query.key) {
