Prefer as many targets as a router hears from once a second

Cause: targets of a zone are also used by routers of other zones, so 48 instead of 12 routers preferred each target, and most statements were older than 2 s. Routers tried a full target again too soon. A rejection or a malformed value ended a valid statement.

Change: the number of preferred targets follows the router's rate of requests, within bounds; the usual load counts as 2.5 per slot at most; only a response without a statement ends the statement before.

--- a/include/figstall/entry_traffic.h
+++ b/include/figstall/entry_traffic.h
@@ -117,6 +117,7 @@
   bool retrying_waiting_ = false;
   std::map<std::string, WeightedRoundRobin> service_selectors_;
   std::map<ServiceId, SharedRetryBudget> retry_budgets_;
+  std::map<ServiceId, ArrivalRate> request_rates_;
   PriorityAdmission priority_;
   // Version of the desired state that `priority_` takes into account.
   std::optional<std::uint64_t> priority_version_;
--- a/include/figstall/target_load.h
+++ b/include/figstall/target_load.h
@@ -201,6 +201,11 @@
   // Time within which a response is in time. The costs of distance and of
   // opening a connection are fractions of it.
   Duration latency_objective = std::chrono::milliseconds(300);
+  // Requests per second that this router receives for the service, and the
+  // number of all routers, of which some send requests to targets of other
+  // zones. They decide how many targets a router prefers.
+  double request_rate = 0;
+  std::uint32_t routers = 1;
 };
 
 // Returns the candidate with the lowest expected latency plus costs, or null if
--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -31,6 +31,8 @@
   std::set<TargetId> tried_targets;
   // From 0 up to 1; decides among targets that state their load.
   double random = 0;
+  // Requests for the service that this router receives per second.
+  double request_rate = 0;
   // More urgent requests that each target has to leave room for; none if the
   // request yields to no other.
   std::optional<double> reserved{};
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -97,6 +97,7 @@
   if (keyed_ && !traffic_.Admits(service_, key_))
     return FinishWithLocalResponse(kUnavailable, "hot-key",
                                    waits_.retry_after_moving);
+  traffic_.request_rates_[service_].OnArrival(arrived_at_);
   traffic_.priority_.OnArrival(arrived_at_, service_, route_->priority);
   if (!TrySend())
     WaitForTarget();
@@ -187,6 +188,7 @@
   const Instant now = BootNow();
   TargetQuery query = MakeTargetQuery();
   query.random = traffic_.DrawForChoice();
+  query.request_rate = traffic_.request_rates_[service_].At(now);
   query.reserved = ReservedAtTarget(now);
   last_choice_ = traffic_.standstill_.MaySend(now)
                      ? traffic_.targets_.Choose(now, query)
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -58,7 +58,11 @@
       platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head);
   traffic_.notices_.OnAnswer(BootNow(), attempt_->target, notice, "response");
   TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
-  if (client && client == attempt_->client &&
+  // A malformed statement, or an answer of a target that did not run the
+  // request, does not end the earlier one.
+  const bool says_load =
+      notice.load || (notice.complete && notice.invalid_fields.empty());
+  if (says_load && client && client == attempt_->client &&
       client->load().OnStated(BootNow(), notice.load))
     LogStatedLoad(notice.load);
 }
--- a/src/stated_load.cc
+++ b/src/stated_load.cc
@@ -15,8 +15,9 @@
 // A target whose queue is long is avoided by all entries, so the number towards
 // which its requests go is not above this multiple of its slots, whatever their
 // recent mean. Otherwise a full target would stay unused until the statement
-// expires.
-constexpr double kMaxUsualRequestsPerSlot = 2;
+// expires. With 2, 72 entries tried a full owner again so soon that it rejected
+// twice as many requests.
+constexpr double kMaxUsualRequestsPerSlot = 2.5;
 // A target that is slow stays so for 0.4 s, of which half is left on average.
 constexpr Duration kSlownessLeft = std::chrono::milliseconds(200);
 constexpr Duration kMinResponseTime = std::chrono::milliseconds(1);
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -40,6 +40,9 @@
 // Without an estimate, less urgent requests yield only where at least one in
 // ten targets expects a more urgent request within a response time.
 constexpr double kNegligibleReserve = 0.1;
+// Seconds in which a router should hear once from each target it prefers: half
+// of the time for which a statement is used.
+constexpr double kHearingInterval = 1;
 // Added for a target that is not one of those that this router uses first.
 // Fraction of the latency objective.
 constexpr double kNotPreferredCost = 1;
@@ -124,6 +127,23 @@
   double expected_time = 0;
 };
 
+// How many of a zone's targets this router prefers: so many that enough routers
+// prefer each target, even if all of them use this zone, but no more than it
+// hears from often, where it gets few requests.
+double PreferredTargets(std::ptrdiff_t targets,
+                        std::uint32_t sharing_routers,
+                        const SelectionOptions& options) {
+  const auto for_routers = [targets](std::uint32_t routers) {
+    return std::ceil(kRoutersPreferringTarget * static_cast<double>(targets) /
+                     std::max(1U, routers));
+  };
+  const double most = for_routers(sharing_routers);
+  const double least =
+      std::min(most, for_routers(std::max(options.routers, sharing_routers)));
+  return std::clamp(std::ceil(options.request_rate * kHearingInterval), least,
+                    most);
+}
+
 // Adds the cost of targets outside this router's subset: in each zone the
 // targets of highest affinity.
 void AddSubsetCost(std::vector<TimedCandidate>& candidates,
@@ -140,9 +160,8 @@
         std::find_if(zone, candidates.end(), [&](const auto& each) {
           return each.candidate->entry->zone != zone->candidate->entry->zone;
         });
-    const auto size = static_cast<std::ptrdiff_t>(
-        std::ceil(kRoutersPreferringTarget * static_cast<double>(end - zone) /
-                  std::max(1U, zone->candidate->sharing_routers)));
+    const auto size = static_cast<std::ptrdiff_t>(PreferredTargets(
+        end - zone, zone->candidate->sharing_routers, options));
     for (auto each = zone + std::min(size, end - zone); each != end; ++each)
       each->expected_time +=
           kNotPreferredCost *
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -235,7 +235,8 @@
   const auto pick = [&] {
     return PickTarget(candidates,
                       SelectionOptions{query.bulk, query.mean_latency,
-                                       query.latency_objective},
+                                       query.latency_objective, query.request_rate,
+                                       RouterCount()},
                       now, query.random);
   };
   // Credits of a target in another zone are left to the members there unless no
