End no attempt for a retry that would come too late

Cause: an attempt in progress was cancelled, or a retry taken from the budget, for a target whose queue then left the request too little time.

Change: both check the expected time first. Targets of a zone without entries are chosen at random too, if there are other routers. Simulations in virtual time share one event queue.

--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -357,8 +357,11 @@
   if (keyed_)
     retry_not_before_ = BootNow() + waits_.target_retry_interval;
   // A repeat that cannot be sent would only use up the budget.
-  if (!ChooseTarget() && !MayWait(BootNow()))
+  const TargetClient* next = ChooseTarget();
+  if (!next && !MayWait(BootNow()))
     return Refuse("no-target-free");
+  if (next && !MakesItsTimeAt(BootNow(), *next))
+    return Refuse("no-time-left");
   if (!TakeRetry(BootNow()))
     return Refuse("rejected-by-target");
   if (!TrySend())
@@ -580,7 +583,7 @@
     return;
   tried_targets_.insert(attempt_->target.id);
   TargetClient* other = ChooseTarget();
-  if (!other || !TakeRetry(now))
+  if (!other || !MakesItsTimeAt(now, *other) || !TakeRetry(now))
     return;
   execution_state_ = ExecutionState::kUnknown;
   const auto connection = attempt_->connection;
--- a/src/target_load.cc
+++ b/src/target_load.cc
@@ -416,7 +416,8 @@
         best_expected_time = expected_time;
       }
     }
-    if (best && load_stated && best->sharing_routers > 1)
+    if (best && load_stated &&
+        std::max(best->sharing_routers, options.routers) > 1)
       return PickAtRandom(std::move(usable), options, now, random);
     if (best)
       return best;
--- a/test/load_balancing_experiment.cc
+++ b/test/load_balancing_experiment.cc
@@ -12,6 +12,7 @@
 #include <random>
 
 #include "figstall/target_load.h"
+#include "virtual_time.h"
 
 namespace figstall {
 namespace {
@@ -77,21 +78,18 @@
     std::exponential_distribution<> gap(rate_);
     std::function<void()> arrive = [&] {
       Arrive(Pick(loads_.size()));
-      After(Duration(static_cast<Duration::rep>(gap(random_) * 1e6)), arrive);
+      time_.After(Duration(static_cast<Duration::rep>(gap(random_) * 1e6)),
+                  arrive);
     };
-    After(Duration{1}, arrive);
+    time_.After(Duration{1}, arrive);
     for (std::size_t e = 0;
          e < loads_.size() && view_age_ > Duration{0} && way_ != Way::kOwnView;
          ++e) {
       for (std::size_t t = 0; t < kTargets; ++t)
-        After(Scaled(view_age_ * 2, Uniform()), [=, this] { Refresh(e, t); });
-    }
-    while (!events_.empty() && events_.top().at < Instant{} + kRun) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.run();
+        time_.After(Scaled(view_age_ * 2, Uniform()),
+                    [=, this] { Refresh(e, t); });
     }
+    time_.RunUntil(Instant{} + kRun);
     double busiest = 0;
     double sum = 0;
     for (const Target& target : targets_) {
@@ -117,14 +115,6 @@
     // Processed work, in seconds at speed 1.
     double used;
   };
-  struct Event {
-    Instant at;
-    std::uint64_t number;
-    std::function<void()> run;
-    bool operator<(const Event& other) const {
-      return std::tie(other.at, other.number) < std::tie(at, number);
-    }
-  };
 
   // Finalizer of splitmix64.
   static std::uint64_t Mix(std::uint64_t value) {
@@ -132,14 +122,14 @@
     value = (value ^ (value >> 27)) * 0x94D049BB133111EBU;
     return value ^ (value >> 31);
   }
+  static std::uint64_t Affinity(std::size_t e, std::size_t t) {
+    return Mix(e * kTargets + t + 1);
+  }
   static double Seconds(Duration duration) {
     return static_cast<double>(duration.count()) / 1e6;
   }
   double Uniform() { return std::uniform_real_distribution<>()(random_); }
   std::size_t Pick(std::size_t count) { return random_() % count; }
-  void After(Duration delay, std::function<void()> run) {
-    events_.push({now_ + delay, ++events_pushed_, std::move(run)});
-  }
   bool Counts(Instant arrived_at) const {
     return arrived_at >= Instant{} + kWarmUp;
   }
@@ -153,27 +143,27 @@
   StatedLoad State(std::size_t t) const {
     return {targets_[t].running,
             static_cast<std::uint32_t>(targets_[t].queue.size()), kSlots,
-            Slowness(t, now_)};
+            Slowness(t, time_.now())};
   }
   void Hear(std::size_t e, std::size_t t) {
-    loads_[e][t]->OnStated(now_, State(t));
+    loads_[e][t]->OnStated(time_.now(), State(t));
     tickets_[e][t] = kSlots - std::min(kSlots, targets_[t].running);
   }
   void Refresh(std::size_t e, std::size_t t) {
     Hear(e, t);
-    After(view_age_ * 2, [=, this] { Refresh(e, t); });
+    time_.After(view_age_ * 2, [=, this] { Refresh(e, t); });
   }
 
   double Expected(std::size_t e, std::size_t t) const {
-    const auto estimate = loads_[e][t]->EstimatedLoad(now_);
-    const auto work = loads_[e][t]->processing_time(now_);
+    const auto estimate = loads_[e][t]->EstimatedLoad(time_.now());
+    const auto work = loads_[e][t]->processing_time(time_.now());
     return Seconds(work ? work->mean : kWork) *
            (estimate
                 ? estimate->QueueingFactor() + Seconds(estimate->slow_delay) * 2
                 : 1 + static_cast<double>(loads_[e][t]->in_flight()));
   }
   double Free(std::size_t e, std::size_t t) const {
-    const auto estimate = loads_[e][t]->EstimatedLoad(now_);
+    const auto estimate = loads_[e][t]->EstimatedLoad(time_.now());
     return std::max(0.05, estimate ? estimate->FreeCapacity(2)
                                    : 2.0 * kSlots - loads_[e][t]->in_flight());
   }
@@ -186,8 +176,8 @@
         continue;
       candidates.push_back({&targets_[t].entry, loads_[e][t].get(),
                             Distance::kSameZone, sharing, true,
-                            Mix(e * kTargets + t + 1)});
-      if (loads_[e][t]->HasSpareCapacity(now_, kSlots, sharing))
+                            Affinity(e, t)});
+      if (loads_[e][t]->HasSpareCapacity(time_.now(), kSlots, sharing))
         usable.push_back(t);
     }
     if (usable.empty())
@@ -196,7 +186,7 @@
       const Candidate* best =
           PickTarget(candidates,
                      {false, kWork, kObjective, rate_ / loads_.size(), sharing},
-                     now_, Uniform());
+                     time_.now(), Uniform());
       return best ? std::optional<std::size_t>(best - candidates.data())
                   : std::nullopt;
     }
@@ -225,42 +215,39 @@
   }
   bool InSubset(std::size_t e, std::size_t t) const {
     constexpr std::size_t kSubset = 8;
-    const auto rank = [e](std::size_t target) {
-      return Mix(e * kTargets + target + 1);
-    };
     std::size_t better = 0;
     for (std::size_t other = 0; other < kTargets; ++other)
-      better += rank(other) > rank(t) ? 1 : 0;
+      better += Affinity(e, other) > Affinity(e, t) ? 1 : 0;
     return better < kSubset;
   }
 
   void Arrive(std::size_t e) {
-    if (Counts(now_))
+    if (Counts(time_.now()))
       ++total_;
-    TrySend({e, now_});
+    TrySend({e, time_.now()});
   }
   void TrySend(Waiting request) {
     const auto t = Choose(request.entry);
     if (!t) {
-      if (now_ - request.arrived_at < kMaxWait)
-        return After(milliseconds(25), [=, this] { TrySend(request); });
+      if (time_.now() - request.arrived_at < kMaxWait)
+        return time_.After(milliseconds(25), [=, this] { TrySend(request); });
       if (Counts(request.arrived_at))
         ++rejected_;
       return;
     }
     Target& target = targets_[*t];
     TargetLoad& load = *loads_[request.entry][*t];
-    request.sent_at = now_;
+    request.sent_at = time_.now();
     request.factor = load.QueueingFactor(
-        now_, kSlots, static_cast<std::uint32_t>(loads_.size()));
-    load.OnSent(now_);
+        time_.now(), kSlots, static_cast<std::uint32_t>(loads_.size()));
+    load.OnSent(time_.now());
     if (target.running < kSlots)
       return Process(*t, request);
     if (target.queue.size() < kMaxQueue)
       return target.queue.push(request);
     if (view_age_ == Duration{0} && way_ != Way::kOwnView)
       Hear(request.entry, *t);
-    load.OnDone(now_, AttemptOutcome::kRefused, Duration{0}, 1);
+    load.OnDone(time_.now(), AttemptOutcome::kRefused, Duration{0}, 1);
     if (Counts(request.arrived_at))
       ++rejected_;
   }
@@ -270,7 +257,7 @@
     const double amount = Seconds(kWork) * (0.7 + 0.6 * Uniform());
     target.used += amount;
     double left = amount;
-    Instant at = now_;
+    Instant at = time_.now();
     for (;;) {
       const Duration in_period = (at - Instant{}) % kDisturbance;
       const double rate = target.speed / Slowness(t, at);
@@ -282,15 +269,17 @@
       left -= rate * Seconds(kDisturbance - in_period);
       at += kDisturbance - in_period;
     }
-    After(at - now_, [=, this] { Complete(t, request); });
+    time_.After(at - time_.now(), [=, this] { Complete(t, request); });
   }
   void Complete(std::size_t t, const Waiting& request) {
     Target& target = targets_[t];
     if (view_age_ == Duration{0} && way_ != Way::kOwnView)
       Hear(request.entry, t);
-    loads_[request.entry][t]->OnDone(now_, AttemptOutcome::kAnswered,
-                                     now_ - request.sent_at, request.factor);
-    if (Counts(request.arrived_at) && now_ - request.arrived_at > kObjective)
+    loads_[request.entry][t]->OnDone(time_.now(), AttemptOutcome::kAnswered,
+                                     time_.now() - request.sent_at,
+                                     request.factor);
+    if (Counts(request.arrived_at) &&
+        time_.now() - request.arrived_at > kObjective)
       ++late_;
     --target.running;
     if (target.queue.empty())
@@ -308,9 +297,7 @@
   std::vector<std::vector<std::unique_ptr<TargetLoad>>> loads_;
   std::vector<std::vector<std::uint32_t>> tickets_;
   std::vector<Target> targets_;
-  std::priority_queue<Event> events_;
-  std::uint64_t events_pushed_ = 0;
-  Instant now_{};
+  VirtualTime time_{Instant{}};
   std::mt19937_64 random_{7};
   double total_ = 0;
   double late_ = 0;
--- a/test/priority_admission_test.cc
+++ b/test/priority_admission_test.cc
@@ -11,6 +11,7 @@
 #include <random>
 
 #include "figstall/target_load.h"
+#include "virtual_time.h"
 
 namespace figstall {
 namespace {
@@ -67,12 +68,7 @@
   void Run(double urgent_rate, double other_rate) {
     Arrivals(kUrgent, urgent_rate);
     Arrivals(kOther, other_rate);
-    while (!events_.empty() && events_.top().at < kEnd) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.run();
-    }
+    time_.RunUntil(kEnd);
   }
   Counts urgent() const { return counts_.at(kUrgent); }
   Counts other() const { return counts_.at(kOther); }
@@ -99,43 +95,33 @@
     std::uint32_t running = 0;
     std::queue<Request> queue;
   };
-  struct Event {
-    Instant at;
-    std::uint64_t number;
-    std::function<void()> run;
-    bool operator<(const Event& other) const {
-      return std::tie(other.at, other.number) < std::tie(at, number);
-    }
-  };
 
-  void After(Duration delay, std::function<void()> run) {
-    events_.push({now_ + delay, ++number_, std::move(run)});
-  }
   bool IsCounted(const Request& request) const {
     return request.arrived_at >= kStart + seconds(5) &&
            request.arrived_at < kEnd - seconds(2);
   }
   void Arrivals(std::uint32_t priority, double rate) {
     std::exponential_distribution<> gap(rate);
-    After(Duration(static_cast<Duration::rep>(gap(random_) * 1e6)), [=, this] {
-      Request request{random_() % kEntries, priority, now_};
-      admissions_[request.entry].OnArrival(now_, kService, priority);
-      if (IsCounted(request))
-        ++counts_[priority].arrived;
-      TrySend(request);
-      Arrivals(priority, rate);
-    });
+    time_.After(
+        Duration(static_cast<Duration::rep>(gap(random_) * 1e6)), [=, this] {
+          Request request{random_() % kEntries, priority, time_.now()};
+          admissions_[request.entry].OnArrival(time_.now(), kService, priority);
+          if (IsCounted(request))
+            ++counts_[priority].arrived;
+          TrySend(request);
+          Arrivals(priority, rate);
+        });
   }
   void TrySend(Request request) {
     PriorityAdmission& admission = admissions_[request.entry];
     const auto reserved = admission.ReservedAtTarget(
-        now_, kService, request.priority, kWork, kEntries, kTargets);
+        time_.now(), kService, request.priority, kWork, kEntries, kTargets);
     std::vector<Candidate> candidates;
     bool yields = false;
     for (std::size_t t = 0; t < kTargets; ++t) {
       TargetLoad& load = *loads_[request.entry][t];
       if (reserved && !request.of_minimum &&
-          !load.LeavesRoom(now_, kSlots, kEntries, *reserved, kWork)) {
+          !load.LeavesRoom(time_.now(), kSlots, kEntries, *reserved, kWork)) {
         yields = true;
         continue;
       }
@@ -143,46 +129,46 @@
                             true, request.entry * 31 + t * 17});
     }
     const Candidate* choice =
-        PickTarget(candidates, {false, kWork, milliseconds(1000)}, now_,
+        PickTarget(candidates, {false, kWork, milliseconds(1000)}, time_.now(),
                    std::uniform_real_distribution<>()(random_));
     if (!choice) {
-      if (yields && now_ == request.arrived_at &&
+      if (yields && time_.now() == request.arrived_at &&
           admission.TakeMinimum(kService, request.priority)) {
         request.of_minimum = true;
         return TrySend(request);
       }
-      if (now_ - request.arrived_at < kMaxWait)
-        After(milliseconds(25), [=, this] { TrySend(request); });
+      if (time_.now() - request.arrived_at < kMaxWait)
+        time_.After(milliseconds(25), [=, this] { TrySend(request); });
       return;
     }
     const auto t = static_cast<std::size_t>(choice->entry - entries_.data());
     TargetLoad& load = *loads_[request.entry][t];
-    request.sent_at = now_;
-    request.factor = load.QueueingFactor(now_, kSlots, kEntries);
-    load.OnSent(now_);
+    request.sent_at = time_.now();
+    request.factor = load.QueueingFactor(time_.now(), kSlots, kEntries);
+    load.OnSent(time_.now());
     if (targets_[t].running < kSlots)
       return Process(t, request);
     if (targets_[t].queue.size() < 16)
       return targets_[t].queue.push(request);
-    load.OnDone(now_, AttemptOutcome::kRefused, Duration{0});
+    load.OnDone(time_.now(), AttemptOutcome::kRefused, Duration{0});
   }
   void Process(std::size_t t, const Request& request) {
     ++targets_[t].running;
-    After(kWork, [=, this] {
+    time_.After(kWork, [=, this] {
       TargetLoad& load = *loads_[request.entry][t];
       if (states_load_)
         load.OnStated(
-            now_,
+            time_.now(),
             StatedLoad{targets_[t].running,
                        static_cast<std::uint32_t>(targets_[t].queue.size()),
                        kSlots, 1});
-      load.OnDone(now_, AttemptOutcome::kAnswered, now_ - request.sent_at,
-                  request.factor);
-      admissions_[request.entry].OnServed(now_, kService, request.priority,
-                                          request.of_minimum);
+      load.OnDone(time_.now(), AttemptOutcome::kAnswered,
+                  time_.now() - request.sent_at, request.factor);
+      admissions_[request.entry].OnServed(time_.now(), kService,
+                                          request.priority, request.of_minimum);
       if (IsCounted(request)) {
         ++served_;
-        if (now_ - request.arrived_at <= seconds(1))
+        if (time_.now() - request.arrived_at <= seconds(1))
           ++counts_[request.priority].served;
       }
       --targets_[t].running;
@@ -199,9 +185,7 @@
   std::vector<std::vector<std::unique_ptr<TargetLoad>>> loads_;
   std::array<TargetEntry, kTargets> entries_;
   std::array<Target, kTargets> targets_;
-  std::priority_queue<Event> events_;
-  std::uint64_t number_ = 0;
-  Instant now_ = kStart;
+  VirtualTime time_{kStart};
   std::mt19937_64 random_{11};
   std::map<std::uint32_t, Counts> counts_;
   std::uint64_t served_ = 0;
--- a/test/target_selector_test.cc
+++ b/test/target_selector_test.cc
@@ -115,6 +115,35 @@
   CHECK(test.Check(kStart, 7) == Unavailability::kNone);
 }
 
+// Guards against less urgent requests that fill the owner of a key, so that it
+// rejects more urgent ones.
+TEST_CASE("a less urgent request yields while its owner has little room") {
+  TestSelector test;
+  test.SetOwner("a", 1, RangePhase::kSettled);
+  TargetQuery query;
+  query.service = kService;
+  query.key = 7;
+  query.mean_latency = std::chrono::milliseconds(300);
+  const auto reason = [&](const StatedLoad& load,
+                          std::optional<double> reserved) {
+    test.selector.Find(test.a.id)->load().OnStated(kStart, load);
+    query.reserved = reserved;
+    return test.selector.Choose(kStart, query).reason;
+  };
+  const StatedLoad busy{4, 5, 4, 1};
+  const StatedLoad free_slot{3, 0, 4, 1};
+  const StatedLoad full{4, 16, 4, 1};
+  CHECK(reason(busy, std::nullopt) == Unavailability::kNone);
+  CHECK(reason(busy, 1.5) == Unavailability::kNone);
+  CHECK(reason(busy, 2.5) == Unavailability::kYieldsToPriority);
+  // However many more urgent requests are expected.
+  CHECK(reason(free_slot, 100) == Unavailability::kNone);
+  CHECK(reason(full, std::nullopt) == Unavailability::kNoCapacity);
+  // The owner has room after nine requests, 75 ms each.
+  CHECK(test.selector.Choose(kStart, query).available_at ==
+        kStart + std::chrono::milliseconds(675));
+}
+
 TEST_CASE("a target that asked for a pause gets no request until its end") {
   TestSelector test;
   TargetNotice notice;
