--- a/include/figstall/target_selector.h
+++ b/include/figstall/target_selector.h
@@ -37,6 +37,11 @@
   AllowedRegions allowed_regions;
   // From 0 up to 1; decides among targets that state their load.
   double random = 0;
+  // Requests for the service that this router receives per second.
+  double request_rate = 0;
+  // More urgent requests that each target has to leave room for; none if the
+  // request yields to no other.
+  std::optional<double> reserved{};
   // If set, the choice is only explained: it requests no credits and records
   // its verdict on each target.
   SelectionTrace* trace = nullptr;
@@ -147,12 +152,17 @@
   // Null if the zone is in this router's region, or unknown.
   RegionLink* LinkTo(const ZoneId& zone) const;
   std::uint32_t RouterCount() const;
+  std::size_t TargetCount(const ServiceId& service) const;
   std::uint32_t SharingRouters(const TargetEntry& entry, bool keyed) const;
 
  private:
   bool InAllowedRegion(const TargetQuery& query,
                        const TargetEntry& entry) const;
   std::string DescribeOutside(const TargetQuery& query) const;
+  // Whether the target leaves no room for more urgent requests.
+  bool Yields(Instant now,
+              const TargetQuery& query,
+              const TargetClient& client) const;
   // Of this router to the target, zero unless the target states its load.
   std::uint64_t Affinity(const TargetClient& client) const;
   TargetChoice ChooseOwner(Instant now, const TargetQuery& query);
--- a/src/entry_traffic_explain.cc
+++ b/src/entry_traffic_explain.cc
@@ -84,6 +84,12 @@
   query.latency_objective = route.latency_objective;
   query.mean_latency = MeanLatency(part.service);
   query.allowed_regions = regions;
+  if (const auto rate = request_rates_.find(part.service);
+      rate != request_rates_.end())
+    query.request_rate = rate->second.At(now);
+  query.reserved = priority_.ReservedAtTarget(
+      now, part.service, route.priority, query.mean_latency,
+      targets_.RouterCount(), targets_.TargetCount(part.service));
   SelectionTrace trace;
   query.trace = &trace;
   const TargetService* service = view_.routes->FindService(part.service);
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -97,6 +97,8 @@
   if (keyed_ && !traffic_.Admits(service_, key_))
     return FinishWithLocalResponse(kUnavailable, "hot-key",
                                    waits_.retry_after_moving);
+  traffic_.request_rates_[service_].OnArrival(arrived_at_);
+  traffic_.priority_.OnArrival(arrived_at_, service_, route_->priority);
   if (!TrySend())
     WaitForTarget();
 }
@@ -164,13 +166,60 @@
           RegionsInForce()};
 }
 
+bool Exchange::GoesBefore(const Exchange& other) const {
+  if (other.priority() != priority() || other.service_ != service_ ||
+      !traffic_.priority_.Applies(service_))
+    return false;
+  if ((attempts_sent_ > 0) != (other.attempts_sent_ > 0))
+    return attempts_sent_ > 0;
+  return deadline_ < other.deadline_;
+}
+
+std::optional<double> Exchange::ReservedAtTarget(Instant now) const {
+  if (of_minimum_ || !traffic_.priority_.Applies(service_))
+    return std::nullopt;
+  return traffic_.priority_.ReservedAtTarget(
+      now, service_, route_->priority, traffic_.MeanLatency(service_),
+      traffic_.targets_.RouterCount(), traffic_.targets_.TargetCount(service_));
+}
+
+bool Exchange::TakesMinimum(Instant now) {
+  if (yielded_)
+    return false;
+  yielded_ = true;
+  if (const auto change = traffic_.priority_.OnYield(now, service_))
+    traffic_.LogPriorityChange(*change);
+  of_minimum_ = traffic_.priority_.TakeMinimum(service_, route_->priority);
+  ++traffic_.metrics_.Counter(
+      "figstall_priority_yields_total",
+      fmt::format("service=\"{}\",priority=\"{}\",minimum=\"{}\"",
+                  service_.value(), route_->priority,
+                  of_minimum_ ? "yes" : "no"));
+  return of_minimum_;
+}
+
+bool Exchange::MakesItsTimeAt(Instant now, const TargetClient& client) const {
+  if (!traffic_.priority_.Applies(service_))
+    return true;
+  const auto expected = client.load().ExpectedResponseTime(
+      now, traffic_.MeanProcessingTime(service_));
+  return !expected || *expected <= TimeLeft(now);
+}
+
 TargetClient* Exchange::ChooseTarget() {
   const Instant now = BootNow();
   TargetQuery query = MakeTargetQuery();
   query.random = traffic_.DrawForChoice();
+  query.request_rate = traffic_.request_rates_[service_].At(now);
+  query.reserved = ReservedAtTarget(now);
   last_choice_ = traffic_.standstill_.MaySend(now)
                      ? traffic_.targets_.Choose(now, query)
                      : TargetChoice{nullptr, Unavailability::kStandstill, {}};
+  if (last_choice_.reason == Unavailability::kYieldsToPriority &&
+      TakesMinimum(now)) {
+    query.reserved.reset();
+    last_choice_ = traffic_.targets_.Choose(now, query);
+  }
   return last_choice_.client;
 }
 
@@ -268,7 +317,7 @@
 
 void Exchange::Send(TargetClient* client) {
   const Instant now = BootNow();
-  if (!HasTimeLeft(now))
+  if (!HasTimeLeft(now) || !MakesItsTimeAt(now, *client))
     return Refuse("no-time-left");
   const auto credit_until =
       traffic_.credits_.Consume(now, client->entry().incarnation);
@@ -350,8 +399,11 @@
   if (keyed_)
     retry_not_before_ = BootNow() + waits_.target_retry_interval;
   // A repeat that cannot be sent would only use up the budget.
-  if (!ChooseTarget() && !MayWait(BootNow()))
+  const TargetClient* next = ChooseTarget();
+  if (!next && !MayWait(BootNow()))
     return Refuse("no-target-free");
+  if (next && !MakesItsTimeAt(BootNow(), *next))
+    return Refuse("no-time-left");
   if (!TakeRetry(BootNow()))
     return Refuse("rejected-by-target");
   if (!TrySend())
@@ -516,6 +568,7 @@
                                               attempt_->sent_on_connection_at)
                               : std::nullopt);
   if (outcome == AttemptOutcome::kAnswered) {
+    traffic_.priority_.OnServed(now, service_, route_->priority, of_minimum_);
     double& mean_latency = traffic_.mean_latency_us_[service_];
     constexpr double kWeight = 0.03;
     const auto sample = static_cast<double>(latency.count());
@@ -586,7 +639,7 @@
     return;
   tried_targets_.insert(attempt_->target.id);
   TargetClient* other = ChooseTarget();
-  if (!other || !TakeRetry(now))
+  if (!other || !MakesItsTimeAt(now, *other) || !TakeRetry(now))
     return;
   execution_state_ = ExecutionState::kUnknown;
   const auto connection = attempt_->connection;
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -14,7 +14,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr int kMisdirected = 421;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -62,13 +61,33 @@
   attempt_->head = head;
   attempt_->head_seen = true;
   attempt_->head_seen_at = BootNow();
-  const int status = static_cast<int>(head.result_int());
-  const TargetNotice notice = platform::DecodeTargetNotice(status, head);
+  const TargetNotice notice =
+      platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head);
   traffic_.notices_.OnAnswer(BootNow(), attempt_->target, notice, "response");
   TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
-  // A 421 may come from another target at the address.
-  if (client && client == attempt_->client && status != kMisdirected)
-    client->load().OnStated(BootNow(), notice.load);
+  // A malformed statement, or an answer of a target that did not run the
+  // request, does not end the earlier one.
+  const bool says_load =
+      notice.load || (notice.complete && notice.invalid_fields.empty());
+  if (says_load && client && client == attempt_->client &&
+      client->load().OnStated(BootNow(), notice.load))
+    LogStatedLoad(notice.load);
+}
+
+void Exchange::LogStatedLoad(const std::optional<StatedLoad>& load) {
+  const char* state = load ? "stated" : "not-stated";
+  const StatedLoad value = load.value_or(StatedLoad{});
+  traffic_.log_.Write(
+      LogLevel::kInfo, "stated-load",
+      {{"target", attempt_->target.id.value()},
+       {"state", state},
+       {"value", load ? fmt::format("{},{},{},{:.2f}", value.running,
+                                    value.waiting, value.slots, value.slowness)
+                      : ""},
+       {"age_ms", "0"},
+       {"source", "response"}});
+  ++traffic_.metrics_.Counter("figstall_stated_load_changes_total",
+                              fmt::format("state=\"{}\"", state));
 }
 
 ResponseHead Exchange::MakeCallerHead() const {
@@ -171,6 +190,14 @@
   Finish("answered", status, "");
 }
 
+Duration Exchange::SpreadReturn(Instant now, Duration earliest) {
+  if (!traffic_.priority_.Applies(service_))
+    return earliest;
+  return traffic_.priority_.ReturnAfter(
+      now, service_, route_->priority, earliest,
+      Scaled(TimeLeft(now), kRetryAfterShare), traffic_.DrawForChoice());
+}
+
 void Exchange::Refuse(const std::string& reason) {
   const int status = LocalResponseStatus(execution_state_, false);
   if (last_choice_.reason == Unavailability::kOutsideRegions &&
@@ -181,9 +208,11 @@
                     traffic_.targets_.Explain(BootNow(), MakeTargetQuery(),
                                               last_choice_)),
         kRetryAfterOutsideRegions);
-  if (reason != "no-target-free")
-    return FinishWithLocalResponse(status, reason, waits_.retry_after);
   const Instant now = BootNow();
+  if (reason != "no-target-free") {
+    return FinishWithLocalResponse(status, reason,
+                                   SpreadReturn(now, waits_.retry_after));
+  }
   Duration wait = keyed_ ? waits_.retry_after_moving : waits_.retry_after;
   if (last_choice_.available_at)
     wait = std::max(wait, *last_choice_.available_at - now);
@@ -191,7 +220,7 @@
       status,
       reason + ": " +
           traffic_.targets_.Explain(now, MakeTargetQuery(), last_choice_),
-      wait);
+      SpreadReturn(now, wait));
 }
 
 void Exchange::FinishWithLocalResponse(int status,
--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -117,6 +117,23 @@
   return view_.member_counts.total();
 }
 
+std::size_t TargetSelector::TargetCount(const ServiceId& service) const {
+  return static_cast<std::size_t>(std::count_if(
+      clients_.begin(), clients_.end(), [&service](const auto& each) {
+        return each.second->entry().service == service;
+      }));
+}
+
+bool TargetSelector::Yields(Instant now,
+                            const TargetQuery& query,
+                            const TargetClient& client) const {
+  const TargetEntry& entry = client.entry();
+  return query.reserved &&
+         !client.load().LeavesRoom(now, entry.slots,
+                                   SharingRouters(entry, query.key.has_value()),
+                                   *query.reserved, query.mean_latency);
+}
+
 std::uint32_t TargetSelector::SharingRouters(const TargetEntry& entry,
                                              bool keyed) const {
   if (keyed)
@@ -280,7 +297,10 @@
   if (reason == Unavailability::kNone &&
       !client->load().HasSpareCapacity(now, client->entry().slots,
                                        SharingRouters(client->entry(), true)))
-    return {nullptr, Unavailability::kNoCapacity, {}};
+    return {nullptr, Unavailability::kNoCapacity,
+            client->load().HasRoomAt(now, query.mean_latency)};
+  if (reason == Unavailability::kNone && Yields(now, query, *client))
+    return {nullptr, Unavailability::kYieldsToPriority, {}};
   return CheckNotices(now, query, *client);
 }
 
@@ -317,7 +337,14 @@
   std::vector<Candidate> candidates;
   // Of the targets that want no requests now, the one that may get some first.
   TargetChoice first_available{nullptr, Unavailability::kNoCapacity, {}};
+  bool yields = false;
   const auto consider = [&](TargetClient& client) {
+    // Before credits are requested, which would expire unused.
+    if (Yields(now, query, client)) {
+      yields = true;
+      Record(query, client, {nullptr, Unavailability::kYieldsToPriority, {}});
+      return Unavailability::kYieldsToPriority;
+    }
     const TargetChoice checked = CheckNotices(now, query, client);
     // It is no candidate at any time, so there is no waiting for it.
     if (checked.reason == Unavailability::kOutsideRegions)
@@ -345,7 +372,8 @@
     }
     return PickTarget(candidates,
                       SelectionOptions{query.bulk, query.mean_latency,
-                                       query.latency_objective},
+                                       query.latency_objective, query.request_rate,
+                                       RouterCount()},
                       now, query.random);
   };
   // Credits of a target in another zone are left to the members there unless no
@@ -395,6 +423,8 @@
   }
   if (best)
     return {Find(best->entry->incarnation.id), Unavailability::kNone, {}};
+  if (yields)
+    return {nullptr, Unavailability::kYieldsToPriority, {}};
   if (!candidates.empty())
     return {nullptr, Unavailability::kNoCapacity, {}};
   if (evacuated && !outside_evacuation)
@@ -424,6 +454,9 @@
     return "this process stood still and reads first what arrived meanwhile";
   if (choice.reason == Unavailability::kOutsideRegions)
     return DescribeOutside(query);
+  if (choice.reason == Unavailability::kYieldsToPriority)
+    return fmt::format("targets of {} leave room for more urgent requests only",
+                       query.service.value());
   const char* limited_text =
       "limits its requests, and this router has no credit for another one";
   const char* warming_up_text =
