Look up the route of a request once for its regions

Cause: the regions at the arrival were looked up by a second search for the route, also for requests without any restriction.

--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -93,8 +93,10 @@
   void ExtendDeadline();
   // Whether a request that cannot be sent may keep waiting.
   bool MayWait(Instant now) const;
-  // What the request's route and accounts allow in a version.
-  AllowedRegions RegionsUnder(const RouteIndex& routes) const;
+  // What the request's accounts and `route`, which may be null, allow in a
+  // version.
+  AllowedRegions RegionsUnder(const DesiredState& state,
+                              const IngressRoute* route) const;
   // Narrows the allowed regions if a version that came into force since does.
   const AllowedRegions& RegionsInForce();
   TargetQuery MakeTargetQuery();
--- a/src/exchange.cc
+++ b/src/exchange.cc
@@ -82,10 +82,12 @@
   }
   waits_ = ComputeRequestWaits(route_->latency_objective,
                                traffic_.MeanLatency(service_), keyed_);
-  regions_at_arrival_ = regions_in_force_ = RegionsUnder(*routes_);
+  regions_at_arrival_ = regions_in_force_ =
+      RegionsUnder(routes_->state(), route_);
   regions_version_ = routes_->state().version;
   // Before it counts as load of its key, whose owner does not get it.
-  if (traffic_.targets_.IsOutsideRegions(MakeTargetQuery())) {
+  if (regions_in_force_.restricted() &&
+      traffic_.targets_.IsOutsideRegions(MakeTargetQuery())) {
     last_choice_ = {nullptr, Unavailability::kOutsideRegions, {}};
     return Refuse("no-target-free");
   }
@@ -133,23 +135,26 @@
   deadline_ = extended;
 }
 
-AllowedRegions Exchange::RegionsUnder(const RouteIndex& routes) const {
+AllowedRegions Exchange::RegionsUnder(const DesiredState& state,
+                                      const IngressRoute* route) const {
   // A request that names several accounts is bound by each.
   std::vector<AccountId> accounts;
-  const auto [begin, end] = request_.equal_range(platform::kAccountHeader);
-  for (auto field = begin; field != end; ++field)
-    accounts.emplace_back(std::string(View(field->value())));
-  return RegionsForRequest(
-      routes.state(),
-      routes.Find(View(request_[http::field::host]), View(request_.target())),
-      accounts);
+  if (!state.accounts.empty()) {
+    const auto [begin, end] = request_.equal_range(platform::kAccountHeader);
+    for (auto field = begin; field != end; ++field)
+      accounts.emplace_back(std::string(View(field->value())));
+  }
+  return RegionsForRequest(state, route, accounts);
 }
 
 const AllowedRegions& Exchange::RegionsInForce() {
-  const auto& latest = traffic_.view_.routes;
-  if (latest->state().version != regions_version_) {
-    regions_version_ = latest->state().version;
-    regions_in_force_ = Intersect(regions_at_arrival_, RegionsUnder(*latest));
+  const RouteIndex& latest = *traffic_.view_.routes;
+  if (latest.state().version != regions_version_) {
+    regions_version_ = latest.state().version;
+    const IngressRoute* route =
+        latest.Find(View(request_[http::field::host]), View(request_.target()));
+    regions_in_force_ =
+        Intersect(regions_at_arrival_, RegionsUnder(latest.state(), route));
   }
   return regions_in_force_;
 }
