Admit by priority only where targets state their load

Cause: without statements a router reserves room by its own requests alone, of which it has few at each of many targets.

Change: a service takes part once one of its targets has stated its load, so other deployments are served as before.

--- a/include/figstall/priority_admission.h
+++ b/include/figstall/priority_admission.h
@@ -62,9 +62,13 @@
   // Services that routes of different priority share, by the desired state.
   void OnDesiredState(const DesiredState& state);
 
-  bool Applies(const ServiceId& service) const {
-    return services_.contains(service);
-  }
+  // A target of the service stated its load. Without statements a router knows
+  // too little of a target: reserving room by its own requests alone refused
+  // more than it saved.
+  void OnLoadStated(const ServiceId& service);
+  // Whether routes of different priority share the service and its targets
+  // state their load.
+  bool Applies(const ServiceId& service) const;
   void OnArrival(Instant now, const ServiceId& service, std::uint32_t priority);
   // `by_minimum`: TakeMinimum() returned true for the request.
   void OnServed(Instant now,
@@ -108,6 +112,7 @@
   struct Service {
     // By priority; at least two.
     std::map<std::uint32_t, Class> classes;
+    bool load_stated = false;
     std::optional<Instant> yielding_since;
     Instant last_yield_at{};
     std::uint64_t yielded = 0;
--- a/src/exchange_response.cc
+++ b/src/exchange_response.cc
@@ -65,6 +65,8 @@
       platform::DecodeTargetNotice(static_cast<int>(head.result_int()), head);
   traffic_.notices_.OnAnswer(BootNow(), attempt_->target, notice, "response");
   TargetClient* client = traffic_.targets_.Find(attempt_->target.id);
+  if (notice.load)
+    traffic_.priority_.OnLoadStated(service_);
   // A malformed statement, or an answer of a target that did not run the
   // request, does not end the earlier one.
   const bool says_load =
--- a/src/priority_admission.cc
+++ b/src/priority_admission.cc
@@ -91,6 +91,17 @@
   return each == found->second.classes.end() ? nullptr : &each->second;
 }
 
+void PriorityAdmission::OnLoadStated(const ServiceId& service) {
+  const auto found = services_.find(service);
+  if (found != services_.end())
+    found->second.load_stated = true;
+}
+
+bool PriorityAdmission::Applies(const ServiceId& service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.load_stated;
+}
+
 void PriorityAdmission::OnArrival(Instant now,
                                   const ServiceId& service,
                                   std::uint32_t priority) {
@@ -121,7 +132,7 @@
     std::size_t routers,
     std::size_t targets) const {
   const auto found = services_.find(service);
-  if (found == services_.end() || targets == 0)
+  if (found == services_.end() || !found->second.load_stated || targets == 0)
     return std::nullopt;
   std::optional<double> rate;
   for (const auto& [other, each] : found->second.classes) {
--- a/test/priority_admission_test.cc
+++ b/test/priority_admission_test.cc
@@ -39,6 +39,7 @@
   DesiredState state;
   state.routes = {Route(kUrgent, kService), Route(kOther, kService)};
   admission.OnDesiredState(state);
+  admission.OnLoadStated(kService);
   return admission;
 }
 
@@ -231,6 +232,12 @@
   state.routes = {Route(0, alone), Route(0, alone), Route(0, unused, 0),
                   Route(2, unused)};
   admission.OnDesiredState(state);
+  // Nor where targets state no load.
+  state.routes.push_back(Route(1, ServiceId("silent")));
+  state.routes.push_back(Route(2, ServiceId("silent")));
+  admission.OnDesiredState(state);
+  admission.OnLoadStated(alone);
+  CHECK_FALSE(admission.Applies(ServiceId("silent")));
   CHECK_FALSE(admission.Applies(alone));
   CHECK_FALSE(admission.Applies(unused));
   CHECK_FALSE(admission.ReservedAtTarget(kStart, alone, 0, seconds(1), 4, 4));
