--- a/src/target_selector.cc
+++ b/src/target_selector.cc
@@ -372,8 +372,8 @@
     }
     return PickTarget(candidates,
                       SelectionOptions{query.bulk, query.mean_latency,
-                                       query.latency_objective, query.request_rate,
-                                       RouterCount()},
+                                       query.latency_objective,
+                                       query.request_rate, RouterCount()},
                       now, query.random);
   };
   // Credits of a target in another zone are left to the members there unless no
