--- a/test/load_balancing_experiment.cc
+++ b/test/load_balancing_experiment.cc
@@ -185,7 +185,8 @@
     if (way_ == Way::kOwnView || way_ == Way::kProduct) {
       const Candidate* best =
           PickTarget(candidates,
-                     {false, kWork, kObjective, rate_ / loads_.size(), sharing},
+                     {false, kWork, kObjective,
+                      rate_ / static_cast<double>(loads_.size()), sharing},
                      time_.now(), Uniform());
       return best ? std::optional<std::size_t>(best - candidates.data())
                   : std::nullopt;
@@ -197,6 +198,7 @@
       return std::min(usable[Pick(usable.size())], usable[Pick(usable.size())],
                       faster);
     std::vector<double> weights;
+    weights.reserve(usable.size());
     for (const std::size_t t : usable)
       weights.push_back(way_ == Way::kTickets ? tickets_[e][t] : Free(e, t));
     if (way_ == Way::kFreeWeighted ||
--- a/test/priority_admission_test.cc
+++ b/test/priority_admission_test.cc
@@ -258,6 +258,7 @@
   for (int i = 0; i < 1000; ++i, now += milliseconds(20))
     admission.OnServed(now, kService, kUrgent, false);
   std::vector<Duration> returns;
+  returns.reserve(30);
   for (int i = 0; i < 30; ++i)
     returns.push_back(admission.ReturnAfter(now, kService, kUrgent,
                                             milliseconds(200),
--- a/test/stated_load_test.cc
+++ b/test/stated_load_test.cc
@@ -150,6 +150,7 @@
 TEST_CASE("routers with the same view do not all choose the same target") {
   constexpr int kRouters = 72;
   std::vector<TargetEntry> entries;
+  entries.reserve(12);
   for (int i = 0; i < 12; ++i)
     entries.push_back(Entry(std::to_string(i)));
   std::vector<TargetLoad> loads(entries.size());
