--- a/include/figstall/exchange.h
+++ b/include/figstall/exchange.h
@@ -134,10 +134,10 @@
   // Withdraws a request that waits for its connection if it may not be sent any
   // more, or if another target may take it now.
   void CheckUnsent(Instant now);
+  // Records how long the request waited for a connection that did not open.
+  void RecordAbandonedConnect();
   // Ends an attempt of which no byte was sent; WithdrawAttempt() also sends the
   // request again, queues or refuses it.
-  // Counts the time for which a connection was waited for in vain.
-  void RecordAbandonedConnect();
   void EndUnsentAttempt(const std::string& reason, AttemptOutcome outcome);
   void WithdrawAttempt(const std::string& reason, AttemptOutcome outcome);
   void OnHead(const ResponseHead& head);
