Review: a store whose eras begin at 0 gives keys two holders after its first restore

Eras 0 and 1 share the names of keys and the floor of fencing tokens, so that the first return from a copy is no new era for the tables: the copy's one is continued, under tokens that the lost one had.

--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -2,6 +2,7 @@
 start of entries, by PROTOCOL.md and DEPLOY.md. Standard library only."""
 import base64
 import collections
+import contextlib
 import json
 import os
 import pathlib
@@ -177,7 +178,8 @@
         # Ports whose calls get no answer, as behind a partition.
         self.cut = set()
         self.refused = set()
-        self.bytes_sent = 0
+        self._copies = collections.deque(maxlen=200)
+        self.away = False
         threading.Thread(target=self._expire, daemon=True).start()
 
     def listen(self):
@@ -203,6 +205,8 @@
         if isinstance(value, dict):
             value = json.dumps(value, separators=(",", ":")).encode()
         with self._lock:
+            if self.away:
+                return
             self._revision += 1
             self._set(key, value, 0)
             self._lock.notify_all()
@@ -213,6 +217,12 @@
             self._delete(key)
             self._lock.notify_all()
 
+    @contextlib.contextmanager
+    def paused(self):
+        """What is written inside becomes visible at once."""
+        with self._lock:
+            yield
+
     def get(self, key):
         with self._lock:
             item = self._items.get(key)
@@ -239,10 +249,40 @@
             time.sleep(0.05)
             with self._lock:
                 now = time.monotonic()
+                if not self._copies or now - self._copies[-1][0] >= 0.25:
+                    self._copies.append((now, dict(self._items),
+                                         self._revision))
+                if self.away:
+                    continue
                 for lease, (until, _) in list(self._leases.items()):
                     if until <= now:
                         self._end_lease(lease)
 
+    def restore(self, age_s, away_s):
+        """Is away, and comes back from a copy that is `age_s` old. Leases are
+        gone, and what was written under them; revisions go back."""
+        with self._lock:
+            at = time.monotonic() - age_s
+            _, items, revision = next(
+                copy for copy in reversed(self._copies) if copy[0] <= at)
+            self.away = True
+            self._lock.notify_all()
+        self.record("the store goes away")
+        time.sleep(away_s)
+        with self._lock:
+            self._items = {key: item for key, item in items.items()
+                           if item["lease"] == 0}
+            self._revision = revision
+            self._leases.clear()
+            self._history.clear()
+            self._copies.clear()
+            self.compacted = revision
+            self.era += 1
+            self.away = False
+            self._lock.notify_all()
+        self.record(f"the store is back from a copy {age_s} s old, "
+                    f"Store-Era {self.era}, revision {revision}")
+
     def handle(self, method, target, body):
         path, _, query_text = target.partition("?")
         query = dict(urllib.parse.parse_qsl(query_text, True))
@@ -295,6 +335,8 @@
         until = time.monotonic() + int(query["waitMs"]) / 1e3
         with self._lock:
             while True:
+                if self.away:
+                    return None, {}
                 if after < self.compacted or after > self._revision:
                     return 410, {}
                 events = [item for revision, item in self._history
@@ -335,18 +377,22 @@
         self.store = store
         super().__init__(port)
 
+    @staticmethod
+    def _hang():
+        time.sleep(10)
+
     def serve(self, connection):
         stream = connection.makefile("rb")
         while request := read_message(stream):
             if self.port in self.store.refused:
                 return
-            if self.port in self.store.cut:
-                time.sleep(60)
+            if self.port in self.store.cut or self.store.away:
+                self._hang()
                 return
             method, target, _ = request.start.split(" ")
             status, body = self.store.handle(method, target, request.body)
-            if self.port in self.store.cut:
-                time.sleep(60)
+            if self.port in self.store.cut or status is None:
+                self._hang()
                 return
             data = json.dumps(body, separators=(",", ":")).encode()
             connection.sendall(encode(
@@ -504,6 +550,7 @@
                 if f <= last and first <= l and known > fence:
                     return encode(409)
             new = (first, last) not in self.holds
+            self.world.granted(self, first, last, fence)
             self.fences[(first, last)] = fence
             self.holds[(first, last)] = time.monotonic() + body["holdS"]
         if new:
@@ -617,6 +664,7 @@
         self.store = Store(self.record)
         self.entries, self.backends = [], []
         self.runs = collections.defaultdict(list)
+        self._grants, self.same_generation = [], []
         self._lock = threading.Lock()
 
     def ran(self, backend, request):
@@ -626,6 +674,20 @@
         self.record(f"run {request['request-id']} at {backend.id} of "
                     f"{backend.service}")
 
+    def granted(self, backend, first, last, fence):
+        """Notes generation numbers that are not above those with which other
+        backends had the keys."""
+        with self._lock:
+            for one, f, l, known in self._grants:
+                if one == backend.id or l < first or last < f:
+                    continue
+                found = (one, backend.id, max(f, first), min(l, last), fence)
+                if fence <= known and found not in self.same_generation:
+                    self.same_generation.append(found)
+            grant = (backend.id, first, last, fence)
+            if grant not in self._grants:
+                self._grants.append(grant)
+
     def add_backend(self, *args, **options):
         backend = Backend(self, *args, **options)
         self.backends.append(backend)
