--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -15,6 +15,7 @@
 import time
 import urllib.parse
 
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 # Below the range from which the kernel takes the ports of outgoing connections.
@@ -22,6 +23,15 @@
 _taken = set()
 
 
+def _end(*_):
+    raise SystemExit(2)
+
+
+# On these, too, a case ends its entries.
+for _number in (signal.SIGTERM, signal.SIGHUP):
+    signal.signal(_number, _end)
+
+
 def free_port():
     while True:
         port = random.randrange(*PORTS)
