--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -22,14 +23,34 @@
 PORTS = (10_000, 32_000)
 _taken = set()
 
+# Longest run of a case.
+LIMIT_S = 112
+_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGALRM)
 
-def _end(*_):
+
+def _end(number, _frame):
+    # A second signal must not interrupt the end of the entries.
+    for each in _SIGNALS:
+        signal.signal(each, signal.SIG_IGN)
+    print("ended by", signal.Signals(number).name, flush=True)
     raise SystemExit(2)
 
 
-# On these, too, a case ends its entries.
-for _number in (signal.SIGTERM, signal.SIGHUP):
-    signal.signal(_number, _end)
+def run(main):
+    """Runs a case and exits with its status, whatever its threads do. Any
+    other end than that of `main` counts as a case that couldn't run."""
+    for number in _SIGNALS:
+        signal.signal(number, _end)
+    signal.alarm(LIMIT_S)
+    status = 2
+    try:
+        status = main()
+    except SystemExit:
+        pass
+    except Exception as error:  # pylint: disable=broad-except
+        print("could not run:", error)
+    sys.stdout.flush()
+    os._exit(status)
 
 
 def free_port():
@@ -659,11 +680,9 @@
     def events(self, name):
         return [line for line in self.log() if line.get("event") == name]
 
-    def end(self):
+    def kill(self):
         if self.process and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
             self.process.kill()
-            self.process.wait()
 
 
 class World:
@@ -717,7 +736,10 @@
 
     def end(self):
         for entry in self.entries:
-            entry.end()
+            entry.kill()
+        for entry in self.entries:
+            if entry.process:
+                entry.process.wait()
         for backend in self.backends:
             backend.up = False
             backend.close()
