Emulator: callers that read slowly and send again meanwhile

Cause: no caller of the emulator read slowly, so no run showed that a planned stop discards responses that its callers still read.

Change: a route may have `slow_readers`, a share of its callers that read at a given rate with a small receive buffer and send a further request one second into the response; the first response is checked like any other.

--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -181,6 +181,12 @@
     for route in scenario["routes"].values():
         route["keep_connections"] = rng.random() < 0.7
         route["deadline_ms"] = rng.choice((600, 1000, 2500))
+    reader_rng = random.Random(f"slow readers {seed}")
+    if reader_rng.random() < 0.5:
+        drawing = scenario["routes"]["drawing"]
+        drawing["slow_readers"] = {"share": 0.5, "bytes_per_s": 200_000}
+        drawing["deadline_ms"] = 3000
+        scenario["services"]["archive"]["answer_bytes"] = 400_000
     report, _ = fleet.run(scenario, actions, seed=seed)
     if report is None:
         return ["the emulator wrote no report"], fleet.directory
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -23,6 +23,7 @@
 #include "platform/decode.h"
 #include "platform/headers.h"
 #include "process.h"
+#include "slow_reader.h"
 
 namespace {
 
@@ -441,6 +442,9 @@
     const auto& traffic = scenario_.traffic[route];
     const std::size_t entry = random_() % scenario_.entries.size();
     const std::string id = fmt::format("{:016x}", random_());
+    if (traffic.slow_reader_share > 0 &&
+        RandomFraction() < traffic.slow_reader_share)
+      return SendFromSlowReader(route, entry, id);
     figstall::ChannelRequest request;
     request.method = traffic.idempotent ? "GET" : "POST";
     request.target = traffic.prefix + id;
@@ -479,6 +483,37 @@
         });
   }
 
+  std::string SafeRequestText(const figstall::detail::ScenarioTraffic& traffic,
+                              const std::string& id) const {
+    return fmt::format(
+        "GET {}{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n\r\n",
+        traffic.prefix, id, traffic.host, figstall::platform::kRequestIdHeader,
+        id, figstall::platform::kTimeLeftHeader,
+        figstall::ToMillis(traffic.deadline));
+  }
+
+  // A request behind which another one is sent; only the first is checked.
+  void SendFromSlowReader(std::size_t route,
+                          std::size_t entry,
+                          const std::string& id) {
+    const auto& traffic = scenario_.traffic[route];
+    const std::string next_id = fmt::format("{:016x}", random_());
+    figstall::detail::SlowReaderOptions options;
+    options.entry = scenario_.entries[entry];
+    options.bytes_per_second = traffic.slow_bytes_per_second;
+    options.request = SafeRequestText(traffic, id);
+    options.next_request = SafeRequestText(traffic, next_id);
+    options.limit = traffic.deadline + std::chrono::milliseconds(200);
+    const Instant sent_at = BootNow();
+    notice_checker_.OnRequestSent(id, entry, sent_at);
+    notice_checker_.OnRequestSent(next_id, entry, sent_at);
+    figstall::detail::ReadSlowly(
+        io_, std::move(options),
+        [this, route, entry, id, sent_at](const auto& response) {
+          OnResponse(route, entry, id, /*idempotent=*/true, sent_at, response);
+        });
+  }
+
   // A connection that a caller keeps open for further requests.
   struct KeptConnection {
     std::shared_ptr<figstall::HttpChannel> channel;
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -56,6 +56,12 @@
         "service": {"type": "string"},
         "per_second": {"type": "number", "exclusiveMinimum": 0},
         "keep_connections": {"type": "boolean"},
+        "slow_readers": {
+          "type": "object", "additionalProperties": false,
+          "required": ["share", "bytes_per_s"],
+          "properties": {
+            "share": {"type": "number", "minimum": 0, "maximum": 1},
+            "bytes_per_s": {"type": "number", "minimum": 1}}},
         "allowed_regions": {"type": "array", "items": {"type": "string"}},
         "deadline_ms": {"type": "number", "exclusiveMinimum": 0}}}},
     "faults": {"type": "array", "items": {
@@ -207,6 +213,14 @@
     traffic.requests_per_second = route.at("per_second");
     traffic.keeps_connections = route.value("keep_connections", false);
     traffic.deadline = FromSeconds(deadline_s);
+    if (route.contains("slow_readers")) {
+      const json& readers = route.at("slow_readers");
+      traffic.slow_reader_share = readers.at("share");
+      traffic.slow_bytes_per_second = readers.at("bytes_per_s");
+      if (!traffic.idempotent || traffic.keyed)
+        findings_.push_back({file_path_, "/routes/" + name + "/slow_readers",
+                             "the route has keys or is unsafe"});
+    }
     scenario.traffic.push_back(traffic);
     scenario.desired_state["routes"][name] = {
         {"host", traffic.host},
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -22,6 +22,9 @@
   bool keyed = false;
   // Callers send requests on connections that they keep open.
   bool keeps_connections = false;
+  // Share of the callers that read slowly, and how fast these read.
+  double slow_reader_share = 0;
+  double slow_bytes_per_second = 0;
   double requests_per_second = 1;
   // Body size of each response with status 200.
   std::size_t response_bytes = 0;
