Keep handovers that a table of key ranges can hold, and no others

Cause: a Handover is a text of the target's choosing and went into the service's table as it came. JSON can't hold what is not UTF-8, so EncodeRangeTable threw at each write. Nor could every text that JSON holds be read back: RangeTableReader took brackets inside of strings for the end of a row, and no entry could read the table. Zones and ids with brackets did the same.

Evidence: the mover's last lines are the release and an unexpected-error (type_error 316); no release is unanswered and no member is waited for.

Rows are split outside of strings. Emulated targets hand something over at each release, and spoil it by a fault that the soak draws.

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -298,6 +298,10 @@
   void LogSettled(const ServiceId& service, const SettledRange& range);
   void WriteTable(const ServiceId& service, const RangeTable& next);
   void ReadTable(const ServiceId& service);
+  // What the owner said when it released the range, if it can be kept.
+  Handover KeepHandover(const ServiceId& service,
+                        const ReleaseRequest& request,
+                        const std::string& text);
   void SendReleases(const ServiceId& service, MoverState& state);
   // Whether this mover still waits for the release.
   bool IsOutstanding(const ServiceId& service,
--- a/include/figstall/range_granter.h
+++ b/include/figstall/range_granter.h
@@ -35,7 +35,7 @@
   Endpoint address;
   std::uint64_t fence = 0;
   Duration hold_duration{0};
-  std::string handover;
+  Handover handover;
 
   friend auto operator<=>(const GrantRequest&, const GrantRequest&) = default;
 };
--- a/include/figstall/range_mover.h
+++ b/include/figstall/range_mover.h
@@ -164,6 +164,21 @@
   friend auto operator<=>(const SettledRange&, const SettledRange&) = default;
 };
 
+// A move that has not given its range to the next owner.
+struct MoveInProgress {
+  KeyRange range;
+  TargetId from;
+  // When this mover first saw the range moving.
+  Instant since;
+  // Whether the owner has released the range.
+  bool released = false;
+  // Ranges that are moving, this one included.
+  std::size_t moving_ranges = 0;
+
+  friend auto operator<=>(const MoveInProgress&,
+                          const MoveInProgress&) = default;
+};
+
 struct ReleaseRequest {
   KeyRange range;
   TargetIncarnation owner;
@@ -204,8 +219,8 @@
   // that are not in it.
   void OnTable(const RangeTable& table, Instant now);
   // The owner confirmed the release at the request's token: it no longer holds
-  // the range. `handover` is empty if the owner supplied none.
-  void OnReleased(const ReleaseRequest& request, const std::string& handover);
+  // the range. `handover` is empty if the owner supplied none that can be kept.
+  void OnReleased(const ReleaseRequest& request, const Handover& handover);
 
   // Returns the table that continues `earlier`, the newest one of an earlier
   // era of the store, which has lost it. If another member may know a newer
@@ -219,6 +234,8 @@
   // them until they are confirmed or the entry is settled.
   std::vector<ReleaseRequest> OutstandingReleases() const;
   const RangeTable& table() const { return table_; }
+  // The move that this mover has known of for longest, if ranges are moving.
+  std::optional<MoveInProgress> OldestMove() const;
   // Balance moves of the last plan, for the log.
   const std::vector<PlannedMove>& last_balance_moves() const {
     return last_balance_moves_;
@@ -238,7 +255,7 @@
     bool released = false;
     // Since when no target holds the range.
     std::optional<Instant> unheld_since;
-    std::string handover;
+    Handover handover;
   };
 
   // Erases targets that are warming up, unless no others remain. `idle_only`:
--- a/include/figstall/range_table.h
+++ b/include/figstall/range_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "figstall/error.h"
+#include "figstall/handover.h"
 #include "figstall/target_entry.h"
 #include "figstall/types.h"
 
@@ -51,9 +52,8 @@
   // under the same token.
   std::uint64_t fence = 0;
   RangePhase phase = RangePhase::kSettled;
-  // Data from the previous owner's release, which is passed on with grants to
-  // the next owner; may be empty.
-  std::string handover;
+  // From the previous owner's release; passed on with grants to the next owner.
+  Handover handover;
 
   friend bool operator==(const RangeEntry&, const RangeEntry&) = default;
 };
--- a/src/bench_main.cc
+++ b/src/bench_main.cc
@@ -568,7 +568,7 @@
          ZoneId("z1"),
          static_cast<std::uint64_t>(i),
          RangePhase::kSettled,
-         ""});
+         Handover()});
   }
   table.entries.back().range.last = kKeySpaceSize - 1;
   const std::string table_text = EncodeRangeTable(table);
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -339,12 +339,34 @@
           movers_[service].releases_in_flight.erase(request);
           if (outcome == platform::ReleaseOutcome::kWithdrawn)
             return;
-          MoverOf(service).OnReleased(request, handover);
+          MoverOf(service).OnReleased(request,
+                                      KeepHandover(service, request, handover));
           ProcessChanges();
         });
   }
 }
 
+Handover EntryControl::KeepHandover(const ServiceId& service,
+                                    const ReleaseRequest& request,
+                                    const std::string& text) {
+  const auto parsed = Handover::Parse(text);
+  if (const auto* handover = std::get_if<Handover>(&parsed))
+    return *handover;
+  const char* fault = ToString(std::get<HandoverFault>(parsed));
+  ++metrics_.Counter("figstall_handovers_refused_total",
+                     fmt::format("reason=\"{}\"", fault));
+  log_.Write(LogLevel::kWarning, "handover-refused",
+             {{"service", service.value()},
+              {"target", request.owner.id.value()},
+              {"first", std::to_string(request.range.first)},
+              {"last", std::to_string(request.range.last)},
+              {"fence", std::to_string(request.fence)},
+              {"reason", fault},
+              {"bytes", std::to_string(text.size())},
+              {"max_bytes", std::to_string(Handover::kMaxBytes)}});
+  return {};
+}
+
 void EntryControl::ReleaseLeftRanges(Instant now) {
   const std::vector<VmId> zone_members = ZoneMembers();
   const auto due = granter_.TakeDueReleases(now, [&](const LeftRange& left) {
--- a/src/range_mover.cc
+++ b/src/range_mover.cc
@@ -80,7 +80,7 @@
 }
 
 void RangeMover::OnReleased(const ReleaseRequest& request,
-                            const std::string& handover) {
+                            const Handover& handover) {
   const auto found = progress_.find({request.range.first, request.fence});
   if (found == progress_.end())
     return;
@@ -176,7 +176,7 @@
     changed = true;
     entry.phase = RangePhase::kMoving;
     entry.fence = next.last_fence;
-    entry.handover.clear();
+    entry.handover = {};
   }
   return changed;
 }
@@ -360,7 +360,7 @@
         continue;
       entry.phase = RangePhase::kMoving;
       entry.fence = next.last_fence;
-      entry.handover.clear();
+      entry.handover = {};
       planned_owner_[entry.range.first] = move.to;
     }
   }
@@ -407,6 +407,19 @@
   return next;
 }
 
+std::optional<MoveInProgress> RangeMover::OldestMove() const {
+  std::optional<MoveInProgress> oldest;
+  for (const RangeEntry& entry : table_.entries) {
+    const auto progress = progress_.find({entry.range.first, entry.fence});
+    if (entry.phase == RangePhase::kSettled || progress == progress_.end() ||
+        (oldest && oldest->since <= progress->second.moving_since))
+      continue;
+    oldest = {entry.range, entry.owner.id, progress->second.moving_since,
+              progress->second.released, progress_.size()};
+  }
+  return oldest;
+}
+
 std::vector<ReleaseRequest> RangeMover::OutstandingReleases() const {
   std::vector<ReleaseRequest> outstanding;
   for (const RangeEntry& entry : table_.entries) {
--- a/src/range_table.cc
+++ b/src/range_table.cc
@@ -44,7 +44,10 @@
   entry.zone = ZoneId(row.at(kZone).get<std::string>());
   entry.fence = row.at(kFence).get<std::uint64_t>();
   entry.phase = static_cast<RangePhase>(row.at(kPhase).get<int>());
-  entry.handover = row.at(kHandover).get<std::string>();
+  // A range without its handover is better than no table.
+  const auto handover = Handover::Parse(row.at(kHandover).get<std::string>());
+  if (const auto* kept = std::get_if<Handover>(&handover))
+    entry.handover = *kept;
   return entry;
 } catch (const json::exception& error) {
   return Fail(ErrorCode::kInvalidInput, "invalid table of key ranges",
@@ -73,6 +76,22 @@
   return {};
 }
 
+// Returns the position of the bracket that ends the row at `position`, or npos.
+// Strings may contain brackets.
+std::size_t FindRowEnd(std::string_view text, std::size_t position) {
+  bool in_string = false;
+  for (; position < text.size(); ++position) {
+    const char c = text[position];
+    if (in_string && c == '\\')
+      ++position;
+    else if (c == '"')
+      in_string = !in_string;
+    else if (c == ']' && !in_string)
+      return position;
+  }
+  return std::string_view::npos;
+}
+
 // Returns the text before the rows and appends each row's text to `rows`.
 // Returns nullopt if the text is not laid out as EncodeRangeTable writes it.
 std::optional<std::string> SplitRows(const std::string& text,
@@ -86,7 +105,7 @@
   std::size_t position = begin + kRowsBegin.size();
   const std::size_t last = view.size() - kRowsEnd.size();
   while (position < last) {
-    const std::size_t end = view.find(']', position);
+    const std::size_t end = FindRowEnd(view, position);
     if (view[position] != '[' || end >= last)
       return std::nullopt;
     rows.push_back(view.substr(position, end + 1 - position));
@@ -116,7 +135,7 @@
     rows.push_back({entry.range.first, entry.range.last, entry.owner.id.value(),
                     entry.owner.started_at_ms, entry.address.ToString(),
                     entry.zone.value(), entry.fence,
-                    static_cast<int>(entry.phase), entry.handover});
+                    static_cast<int>(entry.phase), entry.handover.text()});
   }
   return json{{"last_fence", table.last_fence}, {"ranges", rows}}.dump();
 }
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -6,6 +6,7 @@
     python3 test/entry_process_test.py --list
     python3 test/entry_process_test.py NAME
 """
+import collections
 import datetime
 import http.client
 import itertools
@@ -1314,6 +1315,30 @@
 
 
 
+# Guards against a target's handover that the table of key ranges cannot hold, or
+# not read back: the mover then moved no key of that service any more.
+def a_spoiled_handover_stops_no_moves():
+    fleet, report = run(
+        length_s=12,
+        faults=[{"at_s": 0, "kind": "target-spoils-handovers",
+                 "service": "accounts", "count": 6, "for_s": 12},
+                *({"at_s": at_s, "kind": "target-restart",
+                   "service": "accounts", "count": count, "for_s": 1.5}
+                  for at_s, count in ((1, 2), (4, 4), (7, 6)))])
+    lines = [line for entry in fleet.entries for line in entry.log()]
+    events = collections.Counter(line["event"] for line in lines)
+    assert events["unexpected-error"] == 0, events
+    assert events["ranges-refused"] == 0, events
+    refused = {line["reason"] for line in lines
+               if line["event"] == "handover-refused"}
+    assert "not-utf-8" in refused, refused
+    # Each restart moves all ranges of its targets.
+    released = [line for line in lines if line["event"] == "range-settled"
+                and line["freed_by"] == "release"]
+    assert len(released) >= 2 + 4 + 6, released
+    assert served_fraction(report) > 0.7, report["routes"]
+
+
 # Guards against two runs side by side whose ports overlap: callers of a stopped
 # entry of one reached a target of the other, and its answer looked wrong.
 def runs_side_by_side_get_different_ports():
@@ -1612,6 +1637,7 @@
          bodies_of_many_callers_fill_no_memory,
          a_request_beside_a_change_of_limits_is_answered,
          a_longer_timeout_holds_for_streamed_responses,
+         a_spoiled_handover_stops_no_moves,
          runs_side_by_side_get_different_ports,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -152,6 +152,12 @@
             faults.append({**late, "kind": "target-says-leaving",
                            "at_s": round(late["at_s"] + 0.3, 2),
                            "for_s": round(late["for_s"] + 3, 2)})
+    handover_rng = random.Random(f"handover {seed}")
+    if handover_rng.random() < 0.5:
+        faults.append({"kind": "target-spoils-handovers", "service": "accounts",
+                       "count": handover_rng.randint(1, SERVICES["accounts"]),
+                       "at_s": round(handover_rng.uniform(0, 4), 2),
+                       "for_s": round(handover_rng.uniform(2, LENGTH_S), 2)})
     evacuate_rng = random.Random(f"evacuate {seed}")
     for zone in evacuate_rng.sample(sorted(zones),
                                     evacuate_rng.choice((0, 1, 1, 2))):
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -203,6 +203,7 @@
                        std::chrono::system_clock::now().time_since_epoch())
                        .count();
   draining_ = silent_ = stopped_ = says_invalid_ = ignores_releases_ = false;
+  spoils_handovers_ = false;
   abort_ratio_ = 0;
   said_ = {};
   rejects_for_.reset();
@@ -295,7 +296,8 @@
 void EmulatedTarget::SendResponse(const Caller& caller,
                                   int status,
                                   bool not_run,
-                                  const std::string& request_id) {
+                                  const std::string& request_id,
+                                  const std::string& handover) {
   HttpResponse response;
   response.result(static_cast<unsigned>(status));
   response.version(11);
@@ -304,6 +306,8 @@
     response.set(platform::kRequestIdHeader, request_id);
   if (not_run)
     response.set(platform::kNotRunHeader, "1");
+  if (!handover.empty())
+    response.set(platform::kHandoverHeader, handover);
   AddNotices(response, request_id);
   caller.Reply(std::move(response));
 }
@@ -465,10 +469,20 @@
       continue;
     }
     checker_.OnReleased(id_, release.range, release.requested_at);
-    SendResponse(release.caller, 200, false, "");
+    SendResponse(release.caller, 200, false, "", MakeHandover());
   }
 }
 
+std::string EmulatedTarget::MakeHandover() {
+  std::string sound = fmt::format("{:016x}", random_());
+  if (!spoils_handovers_)
+    return sound;
+  const std::string spoiled[] = {
+      sound.substr(1) + "\xe9", "],[" + sound, "]}", "\"" + sound, "\\",
+      std::string(2'000, 'x'),  "\xed\xa0\x80"};
+  return spoiled[random_() % std::size(spoiled)];
+}
+
 void EmulatedTarget::Enqueue(const Caller& caller, const HttpRequest& request) {
   const auto work = std::make_shared<Work>(caller);
   work->request = request;
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -144,6 +144,8 @@
   void WarmUp();
   // The target rejects all requests and asks for a pause of this length.
   void RejectFor(std::optional<Duration> pause) { rejects_for_ = pause; }
+  // The target's handovers are texts that are hard or impossible to keep.
+  void SetSpoilsHandovers(bool spoils) { spoils_handovers_ = spoils; }
   // The target's answers carry notices with invalid values.
   void SayInvalidNotices(bool invalid) { says_invalid_ = invalid; }
 
@@ -173,11 +175,14 @@
   void StartNext();
   void FinishWork(const std::shared_ptr<Work>& work);
   void AnswerReleases();
+  // What the target hands over with a released range.
+  std::string MakeHandover();
   void BreakOff(const Caller& caller, HttpResponse response);
   void SendResponse(const Caller& caller,
                     int status,
                     bool not_run,
-                    const std::string& request_id);
+                    const std::string& request_id,
+                    const std::string& handover = "");
   // Adds the notices to an answer, and tells the checker about it if it answers
   // a caller's request.
   void AddNotices(HttpResponse& response, const std::string& request_id);
@@ -203,6 +208,7 @@
   std::optional<Duration> rejects_for_;
   Instant warm_up_until_{};
   bool says_invalid_ = false;
+  bool spoils_handovers_ = false;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
   // Connections of this process that fill the accept queue.
   std::vector<boost::asio::ip::tcp::socket> queue_fillers_;
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -305,6 +305,8 @@
                                 : std::nullopt);
       } else if (fault.kind == "target-says-invalid") {
         target.SayInvalidNotices(starts);
+      } else if (fault.kind == "target-spoils-handovers") {
+        target.SetSpoilsHandovers(starts);
       }
     }
   }
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -133,7 +133,7 @@
 
 GrantRequest MakeGrant(const Endpoint& address) {
   return {ServiceId("accounts"), {0, 65'535}, {TargetId("t1"), 1}, address, 7,
-          milliseconds(2500),    ""};
+          milliseconds(2500),    {}};
 }
 
 ReleaseRequest MakeRelease(const Endpoint& address) {
--- a/test/range_granter_test.cc
+++ b/test/range_granter_test.cc
@@ -29,7 +29,7 @@
     RangeTable table;
     table.last_fence = ++last_fence_;
     table.entries = {
-        {{0, 65'535}, owner, {"10.0.0.1", 80}, ZoneId("z"), fence, phase, ""}};
+        {{0, 65'535}, owner, {"10.0.0.1", 80}, ZoneId("z"), fence, phase, {}}};
     granter.OnTable(kService, table);
   }
   std::vector<LeftRange> TakeDueReleases(Instant now) {
--- a/test/range_mover_test.cc
+++ b/test/range_mover_test.cc
@@ -49,7 +49,7 @@
   }
   void ReleaseAll(const std::string& handover) {
     for (const ReleaseRequest& request : mover_.OutstandingReleases())
-      mover_.OnReleased(request, handover);
+      mover_.OnReleased(request, std::get<Handover>(Handover::Parse(handover)));
   }
   // The owner of a key leaves the directory and does not respond, and the mover
   // marks its ranges as moving, 401 ms later.
@@ -196,10 +196,18 @@
   const std::uint64_t before = fixture.table().Find(0)->fence;
   fixture.directory.at(TargetId(fixture.OwnerOf(0))).leaving = true;
   const std::string old_owner = fixture.OwnerOf(0);
+  CHECK_FALSE(fixture.mover().OldestMove());
+  const Instant moved_at = fixture.now + milliseconds(50);
   fixture.Advance(milliseconds(50));
   CHECK(fixture.table().Find(0)->phase == RangePhase::kMoving);
   CHECK(fixture.OwnerOf(0) == old_owner);
+  const auto move = fixture.mover().OldestMove();
+  REQUIRE(move);
+  CHECK(move->from.value() == old_owner);
+  CHECK(move->since == moved_at);
+  CHECK_FALSE(move->released);
   fixture.ReleaseAll("warm");
+  CHECK(fixture.mover().OldestMove()->released);
   fixture.Advance(milliseconds(200));
   CHECK(fixture.last_settled.size() == 1);
   CHECK(fixture.last_settled.front().from.value() == old_owner);
@@ -207,7 +215,7 @@
   CHECK(fixture.table().Find(0)->phase == RangePhase::kSettled);
   CHECK(fixture.OwnerOf(0) != old_owner);
   CHECK(fixture.table().Find(0)->fence > before);
-  CHECK(fixture.table().Find(0)->handover == "warm");
+  CHECK(fixture.table().Find(0)->handover.text() == "warm");
 }
 
 TEST_CASE("a restarted owner's earlier incarnation is released first") {
@@ -603,7 +611,7 @@
   CHECK(fixture.RangesIn("z1") == 0);
   CHECK(fixture.last_settled.size() >= 50);
   for (const SettledRange& settled : fixture.last_settled)
-    CHECK(fixture.table().Find(settled.range.first)->handover == "warm");
+    CHECK(fixture.table().Find(settled.range.first)->handover.text() == "warm");
   // After the end the zone's targets get ranges again.
   fixture.evacuations.clear();
   fixture.parts = std::vector<double>(1024, 0.4);
--- a/test/range_random_test.cc
+++ b/test/range_random_test.cc
@@ -731,7 +731,7 @@
           Chance(options_.second_answer_share)) {
         Schedule(RandomDelay(), [this, i, original, id = member.id] {
           if (members_[i].id == id)
-            members_[i].mover->OnReleased(original, "");
+            members_[i].mover->OnReleased(original, Handover());
         });
       }
       Schedule(RandomDelay(), [this, i, target, reachable, request, original,
@@ -746,7 +746,7 @@
               if (members_[i].id != id)
                 return;
               if (answered)
-                members_[i].mover->OnReleased(original, "");
+                members_[i].mover->OnReleased(original, Handover());
               members_[i].releases_in_flight.erase(original);
             });
       });
@@ -765,7 +765,7 @@
       for (const ReleaseRequest& request :
            member.mover->OutstandingReleases()) {
         if (!member.directory.contains(request.owner.id))
-          member.mover->OnReleased(request, "");
+          member.mover->OnReleased(request, Handover());
       }
     }
     if (mutation_ == Mutation::kNoReportedHolds) {
