Let no exception stop a duty for good, nor take another one's turn

Cause: the flag that a write is in progress was set before the table was encoded, and only the write's answer cleared it. The loop logs an exception and goes on with whatever flags were set. The same holds for readings, releases, campaigns, renewals and joins, and for calls behind a handler that throws in HttpChannel. A duty that throws at each tick also took the turn of those behind it: other services' moves, grants, the time limits of requests.

Evidence: the mover's log has an unexpected-error right behind two releases and range-settled lines, and no ranges-written after it.

Change: PendingOperation ends with its handler, whatever becomes of that. Duties runs each periodic duty by itself, the moves of each service and the grants of each target too; one that throws is left out for 0.5 s. An item of the store whose handling throws is refused alone. HttpChannel goes on behind a handler that throws, and a close ends all calls. unexpected-error names the duty; moves-stalled and two metrics tell when ranges move for over 15 s.

Measured: with http_channel.cc as found two new cases of http_channel_test fail (1 of 2 calls done; 1 of 3 ended).

--- a/include/figstall/entry_control.h
+++ b/include/figstall/entry_control.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 
+#include "figstall/duties.h"
 #include "figstall/entry_settings.h"
 #include "figstall/entry_traffic.h"
 #include "figstall/entry_view.h"
@@ -24,6 +25,7 @@
 #include "figstall/load_report.h"
 #include "figstall/log.h"
 #include "figstall/metrics.h"
+#include "figstall/pending_operation.h"
 #include "figstall/range_granter.h"
 #include "figstall/range_mover.h"
 #include "figstall/recent_members.h"
@@ -109,6 +111,9 @@
   // members directly, the move has ended by then, because their grants have
   // expired.
   Duration store_report_delay = std::chrono::milliseconds(1900);
+  // A move that lasts longer is logged, at this interval. Longer than the
+  // leases of a lost member and the grants by it.
+  Duration move_stall_time = std::chrono::seconds(15);
 };
 
 class EntryControl {
@@ -120,6 +125,7 @@
                EntryTraffic& traffic,
                TargetNoticeRecorder& notices,
                SendCredits& credits,
+               Duties& duties,
                Log& log,
                Metrics& metrics);
 
@@ -144,9 +150,12 @@
     Revision revision = 0;
     // After a write with an unknown outcome the table is read before the next
     // write.
-    bool write_in_progress = false;
-    bool read_in_progress = false;
-    std::set<ReleaseRequest> releases_in_flight;
+    PendingOperation write;
+    PendingOperation read;
+    // Until a release without an outcome may be repeated.
+    std::map<ReleaseRequest, PendingOperation> releases;
+    // When it was last logged that moves make no progress.
+    std::optional<Instant> stall_logged_at;
     // Revision of the join for which the store refused the first table of the
     // era. The next write waits until this copy contains it.
     Revision unseen_rejoin = 0;
@@ -199,7 +208,8 @@
   void LoseMembership(const char* reason);
   void StartRead(ReadScope scope);
   void ReadPage(const std::shared_ptr<StoreRead>& read,
-                const std::string& after);
+                const std::string& after,
+                PendingOperation::Handle reading);
   void ApplyRead(const StoreRead& read);
   // Subscribes to the chosen relay source, or watches the store itself.
   void MaintainSubscription(Instant now);
@@ -227,6 +237,8 @@
   void CancelWatch();
   void OnRelayUpdate(const RelayUpdate& update);
   ItemOutcome Apply(const StoreItem& item, bool same_value);
+  // Refuses an item whose handling throws, so that those behind it are applied.
+  ItemOutcome ApplyGuarded(const StoreItem& item, bool same_value);
   // Applies a key of this era that members write under conditions.
   void ApplyConditionalKey(const StoreItem& item);
   void ApplyMover(const StoreItem& item);
@@ -274,6 +286,7 @@
   // Announces a changed view, plans moves and sends due grants at once instead
   // of at the next tick, because no target serves keys while they move.
   void ProcessChanges();
+  void AnnounceView();
   void UpdateLoad(Instant now);
   const std::map<TargetId, double>& TargetCapacities(Instant now,
                                                      const ServiceId& service);
@@ -282,6 +295,9 @@
   std::map<TargetId, double> LimitedCapacities(Instant now,
                                                const ServiceId& service);
   void MoveRanges(Instant now);
+  void MoveRangesOf(Instant now, const ServiceId& service);
+  // Logs a move that should have ended long ago, and what it waits for.
+  void LogStalledMove(Instant now, const ServiceId& service);
   RangeMover& MoverOf(const ServiceId& service);
   // The table of `service` to write in place of that of an earlier era, which
   // the store has lost; nullopt until other members can't know a newer one.
@@ -297,7 +313,7 @@
   void LogMove(const ServiceId& service, const PlannedMove& move);
   void LogSettled(const ServiceId& service, const SettledRange& range);
   void WriteTable(const ServiceId& service, const RangeTable& next);
-  void ReadTable(const ServiceId& service);
+  void ReadTable(const ServiceId& service, PendingOperation::Handle reading);
   // What the owner said when it released the range, if it can be kept.
   Handover KeepHandover(const ServiceId& service,
                         const ReleaseRequest& request,
@@ -317,6 +333,7 @@
                    std::function<bool()> may_send,
                    ReleaseHandler handler);
   void SendGrants(Instant now);
+  void SendGrant(Instant now, const GrantRequest& request);
   void OnGrantOutcome(const GrantRequest& request,
                       Instant queued_at,
                       GrantOutcome outcome,
@@ -342,7 +359,8 @@
   // Reads the tables if grants wait for their confirmation.
   void ConfirmTables(Instant now);
   // Reads those whose key is after this one, and confirms them.
-  void ReadTables(const std::string& after);
+  void ReadTables(const std::string& after,
+                  PendingOperation::Handle confirming);
   // Members in this VM's zone.
   std::vector<VmId> ZoneMembers() const;
   // Whether this member may send grants of the entry at this moment.
@@ -395,6 +413,7 @@
   EntryTraffic& traffic_;
   TargetNoticeRecorder& notices_;
   SendCredits& credits_;
+  Duties& duties_;
   // The members that share credits, and where they receive messages about them.
   RecentMembers credit_members_;
   std::map<VmId, Endpoint> credit_endpoints_;
@@ -412,8 +431,8 @@
   platform::LeaseId member_lease_ = 0;
   Instant membership_valid_until_{};
   Instant membership_renewal_due_at_{};
-  bool joining_ = false;
-  bool renewing_membership_ = false;
+  PendingOperation join_;
+  PendingOperation membership_renewal_;
   // Whether this member's record was written under the current lease.
   bool member_written_ = false;
   // Revision of this process's last write of the record in this era; 0 if none
@@ -431,7 +450,7 @@
   // Last fencing token of each service's table according to this member's
   // record in the store.
   std::map<ServiceId, std::uint64_t> seen_fences_in_store_;
-  bool writing_member_ = false;
+  PendingOperation member_write_;
   std::optional<Instant> report_pending_since_;
 
   // The store's era; empty until its first answer.
@@ -463,7 +482,7 @@
   Instant relay_polled_at_{};
   std::unique_ptr<RelayPublisher> publisher_;
   RelaySubscriber subscriber_;
-  bool store_read_in_progress_ = false;
+  PendingOperation store_read_;
   bool initial_read_done_ = false;
   TargetAbsence absence_;
   // TargetNotices::changes() when they were last applied and last reported.
@@ -475,8 +494,8 @@
   // Election of the mover.
   bool mover_key_exists_ = false;
   VmId mover_vm_;
-  bool campaigning_ = false;
-  bool renewing_mover_lease_ = false;
+  PendingOperation campaign_;
+  PendingOperation mover_renewal_;
   std::optional<Instant> campaign_at_;
   platform::LeaseId mover_lease_ = 0;
   Revision mover_key_revision_ = 0;
@@ -507,7 +526,7 @@
   std::uint64_t table_change_count_ = 0;
 
   RangeGranter granter_;
-  bool confirming_tables_ = false;
+  PendingOperation table_confirmation_;
   Instant next_table_confirmation_at_{};
   bool grants_check_due_ = false;
   Instant grants_checked_at_{};
--- a/include/figstall/http_channel.h
+++ b/include/figstall/http_channel.h
@@ -87,7 +87,7 @@
                                            std::size_t max_queue);
 
   // Queues a request. The handler is called exactly once, also if the queue is
-  // full.
+  // full. Its exceptions leave the loop's run(), and later calls go on.
   void Call(ChannelRequest call, Handler handler);
   // Resets the connection and drops all requests; their handlers are called.
   void Close();
@@ -144,6 +144,8 @@
   void Read();
   void OnResponse();
   void Finish(const ChannelResponse& response);
+  // Starts the next call, or watches the idle connection.
+  void Continue();
   void FailRead(const boost::system::error_code& error);
   void Fail(const std::string& failure);
   void Drop();
--- a/src/entry_control.cc
+++ b/src/entry_control.cc
@@ -46,6 +46,7 @@
                            EntryTraffic& traffic,
                            TargetNoticeRecorder& notices,
                            SendCredits& credits,
+                           Duties& duties,
                            Log& log,
                            Metrics& metrics)
     : io_(io),
@@ -58,12 +59,13 @@
       traffic_(traffic),
       notices_(notices),
       credits_(credits),
+      duties_(duties),
       log_(log),
       metrics_(metrics),
       store_(io, settings.store, timing_.store_call_timeout),
       random_(std::hash<std::string>()(incarnation_ + settings.vm.value())),
       copy_({[this](const StoreItem& item, bool same_value) {
-               return Apply(item, same_value);
+               return ApplyGuarded(item, same_value);
              },
              [this] { return publisher_->subscribers() > 0; },
              [this](const RelayUpdate& update) { publisher_->Publish(update); },
@@ -202,6 +204,13 @@
   Join();
 }
 
+ItemOutcome EntryControl::ApplyGuarded(const StoreItem& item, bool same_value) {
+  ItemOutcome outcome = ItemOutcome::kRefused;
+  duties_.Attempt("item/" + item.key,
+                  [&] { outcome = Apply(item, same_value); });
+  return outcome;
+}
+
 ItemOutcome EntryControl::Apply(const StoreItem& item, bool same_value) {
   if (StartsWith(item.key, platform::kTargetsPrefix))
     return ApplyTarget(
@@ -518,22 +527,28 @@
 }
 
 void EntryControl::ProcessChanges() {
-  if (view_changed_) {
-    view_changed_ = false;
-    grants_check_due_ = true;
-    UpdateCreditMembers(BootNow());
-    RecordMemberCounts(BootNow());
-    traffic_.OnViewChanged();
-  }
+  if (view_changed_)
+    duties_.Run(BootNow(), "view", [this] { AnnounceView(); });
   const Instant now = BootNow();
-  MoveRanges(now);
+  duties_.Run(now, "ranges", [&] { MoveRanges(now); });
   if (!grants_check_due_ &&
       now - grants_checked_at_ < timing_.grant_check_interval)
     return;
   grants_check_due_ = false;
   grants_checked_at_ = now;
-  SendGrants(now);
-  ReleaseLeftRanges(now);
+  duties_.Run(now, "grants", [&] { SendGrants(now); });
+  duties_.Run(now, "releases", [&] { ReleaseLeftRanges(now); });
+}
+
+void EntryControl::AnnounceView() try {
+  view_changed_ = false;
+  grants_check_due_ = true;
+  UpdateCreditMembers(BootNow());
+  RecordMemberCounts(BootNow());
+  traffic_.OnViewChanged();
+} catch (...) {
+  view_changed_ = true;
+  throw;
 }
 
 void EntryControl::UpdateCreditMembers(Instant now) {
@@ -559,24 +574,30 @@
 }
 
 void EntryControl::Tick(Instant now) {
-  RenewMembership(now);
-  LogGrantingState(now);
-  RemoveLapsedMembers(now);
-  RecordMemberCounts(now);
-  MaintainSubscription(now);
-  RemoveAbsentTargets(now);
-  UpdateEvacuations(now);
-  MarkLeavingTargets();
-  notices_.Advance(now);
-  if (!credit_members_.settled())
-    UpdateCreditMembers(now);
-  RenewMoverLease(now);
-  Campaign(now);
-  ConfirmTables(now);
+  duties_.Run(now, "membership", [&] {
+    RenewMembership(now);
+    LogGrantingState(now);
+    RemoveLapsedMembers(now);
+    RecordMemberCounts(now);
+  });
+  duties_.Run(now, "subscription", [&] { MaintainSubscription(now); });
+  duties_.Run(now, "targets", [&] {
+    RemoveAbsentTargets(now);
+    UpdateEvacuations(now);
+    MarkLeavingTargets();
+    notices_.Advance(now);
+    if (!credit_members_.settled())
+      UpdateCreditMembers(now);
+  });
+  duties_.Run(now, "mover", [&] {
+    RenewMoverLease(now);
+    Campaign(now);
+  });
+  duties_.Run(now, "tables", [&] { ConfirmTables(now); });
   ProcessChanges();
-  LimitHotKeys(now);
-  SendReport(now);
-  ReportToStore(now);
+  duties_.Run(now, "hot-keys", [&] { LimitHotKeys(now); });
+  duties_.Run(now, "report", [&] { SendReport(now); });
+  duties_.Run(now, "store-report", [&] { ReportToStore(now); });
 }
 
 }  // namespace figstall
--- a/src/entry_control_copy.cc
+++ b/src/entry_control_copy.cc
@@ -19,9 +19,8 @@
 }  // namespace
 
 void EntryControl::StartRead(ReadScope scope) {
-  if (store_read_in_progress_)
+  if (store_read_.in_progress())
     return;
-  store_read_in_progress_ = true;
   const auto read = std::make_shared<StoreRead>();
   read->scope = scope;
   read->started_as_member = member_written_;
@@ -39,21 +38,23 @@
         read->sections.push_back({platform::kEvacuationsPrefix, false, {}, 0});
     }
   }
-  ReadPage(read, "");
+  ReadPage(read, "", store_read_.Begin());
 }
 
 void EntryControl::ReadPage(const std::shared_ptr<StoreRead>& read,
-                            const std::string& after) {
+                            const std::string& after,
+                            PendingOperation::Handle reading) {
   const StoreSection& requested = read->sections[read->section_index];
   store_.List(requested.prefix, after, requested.allow_stale,
-              [this, read](const StoreResponse& response) {
+              [this, read,
+               reading = std::move(reading)](const StoreResponse& response) {
                 RecordStoreCall(response, "list");
                 if (!read->era)
                   read->era = response.era;
                 // All pages must be of the store's current era.
                 if (response.status != StoreStatus::kOk ||
                     response.era != era_ || read->era != era_) {
-                  store_read_in_progress_ = false;
+                  reading.End();
                   return RetryWhenStoreReachable(
                       [this, scope = read->scope] { StartRead(scope); });
                 }
@@ -64,10 +65,10 @@
                                      response.items.begin(),
                                      response.items.end());
                 if (response.more && !response.items.empty())
-                  return ReadPage(read, response.items.back().key);
+                  return ReadPage(read, response.items.back().key, reading);
                 if (++read->section_index < read->sections.size())
-                  return ReadPage(read, "");
-                store_read_in_progress_ = false;
+                  return ReadPage(read, "", reading);
+                reading.End();
                 ApplyRead(*read);
               });
 }
@@ -182,7 +183,7 @@
   // Waits for a source that was just chosen, or lost, to confirm its copy
   // before this member watches the store itself.
   if (!connectivity_.watching() && !connectivity_.lost() &&
-      !store_read_in_progress_ && now >= next_watch_at_ &&
+      !store_read_.in_progress() && now >= next_watch_at_ &&
       (!source.member || now - source_confirmed_at_ >= source.relay_timeout)) {
     if (source.member)
       log_.Write(
--- a/src/entry_control_grants.cc
+++ b/src/entry_control_grants.cc
@@ -116,31 +116,35 @@
         return ShouldGrant(now, zone_members, service, entry);
       });
   for (const GrantRequest& request : due) {
-    const auto may_send = [this, request](Instant connected_at) {
-      const Instant at = BootNow();
-      const RangeEntry* entry =
-          view_.tables.at(request.service).Find(request.range.first);
-      if (!entry || !MayGrant(at, *entry))
-        return false;
-      const SendDecision decision =
-          granter_.TryBeginSend(at, request, connected_at);
-      if (decision == SendDecision::kAwaitConfirmation)
-        LogAwaitedConfirmation(at, request, connected_at);
-      if (decision == SendDecision::kSend)
-        LogFirstGrant(at, request, connected_at);
-      return decision == SendDecision::kSend;
-    };
-    platform::SendGrant(
-        GrantChannelTo(request.owner.id, request.address), request,
-        settings_.grant_timing.call_timeout, may_send,
-        [this, request, queued_at = now](GrantOutcome outcome,
-                                         const TargetNotice& notice,
-                                         AnswerProof proof) {
-          OnGrantOutcome(request, queued_at, outcome, notice, proof);
-        });
+    duties_.Run(now, "grant/" + request.owner.id.value(),
+                [&] { SendGrant(now, request); });
   }
 }
 
+void EntryControl::SendGrant(Instant now, const GrantRequest& request) {
+  const auto may_send = [this, request](Instant connected_at) {
+    const Instant at = BootNow();
+    const RangeEntry* entry =
+        view_.tables.at(request.service).Find(request.range.first);
+    if (!entry || !MayGrant(at, *entry))
+      return false;
+    const SendDecision decision =
+        granter_.TryBeginSend(at, request, connected_at);
+    if (decision == SendDecision::kAwaitConfirmation)
+      LogAwaitedConfirmation(at, request, connected_at);
+    if (decision == SendDecision::kSend)
+      LogFirstGrant(at, request, connected_at);
+    return decision == SendDecision::kSend;
+  };
+  platform::SendGrant(
+      GrantChannelTo(request.owner.id, request.address), request,
+      settings_.grant_timing.call_timeout, may_send,
+      [this, request, queued_at = now](
+          GrantOutcome outcome, const TargetNotice& notice, AnswerProof proof) {
+        OnGrantOutcome(request, queued_at, outcome, notice, proof);
+      });
+}
+
 void EntryControl::OnGrantOutcome(const GrantRequest& request,
                                   Instant queued_at,
                                   GrantOutcome outcome,
@@ -255,7 +259,7 @@
 }
 
 void EntryControl::ConfirmTables(Instant now) {
-  if (confirming_tables_ || connectivity_.lost() ||
+  if (table_confirmation_.in_progress() || connectivity_.lost() ||
       now < next_table_confirmation_at_)
     return;
   // A table of an earlier era is not in the store; its grants wait until the
@@ -267,38 +271,37 @@
       });
   if (!awaited)
     return;
-  confirming_tables_ = true;
   next_table_confirmation_at_ = now + timing_.table_confirmation_interval;
-  ReadTables("");
+  ReadTables("", table_confirmation_.Begin());
 }
 
-void EntryControl::ReadTables(const std::string& after) {
+void EntryControl::ReadTables(const std::string& after,
+                              PendingOperation::Handle confirming) {
   const std::string prefix = TablesPrefix(*era_);
-  store_.List(prefix, after, /*allow_stale=*/false,
-              [this, prefix, requested_at = BootNow(),
-               era = era_](const StoreResponse& response) {
-                RecordStoreCall(response, "confirm-ranges");
-                if (response.status != StoreStatus::kOk ||
-                    response.era != era_ || era != era_) {
-                  confirming_tables_ = false;
-                  return;
-                }
-                copy_.ApplyChanges(response.items, 0);
-                for (const StoreItem& item : response.items) {
-                  const ServiceId service(item.key.substr(prefix.size()));
-                  if (movers_[service].revision >= item.revision)
-                    granter_.OnTableConfirmed(service, requested_at);
-                }
-                if (response.more && !response.items.empty())
-                  return ReadTables(response.items.back().key);
-                confirming_tables_ = false;
-                grants_check_due_ = true;
-                ProcessChanges();
-              });
+  store_.List(
+      prefix, after, /*allow_stale=*/false,
+      [this, prefix, requested_at = BootNow(), era = era_,
+       confirming = std::move(confirming)](const StoreResponse& response) {
+        RecordStoreCall(response, "confirm-ranges");
+        if (response.status != StoreStatus::kOk || response.era != era_ ||
+            era != era_)
+          return confirming.End();
+        copy_.ApplyChanges(response.items, 0);
+        for (const StoreItem& item : response.items) {
+          const ServiceId service(item.key.substr(prefix.size()));
+          if (movers_[service].revision >= item.revision)
+            granter_.OnTableConfirmed(service, requested_at);
+        }
+        if (response.more && !response.items.empty())
+          return ReadTables(response.items.back().key, confirming);
+        confirming.End();
+        grants_check_due_ = true;
+        ProcessChanges();
+      });
 }
 
 void EntryControl::ReportToStore(Instant now) {
-  if (writing_member_ || resigned_ || !tables_up_to_date_ ||
+  if (member_write_.in_progress() || resigned_ || !tables_up_to_date_ ||
       now >= membership_valid_until_)
     return;
   bool outstanding = false;
--- a/src/entry_control_members.cc
+++ b/src/entry_control_members.cc
@@ -30,18 +30,18 @@
 }  // namespace
 
 void EntryControl::Join() {
-  if (joining_ || resigned_ || IsReplaced())
+  if (join_.in_progress() || resigned_ || IsReplaced())
     return;
-  joining_ = true;
   member_written_ = false;
   tables_up_to_date_ = false;
   membership_valid_until_ = {};
   const Instant requested_at = BootNow();
   store_.OpenLease(
       timing_.membership_lease_duration,
-      [this, requested_at](const StoreResponse& response) {
+      [this, requested_at,
+       joining = join_.Begin()](const StoreResponse& response) {
         RecordStoreCall(response, "open-lease");
-        joining_ = false;
+        joining.End();
         if (response.status != StoreStatus::kOk || response.era != era_) {
           if (!initial_read_done_)
             StartRead(ReadScope::kInitial);
@@ -90,13 +90,13 @@
   if (then_read && has_earlier_tables)
     writes.push_back(
         {RejoinKey(*era_), MemberIncarnationId(settings_.vm, incarnation_), 0});
-  writing_member_ = true;
   store_.Write(
       {}, writes, {},
       [this, then_read, has_earlier_tables, lease = member_lease_,
-       seen_fence = report.seen_fence](const StoreResponse& response) {
+       seen_fence = report.seen_fence,
+       writing = member_write_.Begin()](const StoreResponse& response) {
         RecordStoreCall(response, "write-member");
-        writing_member_ = false;
+        writing.End();
         if (lease != member_lease_)
           return;
         if (response.status == StoreStatus::kOk) {
@@ -125,32 +125,33 @@
 }
 
 void EntryControl::RenewMembership(Instant now) {
-  if (renewing_membership_ || joining_ || member_lease_ == 0 ||
-      now < membership_renewal_due_at_ || resigned_)
+  if (membership_renewal_.in_progress() || join_.in_progress() ||
+      member_lease_ == 0 || now < membership_renewal_due_at_ || resigned_)
     return;
-  renewing_membership_ = true;
   const platform::LeaseId lease = member_lease_;
-  store_.RenewLease(lease, [this, now, lease](const StoreResponse& response) {
-    RecordStoreCall(response, "keep-member");
-    renewing_membership_ = false;
-    if (lease != member_lease_)
-      return;
-    if (response.status == StoreStatus::kOk) {
-      membership_valid_until_ = std::max(
-          membership_valid_until_,
-          now + timing_.membership_lease_duration - timing_.lease_margin);
-      connectivity_.OnConfirmed(now);
-      membership_renewal_due_at_ =
-          now + (connectivity_.watching()
-                     ? timing_.watcher_renewal_interval
-                     : timing_.membership_renewal_interval);
-      return;
-    }
-    membership_renewal_due_at_ = BootNow() + connectivity_.ProbeDelay();
-    if (response.status != StoreStatus::kNotFound)
-      return;
-    LoseMembership("lease-ended");
-  });
+  store_.RenewLease(
+      lease, [this, now, lease, renewing = membership_renewal_.Begin()](
+                 const StoreResponse& response) {
+        RecordStoreCall(response, "keep-member");
+        renewing.End();
+        if (lease != member_lease_)
+          return;
+        if (response.status == StoreStatus::kOk) {
+          membership_valid_until_ = std::max(
+              membership_valid_until_,
+              now + timing_.membership_lease_duration - timing_.lease_margin);
+          connectivity_.OnConfirmed(now);
+          membership_renewal_due_at_ =
+              now + (connectivity_.watching()
+                         ? timing_.watcher_renewal_interval
+                         : timing_.membership_renewal_interval);
+          return;
+        }
+        membership_renewal_due_at_ = BootNow() + connectivity_.ProbeDelay();
+        if (response.status != StoreStatus::kNotFound)
+          return;
+        LoseMembership("lease-ended");
+      });
 }
 
 void EntryControl::LoseMembership(const char* reason) {
@@ -322,9 +323,10 @@
   const bool started_after_restore =
       !BeganWithFirstTables() && view_.tables.empty() &&
       now - members_known_since_ < timing_.rejoin_time;
-  if (mover_key_exists_ || campaigning_ || resigned_ || !tables_up_to_date_ ||
-      connectivity_.lost() || now >= membership_valid_until_ ||
-      started_after_restore || !NewerTablesElsewhere().empty()) {
+  if (mover_key_exists_ || campaign_.in_progress() || resigned_ ||
+      !tables_up_to_date_ || connectivity_.lost() ||
+      now >= membership_valid_until_ || started_after_restore ||
+      !NewerTablesElsewhere().empty()) {
     campaign_at_.reset();
     return;
   }
@@ -341,16 +343,14 @@
   if (now < *campaign_at_)
     return;
   campaign_at_.reset();
-  campaigning_ = true;
   store_.OpenLease(
       timing_.mover_lease_duration,
-      [this, now](const StoreResponse& lease_response) {
+      [this, now,
+       campaigning = campaign_.Begin()](const StoreResponse& lease_response) {
         RecordStoreCall(lease_response, "open-lease");
         if (lease_response.status != StoreStatus::kOk ||
-            lease_response.era != era_ || !tables_up_to_date_) {
-          campaigning_ = false;
-          return;
-        }
+            lease_response.era != era_ || !tables_up_to_date_)
+          return campaigning.End();
         const platform::LeaseId lease = lease_response.lease;
         const Instant valid_until =
             now + lease_response.time_to_live - timing_.lease_margin;
@@ -358,10 +358,10 @@
                      {{MoverKey(*era_),
                        MemberIncarnationId(settings_.vm, incarnation_), lease}},
                      {},
-                     [this, lease, valid_until,
+                     [this, lease, valid_until, campaigning,
                       era = era_](const StoreResponse& response) {
                        RecordStoreCall(response, "write-mover");
-                       campaigning_ = false;
+                       campaigning.End();
                        if (era != era_)
                          return;
                        if (response.status == StoreStatus::kOk) {
@@ -385,26 +385,28 @@
 }
 
 void EntryControl::RenewMoverLease(Instant now) {
-  if (mover_lease_ == 0 || renewing_mover_lease_ || now < mover_renewal_due_at_)
+  if (mover_lease_ == 0 || mover_renewal_.in_progress() ||
+      now < mover_renewal_due_at_)
     return;
-  renewing_mover_lease_ = true;
   const platform::LeaseId lease = mover_lease_;
-  store_.RenewLease(lease, [this, now, lease](const StoreResponse& response) {
-    RecordStoreCall(response, "keep-mover");
-    renewing_mover_lease_ = false;
-    if (lease != mover_lease_)
-      return;
-    if (response.status == StoreStatus::kOk) {
-      mover_lease_valid_until_ =
-          std::max(mover_lease_valid_until_,
-                   now + timing_.mover_lease_duration - timing_.lease_margin);
-      mover_renewal_due_at_ = now + timing_.mover_renewal_interval;
-      return;
-    }
-    mover_renewal_due_at_ = BootNow() + timing_.store_retry_interval;
-    if (response.status == StoreStatus::kNotFound)
-      StepDownAsMover("lease-ended");
-  });
+  store_.RenewLease(
+      lease, [this, now, lease, renewing = mover_renewal_.Begin()](
+                 const StoreResponse& response) {
+        RecordStoreCall(response, "keep-mover");
+        renewing.End();
+        if (lease != mover_lease_)
+          return;
+        if (response.status == StoreStatus::kOk) {
+          mover_lease_valid_until_ = std::max(
+              mover_lease_valid_until_,
+              now + timing_.mover_lease_duration - timing_.lease_margin);
+          mover_renewal_due_at_ = now + timing_.mover_renewal_interval;
+          return;
+        }
+        mover_renewal_due_at_ = BootNow() + timing_.store_retry_interval;
+        if (response.status == StoreStatus::kNotFound)
+          StepDownAsMover("lease-ended");
+      });
 }
 
 void EntryControl::StepDownAsMover(const char* reason) {
--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -153,58 +153,95 @@
            now - *each.second.departed_at > kDepartedReportRetention;
   });
   for (const auto& [service, each] : view_.routes->state().services) {
-    if (!each.keyed)
-      continue;
-    MoverState& state = movers_[service];
-    const RangeMover& mover = MoverOf(service);
-    SendReleases(service, state);
-    if (state.write_in_progress || state.read_in_progress ||
-        state.unseen_rejoin > rejoin_revision_)
-      continue;
-    std::optional<FirstAssignmentBasis> first_assignment;
-    if (mover.table().entries.empty()) {
-      if (NewerTablesElsewhere().contains(service)) {
-        store_.RevokeLease(mover_lease_, [](const StoreResponse&) {});
-        return StepDownAsMover("others-know-newer-tables");
-      }
-      if (view_.tables.contains(service)) {
-        if (const auto continued = ContinueTable(now, service))
-          WriteTable(service, *continued);
-        continue;
-      }
-      first_assignment = MayAssignAnew(service, MakeFirstAssignmentInput(now),
-                                       settings_.grant_timing);
-      if (!first_assignment)
-        continue;
+    // One service's tables may end the term.
+    if (!IsMover(now))
+      return;
+    if (each.keyed)
+      duties_.Run(now, "ranges/" + service.value(),
+                  [&, &moved = service] { MoveRangesOf(now, moved); });
+  }
+}
+
+void EntryControl::MoveRangesOf(Instant now, const ServiceId& service) {
+  MoverState& state = movers_[service];
+  const RangeMover& mover = MoverOf(service);
+  LogStalledMove(now, service);
+  SendReleases(service, state);
+  if (state.write.in_progress() || state.read.in_progress() ||
+      state.unseen_rejoin > rejoin_revision_)
+    return;
+  std::optional<FirstAssignmentBasis> first_assignment;
+  if (mover.table().entries.empty()) {
+    if (NewerTablesElsewhere().contains(service)) {
+      store_.RevokeLease(mover_lease_, [](const StoreResponse&) {});
+      return StepDownAsMover("others-know-newer-tables");
     }
-    const RangeLoad& load = smoothed_load_[service].load();
-    const auto capacity = LimitedCapacities(now, service);
-    const std::set<TargetId> warming_up = notices_.warm_ups().Targets(now);
-    MoverInput input;
-    input.now = now;
-    input.directory = &view_.targets;
-    input.members = &member_reports_;
-    input.members_up_to_date = copy_.cursor() >= state.revision;
-    input.members_known_since = members_known_since_;
-    input.mover_since = mover_since_;
-    input.own_hold_until = [this, now](const TargetId& owner) {
-      return granter_.HoldExpiry(now, owner);
-    };
-    input.capacity = &capacity;
-    input.load = &load;
-    input.evacuations = &view_.evacuations;
-    input.warming_up = &warming_up;
-    const auto next = state.mover->Plan(input);
-    if (!next)
-      continue;
-    if (first_assignment)
-      LogFirstAssignment(now, service, *first_assignment);
-    for (const PlannedMove& move : state.mover->last_balance_moves())
-      LogMove(service, move);
-    for (const SettledRange& range : state.mover->last_settled())
-      LogSettled(service, range);
-    WriteTable(service, *next);
+    if (view_.tables.contains(service)) {
+      if (const auto continued = ContinueTable(now, service))
+        WriteTable(service, *continued);
+      return;
+    }
+    first_assignment = MayAssignAnew(service, MakeFirstAssignmentInput(now),
+                                     settings_.grant_timing);
+    if (!first_assignment)
+      return;
   }
+  const RangeLoad& load = smoothed_load_[service].load();
+  const auto capacity = LimitedCapacities(now, service);
+  const std::set<TargetId> warming_up = notices_.warm_ups().Targets(now);
+  MoverInput input;
+  input.now = now;
+  input.directory = &view_.targets;
+  input.members = &member_reports_;
+  input.members_up_to_date = copy_.cursor() >= state.revision;
+  input.members_known_since = members_known_since_;
+  input.mover_since = mover_since_;
+  input.own_hold_until = [this, now](const TargetId& owner) {
+    return granter_.HoldExpiry(now, owner);
+  };
+  input.capacity = &capacity;
+  input.load = &load;
+  input.evacuations = &view_.evacuations;
+  input.warming_up = &warming_up;
+  const auto next = state.mover->Plan(input);
+  if (!next)
+    return;
+  if (first_assignment)
+    LogFirstAssignment(now, service, *first_assignment);
+  for (const PlannedMove& move : state.mover->last_balance_moves())
+    LogMove(service, move);
+  for (const SettledRange& range : state.mover->last_settled())
+    LogSettled(service, range);
+  WriteTable(service, *next);
+}
+
+void EntryControl::LogStalledMove(Instant now, const ServiceId& service) {
+  MoverState& state = movers_[service];
+  const auto oldest = MoverOf(service).OldestMove();
+  const bool stalled = oldest && now - oldest->since > timing_.move_stall_time;
+  if (stalled != state.stall_logged_at.has_value())
+    metrics_.Counter("figstall_range_moves_stalled",
+                     fmt::format("service=\"{}\"", service.value())) =
+        stalled ? 1 : 0;
+  if (!stalled)
+    return state.stall_logged_at.reset();
+  if (state.stall_logged_at &&
+      now - *state.stall_logged_at < timing_.move_stall_time)
+    return;
+  state.stall_logged_at = now;
+  const char* awaited = state.write.in_progress()                ? "write"
+                        : state.read.in_progress()               ? "read"
+                        : state.unseen_rejoin > rejoin_revision_ ? "rejoin"
+                        : oldest->released                       ? "next-owner"
+                                           : "release-or-reports";
+  log_.Write(LogLevel::kWarning, "moves-stalled",
+             {{"service", service.value()},
+              {"ranges", std::to_string(oldest->moving_ranges)},
+              {"first", std::to_string(oldest->range.first)},
+              {"last", std::to_string(oldest->range.last)},
+              {"from", oldest->from.value()},
+              {"moving_ms", std::to_string(ToMillis(now - oldest->since))},
+              {"awaited", awaited}});
 }
 
 void EntryControl::LogMove(const ServiceId& service, const PlannedMove& move) {
@@ -242,29 +279,28 @@
 void EntryControl::WriteTable(const ServiceId& service,
                               const RangeTable& next) {
   MoverState& state = movers_[service];
-  state.write_in_progress = true;
+  const std::string text = EncodeRangeTable(next);
   const std::string key = TablesPrefix(*era_) + service.value();
   std::vector<platform::StoreCondition> conditions = {
       {MoverKey(*era_), mover_key_revision_}, {key, state.revision}};
   if (state.revision == 0)
     conditions.push_back({RejoinKey(*era_), rejoin_revision_});
   store_.Write(
-      conditions, {{key, EncodeRangeTable(next), 0}}, {},
-      [this, service, next, key, era = era_,
-       requested_at = BootNow()](const StoreResponse& response) {
+      conditions, {{key, text, 0}}, {},
+      [this, service, next, key, text, era = era_, requested_at = BootNow(),
+       writing = state.write.Begin()](const StoreResponse& response) {
         RecordStoreCall(response, "write-ranges");
+        writing.End();
         if (era != era_)
           return;
         MoverState& current = movers_[service];
-        current.write_in_progress = false;
         log_.Write(LogLevel::kInfo, "ranges-written",
                    {{"service", service.value()},
                     {"fence", std::to_string(next.last_fence)},
                     {"entries", std::to_string(next.entries.size())},
                     {"outcome", ToString(response.status)}});
         if (response.status == StoreStatus::kOk) {
-          copy_.ApplyChanges(
-              {{key, EncodeRangeTable(next), response.revision, false}}, 0);
+          copy_.ApplyChanges({{key, text, response.revision, false}}, 0);
           granter_.OnTableConfirmed(service, requested_at);
           return ProcessChanges();
         }
@@ -279,25 +315,27 @@
                                   item.revision == mover_key_revision_;
                          }))
           StepDownAsMover("write-refused");
-        ReadTable(service);
+        ReadTable(service, current.read.Begin());
       });
 }
 
-void EntryControl::ReadTable(const ServiceId& service) {
-  movers_[service].read_in_progress = true;
+void EntryControl::ReadTable(const ServiceId& service,
+                             PendingOperation::Handle reading) {
   const std::string key = TablesPrefix(*era_) + service.value();
-  store_.Get(key, [this, service, era = era_](const StoreResponse& response) {
+  store_.Get(key, [this, service, era = era_, reading = std::move(reading)](
+                      const StoreResponse& response) {
     RecordStoreCall(response, "read-ranges");
     if (era != era_)
       return;
     const bool succeeded = response.status == StoreStatus::kOk ||
                            response.status == StoreStatus::kNotFound;
     if (!succeeded)
-      return RunAfter(timing_.store_retry_interval, [this, service, era] {
-        if (era == era_)
-          ReadTable(service);
-      });
-    movers_[service].read_in_progress = false;
+      return RunAfter(timing_.store_retry_interval,
+                      [this, service, era, reading] {
+                        if (era == era_)
+                          ReadTable(service, reading);
+                      });
+    reading.End();
     copy_.ApplyChanges(response.items, 0);
   });
 }
@@ -313,8 +351,10 @@
 }
 
 void EntryControl::SendReleases(const ServiceId& service, MoverState& state) {
+  std::erase_if(state.releases,
+                [](const auto& each) { return !each.second.in_progress(); });
   std::map<TargetId, std::size_t> in_flight;
-  for (const ReleaseRequest& request : state.releases_in_flight)
+  for (const auto& [request, release] : state.releases)
     ++in_flight[request.owner.id];
   for (const ReleaseRequest& request : state.mover->OutstandingReleases()) {
     std::size_t& of_owner = in_flight[request.owner.id];
@@ -323,20 +363,18 @@
                            view_.evacuations.contains(owner->second.zone);
     if (of_owner >= (evacuated ? kMaxEvacuationReleasesInFlight
                                : kMaxReleasesInFlight) ||
-        !state.releases_in_flight.insert(request).second)
+        state.releases.contains(request))
       continue;
     ++of_owner;
     SendRelease(
         service, request, "mover",
         [this, service, request] { return IsOutstanding(service, request); },
-        [this, service, request](platform::ReleaseOutcome outcome,
-                                 const std::string& handover) {
-          if (outcome == platform::ReleaseOutcome::kUnknown) {
-            return RunAfter(kReleaseRetryInterval, [this, service, request] {
-              movers_[service].releases_in_flight.erase(request);
-            });
-          }
-          movers_[service].releases_in_flight.erase(request);
+        [this, service, request, releasing = state.releases[request].Begin()](
+            platform::ReleaseOutcome outcome, const std::string& handover) {
+          if (outcome == platform::ReleaseOutcome::kUnknown)
+            return RunAfter(kReleaseRetryInterval,
+                            [releasing] { releasing.End(); });
+          releasing.End();
           if (outcome == platform::ReleaseOutcome::kWithdrawn)
             return;
           MoverOf(service).OnReleased(request,
--- a/src/entry_main.cc
+++ b/src/entry_main.cc
@@ -14,6 +14,7 @@
 #include <future>
 #include <random>
 
+#include "figstall/duties.h"
 #include "figstall/entry_control.h"
 #include "figstall/entry_settings.h"
 #include "figstall/entry_traffic.h"
@@ -68,6 +69,8 @@
 // The process tolerates this many unexpected errors. One more makes it exit
 // with a failure, so that a new process replaces it.
 constexpr int kMaxUnexpectedErrors = 100;
+// A duty that has thrown is left out for this long.
+constexpr Duration kDutyRetryDelay = std::chrono::milliseconds(500);
 
 // Memory of this process that is resident, in bytes; 0 if it is not known.
 std::size_t ResidentBytes() {
@@ -103,6 +106,10 @@
                  notices_.notices(),
                  notices_.warm_ups(),
                  MakeCreditHandlers()),
+        duties_(kDutyRetryDelay,
+                [this](const std::string& duty, const std::exception& error) {
+                  OnUnexpectedError(duty, error);
+                }),
         traffic_(io_, settings_, view_, notices_, credits_, log_, metrics_),
         control_(io_,
                  settings_,
@@ -111,6 +118,7 @@
                  traffic_,
                  notices_,
                  credits_,
+                 duties_,
                  log_,
                  metrics_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -151,20 +159,33 @@
   // An unexpected exception ends only the handler that threw it, and the loop
   // goes on: one bad message must not abort the requests of all callers.
   void Serve() {
-    for (int unexpected = 0;; ++unexpected) {
+    for (;;) {
       try {
         io_.run();
         return;
       } catch (const std::exception& error) {
-        log_.Write(LogLevel::kError, "unexpected-error",
-                   {{"what", error.what()},
-                    {"count", std::to_string(unexpected + 1)}});
-        if (unexpected >= kMaxUnexpectedErrors)
-          throw;
+        OnUnexpectedError("handler", error);
       }
     }
   }
 
+  // `duty`: its name, and behind a slash what it was done for, if anything.
+  // Throws if there were too many errors.
+  void OnUnexpectedError(const std::string& duty, const std::exception& error) {
+    ++unexpected_errors_;
+    log_.Write(LogLevel::kError, "unexpected-error",
+               {{"duty", duty},
+                {"what", error.what()},
+                {"count", std::to_string(unexpected_errors_)}});
+    ++metrics_.Counter(
+        "figstall_unexpected_errors_total",
+        fmt::format("duty=\"{}\"", duty.substr(0, duty.find('/'))));
+    if (unexpected_errors_ > kMaxUnexpectedErrors)
+      throw std::runtime_error(
+          fmt::format("over {} unexpected errors, last: {}",
+                      kMaxUnexpectedErrors, error.what()));
+  }
+
   figstall::SendCredits::Handlers MakeCreditHandlers() {
     figstall::SendCredits::Handlers handlers;
     handlers.send = [this](const figstall::VmId& to,
@@ -327,7 +348,8 @@
     RecordTickDelay(now);
     last_tick_us_ = now.time_since_epoch().count();
     control_.Tick(now);
-    traffic_.Tick(now, control_.confirmed_at());
+    duties_.Run(now, "traffic",
+                [&] { traffic_.Tick(now, control_.confirmed_at()); });
     if (!stop_begun_at_)
       ready_ = control_.ready();
     else if (IsStopped(now))
@@ -350,6 +372,7 @@
   figstall::EntryView view_;
   figstall::TargetNoticeRecorder notices_;
   figstall::SendCredits credits_;
+  figstall::Duties duties_;
   figstall::EntryTraffic traffic_;
   figstall::EntryControl control_;
   boost::asio::signal_set signals_;
@@ -359,6 +382,7 @@
   std::atomic<bool> ready_ = false;
   std::atomic<Duration::rep> last_tick_us_ = 0;
   std::optional<Instant> stop_begun_at_;
+  int unexpected_errors_ = 0;
 };
 
 }  // namespace
--- a/src/http_channel.cc
+++ b/src/http_channel.cc
@@ -297,7 +297,17 @@
   busy_ = false;
   Pending finished = std::move(calls_.front());
   calls_.pop_front();
-  finished.handler(response);
+  try {
+    finished.handler(response);
+  } catch (...) {
+    // The calls behind this one do not wait for the next one.
+    boost::asio::post(io_, [self] { self->Continue(); });
+    throw;
+  }
+  Continue();
+}
+
+void HttpChannel::Continue() {
   if (busy_)
     return;
   if (!calls_.empty())
@@ -374,12 +384,19 @@
   busy_ = false;
   std::deque<Pending> dropped = std::move(calls_);
   calls_.clear();
+  std::exception_ptr thrown;
   for (Pending& pending : dropped) {
     ChannelResponse response;
     response.sent = sent_ && &pending == &dropped.front();
     response.failure = "connection closed";
-    pending.handler(response);
+    try {
+      pending.handler(response);
+    } catch (...) {
+      thrown = std::current_exception();
+    }
   }
+  if (thrown)
+    std::rethrow_exception(thrown);
 }
 
 }  // namespace figstall
--- a/test/http_channel_test.cc
+++ b/test/http_channel_test.cc
@@ -390,6 +390,28 @@
   CHECK(bodies == std::vector<std::string>{"0/0", "1/0"});
 }
 
+// Guards against calls that are not sent, or not ended, after an exception.
+TEST_CASE("a handler that throws holds no later call up") {
+  ChannelFixture fixture(
+      [](const ReceivedRequest&) { return ResponseText("done"); });
+  std::vector<std::string> bodies;
+  fixture.Call(bodies, [] { throw std::runtime_error("handler"); });
+  fixture.Call(bodies);
+  CHECK_THROWS(fixture.RunUntilCount(bodies, 2));
+  fixture.RunUntilCount(bodies, 2);
+  CHECK(bodies.back() == "done");
+}
+
+TEST_CASE("a close ends all calls, also if a handler throws") {
+  ChannelFixture fixture([](const ReceivedRequest&) { return ""; });
+  std::vector<std::string> bodies;
+  fixture.Call(bodies, [] { throw std::runtime_error("handler"); });
+  fixture.Call(bodies);
+  fixture.Call(bodies);
+  CHECK_THROWS(fixture.channel->Close());
+  CHECK(bodies == std::vector<std::string>(3, "none"));
+}
+
 TEST_CASE("an interim response is not the response to a call") {
   ChannelFixture fixture([](const ReceivedRequest& request) {
     return "HTTP/1.1 100 Continue\r\n\r\n" +
