Emulator: targets that respond before they have read a long body

Cause: all emulated targets read a request before they answered it, and stated a length, so that no run could show that a reset amid an upload passes for the end of a body.

Change: a service may have `responds_early`: its targets send half of a response without a length when a request's head has arrived, then read the body and send the rest, or, by target-garble, reset the connection. Routes may have `body_bytes`.

--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -193,6 +193,19 @@
         drawing["slow_readers"] = {"share": 0.5, "bytes_per_s": 200_000}
         drawing["deadline_ms"] = 3000
         scenario["services"]["archive"]["answer_bytes"] = 400_000
+    upload_rng = random.Random(f"uploads {seed}")
+    if upload_rng.random() < 0.5:
+        # More than the kernels between an entry and a target hold.
+        scenario["services"]["documents"] = {
+            "targets": fleet.targets(3), "responds_early": True,
+            "answer_bytes": upload_rng.choice((40_000, 400_000))}
+        scenario["routes"]["upload"] = {
+            "host": "a.example", "prefix": "/upload/", "kind": "unsafe",
+            "service": "documents", "per_second": 0.6,
+            "deadline_ms": 2500, "body_bytes": 12_000_000}
+        scenario["faults"].append({
+            "kind": "target-garble", "service": "documents", "count": 3,
+            "at_s": 0, "for_s": LENGTH_S, "strength": 0.5})
     report, _ = fleet.run(scenario, actions, seed=seed)
     if report is None:
         return ["the emulator wrote no report"], fleet.directory
--- a/test/fakes/emulated_target.cc
+++ b/test/fakes/emulated_target.cc
@@ -270,6 +270,12 @@
                               boost::asio::ip::tcp::socket socket) {
     if (error || incarnation != incarnation_ || !acceptor_)
       return;
+    if (options_.responds_early) {
+      RespondEarly(std::move(socket), [this](const HttpFields& head) {
+        return RespondToHead(head);
+      });
+      return Accept();
+    }
     CallerConnection::Handlers handlers;
     handlers.on_request = [this, incarnation](const Caller& caller,
                                               const CallerRequest& request) {
@@ -416,6 +422,25 @@
   Enqueue(caller, request);
 }
 
+std::optional<EarlyResponse> EmulatedTarget::RespondToHead(
+    const HttpFields& head) {
+  const std::string id = ToString(head[platform::kRequestIdHeader]);
+  const std::string expected = ToString(head[platform::kExpectedTargetHeader]);
+  if (!running() || silent_ || (!expected.empty() && expected != id_))
+    return std::nullopt;
+  ++requests_run_;
+  notice_checker_.OnArrival(id_, options_.zone, id, BootNow());
+  checker_.OnRun(id, /*idempotent=*/false);
+  EarlyResponse response;
+  response.head = fmt::format(
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n{}: {}\r\n{}: {}\r\n\r\n",
+      platform::kRequestIdHeader, id, platform::kProofHeader, id_);
+  response.body = id + ":";
+  response.body.resize(options_.response_bytes, 'x');
+  response.aborted = std::uniform_real_distribution<>()(random_) < abort_ratio_;
+  return response;
+}
+
 bool EmulatedTarget::HoldsKey(ShardKey key) const {
   return BootNow() < held_until_[key];
 }
--- a/test/fakes/emulated_target.h
+++ b/test/fakes/emulated_target.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "early_responder.h"
 #include "figstall/caller_connection.h"
 #include "figstall/range_table.h"
 #include "notice_checker.h"
@@ -101,6 +102,9 @@
   // any second meanwhile.
   Duration warm_up_time{0};
   double max_warm_up_requests = 0;
+  // The target responds to a request before it has read its body, without a
+  // length. Requests need a Content-Length.
+  bool responds_early = false;
   // The test serves the target's address itself; only the target's entry in the
   // store is emulated.
   bool external = false;
@@ -168,6 +172,8 @@
   void Accept();
   void OnRequest(const Caller& caller, const HttpRequest& request);
   void Hold(const Caller& caller, const HttpRequest& request);
+  // The response to a request of which the head has arrived.
+  std::optional<EarlyResponse> RespondToHead(const HttpFields& head);
   void OnGrant(const Caller& caller, const HttpRequest& request);
   void OnRelease(const Caller& caller, const HttpRequest& request);
   void Enqueue(const Caller& caller, const HttpRequest& request);
--- a/test/fakes/emulator_main.cc
+++ b/test/fakes/emulator_main.cc
@@ -465,7 +465,9 @@
           std::to_string(static_cast<int>(key_fraction * 65'535)));
     }
     if (!traffic.idempotent)
-      request.body = R"({"order": 1})";
+      request.body = traffic.request_body_bytes == 0
+                         ? R"({"order": 1})"
+                         : std::string(traffic.request_body_bytes, 'b');
     request.limit = traffic.deadline + std::chrono::milliseconds(200);
     const Instant sent_at = BootNow();
     const auto kept =
--- a/test/fakes/emulator_scenario.cc
+++ b/test/fakes/emulator_scenario.cc
@@ -45,6 +45,7 @@
               "per_second": {"type": "number", "exclusiveMinimum": 0},
               "max_requests": {"type": "number", "exclusiveMinimum": 0}}},
           "queue": {"type": "integer", "minimum": 0},
+          "responds_early": {"type": "boolean"},
           "work_ms": {"type": "number", "exclusiveMinimum": 0},
           "answer_bytes": {"type": "integer", "minimum": 40}}}},
     "routes": {"type": "object", "minProperties": 1, "additionalProperties": {
@@ -56,6 +57,7 @@
         "service": {"type": "string"},
         "per_second": {"type": "number", "exclusiveMinimum": 0},
         "keep_connections": {"type": "boolean"},
+        "body_bytes": {"type": "integer", "minimum": 1},
         "slow_readers": {
           "type": "object", "additionalProperties": false,
           "required": ["share", "bytes_per_s"],
@@ -176,6 +178,7 @@
       options.external = target.value("external", false);
       options.address =
           ParseEndpointAt("/services/" + name, target.at("address"));
+      options.responds_early = service.value("responds_early", false);
       options.slots = service.value("slots", options.slots);
       options.queue_capacity = service.value("queue", options.queue_capacity);
       options.nominal_work_time =
@@ -214,6 +217,7 @@
     traffic.requests_per_second = route.at("per_second");
     traffic.keeps_connections = route.value("keep_connections", false);
     traffic.deadline = FromSeconds(deadline_s);
+    traffic.request_body_bytes = route.value("body_bytes", std::size_t{0});
     if (route.contains("slow_readers")) {
       const json& readers = route.at("slow_readers");
       traffic.slow_reader_share = readers.at("share");
--- a/test/fakes/emulator_scenario.h
+++ b/test/fakes/emulator_scenario.h
@@ -26,6 +26,8 @@
   double slow_reader_share = 0;
   double slow_bytes_per_second = 0;
   double requests_per_second = 1;
+  // Of each request that is not idempotent; 0 for a short one.
+  std::size_t request_body_bytes = 0;
   // Body size of each response with status 200.
   std::size_t response_bytes = 0;
   Duration deadline{0};
