moves-stalled: say when no target may take the ranges, and test the line

Cause: a move whose owner was lost, and for which no target is left, was said to await a release or reports, and the line had no test.

Change: `awaited` is `target` if no target may take the range, and `assignment` once its owner has released it. A process test lets all targets of a service leave while ranges move, and reads the log and the metric.

--- a/src/entry_control_ranges.cc
+++ b/src/entry_control_ranges.cc
@@ -229,10 +229,16 @@
       now - *state.stall_logged_at < timing_.move_stall_time)
     return;
   state.stall_logged_at = now;
-  const char* awaited = state.write.in_progress()                ? "write"
+  const bool has_target = std::any_of(
+      view_.targets.begin(), view_.targets.end(), [&](const auto& each) {
+        return each.second.service == service && !each.second.leaving &&
+               !view_.evacuations.contains(each.second.zone);
+      });
+  const char* awaited = !has_target                              ? "target"
+                        : state.write.in_progress()              ? "write"
                         : state.read.in_progress()               ? "read"
                         : state.unseen_rejoin > rejoin_revision_ ? "rejoin"
-                        : oldest->released                       ? "next-owner"
+                        : oldest->released                       ? "assignment"
                                            : "release-or-reports";
   log_.Write(LogLevel::kWarning, "moves-stalled",
              {{"service", service.value()},
--- a/test/entry_process_test.py
+++ b/test/entry_process_test.py
@@ -20,6 +20,7 @@
 import sys
 import threading
 import time
+import urllib.request
 
 SUPPORT = pathlib.Path(__file__).resolve().parent.parent / "support"
 sys.path.insert(0, str(SUPPORT))
@@ -1406,6 +1407,38 @@
     assert served_fraction(report) > 0.7, report["routes"]
 
 
+# Guards against key ranges that stay without an owner and nobody hears of it. Here
+# all targets of the service leave while some of its ranges are moving.
+def moves_that_stand_still_are_reported():
+    metrics = []
+
+    def read_metrics(fleet):
+        for entry in fleet.entries:
+            address_of = json.loads(entry.settings_path.read_text())["listen"]
+            with urllib.request.urlopen(
+                    f"http://{address_of['metrics']}/metrics") as page:
+                metrics.append(page.read().decode())
+
+    fleet = EntryFleet(ZONES, 1)
+    scenario = small_scenario(fleet, length_s=22, faults=[
+        {"at_s": 1, "kind": "target-ignores-releases", "service": "accounts",
+         "count": 3, "for_s": 20},
+        {"at_s": 1.2, "kind": "target-leave", "service": "accounts",
+         "count": 3, "for_s": 1},
+        {"at_s": 1.6, "kind": "target-leave", "service": "accounts",
+         "count": 6, "for_s": 2}])
+    report, _ = fleet.run(scenario, actions=[Action(LEAD_S + 21, read_metrics)])
+    assert report["violations"] == [], report["violations"]
+    stalled = [line for entry in fleet.entries for line in entry.log()
+               if line["event"] == "moves-stalled"]
+    assert stalled, "no line"
+    assert {line["service"] for line in stalled} == {"accounts"}, stalled
+    assert stalled[0]["awaited"] == "target", stalled
+    assert int(stalled[0]["moving_ms"]) >= 15_000, stalled
+    gauge = 'figstall_range_moves_stalled{service="accounts"} 1'
+    assert sum(gauge in page for page in metrics) == 1, metrics
+
+
 # Guards against two runs side by side whose ports overlap: callers of a stopped
 # entry of one reached a target of the other, and its answer looked wrong.
 def runs_side_by_side_get_different_ports():
@@ -1706,6 +1739,7 @@
          a_longer_timeout_holds_for_streamed_responses,
          a_response_cut_amid_an_upload_is_no_success,
          a_spoiled_handover_stops_no_moves,
+         moves_that_stand_still_are_reported,
          runs_side_by_side_get_different_ports,
          killed_entry_serves_after_restart,
          a_frozen_entry_holds_nothing_on_its_return,
