Soak: a failed run says when its own actions were late

Their kills came 1.5 to 6 s after the times for which the emulator excuses cuts: the run's processes were started late, so that the actions behind them were too. Nothing in the result said so.

No check is eased: such a run still fails.

--- a/support/entry_fleet.py
+++ b/support/entry_fleet.py
@@ -167,6 +167,9 @@
             for zone in zones for i in range(entries)]
         self.plot_path = self.directory / "plot.svg"
         self.emulator = None
+        # Seconds by which actions of the last run were later than the emulator's
+        # checks allow for.
+        self.late_actions = []
 
     def targets(self, count):
         """Returns `count` targets at free ports, distributed over the zones."""
@@ -230,6 +233,10 @@
                 time.sleep(max(0.0, begin_s + action.at_s -
                                time.clock_gettime(time.CLOCK_BOOTTIME)))
                 action.call(self)
+                late_s = (time.clock_gettime(time.CLOCK_BOOTTIME) - begin_s -
+                          action.at_s)
+                if action.fault and late_s > ACTION_DELAY_S:
+                    self.late_actions.append(round(late_s, 2))
             return self.report()
         finally:
             self.stop()
--- a/test/entry_soak_test.py
+++ b/test/entry_soak_test.py
@@ -219,6 +219,9 @@
                   if line["event"] == "unexpected-error"]
         if errors:
             violations.append(f"{entry.name}: {errors[0]}")
+    if violations and fleet.late_actions:
+        violations.insert(0, "actions came later than the checks allow for, by "
+                             f"{fleet.late_actions} s")
     return violations, fleet.directory
 
 
