--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -250,6 +250,8 @@
         self.service, self.port, self.zone = service, port, zone
         self.keyed, self.work_s, self.answer_bytes = keyed, work_s, answer_bytes
         self.slots = slots
+        # Bodies of other sizes, by path.
+        self.sizes = {}
         self.state, self.born, self.seq = "ready", int(time.time() * 1000), 0
         self.holds = {}
         self.seen = {}
@@ -349,7 +351,8 @@
         self.runs.append((time.monotonic(), fields["request-id"],
                           fields.get("shard-key")))
         await asyncio.sleep(self.work_s)
-        return http_answer(200, b"x" * self.answer_bytes,
+        size = self.sizes.get(target, self.answer_bytes)
+        return http_answer(200, b"x" * size,
                            echo + [("Backend-Signature", self.name)])
 
 
