--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -260,6 +260,7 @@
         self.handovers = 0
         self.up = True
         self.runs = []
+        self.conns = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1",
@@ -325,6 +326,7 @@
         return 200, [("Handover", f"{self.name}-{self.handovers}")]
 
     async def serve(self, reader, writer):
+        self.conns.add(writer)
         try:
             while request := await read_http(reader):
                 method, target, fields, body = request
@@ -342,6 +344,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.conns.discard(writer)
             writer.transport.abort()
 
     async def run(self, fields, target, echo):
