--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -8,6 +8,7 @@
 import pathlib
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -80,11 +81,21 @@
         self.oldest = 1
         self.copies = []
         self.down = False
+        # Names of those that are turned away with 503.
+        self.turned_away = set()
+        # Watches hear nothing.
+        self.silent = False
         self.changed = asyncio.Event()
         self.connections = set()
 
+    async def listen(self, port, name):
+        """Serves one machine at an address of its own."""
+        return await asyncio.start_server(
+            lambda reader, writer: self.serve(reader, writer, name),
+            "127.0.0.1", port)
+
     async def start(self, port):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.server = await self.listen(port, "")
         self.ticker = asyncio.create_task(self.tick())
 
     async def tick(self):
@@ -113,6 +124,8 @@
         self.wake()
 
     def wake(self):
+        if self.silent:
+            return
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -169,10 +182,18 @@
         self.wake()
         return 200, {"revision": self.revision}
 
+    def drop_history(self):
+        """Watches that heard nothing until now get 410 if they missed a change."""
+        self.history, self.oldest, self.silent = [], self.revision, False
+        self.wake()
+
     async def watch(self, query):
         until = time.monotonic() + int(query["waitMs"]) / 1000
         after, era = int(query["after"]), self.era
         while True:
+            if self.silent:
+                await self.changed.wait()
+                continue
             if era != self.era or after < self.oldest or after > self.revision:
                 return 410, {}
             events = [each for each in self.history if each["revision"] > after
@@ -217,12 +238,15 @@
         self.end_lease(lease)
         return 200, {}
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, name):
         self.connections.add(writer)
         try:
             while (request := await read_http(reader)) and not self.down:
                 method, target, _, body = request
-                status, value = await self.handle(method, target, body)
+                if name in self.turned_away:
+                    status, value = 503, {}
+                else:
+                    status, value = await self.handle(method, target, body)
                 if self.down:
                     break
                 text = json.dumps(value).encode() if value else b"{}"
@@ -259,6 +283,8 @@
         self.takes, self.spans = [], []
         self.handovers = 0
         self.up = True
+        # Resets new connections, as while the queue is long.
+        self.full = False
         self.runs = []
         self.conns = set()
 
@@ -326,6 +352,10 @@
         return 200, [("Handover", f"{self.name}-{self.handovers}")]
 
     async def serve(self, reader, writer):
+        if self.full:
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            return writer.transport.abort()
         self.conns.add(writer)
         try:
             while request := await read_http(reader):
